--- /dev/null
+++ b/turmerictray/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``turmerictray`` command-line tool."""
--- /dev/null
+++ b/turmerictray/cli/main.py
@@ -0,0 +1,239 @@
+"""The ``turmerictray`` command-line tool.
+
+Commands: ``serve`` (run a router), ``standin`` (run a stand-in), ``config check``, ``status``,
+``drain``, ``load`` (the load and experiment tool), ``timeline`` and ``demo``.
+"""
+
+import json
+import sys
+from pathlib import Path
+from typing import Literal
+
+import cyclopts
+import urllib3
+
+from turmerictray.config.load import load_settings, parse_config
+from turmerictray.config.settings import (
+    ConfigServiceSettings,
+    EngineSettings,
+    InstanceListSettings,
+    RouterSettings,
+    ServiceSettings,
+)
+from turmerictray.core.errors import ConfigError, SettingsError
+
+app = cyclopts.App(name="turmerictray", help="A router fleet that shares model capacity fairly.")
+config_app = cyclopts.App(name="config", help="Check configuration texts and settings files.")
+app.command(config_app)
+
+_SETTINGS_KINDS = {
+    "router": RouterSettings,
+    "engine": EngineSettings,
+    "service": ServiceSettings,
+    "config-service": ConfigServiceSettings,
+    "instances": InstanceListSettings,
+}
+
+
+@app.command
+def serve(settings: Path) -> int:
+    """Run a router daemon in the foreground until SIGTERM.
+
+    Parameters
+    ----------
+    settings
+        The router's settings file (JSON).
+    """
+    from turmerictray.router.daemon import run_router
+
+    return run_router(str(settings))
+
+
+@app.command
+def standin(kind: Literal["engine", "service", "config", "instances"], settings: Path) -> int:
+    """Run a stand-in of the platform in the foreground until SIGTERM.
+
+    Parameters
+    ----------
+    kind
+        Which stand-in.
+    settings
+        Its settings file (JSON).
+    """
+    from turmerictray.standins.run import run_standin
+
+    return run_standin(kind, str(settings))
+
+
+@config_app.command
+def check(file: Path, kind: str = "config") -> int:
+    """Check a configuration text or a settings file; print what is wrong and where.
+
+    Parameters
+    ----------
+    file
+        The file to check.
+    kind
+        ``config`` for a configuration text, or a settings kind: router, engine, service,
+        config-service, instances.
+    """
+    try:
+        if kind == "config":
+            try:
+                raw = file.read_bytes()
+            except OSError as exc:
+                raise SettingsError(str(file), f"cannot read: {exc.strerror}") from exc
+            cfg = parse_config(raw)
+            print(
+                f"ok: {file}: configuration version {cfg.version}, "
+                f"{len(cfg.services)} services, {len(cfg.teams)} teams"
+            )
+            return 0
+        if kind not in _SETTINGS_KINDS:
+            print(
+                f"error: unknown kind {kind!r}; one of config, {', '.join(_SETTINGS_KINDS)}",
+                file=sys.stderr,
+            )
+            return 2
+        load_settings(file, _SETTINGS_KINDS[kind])
+    except ConfigError as exc:
+        print(f"error: {file}: {exc.reason}", file=sys.stderr)
+        return 1
+    except SettingsError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        return 1
+    print(f"ok: {file}: {kind} settings")
+    return 0
+
+
+def _http_json(method: str, url: str) -> int:
+    try:
+        resp = urllib3.request(method, url, timeout=5.0, retries=False)
+    except urllib3.exceptions.HTTPError as exc:
+        print(f"error: {url}: {exc}", file=sys.stderr)
+        return 1
+    try:
+        print(json.dumps(json.loads(resp.data), indent=2))
+    except ValueError:
+        print(resp.data.decode(errors="replace"))
+    return 0 if resp.status < 400 else 1
+
+
+@app.command
+def status(router: str = "http://127.0.0.1:8080") -> int:
+    """Print a router's state: configuration version, queues, targets, teams, peers.
+
+    Parameters
+    ----------
+    router
+        The router's base URL.
+    """
+    return _http_json("GET", router.rstrip("/") + "/status")
+
+
+@app.command
+def drain(router: str = "http://127.0.0.1:8080") -> int:
+    """Start a graceful shutdown of a router: it finishes accepted requests, then exits 0.
+
+    Parameters
+    ----------
+    router
+        The router's base URL.
+    """
+    return _http_json("POST", router.rstrip("/") + "/admin/drain")
+
+
+@app.command
+def timeline(*logs: Path) -> int:
+    """Merge the logs of all processes into one time line ordered by event time.
+
+    Parameters
+    ----------
+    logs
+        Log files of routers and stand-ins.
+    """
+    from turmerictray.cli.timeline import merge_logs
+
+    for line in merge_logs(logs):
+        print(line)
+    return 0
+
+
+@app.command
+def load(
+    router: list[str],
+    engine: list[str],
+    team: list[str],
+    duration: float = 10.0,
+    max_tokens: int = 32,
+    seed: int = 1,
+    plot: Path | None = None,
+) -> int:
+    """Send backlogged load of several teams and report fairness gap, utilisation, control B/s.
+
+    Parameters
+    ----------
+    router
+        Router base URLs.
+    engine
+        Engine base URLs (for utilisation).
+    team
+        ``name:weight:callers[:router,router...]``, for example ``depot:2:8:0``.
+    duration
+        Measured seconds (after a 2 s warm-up).
+    max_tokens
+        Tokens per answer.
+    seed
+        Seed of the callers' start jitter.
+    plot
+        Write a PNG of service over time here.
+    """
+    from turmerictray.loadtool.experiment import Experiment, TeamLoad, run_experiment
+    from turmerictray.loadtool.report import format_results, plot_series
+
+    teams = []
+    for spec in team:
+        parts = spec.split(":")
+        if len(parts) not in (3, 4):
+            print(f"error: team {spec!r}: want name:weight:callers[:routers]", file=sys.stderr)
+            return 2
+        idx = [int(i) for i in parts[3].split(",")] if len(parts) == 4 else list(range(len(router)))
+        teams.append(TeamLoad(parts[0], float(parts[1]), int(parts[2]), idx))
+    res = run_experiment(
+        Experiment(router, engine, teams, duration, max_tokens=max_tokens, seed=seed)
+    )
+    print(format_results(res))
+    if plot:
+        plot_series(res, str(plot))
+    return 0
+
+
+@app.command
+def demo(routers: int = 2, engines: int = 2, duration: float = 8.0, seed: int = 1) -> int:
+    """Run the embedded default: stand-ins and routers on loopback, a short mixed load.
+
+    Parameters
+    ----------
+    routers
+        Routers to start (two or more).
+    engines
+        Engine stand-ins to start.
+    duration
+        Measured seconds of load.
+    seed
+        Seed of the load.
+    """
+    from turmerictray.cli.demo import run_demo
+
+    run_demo(routers, engines, duration, seed)
+    return 0
+
+
+def main() -> None:
+    """Entry point of ``turmerictray``."""
+    result = app()
+    sys.exit(result if isinstance(result, int) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerictray/config/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's configuration text and the processes' settings files, both checked on load."""
--- /dev/null
+++ b/turmerictray/config/load.py
@@ -0,0 +1,132 @@
+"""Decoding and checking of the configuration text and of settings files.
+
+Every refusal names the field (as a JSON path such as ``$.services[1].targets[0].url``) and the
+reason; a refused text changes nothing in force.
+"""
+
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from turmerictray.config.schema import Config
+from turmerictray.core.errors import ConfigError, SettingsError
+
+T = TypeVar("T")
+
+MAX_TEXT_BYTES = 1 << 20
+"""The platform holds values of up to a megabyte."""
+
+
+def parse_config(text: bytes | str) -> Config:
+    """Decode and check a configuration text.
+
+    Parameters
+    ----------
+    text : bytes or str
+        JSON text, at most 1 MiB.
+
+    Returns
+    -------
+    Config
+
+    Raises
+    ------
+    ConfigError
+        When the text is not JSON, does not match the schema, or is inconsistent.
+    """
+    raw = text.encode() if isinstance(text, str) else text
+    if len(raw) > MAX_TEXT_BYTES:
+        raise ConfigError(f"text is {len(raw)} bytes, over the 1 MiB limit")
+    try:
+        cfg = msgspec.json.decode(raw, type=Config)
+    except msgspec.ValidationError as exc:
+        raise ConfigError(str(exc), _claimed_version(raw)) from exc
+    except msgspec.DecodeError as exc:
+        raise ConfigError(f"not JSON: {exc}") from exc
+    _check_consistency(cfg)
+    return cfg
+
+
+def _claimed_version(raw: bytes) -> int | None:
+    try:
+        doc = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return None
+    version = doc.get("version") if isinstance(doc, dict) else None
+    return version if isinstance(version, int) else None
+
+
+def _duplicates(names: list[str]) -> list[str]:
+    seen: set[str] = set()
+    return sorted({name for name in names if name in seen or seen.add(name)})
+
+
+def _check_consistency(cfg: Config) -> None:
+    fail = _failer(cfg.version)
+    svc_names = [svc.name for svc in cfg.services]
+    for name in _duplicates(svc_names):
+        fail(f"service name {name!r} is used twice - at `$.services`")
+    target_ids = [tgt.id for svc in cfg.services for tgt in svc.targets]
+    for name in _duplicates(target_ids):
+        fail(f"target id {name!r} is used twice - at `$.services[*].targets`")
+    for idx, svc in enumerate(cfg.services):
+        for dep in svc.depends_on:
+            if dep not in svc_names:
+                fail(f"depends on unknown service {dep!r} - at `$.services[{idx}].depends_on`")
+        if not svc.targets:
+            fail(f"service has no targets - at `$.services[{idx}].targets`")
+    team_ids = [team.id for team in cfg.teams]
+    for name in _duplicates(team_ids):
+        fail(f"team id {name!r} is used twice - at `$.teams`")
+    keys = [key for team in cfg.teams for key in team.api_keys]
+    if _duplicates(keys):
+        fail("an API key is given to two teams - at `$.teams[*].api_keys`")
+    if cfg.default_team is not None and cfg.default_team not in team_ids:
+        fail(f"default team {cfg.default_team!r} is not a team - at `$.default_team`")
+
+
+def _failer(version: int):
+    def fail(reason: str) -> None:
+        raise ConfigError(reason, version)
+
+    return fail
+
+
+def load_settings(path: str | Path, kind: type[T]) -> T:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        A JSON file.
+    kind : type
+        The ``msgspec.Struct`` type the file must match.
+
+    Returns
+    -------
+    kind
+        The decoded settings.
+
+    Raises
+    ------
+    SettingsError
+        When the file cannot be read, is not JSON, or does not match ``kind``; the message
+        names the file, the field and the reason.
+    """
+    source = str(path)
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as exc:
+        raise SettingsError(source, f"cannot read: {exc.strerror}") from exc
+    return decode_settings(raw, kind, source)
+
+
+def decode_settings(raw: bytes, kind: type[T], source: str = "<settings>") -> T:
+    """Decode settings from JSON bytes; see :func:`load_settings`."""
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(source, str(exc)) from exc
+    except msgspec.DecodeError as exc:
+        raise SettingsError(source, f"not JSON: {exc}") from exc
--- /dev/null
+++ b/turmerictray/config/settings.py
@@ -0,0 +1,132 @@
+"""Settings files of the router daemon and the stand-ins.
+
+A process learns its addresses and its zone from its settings, never from the machine.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+NngAddress = Annotated[str, msgspec.Meta(pattern=r"^tcp://[^:]+:[0-9]+$")]
+Url = Annotated[str, msgspec.Meta(pattern=r"^https?://")]
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """An address to listen on."""
+
+    port: Port
+    host: str = "127.0.0.1"
+
+
+class RouterSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of one router (entry instance).
+
+    Attributes
+    ----------
+    node, zone : str
+        The router's identity.
+    listen : Listen
+        Its HTTP front for callers and operators.
+    peer_listen : str
+        Its peer link address, ``tcp://host:port``.
+    peers : list of str
+        Peer link addresses of the other routers it knows at start.
+    config_url : str
+        The configuration service.
+    instances_url : str or None
+        The instance list.
+    bootstrap_config : str or None
+        A configuration file used only while the service has never answered.
+    """
+
+    node: Annotated[str, msgspec.Meta(min_length=1)]
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    listen: Listen
+    peer_listen: NngAddress
+    config_url: Url
+    peers: list[NngAddress] = msgspec.field(default_factory=list)
+    instances_url: Url | None = None
+    bootstrap_config: str | None = None
+    log_file: str | None = None
+    load_poll_s: Seconds = 0.5
+    instances_poll_s: Seconds = 0.5
+    heartbeat_s: Seconds = 0.5
+    peer_timeout_s: Seconds = 3.0
+    drain_timeout_s: Seconds = 30.0
+    watch_wait_s: Seconds = 2.0
+    threads: Annotated[int, msgspec.Meta(ge=4, le=1024)] = 64
+    assertions: bool = False
+
+
+class EngineSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the model engine stand-in.
+
+    Attributes
+    ----------
+    slots : int
+        Requests decoded at once (continuous batching); the rest wait in arrival order.
+    tokens_per_s : float
+        Decode rate of one slot, in tokens per second.
+    prefill_tokens_per_s : float
+        Prefill rate for prompt tokens not found in the prefix cache.
+    prefix_cache_entries : int
+        Prefixes the cache holds (least recently used goes first).
+    load_lag_s : float
+        Age of the load figures the engine reports.
+    check_fencing : bool
+        Refuse orders that carry a fencing number lower than one already seen.
+    """
+
+    id: str
+    listen: Listen
+    zone: str = "-"
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 4
+    tokens_per_s: Annotated[float, msgspec.Meta(gt=0)] = 200.0
+    prefill_tokens_per_s: Annotated[float, msgspec.Meta(gt=0)] = 5000.0
+    prefix_cache_entries: Annotated[int, msgspec.Meta(ge=0)] = 32
+    load_lag_s: Annotated[float, msgspec.Meta(ge=0)] = 0.5
+    check_fencing: bool = True
+    log_file: str | None = None
+
+
+class ServiceSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the plain service stand-in."""
+
+    id: str
+    listen: Listen
+    zone: str = "-"
+    work_s: Annotated[float, msgspec.Meta(ge=0)] = 0.01
+    log_file: str | None = None
+
+
+class ConfigServiceSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the configuration service stand-in.
+
+    Attributes
+    ----------
+    initial : str
+        Path of the first configuration text it publishes.
+    reads_per_s : float
+        Global read limit across all readers; a waiting watch counts once.
+    """
+
+    listen: Listen
+    initial: str
+    reads_per_s: Annotated[float, msgspec.Meta(gt=0)] = 2000.0
+    log_file: str | None = None
+
+
+class InstanceListSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the instance list stand-in.
+
+    Attributes
+    ----------
+    lag_s : float
+        How late a change shows in what the list publishes.
+    """
+
+    listen: Listen
+    lag_s: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    log_file: str | None = None
--- /dev/null
+++ b/turmerictray/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pieces shared by every process: ids, errors, logs, timers and the application object."""
--- /dev/null
+++ b/turmerictray/core/app.py
@@ -0,0 +1,93 @@
+"""The application object that owns start-up and clean-up.
+
+Parts register with :meth:`Application.add`; they start in order and stop in reverse order,
+also when start-up fails half way, so nothing a process opened is left behind.
+"""
+
+import signal
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from turmerictray.core.logs import log_event
+
+
+class Component(Protocol):
+    """A part of a process with a life cycle."""
+
+    def start(self) -> None:
+        """Open what the part owns."""
+
+    def stop(self) -> None:
+        """Release what the part owns; called once, in reverse order of start."""
+
+
+class Application:
+    """Runs components and turns SIGTERM and SIGINT into a graceful stop.
+
+    Parameters
+    ----------
+    name : str
+        Used in log events.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self._components: list[Component] = []
+        self._started: list[Component] = []
+        self._stop_requested = threading.Event()
+        self._on_signal: list[Callable[[], None]] = []
+
+    def add(self, component: Component) -> Component:
+        """Register a component; returns it for convenience."""
+        self._components.append(component)
+        return component
+
+    def on_signal(self, hook: Callable[[], None]) -> None:
+        """Run ``hook`` when SIGTERM or SIGINT arrives (for example, to begin a drain)."""
+        self._on_signal.append(hook)
+
+    def request_stop(self) -> None:
+        """Ask :meth:`run` to return and stop all components."""
+        self._stop_requested.set()
+
+    def start(self) -> None:
+        """Start every component in order; on failure, stop those already started."""
+        try:
+            for comp in self._components:
+                comp.start()
+                self._started.append(comp)
+        except BaseException:
+            self.stop()
+            raise
+        log_event("app_started", app=self.name)
+
+    def stop(self) -> None:
+        """Stop the started components in reverse order; errors are logged, not raised."""
+        while self._started:
+            comp = self._started.pop()
+            try:
+                comp.stop()
+            except Exception as exc:  # noqa: BLE001 - clean-up must reach every component
+                log_event("stop_failed", level="ERROR", component=type(comp).__name__, exc=exc)
+        log_event("app_stopped", app=self.name)
+
+    def run(self) -> int:
+        """Start, wait for a stop request or a signal, stop; returns the exit code 0."""
+        signal.signal(signal.SIGTERM, self._handle_signal)
+        signal.signal(signal.SIGINT, self._handle_signal)
+        self.start()
+        try:
+            while not self._stop_requested.wait(0.2):
+                pass
+        finally:
+            self.stop()
+        return 0
+
+    def _handle_signal(self, signum: int, _frame: object) -> None:
+        log_event("signal", app=self.name, signum=signum)
+        if not self._on_signal:
+            self.request_stop()
+            return
+        for hook in self._on_signal:
+            threading.Thread(target=hook, name="signal-hook", daemon=True).start()
--- /dev/null
+++ b/turmerictray/core/errors.py
@@ -0,0 +1,132 @@
+"""The exception tree.
+
+Every layer raises its own subclass of :class:`TurmerictrayError` and turns the errors of the
+layer below into one of its own, so that a caller of a layer handles only that layer's errors.
+"""
+
+
+class TurmerictrayError(Exception):
+    """Base of every error raised by turmerictray."""
+
+
+class SettingsError(TurmerictrayError):
+    """A daemon or stand-in settings file was refused.
+
+    Parameters
+    ----------
+    source : str
+        The file or text that was read.
+    reason : str
+        What is wrong, naming the field (for example ``$.listen.port``).
+    """
+
+    def __init__(self, source: str, reason: str) -> None:
+        super().__init__(f"{source}: {reason}")
+        self.source = source
+        self.reason = reason
+
+
+class ConfigError(TurmerictrayError):
+    """A configuration text was rejected; nothing in force changes.
+
+    Parameters
+    ----------
+    reason : str
+        What is wrong, naming the field.
+    version : int or None
+        The version the rejected text claimed, when it could be read.
+    """
+
+    def __init__(self, reason: str, version: int | None = None) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.version = version
+
+
+class AdmissionError(TurmerictrayError):
+    """A request was refused before any byte of it was sent to a target.
+
+    The caller may safely send it again after ``retry_after`` seconds: it was not run.
+
+    Parameters
+    ----------
+    reason : str
+        A short machine-readable cause (``queue_full``, ``queue_timeout``, ``draining``...).
+    retry_after : float
+        Seconds after which the caller should come back.
+    """
+
+    status = 503
+
+    def __init__(self, reason: str, retry_after: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class QueueFull(AdmissionError):
+    """The team's queue on this router is at its limit."""
+
+    status = 429
+
+
+class QueueTimeout(AdmissionError):
+    """The request waited in the queue until its deadline and was given up."""
+
+
+class Draining(AdmissionError):
+    """The router is shutting down and takes no new requests."""
+
+
+class NoTarget(AdmissionError):
+    """No live target serves the requested service."""
+
+
+class CallerError(TurmerictrayError):
+    """The caller's request is malformed or names an unknown team or service.
+
+    Parameters
+    ----------
+    reason : str
+        What is wrong with the request.
+    status : int
+        HTTP status to answer with.
+    """
+
+    def __init__(self, reason: str, status: int = 400) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.status = status
+
+
+class UpstreamError(TurmerictrayError):
+    """A call to a target failed."""
+
+
+class NotSent(UpstreamError):
+    """The call failed before any byte reached the target; it was not run."""
+
+
+class OutcomeUnknown(UpstreamError):
+    """The call failed after bytes may have reached the target; it may have run."""
+
+
+class UpstreamRefused(UpstreamError):
+    """The target answered with an error status before doing any work.
+
+    Parameters
+    ----------
+    status : int
+        The target's HTTP status.
+    body : bytes
+        The target's answer.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"target answered {status}")
+        self.status = status
+        self.body = body
+
+
+class PeerError(TurmerictrayError):
+    """The peer link could not be set up or a peer message could not be decoded."""
--- /dev/null
+++ b/turmerictray/core/ids.py
@@ -0,0 +1,25 @@
+"""Typed identifiers.
+
+Each id is a plain ``str`` at run time; the distinct types let a type checker catch a team id
+passed where a target id belongs.
+"""
+
+from typing import NewType
+
+TeamId = NewType("TeamId", str)
+"""A team (tenant) whose requests share the pool, as named in the configuration."""
+
+RequestId = NewType("RequestId", str)
+"""A caller's request; the ``Idempotency-Key`` when the caller gives one."""
+
+TargetId = NewType("TargetId", str)
+"""A back end instance: one model engine or one plain service worker."""
+
+NodeId = NewType("NodeId", str)
+"""An entry instance (router) of the fleet, from its settings."""
+
+ZoneId = NewType("ZoneId", str)
+"""An availability zone, from a process's settings."""
+
+ServiceName = NewType("ServiceName", str)
+"""A service of the configuration: a model pool or a plain service."""
--- /dev/null
+++ b/turmerictray/core/logs.py
@@ -0,0 +1,81 @@
+"""Structured logs: one line of ``key=value`` pairs per event.
+
+Every line starts with ``ts`` (UTC, microseconds), ``node``, ``zone`` and a per-process ``seq``,
+so that :mod:`turmerictray.cli.timeline` can merge the logs of all processes into one time line.
+"""
+
+import itertools
+import sys
+import threading
+import time
+from datetime import UTC, datetime
+
+from loguru import logger
+
+_seq = itertools.count()
+_seq_lock = threading.Lock()
+_identity = {"node": "-", "zone": "-", "role": "-"}
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if text == "" or any(ch in text for ch in ' ="\n'):
+        return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+    return text
+
+
+def format_event(event: str, fields: dict[str, object]) -> str:
+    """Render one event as a ``key=value`` line.
+
+    Parameters
+    ----------
+    event : str
+        The event name, for example ``dispatch``.
+    fields : dict
+        Extra pairs; values are rendered with ``str`` and quoted when they hold spaces.
+
+    Returns
+    -------
+    str
+        The line, without a trailing newline.
+    """
+    with _seq_lock:
+        seq = next(_seq)
+    ts = datetime.fromtimestamp(time.time(), UTC).strftime("%Y-%m-%dT%H:%M:%S.%fZ")
+    head = {"ts": ts, **_identity, "seq": seq, "event": event}
+    pairs = itertools.chain(head.items(), fields.items())
+    return " ".join(f"{key}={_quote(val)}" for key, val in pairs)
+
+
+def setup_logging(role: str, node: str = "-", zone: str = "-", path: str | None = None) -> None:
+    """Send this process's events to standard error and, if given, to a file.
+
+    Parameters
+    ----------
+    role : str
+        What the process is (``router``, ``engine``...).
+    node, zone : str
+        The process's identity from its settings.
+    path : str or None
+        A log file to append to.
+    """
+    _identity.update(node=node, zone=zone, role=role)
+    logger.remove()
+    logger.add(sys.stderr, format="{message}", level="INFO", enqueue=False)
+    if path:
+        logger.add(path, format="{message}", level="INFO", enqueue=False)
+
+
+def log_event(event: str, level: str = "INFO", **fields: object) -> None:
+    """Log one event as a ``key=value`` line.
+
+    Parameters
+    ----------
+    event : str
+        The event name.
+    level : str
+        Loguru level name.
+    **fields
+        The event's pairs.
+    """
+    logger.log(level, format_event(event, fields))
--- /dev/null
+++ b/turmerictray/core/timer.py
@@ -0,0 +1,85 @@
+"""The timer service that parts subscribe to.
+
+One thread wakes at a fine step and sends each subscriber a :class:`Tick` message when its
+period has passed. Subscribers are pykka actors, so a tick is handled on the subscriber's own
+thread, with its own state, like any other message.
+"""
+
+import threading
+import time
+from dataclasses import dataclass
+
+import pykka
+
+_STEP_S = 0.02
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Sent to a subscriber once per period.
+
+    Attributes
+    ----------
+    name : str
+        The subscription's name, so one actor can hold several.
+    now : float
+        ``time.monotonic()`` when the tick was sent, in seconds.
+    """
+
+    name: str
+    now: float
+
+
+@dataclass
+class _Subscription:
+    ref: pykka.ActorRef
+    name: str
+    period: float
+    due: float
+
+
+class TimerService:
+    """Sends periodic :class:`Tick` messages to subscribed actors."""
+
+    def __init__(self) -> None:
+        self._subs: list[_Subscription] = []
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="timer", daemon=True)
+
+    def subscribe(self, ref: pykka.ActorRef, name: str, period: float) -> None:
+        """Send ``Tick(name, now)`` to ``ref`` every ``period`` seconds.
+
+        Parameters
+        ----------
+        ref : pykka.ActorRef
+            The subscriber.
+        name : str
+            Names the subscription in the tick.
+        period : float
+            Seconds between ticks; at least the service's step of 20 ms.
+        """
+        with self._lock:
+            self._subs.append(_Subscription(ref, name, period, time.monotonic() + period))
+
+    def start(self) -> None:
+        """Start the timer thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop sending ticks and wait for the thread."""
+        self._stop.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=2)
+
+    def _run(self) -> None:
+        while not self._stop.wait(_STEP_S):
+            now = time.monotonic()
+            with self._lock:
+                subs = list(self._subs)
+            for sub in subs:
+                if now < sub.due:
+                    continue
+                sub.due = now + sub.period
+                if sub.ref.is_alive():
+                    sub.ref.tell(Tick(sub.name, now))
--- /dev/null
+++ b/turmerictray/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Per-team service accounting and the fair queue that orders a router's backlog."""
--- /dev/null
+++ b/turmerictray/fairness/queue.py
@@ -0,0 +1,142 @@
+"""The fair queue: a router's backlog, ordered across teams by normalised service."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from turmerictray.core.errors import QueueFull
+from turmerictray.core.ids import RequestId, TeamId
+from turmerictray.fairness.ledger import ServiceLedger
+
+
+@dataclass
+class Pending:
+    """A request waiting for a target slot.
+
+    Attributes
+    ----------
+    req_id : RequestId
+    team : TeamId
+    hint : float
+        Rough cost estimate in tokens, charged at dispatch.
+    deadline : float
+        ``time.monotonic()`` after which the request is given up, in seconds.
+    reply : Any
+        Where the grant or refusal goes (a future owned by the caller's thread).
+    context : Any
+        Whatever the dispatcher needs to place the request (service, prefix key...).
+    """
+
+    req_id: RequestId
+    team: TeamId
+    hint: float
+    deadline: float
+    reply: Any = None
+    context: Any = None
+    seq: int = field(default=0, compare=False)
+
+
+class FairQueue:
+    """Per-team FIFO queues; :meth:`pop` serves the backlogged team least served so far.
+
+    Parameters
+    ----------
+    ledger : ServiceLedger
+        Decides which team is least served.
+    max_per_team : int
+        Requests one team may have waiting on this router.
+    retry_after : float
+        Seconds given to callers refused because their team's queue is full.
+    """
+
+    def __init__(self, ledger: ServiceLedger, max_per_team: int, retry_after: float) -> None:
+        self.ledger = ledger
+        self.max_per_team = max_per_team
+        self.retry_after = retry_after
+        self._queues: dict[TeamId, deque[Pending]] = {}
+        self._seq = 0
+
+    def __len__(self) -> int:
+        return sum(len(q) for q in self._queues.values())
+
+    def backlogged(self) -> list[TeamId]:
+        """Teams with at least one waiting request."""
+        return list(self._queues)
+
+    def depth(self, team: TeamId) -> int:
+        """Requests of ``team`` waiting."""
+        return len(self._queues.get(team, ()))
+
+    def push(self, item: Pending, front: bool = False) -> None:
+        """Queue a request; ``front`` puts a retried request back at the head of its team.
+
+        Raises
+        ------
+        QueueFull
+            When the team already has ``max_per_team`` requests waiting (never for ``front``).
+        """
+        queue = self._queues.get(item.team)
+        if queue is None:
+            self.ledger.lift(item.team, self.backlogged())
+            queue = self._queues[item.team] = deque()
+        elif len(queue) >= self.max_per_team and not front:
+            raise QueueFull("queue_full", self.retry_after)
+        self._seq += 1
+        item.seq = self._seq
+        if front:
+            queue.appendleft(item)
+        else:
+            queue.append(item)
+
+    def peek_team(self) -> TeamId | None:
+        """The team :meth:`pop` would serve next, or None when nothing waits."""
+        if not self._queues:
+            return None
+        return min(self._queues, key=lambda team: (self.ledger.normalised(team), team))
+
+    def peek_head(self, team: TeamId) -> Pending:
+        """The oldest waiting request of ``team``."""
+        return self._queues[team][0]
+
+    def expire_matching(self, req_id: RequestId) -> list[Pending]:
+        """Remove and return the waiting requests with id ``req_id``."""
+        gone: list[Pending] = []
+        for team in list(self._queues):
+            queue = self._queues[team]
+            gone.extend(item for item in queue if item.req_id == req_id)
+            keep = deque(item for item in queue if item.req_id != req_id)
+            if keep:
+                self._queues[team] = keep
+            else:
+                del self._queues[team]
+        return gone
+
+    def pop(self) -> Pending | None:
+        """Take the next request of the least served backlogged team, or None."""
+        team = self.peek_team()
+        if team is None:
+            return None
+        queue = self._queues[team]
+        item = queue.popleft()
+        if not queue:
+            del self._queues[team]
+        return item
+
+    def expire(self, now: float) -> list[Pending]:
+        """Remove and return the requests whose deadline has passed."""
+        gone: list[Pending] = []
+        for team in list(self._queues):
+            queue = self._queues[team]
+            keep = deque(item for item in queue if item.deadline > now)
+            gone.extend(item for item in queue if item.deadline <= now)
+            if keep:
+                self._queues[team] = keep
+            else:
+                del self._queues[team]
+        return gone
+
+    def drain_all(self) -> list[Pending]:
+        """Remove and return everything that waits."""
+        items = [item for queue in self._queues.values() for item in queue]
+        self._queues.clear()
+        return items
--- /dev/null
+++ b/turmerictray/loadtool/experiment.py
@@ -0,0 +1,203 @@
+"""The load experiment: backlogged teams on a set of routers, and what it measured.
+
+Each team runs a fixed number of closed-loop callers, each pinned to one router, so landing can
+be skewed (one team on one router, another spread over all). While the load runs, a sampler
+reads the engines' load and the routers' queues ten times a second.
+"""
+
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+import urllib3
+
+from turmerictray.loadtool.client import Outcome, call_stream
+
+_SAMPLE_S = 0.1
+
+
+@dataclass
+class TeamLoad:
+    """One team's callers.
+
+    Attributes
+    ----------
+    name : str
+    weight : float
+        As in the configuration; used to normalise service.
+    callers : int
+        Closed-loop callers (more than its fair share of slots keeps it backlogged).
+    routers : list of int
+        Router indexes its callers are spread over, in turn.
+    """
+
+    name: str
+    weight: float
+    callers: int
+    routers: list[int]
+
+
+@dataclass
+class Experiment:
+    """What to run."""
+
+    router_urls: list[str]
+    engine_urls: list[str]
+    teams: list[TeamLoad]
+    duration_s: float = 10.0
+    warmup_s: float = 2.0
+    max_tokens: int = 32
+    seed: int = 1
+
+
+@dataclass
+class Results:
+    """What a run measured.
+
+    Attributes
+    ----------
+    fairness_gap : float
+        Largest minus smallest normalised service (tokens / weight) between backlogged teams
+        over the measured window, as a fraction of the mean.
+    gap_tokens : float
+        The same gap in tokens per unit of weight.
+    utilisation : float
+        Busy engine slots over all slots, averaged over samples taken while work waited.
+    control_bytes_per_s : float
+        Control traffic per router, sent plus received, in bytes per second.
+    """
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    service: dict[str, float] = field(default_factory=dict)
+    fairness_gap: float = 0.0
+    gap_tokens: float = 0.0
+    utilisation: float = 0.0
+    waiting_samples: int = 0
+    control_bytes_per_s: float = 0.0
+    whole_answers: int = 0
+    broken_answers: int = 0
+    refused: int = 0
+    series: list[tuple[float, dict[str, float]]] = field(default_factory=list)
+
+
+def _control_bytes(http: urllib3.PoolManager, url: str) -> float:
+    resp = http.request("GET", url + "/metrics", timeout=5.0)
+    total = 0.0
+    for line in resp.data.decode().splitlines():
+        if line.startswith("turmerictray_control_bytes_total{"):
+            total += float(line.rsplit(" ", 1)[1])
+    return total
+
+
+def run_experiment(exp: Experiment) -> Results:
+    """Run the load and measure it.
+
+    Returns
+    -------
+    Results
+    """
+    rng = random.Random(exp.seed)
+    http = urllib3.PoolManager(maxsize=256, retries=False)
+    results = Results()
+    lock = threading.Lock()
+    start = time.monotonic()
+    stop_at = start + exp.warmup_s + exp.duration_s
+    window = (start + exp.warmup_s, stop_at)
+    served = {team.name: 0.0 for team in exp.teams}
+    ctl_before = [_control_bytes(http, url) for url in exp.router_urls]
+
+    def caller(team: TeamLoad, router: str, delay: float) -> None:
+        time.sleep(delay)
+        while time.monotonic() < stop_at:
+            out = call_stream(http, router, team.name, exp.max_tokens)
+            end = time.monotonic()
+            with lock:
+                results.outcomes.append(out)
+                if window[0] <= end <= window[1]:
+                    served[team.name] += out.tokens
+            if out.status != 200:
+                time.sleep(min(1.0, float(out.retry_after or 0.2)))
+
+    threads = []
+    for team in exp.teams:
+        for i in range(team.callers):
+            router = exp.router_urls[team.routers[i % len(team.routers)]]
+            thr = threading.Thread(
+                target=caller, args=(team, router, rng.uniform(0, 0.2)), daemon=True
+            )
+            threads.append(thr)
+    for thr in threads:
+        thr.start()
+    busy, slots_seen = _sample(http, exp, stop_at, window, results, served, lock)
+    for thr in threads:
+        thr.join(timeout=60)
+    elapsed = time.monotonic() - start
+    ctl_after = [_control_bytes(http, url) for url in exp.router_urls]
+    results.control_bytes_per_s = sum(a - b for a, b in zip(ctl_after, ctl_before, strict=True)) / (
+        elapsed * len(exp.router_urls)
+    )
+    results.utilisation = busy / slots_seen if slots_seen else 0.0
+    weights = {team.name: team.weight for team in exp.teams}
+    results.service = {name: served[name] / weights[name] for name in served}
+    values = list(results.service.values())
+    mean = sum(values) / len(values) if values else 0.0
+    results.gap_tokens = max(values) - min(values) if values else 0.0
+    results.fairness_gap = results.gap_tokens / mean if mean else 0.0
+    results.whole_answers = sum(1 for o in results.outcomes if o.ok)
+    results.broken_answers = sum(1 for o in results.outcomes if o.status == 200 and not o.ok)
+    results.refused = sum(1 for o in results.outcomes if o.status != 200)
+    return results
+
+
+def _sample(http, exp: Experiment, stop_at: float, window, results: Results, served, lock):
+    busy = 0.0
+    slots_seen = 0.0
+    while time.monotonic() < stop_at:
+        time.sleep(_SAMPLE_S)
+        now = time.monotonic()
+        try:
+            queued = sum(
+                msgspec.json.decode(http.request("GET", url + "/status", timeout=2.0).data)[
+                    "queued"
+                ]
+                for url in exp.router_urls
+            )
+            stats = [
+                msgspec.json.decode(http.request("GET", url + "/admin/stats", timeout=2.0).data)
+                for url in exp.engine_urls
+            ]
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError, KeyError):
+            continue
+        if window[0] <= now <= window[1]:
+            with lock:
+                results.series.append((now - window[0], dict(served)))
+            if queued > 0:
+                busy += sum(s["running"] for s in stats)
+                slots_seen += sum(s["slots"] for s in stats)
+                results.waiting_samples += 1
+    return busy, slots_seen
+
+
+def latency_ratio(
+    router_url: str, engine_url: str, calls: int = 20, max_tokens: int = 8
+) -> tuple[float, float, float]:
+    """Median time to the first token through the router over direct to an engine.
+
+    Calls alternate between the two paths in one run, so both meet the same machine load.
+
+    Returns
+    -------
+    tuple of float
+        ``(ratio, median via router in s, median direct in s)``.
+    """
+    http = urllib3.PoolManager(retries=False)
+    via, direct = [], []
+    for _ in range(calls):
+        via.append(call_stream(http, router_url, "depot", max_tokens).first_token_s)
+        direct.append(call_stream(http, engine_url, "depot", max_tokens).first_token_s)
+    via.sort()
+    direct.sort()
+    med_via, med_direct = via[len(via) // 2], direct[len(direct) // 2]
+    return (med_via / med_direct if med_direct else 0.0), med_via, med_direct
--- /dev/null
+++ b/turmerictray/loadtool/report.py
@@ -0,0 +1,42 @@
+"""Printing and plotting what an experiment measured."""
+
+from turmerictray.loadtool.experiment import Results
+
+
+def format_results(res: Results) -> str:
+    """A short table of the run's figures."""
+    lines = [
+        f"answers: {res.whole_answers} whole, {res.broken_answers} broken, "
+        f"{res.refused} refused",
+        "service per unit of weight (tokens): "
+        + ", ".join(f"{team}={value:.0f}" for team, value in sorted(res.service.items())),
+        f"fairness gap: {res.fairness_gap:.3f} of the mean ({res.gap_tokens:.0f} tokens)",
+        f"utilisation while work waits: {res.utilisation:.3f} " f"({res.waiting_samples} samples)",
+        f"control traffic per router: {res.control_bytes_per_s:.0f} B/s",
+    ]
+    return "\n".join(lines)
+
+
+def plot_series(res: Results, path: str) -> None:
+    """Write a PNG of each team's normalised service over the measured window.
+
+    Raises
+    ------
+    ImportError
+        When matplotlib is not installed (``pip install turmerictray[plot]``).
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    fig, ax = plt.subplots(figsize=(7, 4))
+    teams = sorted(res.service)
+    for team in teams:
+        ax.plot([t for t, _ in res.series], [s[team] for _, s in res.series], label=team)
+    ax.set_xlabel("seconds into the measured window")
+    ax.set_ylabel("tokens served (raw)")
+    ax.legend()
+    fig.tight_layout()
+    fig.savefig(path)
+    plt.close(fig)
--- /dev/null
+++ b/turmerictray/router/answers.py
@@ -0,0 +1,66 @@
+"""HTTP answers for the router's errors; one rule per kind of error."""
+
+from functools import singledispatch
+
+import msgspec
+
+from turmerictray.core.errors import (
+    AdmissionError,
+    CallerError,
+    NotSent,
+    OutcomeUnknown,
+    TurmerictrayError,
+)
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """An error answer: HTTP status, headers and JSON body."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def _json(kind: str, message: str) -> bytes:
+    return msgspec.json.encode({"error": {"type": kind, "message": message}})
+
+
+def _retry_after(seconds: float) -> tuple[str, str]:
+    return ("Retry-After", str(max(1, round(seconds))))
+
+
+@singledispatch
+def error_answer(exc: TurmerictrayError) -> ErrorAnswer:
+    """Turn an error into the caller's final answer.
+
+    Parameters
+    ----------
+    exc : TurmerictrayError
+
+    Returns
+    -------
+    ErrorAnswer
+        ``not_run`` answers carry ``Retry-After``; ``outcome_unknown`` does not, since the call
+        may have run and the caller must check before sending it again.
+    """
+    return ErrorAnswer(500, [], _json("internal", str(exc)))
+
+
+@error_answer.register
+def _(exc: AdmissionError) -> ErrorAnswer:
+    return ErrorAnswer(exc.status, [_retry_after(exc.retry_after)], _json("not_run", exc.reason))
+
+
+@error_answer.register
+def _(exc: NotSent) -> ErrorAnswer:
+    return ErrorAnswer(503, [_retry_after(1)], _json("not_run", str(exc)))
+
+
+@error_answer.register
+def _(exc: OutcomeUnknown) -> ErrorAnswer:
+    return ErrorAnswer(502, [], _json("outcome_unknown", str(exc)))
+
+
+@error_answer.register
+def _(exc: CallerError) -> ErrorAnswer:
+    return ErrorAnswer(exc.status, [], _json("bad_request", exc.reason))
--- /dev/null
+++ b/turmerictray/router/daemon.py
@@ -0,0 +1,175 @@
+"""The router daemon: builds the router's parts under one application object.
+
+Run as ``turmerictrayd SETTINGS.json`` or ``turmerictray serve SETTINGS.json``. SIGTERM starts a
+graceful shutdown: new requests are refused with ``Retry-After``, accepted ones run to their
+end, then the process exits 0.
+"""
+
+import sys
+import threading
+import time
+
+import pykka
+
+from turmerictray.config.load import load_settings, parse_config
+from turmerictray.config.settings import RouterSettings
+from turmerictray.core.app import Application
+from turmerictray.core.errors import ConfigError, SettingsError
+from turmerictray.core.ids import NodeId
+from turmerictray.core.logs import log_event, setup_logging
+from turmerictray.core.timer import TimerService
+from turmerictray.router.dispatcher import Dispatcher
+from turmerictray.router.front import ConfigSnapshot, Front
+from turmerictray.router.messages import ConfigApplied, Drain, StatusQuery
+from turmerictray.router.peers import PeerLink
+from turmerictray.router.proxy import Proxy
+from turmerictray.router.server import HttpServer
+from turmerictray.router.upstream import Upstream
+from turmerictray.router.watch_config import ConfigWatcher
+from turmerictray.router.watch_instances import InstancePoller
+from turmerictray.router.watch_load import LoadPoller
+
+_EXPIRE_TICK_S = 0.1
+_DRAIN_POLL_S = 0.1
+
+
+class _Actors:
+    """Starts and stops the router's actors as one component."""
+
+    def __init__(self, router: "Router") -> None:
+        self.router = router
+
+    def start(self) -> None:
+        self.router.start_actors()
+
+    def stop(self) -> None:
+        pykka.ActorRegistry.stop_all(timeout=5)
+
+
+class Router:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    """
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self.settings = settings
+        self.incarnation = time.time_ns()
+        self.app = Application(f"router:{settings.node}")
+        self.timer = TimerService()
+        self.snapshot = ConfigSnapshot()
+        self.upstream = Upstream()
+        self.dispatcher: pykka.ActorRef | None = None
+        self.http: HttpServer | None = None
+        self.front: Front | None = None
+        self._draining = threading.Lock()
+        self.app.add(self.timer)
+        self.app.add(_Actors(self))
+        self.app.on_signal(self.drain_and_stop)
+
+    def start_actors(self) -> None:
+        """Start the dispatcher, watchers and peer link and subscribe them to the timer."""
+        s = self.settings
+        self.dispatcher = _SnapshotDispatcher.start(
+            NodeId(s.node), self.incarnation, s.assertions, self.snapshot
+        )
+        self._bootstrap()
+        ConfigWatcher.start(s.config_url, self.dispatcher, s.watch_wait_s)
+        self.timer.subscribe(self.dispatcher, "expire", _EXPIRE_TICK_S)
+        if s.instances_url:
+            poller = InstancePoller.start(s.instances_url, self.dispatcher)
+            self.timer.subscribe(poller, "instances", s.instances_poll_s)
+        load = LoadPoller.start(self.dispatcher)
+        self.timer.subscribe(load, "load", s.load_poll_s)
+        link = PeerLink.start(
+            s.node, s.zone, s.peer_listen, s.peers, self.dispatcher, s.peer_timeout_s
+        )
+        self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
+        proxy = Proxy(self.dispatcher, self.upstream, s.node)
+        self.front = Front(self.dispatcher, proxy, self.snapshot, self.drain_and_stop)
+        self.http = HttpServer(s.listen.host, s.listen.port, self.front, s.threads, s.node)
+        self.http.start()
+        self.app.add(_Stopper(self.http))
+
+    def _bootstrap(self) -> None:
+        path = self.settings.bootstrap_config
+        if not path:
+            return
+        try:
+            with open(path, "rb") as fh:
+                cfg = parse_config(fh.read())
+        except (OSError, ConfigError) as exc:
+            log_event("bootstrap_config_refused", level="WARNING", path=path, reason=str(exc))
+            return
+        self.dispatcher.tell(ConfigApplied(cfg))
+
+    def drain_and_stop(self) -> None:
+        """Refuse new requests, wait for accepted ones (at most ``drain_timeout_s``), stop."""
+        if not self._draining.acquire(blocking=False):
+            return
+        if self.front is not None:
+            self.front.draining = True
+        self.dispatcher.tell(Drain())
+        deadline = time.monotonic() + self.settings.drain_timeout_s
+        state = self.dispatcher.ask(StatusQuery(), timeout=5)
+        while time.monotonic() < deadline:
+            state = self.dispatcher.ask(StatusQuery(), timeout=5)
+            if state["inflight"] == 0 and state["queued"] == 0:
+                break
+            time.sleep(_DRAIN_POLL_S)
+        log_event("drain_done", inflight=state["inflight"], queued=state["queued"])
+        self.app.request_stop()
+
+    def run(self) -> int:
+        """Run until stopped; returns the process exit code."""
+        return self.app.run()
+
+
+class _Stopper:
+    """Stops the HTTP server first, so callers are not cut by actors stopping under them."""
+
+    def __init__(self, http: HttpServer) -> None:
+        self.http = http
+
+    def start(self) -> None:
+        """Nothing to open: the server started with the actors."""
+
+    def stop(self) -> None:
+        self.http.stop()
+
+
+class _SnapshotDispatcher(Dispatcher):
+    """A dispatcher that also publishes the configuration in force to the front."""
+
+    def __init__(self, node, incarnation, assertions, snapshot: ConfigSnapshot) -> None:
+        super().__init__(node, incarnation, assertions)
+        self.snapshot = snapshot
+
+    def _apply(self, cfg) -> None:
+        super()._apply(cfg)
+        self.snapshot.current = cfg
+
+
+def run_router(settings_path: str) -> int:
+    """Load settings and run a router; returns the exit code (2 for refused settings)."""
+    try:
+        settings = load_settings(settings_path, RouterSettings)
+    except SettingsError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        return 2
+    setup_logging("router", settings.node, settings.zone, settings.log_file)
+    return Router(settings).run()
+
+
+def main() -> None:
+    """Entry point of ``turmerictrayd``."""
+    if len(sys.argv) != 2:
+        print("usage: turmerictrayd SETTINGS.json", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(run_router(sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/turmerictray/router/dispatcher.py
@@ -0,0 +1,268 @@
+"""The dispatcher actor: owns the fair queues, the ledger and the target table.
+
+Every request waits here for a slot. A slot is granted whenever a target has one free and work
+waits, so no engine idles while a queue holds work; the order of grants across teams follows
+the ledger, which counts service fleet-wide.
+"""
+
+import time
+from functools import singledispatchmethod
+
+import pykka
+
+from turmerictray.config.schema import Config
+from turmerictray.config.state import ConfigState
+from turmerictray.core.errors import Draining, NoTarget, QueueTimeout
+from turmerictray.core.ids import NodeId, ServiceName, TeamId
+from turmerictray.core.logs import log_event
+from turmerictray.core.timer import Tick
+from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
+from turmerictray.fairness.queue import FairQueue, Pending
+from turmerictray.router import metrics
+from turmerictray.router.messages import (
+    Admit,
+    ConfigApplied,
+    CountersQuery,
+    Drain,
+    Finished,
+    Grant,
+    Listing,
+    LoadReport,
+    PeerSummary,
+    StatusQuery,
+    TargetsQuery,
+    Withdraw,
+)
+from turmerictray.routing.choice import choose_target
+from turmerictray.routing.table import TargetTable
+from turmerictray.routing.target import TargetState
+
+
+class Dispatcher(pykka.ThreadingActor):
+    """Grants target slots to queued requests, fairly and without idling.
+
+    Parameters
+    ----------
+    node : NodeId
+        This router.
+    incarnation : int
+        This process's start time in nanoseconds; used as fencing number and peer incarnation.
+    assertions : bool
+        Check the dispatcher's invariants after every message (slower; for randomised runs).
+    """
+
+    def __init__(self, node: NodeId, incarnation: int, assertions: bool = False) -> None:
+        super().__init__()
+        self.node = node
+        self.incarnation = incarnation
+        self.assertions = assertions
+        self.ledger = ServiceLedger(node)
+        self.config = ConfigState()
+        self.table = TargetTable()
+        self.queues: dict[ServiceName, FairQueue] = {}
+        self.draining = False
+        self.granted: dict[str, Grant] = {}
+
+    def on_receive(self, message: object) -> object:
+        result = self.handle(message)
+        if self.assertions:
+            self._check_invariants()
+        return result
+
+    @singledispatchmethod
+    def handle(self, message: object) -> object:
+        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        return None
+
+    @handle.register
+    def _(self, msg: Admit) -> None:
+        cfg = self.config.current
+        if self.draining:
+            retry = cfg.limits.retry_after_s if cfg else 1.0
+            msg.reply.set_exception(Draining("draining", retry))
+            return
+        if cfg is None or not self.table.of_service(msg.placement.service):
+            msg.reply.set_exception(NoTarget("no_target", cfg.limits.retry_after_s if cfg else 1))
+            return
+        pending = Pending(
+            msg.req_id,
+            msg.team,
+            msg.hint,
+            time.monotonic() + cfg.limits.queue_timeout_s,
+            msg.reply,
+            msg.placement,
+        )
+        try:
+            self._queue(msg.placement.service).push(pending, front=msg.front)
+        except Exception as exc:  # noqa: BLE001 - the refusal goes to the caller's future
+            msg.reply.set_exception(exc)
+            return
+        self._pump()
+
+    @handle.register
+    def _(self, msg: Finished) -> None:
+        self.granted.pop(msg.req_id, None)
+        view = self.table.targets.get(msg.target)
+        if view is not None:
+            view.inflight = max(0, view.inflight - 1)
+        self.ledger.settle(msg.team, msg.hint, msg.cost)
+        metrics.TOKENS.labels(msg.team).inc(msg.cost)
+        self._pump()
+
+    @handle.register
+    def _(self, msg: Withdraw) -> None:
+        for queue in self.queues.values():
+            for item in queue.expire_matching(msg.req_id):
+                log_event("withdrawn", req=item.req_id, team=item.team)
+
+    @handle.register
+    def _(self, msg: ConfigApplied) -> None:
+        if not self.config.offer(msg.cfg):
+            log_event("config_ignored", version=msg.cfg.version, in_force=self.config.version)
+            return
+        self._apply(msg.cfg)
+        log_event("config_in_force", version=msg.cfg.version)
+        self._pump()
+
+    @handle.register
+    def _(self, msg: Listing) -> None:
+        for tid in self.table.apply_listing(msg.states):
+            log_event("target_leaving", target=tid, state=self.table.targets[tid].state.value)
+        self._pump()
+
+    @handle.register
+    def _(self, msg: LoadReport) -> None:
+        view = self.table.targets.get(msg.target)
+        if view is not None:
+            self.table.report_load(msg.target, msg.busy, view.inflight)
+            self._pump()
+
+    @handle.register
+    def _(self, msg: PeerSummary) -> None:
+        self.ledger.merge(msg.counters)
+
+    @handle.register
+    def _(self, msg: Drain) -> None:
+        self.draining = True
+        log_event("drain_started", queued=self._queued(), inflight=self.table.inflight_total())
+
+    @handle.register
+    def _(self, msg: Tick) -> None:
+        self._expire(msg.now)
+
+    @handle.register
+    def _(self, msg: StatusQuery) -> dict:
+        return self.status()
+
+    @handle.register
+    def _(self, msg: CountersQuery) -> tuple[PeerCounters, int]:
+        return self.own_counters(), self.config.version
+
+    @handle.register
+    def _(self, msg: TargetsQuery) -> list[tuple[str, str]]:
+        return [(view.id, view.url) for view in self.table.targets.values()]
+
+    def own_counters(self) -> PeerCounters:
+        """This router's settled counters, for the peer link."""
+        return PeerCounters(self.node, self.incarnation, self.ledger.own_counters())
+
+    def status(self) -> dict:
+        """A JSON-ready snapshot: config version, queues, targets, fleet service per team."""
+        teams = set(self.ledger.settled) | {
+            team for queue in self.queues.values() for team in queue.backlogged()
+        }
+        return {
+            "node": self.node,
+            "config_version": self.config.version,
+            "draining": self.draining,
+            "queued": self._queued(),
+            "inflight": self.table.inflight_total(),
+            "targets": [
+                {
+                    "id": v.id,
+                    "service": v.service,
+                    "state": v.state.value,
+                    "inflight": v.inflight,
+                    "reported_busy": v.reported_busy,
+                    "slots": v.slots,
+                    "dispatched": v.dispatched,
+                }
+                for v in self.table.targets.values()
+            ],
+            "teams": {
+                team: {
+                    "local": self.ledger.settled[TeamId(team)],
+                    "fleet": self.ledger.total(TeamId(team)),
+                    "queued": sum(q.depth(TeamId(team)) for q in self.queues.values()),
+                }
+                for team in sorted(teams)
+            },
+            "peers": sorted({node for node, _ in self.ledger.remote}),
+        }
+
+    def _queue(self, service: ServiceName) -> FairQueue:
+        queue = self.queues.get(service)
+        if queue is None:
+            limits = self.config.current.limits
+            queue = FairQueue(self.ledger, limits.queue_per_team, limits.retry_after_s)
+            self.queues[service] = queue
+        return queue
+
+    def _apply(self, cfg: Config) -> None:
+        self.table.apply_config(cfg)
+        self.ledger.weights = {TeamId(team.id): team.weight for team in cfg.teams}
+        for queue in self.queues.values():
+            queue.max_per_team = cfg.limits.queue_per_team
+            queue.retry_after = cfg.limits.retry_after_s
+        metrics.CONFIG_VERSION.set(cfg.version)
+
+    def _pump(self) -> None:
+        for service, queue in self.queues.items():
+            targets = self.table.of_service(service)
+            while len(queue):
+                team = queue.peek_team()
+                head = queue.peek_head(team)
+                view = choose_target(targets, head.context.prefix_key, head.context.exclude)
+                if view is None:
+                    break
+                item = queue.pop()
+                self._grant(item, view)
+        metrics.QUEUED.set(self._queued())
+        metrics.INFLIGHT.set(self.table.inflight_total())
+
+    def _grant(self, item: Pending, view) -> None:
+        if item.reply.done():
+            return
+        view.inflight += 1
+        view.dispatched += 1
+        self.ledger.charge(item.team, item.hint)
+        grant = Grant(view.id, view.url, self.incarnation)
+        self.granted[item.req_id] = grant
+        item.reply.set_result(grant)
+
+    def _expire(self, now: float) -> None:
+        cfg = self.config.current
+        for queue in self.queues.values():
+            for item in queue.expire(now):
+                item.reply.set_exception(QueueTimeout("queue_timeout", cfg.limits.retry_after_s))
+                log_event("given_up", req=item.req_id, team=item.team, reason="queue_timeout")
+        if self.draining and cfg is not None:
+            self._pump()
+
+    def _queued(self) -> int:
+        return sum(len(queue) for queue in self.queues.values())
+
+    def _check_invariants(self) -> None:
+        for view in self.table.targets.values():
+            assert view.inflight >= 0, f"negative inflight on {view.id}"
+        for service, queue in self.queues.items():
+            if not len(queue):
+                continue
+            free = [
+                v
+                for v in self.table.of_service(service)
+                if v.state is TargetState.LIVE and v.free_slots() > 0
+            ]
+            heads = [queue.peek_head(team).context.exclude for team in queue.backlogged()]
+            idle = [v for v in free if all(v.id not in excl for excl in heads)]
+            assert not idle, f"work waits for {service} while {idle[0].id} has a free slot"
--- /dev/null
+++ b/turmerictray/router/front.py
@@ -0,0 +1,154 @@
+"""The router's HTTP front: a WSGI application served by cheroot.
+
+Routes
+------
+``POST /v1/chat/completions``, ``POST /v1/completions``
+    OpenAI-style calls to a model pool.
+``POST /svc/<service>/<path>``
+    Calls to a plain service.
+``GET /status``, ``GET /metrics``, ``GET /healthz``, ``POST /admin/drain``
+    For operators and the platform's balancer.
+"""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+import msgspec
+import pykka
+from prometheus_client import generate_latest
+
+from turmerictray.config.schema import Config
+from turmerictray.core.errors import CallerError, TurmerictrayError
+from turmerictray.core.logs import log_event
+from turmerictray.router import metrics
+from turmerictray.router.answers import error_answer
+from turmerictray.router.messages import StatusQuery
+from turmerictray.router.proxy import Proxy
+from turmerictray.router.request import read_model_request, read_service_request
+
+_MAX_BODY = 4 << 20
+_MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+
+
+class ConfigSnapshot:
+    """The configuration in force, shared read-only with the front's threads.
+
+    Only the dispatcher replaces ``current``; a ``Config`` is frozen, so readers see either the
+    old or the new one whole.
+    """
+
+    def __init__(self) -> None:
+        self.current: Config | None = None
+
+
+class Front:
+    """The WSGI application.
+
+    Parameters
+    ----------
+    dispatcher : pykka.ActorRef
+    proxy : Proxy
+    snapshot : ConfigSnapshot
+    on_drain : callable
+        Starts a graceful shutdown, for ``POST /admin/drain``.
+    """
+
+    def __init__(
+        self,
+        dispatcher: pykka.ActorRef,
+        proxy: Proxy,
+        snapshot: ConfigSnapshot,
+        on_drain: Callable[[], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.proxy = proxy
+        self.snapshot = snapshot
+        self.on_drain = on_drain
+        self.draining = False
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        method = environ["REQUEST_METHOD"]
+        path = environ.get("PATH_INFO", "/")
+        if method == "GET":
+            return self._get(path, start_response)
+        if method == "POST" and path == "/admin/drain":
+            self.draining = True
+            self.on_drain()
+            return _send(start_response, 202, b'{"draining": true}')
+        if method == "POST" and (path in _MODEL_PATHS or path.startswith("/svc/")):
+            return self._call(environ, path, start_response)
+        return _send(start_response, 404, b'{"error": {"type": "not_found"}}')
+
+    def _get(self, path: str, start_response: Callable) -> Iterable[bytes]:
+        if path == "/healthz":
+            status = 503 if self.draining else 200
+            return _send(
+                start_response,
+                status,
+                b'{"draining": %s}' % (b"true" if self.draining else b"false"),
+            )
+        if path == "/status":
+            state = self.dispatcher.ask(StatusQuery(), timeout=5)
+            return _send(start_response, 200, msgspec.json.encode(state))
+        if path == "/metrics":
+            return _send(start_response, 200, generate_latest(metrics.REGISTRY), "text/plain")
+        return _send(start_response, 404, b'{"error": {"type": "not_found"}}')
+
+    def _call(self, environ: dict, path: str, start_response: Callable) -> Iterable[bytes]:
+        cfg = self.snapshot.current
+        headers = _headers(environ)
+        try:
+            if cfg is None:
+                raise TurmerictrayError("no configuration in force yet")
+            body = _read_body(environ)
+            if path.startswith("/svc/"):
+                req = read_service_request(cfg, path, headers, body)
+            else:
+                req = read_model_request(cfg, path, headers, body)
+            answer = self.proxy.serve(req, cfg)
+        except TurmerictrayError as exc:
+            err = error_answer(exc)
+            log_event(
+                "refused",
+                status=err.status,
+                reason=str(exc)[:200],
+                req=headers.get("x-request-id", headers.get("idempotency-key", "-")),
+            )
+            start_response(
+                _status(err.status), [("Content-Type", "application/json"), *err.headers]
+            )
+            return [err.body]
+        start_response(_status(answer.status), answer.headers)
+        return answer.body
+
+
+def _headers(environ: dict) -> dict[str, str]:
+    out = {
+        key[5:].replace("_", "-").lower(): val
+        for key, val in environ.items()
+        if key.startswith("HTTP_")
+    }
+    if "CONTENT_TYPE" in environ:
+        out["content-type"] = environ["CONTENT_TYPE"]
+    return out
+
+
+def _read_body(environ: dict) -> bytes:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > _MAX_BODY:
+        raise CallerError(f"body of {length} bytes is over {_MAX_BODY}", 413)
+    return environ["wsgi.input"].read(length) if length else b""
+
+
+def _status(code: int) -> str:
+    try:
+        return f"{code} {HTTPStatus(code).phrase}"
+    except ValueError:
+        return f"{code} Unknown"
+
+
+def _send(
+    start_response: Callable, code: int, body: bytes, kind: str = "application/json"
+) -> list[bytes]:
+    start_response(_status(code), [("Content-Type", kind), ("Content-Length", str(len(body)))])
+    return [body]
--- /dev/null
+++ b/turmerictray/router/messages.py
@@ -0,0 +1,117 @@
+"""Typed messages between the router's actors."""
+
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+
+from turmerictray.config.schema import Config
+from turmerictray.core.ids import RequestId, ServiceName, TargetId, TeamId
+from turmerictray.fairness.ledger import PeerCounters
+from turmerictray.routing.target import TargetState
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Where a request may go."""
+
+    service: ServiceName
+    prefix_key: str | None
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A slot on a target, given to one request.
+
+    Attributes
+    ----------
+    target : TargetId
+    url : str
+        The target's base URL.
+    fence : int
+        Fencing number for orders to the target: the router's incarnation, so a router that
+        restarted outranks its own earlier life.
+    """
+
+    target: TargetId
+    url: str
+    fence: int
+
+
+@dataclass
+class Admit:
+    """Queue a request; the dispatcher resolves ``reply`` with a :class:`Grant` or an error."""
+
+    req_id: RequestId
+    team: TeamId
+    hint: float
+    placement: Placement
+    reply: Future = field(default_factory=Future)
+    front: bool = False
+
+
+@dataclass(frozen=True)
+class Finished:
+    """A granted request ended; ``cost`` is its true cost in tokens."""
+
+    req_id: RequestId
+    team: TeamId
+    target: TargetId
+    hint: float
+    cost: float
+
+
+@dataclass(frozen=True)
+class Withdraw:
+    """The caller went away before its request was granted."""
+
+    req_id: RequestId
+    team: TeamId
+
+
+@dataclass(frozen=True)
+class ConfigApplied:
+    """A newer configuration was accepted."""
+
+    cfg: Config
+
+
+@dataclass(frozen=True)
+class Listing:
+    """The instance list's states of targets."""
+
+    states: dict[TargetId, TargetState]
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """A target's lagged load: running plus waiting requests."""
+
+    target: TargetId
+    busy: int
+
+
+@dataclass(frozen=True)
+class PeerSummary:
+    """A peer's settled counters, from the peer link."""
+
+    counters: PeerCounters
+
+
+@dataclass(frozen=True)
+class Drain:
+    """Refuse new requests; finish those accepted."""
+
+
+@dataclass(frozen=True)
+class StatusQuery:
+    """Ask for a snapshot of the dispatcher's state."""
+
+
+@dataclass(frozen=True)
+class TargetsQuery:
+    """Ask for ``(target id, url)`` pairs of all known targets."""
+
+
+@dataclass(frozen=True)
+class CountersQuery:
+    """Ask for ``(own PeerCounters, config version)`` for the next heartbeat."""
--- /dev/null
+++ b/turmerictray/router/metrics.py
@@ -0,0 +1,37 @@
+"""Prometheus metrics of the router, in one registry per process."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+REGISTRY = CollectorRegistry()
+
+REQUESTS = Counter(
+    "turmerictray_requests_total", "Requests by outcome.", ["team", "outcome"], registry=REGISTRY
+)
+TOKENS = Counter(
+    "turmerictray_tokens_total", "Tokens of finished requests.", ["team"], registry=REGISTRY
+)
+QUEUED = Gauge("turmerictray_queued", "Requests waiting for a slot.", registry=REGISTRY)
+INFLIGHT = Gauge("turmerictray_inflight", "Requests sent and not ended.", registry=REGISTRY)
+CONTROL_BYTES = Counter(
+    "turmerictray_control_bytes_total",
+    "Bytes of control traffic (peer link, configuration, instance list, load reports).",
+    ["channel", "direction"],
+    registry=REGISTRY,
+)
+QUEUE_WAIT = Histogram(
+    "turmerictray_queue_wait_seconds",
+    "Time from admission to grant.",
+    buckets=(0.001, 0.01, 0.05, 0.1, 0.5, 1, 2, 5, 10, 30),
+    registry=REGISTRY,
+)
+CONFIG_VERSION = Gauge(
+    "turmerictray_config_version", "Configuration version in force.", registry=REGISTRY
+)
+
+
+def count_control(channel: str, sent: int, received: int) -> None:
+    """Add control bytes of one exchange, in bytes."""
+    if sent:
+        CONTROL_BYTES.labels(channel, "tx").inc(sent)
+    if received:
+        CONTROL_BYTES.labels(channel, "rx").inc(received)
--- /dev/null
+++ b/turmerictray/router/proxy.py
@@ -0,0 +1,224 @@
+"""One caller's request, from admission to the last byte of its answer.
+
+Runs on the front's worker thread that owns the caller's connection. It talks to the dispatcher
+only by messages: :class:`Admit` to wait for a slot and :class:`Finished` to give it back.
+"""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+from dataclasses import dataclass
+
+import msgspec
+import pykka
+
+from turmerictray.config.schema import Config, ServiceKind
+from turmerictray.core.errors import (
+    AdmissionError,
+    NotSent,
+    OutcomeUnknown,
+    QueueTimeout,
+    UpstreamRefused,
+)
+from turmerictray.core.logs import log_event
+from turmerictray.router import metrics
+from turmerictray.router.messages import Admit, Finished, Grant, LoadReport, Placement, Withdraw
+from turmerictray.router.request import CallerRequest
+from turmerictray.router.upstream import Upstream
+
+_TAIL_BYTES = 4096
+_GRANT_MARGIN_S = 5.0
+_STREAM_ERROR = b'data: {"error": {"type": "outcome_unknown", "message": "stream broke"}}\n\n'
+
+
+class _Usage(msgspec.Struct):
+    total_tokens: int = 0
+
+
+class _UsageEvent(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+@dataclass
+class Answer:
+    """What the front sends back: status, headers and a body iterator."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes]
+
+
+class Proxy:
+    """Serves caller requests through the dispatcher and the upstream pool.
+
+    Parameters
+    ----------
+    dispatcher : pykka.ActorRef
+        The router's dispatcher.
+    upstream : Upstream
+        The router's connection pool.
+    node : str
+        This router, named to targets in ``X-Router``.
+    """
+
+    def __init__(self, dispatcher: pykka.ActorRef, upstream: Upstream, node: str) -> None:
+        self.dispatcher = dispatcher
+        self.upstream = upstream
+        self.node = node
+
+    def serve(self, req: CallerRequest, cfg: Config) -> Answer:
+        """Queue, send, and return the answer of ``req``.
+
+        Raises
+        ------
+        AdmissionError
+            Refused or given up before any byte was sent: it was not run.
+        NotSent
+            Every try failed before reaching a target: it was not run.
+        OutcomeUnknown
+            A non-idempotent call broke after it may have reached the target.
+        """
+        exclude: set[str] = set()
+        limits = cfg.limits
+        for attempt in range(limits.max_retries + 1):
+            grant = self._admit(req, cfg, frozenset(exclude), front=attempt > 0)
+            try:
+                resp = self.upstream.open(
+                    grant.url + req.upstream_path,
+                    req.body,
+                    self._headers(req, grant),
+                    limits.connect_timeout_s,
+                    limits.request_timeout_s,
+                )
+            except (NotSent, UpstreamRefused) as exc:
+                self._finish(req, grant, 0.0)
+                log_event(
+                    "not_sent",
+                    req=req.req_id,
+                    target=grant.target,
+                    attempt=attempt,
+                    exc=type(exc).__name__,
+                )
+                exclude.add(grant.target)
+                continue
+            except OutcomeUnknown:
+                self._finish(req, grant, req.hint)
+                log_event(
+                    "outcome_unknown",
+                    req=req.req_id,
+                    target=grant.target,
+                    idempotent=req.idempotent,
+                    attempt=attempt,
+                )
+                if req.idempotent and attempt < limits.max_retries:
+                    exclude.add(grant.target)
+                    continue
+                raise
+            self._note_load(grant, resp.headers.get("X-Load-Busy"))
+            log_event(
+                "sent",
+                req=req.req_id,
+                team=req.team,
+                target=grant.target,
+                status=resp.status,
+                attempt=attempt,
+            )
+            return Answer(
+                resp.status, self._answer_headers(req, resp), self._relay(req, grant, resp)
+            )
+        raise NotSent(f"no target took the request after {limits.max_retries + 1} tries")
+
+    def _admit(
+        self, req: CallerRequest, cfg: Config, exclude: frozenset[str], front: bool
+    ) -> Grant:
+        placement = Placement(req.service, req.prefix_key, exclude)
+        reply: Future = Future()
+        start = time.monotonic()
+        self.dispatcher.tell(Admit(req.req_id, req.team, req.hint, placement, reply, front))
+        try:
+            grant = reply.result(timeout=cfg.limits.queue_timeout_s + _GRANT_MARGIN_S)
+        except FutureTimeout:
+            # The dispatcher's expiry tick should have answered first; if the actor is stalled
+            # the caller still gets a final answer now instead of waiting without end.
+            self.dispatcher.tell(Withdraw(req.req_id, req.team))
+            raise QueueTimeout("queue_timeout", cfg.limits.retry_after_s) from None
+        except AdmissionError:
+            metrics.REQUESTS.labels(req.team, "refused").inc()
+            raise
+        metrics.QUEUE_WAIT.observe(time.monotonic() - start)
+        return grant
+
+    def _headers(self, req: CallerRequest, grant: Grant) -> dict[str, str]:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": req.req_id,
+            "X-Team": req.team,
+            "X-Router": self.node,
+            "X-Fence": str(grant.fence),
+        }
+        if not req.idempotent:
+            headers["Idempotency-Key"] = req.req_id
+        return headers
+
+    def _answer_headers(self, req: CallerRequest, resp) -> list[tuple[str, str]]:
+        kind = resp.headers.get("Content-Type", "application/json")
+        return [("Content-Type", kind), ("X-Request-Id", req.req_id)]
+
+    def _relay(self, req: CallerRequest, grant: Grant, resp) -> Iterator[bytes]:
+        tail = b""
+        chunks = 0
+        outcome = "done"
+        try:
+            for chunk in self.upstream.stream(resp):
+                chunks += 1
+                tail = (tail + chunk)[-_TAIL_BYTES:]
+                yield chunk
+        except OutcomeUnknown:
+            outcome = "broken"
+            log_event("stream_broken", level="WARNING", req=req.req_id, target=grant.target)
+            if req.stream:
+                yield _STREAM_ERROR
+        except GeneratorExit:
+            outcome = "caller_gone"
+            resp.release_conn()
+            raise
+        finally:
+            cost = _cost_of(tail, req, chunks)
+            self._finish(req, grant, cost)
+            metrics.REQUESTS.labels(req.team, outcome).inc()
+            log_event(
+                "finished",
+                req=req.req_id,
+                team=req.team,
+                target=grant.target,
+                outcome=outcome,
+                cost=cost,
+            )
+
+    def _finish(self, req: CallerRequest, grant: Grant, cost: float) -> None:
+        self.dispatcher.tell(Finished(req.req_id, req.team, grant.target, req.hint, cost))
+
+    def _note_load(self, grant: Grant, busy: str | None) -> None:
+        if busy is not None and busy.isdigit():
+            self.dispatcher.tell(LoadReport(grant.target, int(busy)))
+
+
+def _cost_of(tail: bytes, req: CallerRequest, chunks: int) -> float:
+    """True cost in tokens: the engine's ``usage``, else one per streamed chunk."""
+    if req.kind is ServiceKind.PLAIN:
+        return 1.0
+    idx = tail.rfind(b'"usage"')
+    if idx >= 0:
+        start = tail.rfind(b"{", 0, idx)
+        line_start = tail.rfind(b"data: ", 0, idx)
+        start = line_start + 6 if line_start >= 0 else max(start, 0)
+        end = tail.find(b"\n", idx)
+        piece = tail[start : end if end >= 0 else len(tail)]
+        try:
+            usage = msgspec.json.decode(piece, type=_UsageEvent).usage
+        except msgspec.DecodeError:
+            usage = None
+        if usage is not None and usage.total_tokens:
+            return float(usage.total_tokens)
+    return float(max(chunks, 1))
--- /dev/null
+++ b/turmerictray/router/watch_config.py
@@ -0,0 +1,110 @@
+"""The configuration watcher actor: long-polls the configuration service.
+
+Protocol: ``GET /config`` answers the text with ``ETag: "<version>"``; with ``If-None-Match`` and
+``?wait=S`` it holds the call until the version changes or ``S`` seconds pass (then 304). A
+waiting watch counts as one read against the service's rate.
+"""
+
+import time
+
+import pykka
+import urllib3
+
+from turmerictray.config.load import parse_config
+from turmerictray.core.errors import ConfigError
+from turmerictray.core.logs import log_event
+from turmerictray.router import metrics
+from turmerictray.router.messages import ConfigApplied
+
+_BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
+
+
+class _Poll:
+    """Ask the watcher to make its next watch call."""
+
+
+class ConfigWatcher(pykka.ThreadingActor):
+    """Watches the configuration service and tells the dispatcher of newer accepted texts.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the configuration service.
+    dispatcher : pykka.ActorRef
+    wait_s : float
+        How long one watch call may be held, in seconds; also bounds the time to stop.
+    """
+
+    def __init__(self, url: str, dispatcher: pykka.ActorRef, wait_s: float) -> None:
+        super().__init__()
+        self.url = url.rstrip("/") + "/config"
+        self.dispatcher = dispatcher
+        self.wait_s = wait_s
+        self.version = 0
+        self.failures = 0
+        self.http = urllib3.PoolManager(retries=False)
+
+    def on_start(self) -> None:
+        self.actor_ref.tell(_Poll())
+
+    def on_stop(self) -> None:
+        self.http.clear()
+
+    def on_receive(self, message: object) -> None:
+        if isinstance(message, _Poll):
+            self._poll()
+            if self.actor_ref.is_alive():
+                self.actor_ref.tell(_Poll())
+
+    def _poll(self) -> None:
+        headers = {"If-None-Match": f'"{self.version}"'} if self.version else {}
+        fields = {"wait": str(self.wait_s)} if self.version else {}
+        try:
+            resp = self.http.request(
+                "GET",
+                self.url,
+                fields=fields,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=1.0, read=self.wait_s + 2),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            self._fail(f"unreachable: {type(exc).__name__}")
+            return
+        metrics.count_control("config", 200, len(resp.data) + 200)
+        if resp.status == 304:
+            self.failures = 0
+            return
+        if resp.status != 200:
+            self._fail(f"status {resp.status}")
+            return
+        self.failures = 0
+        self.offer(resp.data)
+
+    def offer(self, text: bytes) -> None:
+        """Check a text and pass it on if it is newer than the last one passed on."""
+        try:
+            cfg = parse_config(text)
+        except ConfigError as exc:
+            log_event(
+                "config_rejected", level="WARNING", version=exc.version, reason=exc.reason[:300]
+            )
+            return
+        if cfg.version <= self.version:
+            log_event("config_stale", version=cfg.version, in_force=self.version)
+            return
+        self.version = cfg.version
+        log_event("config_accepted", version=cfg.version)
+        self.dispatcher.tell(ConfigApplied(cfg))
+
+    def _fail(self, reason: str) -> None:
+        delay = _BACKOFF_S[min(self.failures, len(_BACKOFF_S) - 1)]
+        self.failures += 1
+        if self.failures in (1, 10, 100) or self.failures % 1000 == 0:
+            log_event(
+                "config_service_down",
+                level="WARNING",
+                reason=reason,
+                failures=self.failures,
+                in_force=self.version,
+            )
+        time.sleep(delay)
--- /dev/null
+++ b/turmerictray/router/watch_instances.py
@@ -0,0 +1,65 @@
+"""The instance list poller actor: which targets are live and which are leaving.
+
+Protocol: ``GET /instances`` answers ``{"instances": [{"id": ..., "state": "live"}, ...]}``.
+"""
+
+import msgspec
+import pykka
+import urllib3
+
+from turmerictray.core.ids import TargetId
+from turmerictray.core.logs import log_event
+from turmerictray.core.timer import Tick
+from turmerictray.router import metrics
+from turmerictray.router.messages import Listing
+from turmerictray.routing.target import TargetState
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One entry of the instance list."""
+
+    id: str
+    state: TargetState
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """The instance list's answer."""
+
+    instances: list[Instance]
+
+
+class InstancePoller(pykka.ThreadingActor):
+    """Polls the instance list on each tick and tells the dispatcher.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the instance list.
+    dispatcher : pykka.ActorRef
+    """
+
+    def __init__(self, url: str, dispatcher: pykka.ActorRef) -> None:
+        super().__init__()
+        self.url = url.rstrip("/") + "/instances"
+        self.dispatcher = dispatcher
+        self.http = urllib3.PoolManager(retries=False)
+        self.down = False
+
+    def on_stop(self) -> None:
+        self.http.clear()
+
+    def on_receive(self, message: object) -> None:
+        if not isinstance(message, Tick):
+            return
+        try:
+            resp = self.http.request("GET", self.url, timeout=urllib3.Timeout(1.0, read=1.0))
+            listing = msgspec.json.decode(resp.data, type=InstanceList)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            if not self.down:
+                log_event("instances_down", level="WARNING", reason=type(exc).__name__)
+            self.down = True
+            return
+        self.down = False
+        metrics.count_control("instances", 150, len(resp.data) + 150)
+        states = {TargetId(inst.id): inst.state for inst in listing.instances}
+        self.dispatcher.tell(Listing(states))
--- /dev/null
+++ b/turmerictray/routing/choice.py
@@ -0,0 +1,47 @@
+"""Choosing a target: free slots first, then prefix affinity, then least load.
+
+Rendezvous hashing of a request's prefix key ranks the targets the same way on every router,
+so requests that share a prompt prefix meet the same engine's prefix cache without any router
+telling another. Affinity gives way when the preferred target has no free slot: an idle engine
+is never passed over while work waits.
+"""
+
+import hashlib
+
+from turmerictray.routing.target import TargetState, TargetView
+
+
+def _rank(prefix_key: str, target_id: str) -> int:
+    digest = hashlib.blake2b(f"{prefix_key}|{target_id}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def choose_target(
+    targets: list[TargetView], prefix_key: str | None, exclude: frozenset[str] = frozenset()
+) -> TargetView | None:
+    """Pick a live target with a free slot.
+
+    Parameters
+    ----------
+    targets : list of TargetView
+        The service's targets.
+    prefix_key : str or None
+        Key of the request's prompt prefix; None for no affinity.
+    exclude : frozenset of str
+        Target ids not to use (those a retried request already failed on).
+
+    Returns
+    -------
+    TargetView or None
+        None when no live target has a free slot.
+    """
+    open_targets = [
+        tgt
+        for tgt in targets
+        if tgt.state is TargetState.LIVE and tgt.free_slots() > 0 and tgt.id not in exclude
+    ]
+    if not open_targets:
+        return None
+    if prefix_key is not None:
+        return max(open_targets, key=lambda tgt: (_rank(prefix_key, tgt.id), tgt.free_slots()))
+    return max(open_targets, key=lambda tgt: (tgt.free_slots(), -tgt.dispatched))
--- /dev/null
+++ b/turmerictray/standins/configsvc.py
@@ -0,0 +1,116 @@
+"""The configuration service stand-in: read and watch of one versioned JSON text.
+
+The platform stamps each published text with the next revision, as its ``version`` field and
+as the ``ETag``. Readers call ``GET /config``; with ``If-None-Match: "<v>"`` and ``?wait=S`` the
+call is held until a newer revision exists or ``S`` seconds pass (304). All reads together are
+limited to ``reads_per_s`` (429 with ``Retry-After`` beyond it). Nothing is written by readers.
+
+Admin calls (for tests and the demo): ``POST /admin/publish`` with a text (any JSON object,
+valid for the router or not), ``POST /admin/mode`` with ``{"mode": "ok|down|stale"}``: ``down``
+answers 503 to every read, ``stale`` keeps answering the revision current when it was set.
+"""
+
+import threading
+import time
+
+import msgspec
+
+from turmerictray.config.settings import ConfigServiceSettings
+from turmerictray.core.logs import log_event
+from turmerictray.standins.web import Call, Reply, WebApp, json_reply
+
+_MAX_WAIT_S = 30.0
+
+
+class TokenBucket:
+    """A shared read-rate limit: ``rate`` per second with a burst of one second's worth."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.tokens = rate
+        self.stamp = time.monotonic()
+        self.lock = threading.Lock()
+
+    def take(self) -> bool:
+        """Spend one read; False when the rate is used up."""
+        with self.lock:
+            now = time.monotonic()
+            self.tokens = min(self.rate, self.tokens + (now - self.stamp) * self.rate)
+            self.stamp = now
+            if self.tokens < 1:
+                return False
+            self.tokens -= 1
+            return True
+
+
+class ConfigService:
+    """Handlers of the configuration service stand-in."""
+
+    def __init__(self, cfg: ConfigServiceSettings, initial: bytes) -> None:
+        self.bucket = TokenBucket(cfg.reads_per_s)
+        self.changed = threading.Condition()
+        self.revisions: list[bytes] = []
+        self.mode = "ok"
+        self.stale_at = 0
+        self.reads = 0
+        self._publish(initial)
+        self.app = WebApp()
+        self.app.route("GET", "/config", self.read)
+        self.app.route("POST", "/admin/publish", self.publish)
+        self.app.route("POST", "/admin/mode", self.set_mode)
+        self.app.route("GET", "/admin/stats", self.stats)
+
+    def _publish(self, text: bytes) -> int:
+        doc = msgspec.json.decode(text)
+        if not isinstance(doc, dict):
+            raise ValueError("a configuration text is a JSON object")
+        with self.changed:
+            version = len(self.revisions) + 1
+            doc["version"] = version
+            self.revisions.append(msgspec.json.encode(doc))
+            self.changed.notify_all()
+        log_event("config_published", version=version, size=len(text))
+        return version
+
+    def _visible(self) -> int:
+        return self.stale_at if self.mode == "stale" else len(self.revisions)
+
+    def read(self, call: Call) -> Reply:
+        if not self.bucket.take():
+            return json_reply({"error": {"type": "rate_limited"}}, 429, [("Retry-After", "1")])
+        self.reads += 1
+        if self.mode == "down":
+            return json_reply({"error": {"type": "down"}}, 503)
+        known = call.headers.get("if-none-match", "").strip('"')
+        wait = min(float(call.query.get("wait", 0)), _MAX_WAIT_S)
+        deadline = time.monotonic() + wait
+        with self.changed:
+            while known == str(self._visible()) and time.monotonic() < deadline:
+                self.changed.wait(deadline - time.monotonic())
+            if self.mode == "down":
+                return json_reply({"error": {"type": "down"}}, 503)
+            version = self._visible()
+            if known == str(version):
+                return Reply(304, b"", [("ETag", f'"{version}"')])
+            text = self.revisions[version - 1]
+        return Reply(200, text, [("ETag", f'"{version}"')])
+
+    def publish(self, call: Call) -> Reply:
+        return json_reply({"version": self._publish(call.body)})
+
+    def set_mode(self, call: Call) -> Reply:
+        mode = call.json()["mode"]
+        if mode not in ("ok", "down", "stale"):
+            raise ValueError(f"unknown mode {mode!r}")
+        with self.changed:
+            if mode == "stale" and self.mode != "stale":
+                self.stale_at = len(self.revisions)
+            self.mode = mode
+            self.changed.notify_all()
+        log_event("config_service_mode", mode=mode)
+        return json_reply({"mode": mode})
+
+    def stats(self, call: Call) -> Reply:
+        return json_reply(
+            {"reads": self.reads, "revisions": len(self.revisions), "mode": self.mode}
+        )
