Process tests of the caller's path; two faults they found, mended

Cause 1 (at most once): a plain-service answer that broke mid-body reached the caller as '200 {"partial": ' because the proxy relayed non-streamed bodies chunk by chunk, so the status was sent before the break was known. The order ran once (the service's count said 1) but the caller was told it succeeded and got half an answer. Change: non-streamed answers are read whole before the status goes out; a break while reading becomes OutcomeUnknown and so a 502 outcome_unknown (retried only when idempotent).

Cause 2 (graceful stop): after SIGTERM the drain finished every stream (log: drain_done inflight=0) but the process never exited. PeerLink kept its stop flag in self._stop, which shadows pykka's Actor._stop(); stopping the actors raised "'Event' object is not callable" and the live actor threads held the process. Change: the flag is now self._closing.

Ruled out: cheroot not closing its port (the log shows app_stopped before the hang), and the drain wait itself (drain_done came 0.7 s after the signal).

Tests: pytest-bdd features run real processes: streamed answers of 3 teams interleave and each arrives whole to its own caller; weight 2 vs 1 on one router shares 1.6-2.5x; a reset after running an order gives outcome_unknown and exactly one execution; SIGTERM cuts none of 4 streams, refuses new work with Retry-After and exits 0; a leaving engine gets none of 12 later requests; bad settings are refused by 'config check' and 'serve' naming the field.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Shared fixtures: small fleets of real processes on loopback."""
+
+import pytest
+
+from turmerictray.loadtool.local import FleetSpec, LocalFleet
+
+
+@pytest.fixture
+def start_fleet(tmp_path):
+    """Start a :class:`LocalFleet` from keyword overrides of :class:`FleetSpec`; stop it after."""
+    fleets: list[LocalFleet] = []
+
+    def start(**overrides) -> LocalFleet:
+        fleet = LocalFleet(FleetSpec(**overrides), str(tmp_path / f"fleet{len(fleets)}"))
+        fleets.append(fleet)
+        return fleet.start()
+
+    yield start
+    for fleet in fleets:
+        fleet.stop()
+
+
+@pytest.fixture
+def ctx() -> dict:
+    """Scratch space shared by the steps of one scenario."""
+    return {}
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -88,7 +88,7 @@
         self.sent: dict[str, float] = {}
         self.seen: dict[str, float] = {}
         self.lost: set[str] = set()
-        self._stop = threading.Event()
+        self._closing = threading.Event()
         self.pub: pynng.Pub0 | None = None
         self.sub: pynng.Sub0 | None = None
         self._reader: threading.Thread | None = None
@@ -106,7 +106,7 @@
         self._reader.start()
 
     def on_stop(self) -> None:
-        self._stop.set()
+        self._closing.set()
         if self._reader is not None:
             self._reader.join(timeout=2)
         for sock in (self.pub, self.sub):
@@ -142,7 +142,7 @@
         metrics.count_control("peer", len(data) * max(1, len(self.peers)), 0)
 
     def _read(self) -> None:
-        while not self._stop.is_set():
+        while not self._closing.is_set():
             try:
                 data = self.sub.recv()
             except pynng.Timeout:
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
@@ -46,7 +46,7 @@
 
     status: int
     headers: list[tuple[str, str]]
-    body: Iterator[bytes]
+    body: Iterable[bytes]
 
 
 class Proxy:
@@ -124,9 +124,17 @@
                 status=resp.status,
                 attempt=attempt,
             )
-            return Answer(
-                resp.status, self._answer_headers(req, resp), self._relay(req, grant, resp)
-            )
+            headers = self._answer_headers(req, resp)
+            if req.stream:
+                return Answer(resp.status, headers, self._relay(req, grant, resp))
+            try:
+                data = self._read_whole(req, grant, resp)
+            except OutcomeUnknown:
+                if req.idempotent and attempt < limits.max_retries:
+                    exclude.add(grant.target)
+                    continue
+                raise
+            return Answer(resp.status, [*headers, ("Content-Length", str(len(data)))], [data])
         raise NotSent(f"no target took the request after {limits.max_retries + 1} tries")
 
     def _admit(
@@ -196,6 +204,35 @@
                 cost=cost,
             )
 
+    def _read_whole(self, req: CallerRequest, grant: Grant, resp) -> bytes:
+        # An answer that is not streamed reaches the caller whole or not at all: its status
+        # goes out only after the last byte came in, so a break mid-body becomes an
+        # "outcome unknown" error instead of a 200 with half a body.
+        try:
+            data = b"".join(self.upstream.stream(resp))
+        except OutcomeUnknown:
+            self._finish(req, grant, req.hint)
+            log_event(
+                "outcome_unknown",
+                req=req.req_id,
+                target=grant.target,
+                idempotent=req.idempotent,
+                stage="body",
+            )
+            raise
+        cost = _cost_of(data[-_TAIL_BYTES:], req, 1)
+        self._finish(req, grant, cost)
+        metrics.REQUESTS.labels(req.team, "done").inc()
+        log_event(
+            "finished",
+            req=req.req_id,
+            team=req.team,
+            target=grant.target,
+            outcome="done",
+            cost=cost,
+        )
+        return data
+
     def _finish(self, req: CallerRequest, grant: Grant, cost: float) -> None:
         self.dispatcher.tell(Finished(req.req_id, req.team, grant.target, req.hint, cost))
 
