Split shared targets between routers by backlogged weight; borrow idle slots

Lagged reports blocked both routers: each router took others' load as reported_busy minus its own in-flight, from reports up to 0.8 s old (0.3 s lag + 0.5 s poll) while a request lives 0.16 s. Whoever asked first took freed slots: router-1 (8 callers) held all 8 slots while router-0 (16 callers, depot only there) had 16 queued; depot starved fleet-wide. Ruled out: the sampler (engine counts agree with router in-flight), caller think time (the queues were non-empty in every sample), prefill (prompts are short).

Change: heartbeats carry requests waiting per backlogged team; each router's claim on a target is ceil(slots x share), share = its part of the fleet's backlogged weight (team weight x its fraction of that team's fleet queue). Beyond its claim a router borrows slots a report shows idle. Others' load is no longer subtracted.

--- /dev/null
+++ b/tests/fairness/test_fleet_share.py
@@ -0,0 +1,103 @@
+"""The slot share rule between routers, and merging of peers' counters."""
+
+from hypothesis import given as hgiven
+from hypothesis import strategies as st
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from turmerictray.core.ids import NodeId, TeamId
+from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
+from turmerictray.fairness.shares import ShareTable, claim
+
+scenarios("features/fleet_share.feature")
+
+WEIGHTS = {TeamId("depot"): 2.0, TeamId("riders"): 1.0, TeamId("kiosks"): 1.0}
+
+
+@given(
+    parsers.parse('team "{team}" of weight {w:d} waits only on this router'), target_fixture="table"
+)
+def only_here(ctx, team, w):
+    ctx["local"] = {TeamId(team): 8}
+    return ShareTable(NodeId("r0"), 3.0)
+
+
+@given(
+    parsers.parse('teams "{a}" and "{b}" of weight 1 wait equally on this router and one ' "peer")
+)
+def spread(ctx, table, a, b):
+    ctx["local"].update({TeamId(a): 4, TeamId(b): 4})
+    table.update("r1", {a: 4, b: 4}, now=100.0)
+    ctx["now"] = 100.0
+
+
+@given(
+    "a peer reported backlog 10 seconds ago and this router holds none of the same teams",
+    target_fixture="table",
+)
+def silent_peer(ctx):
+    table = ShareTable(NodeId("r0"), 3.0)
+    table.update("r1", {"riders": 4}, now=90.0)
+    ctx["local"] = {TeamId("depot"): 1}
+    ctx["now"] = 100.0
+    return table
+
+
+@when("this router works out its share")
+@when("this router works out its share with a 3 second peer timeout")
+def work_out(ctx, table):
+    ctx["share"] = table.share(ctx["local"], WEIGHTS, now=ctx["now"])
+
+
+@then(parsers.parse("its share is {value:f}"))
+def share_is(ctx, value):
+    assert abs(ctx["share"] - value) < 1e-9
+
+
+@hgiven(
+    st.lists(st.tuples(st.sampled_from(["a", "b", "c"]), st.integers(0, 20)), max_size=6),
+    st.lists(st.tuples(st.sampled_from(["a", "b", "c"]), st.integers(0, 20)), max_size=6),
+)
+def test_shares_of_two_routers_sum_to_one(mine, theirs):
+    """Two routers that hear each other claim, together, all of a target and no more."""
+    local_a = {TeamId(t): n for t, n in mine}
+    local_b = {TeamId(t): n for t, n in theirs}
+    table_a, table_b = ShareTable(NodeId("a"), 3.0), ShareTable(NodeId("b"), 3.0)
+    table_a.update("b", {t: n for t, n in local_b.items()}, now=0.0)
+    table_b.update("a", {t: n for t, n in local_a.items()}, now=0.0)
+    share_a = table_a.share(local_a, WEIGHTS, now=0.0)
+    share_b = table_b.share(local_b, WEIGHTS, now=0.0)
+    if any(local_a.values()) or any(local_b.values()):
+        if any(local_a.values()) and any(local_b.values()):
+            assert abs(share_a + share_b - 1.0) < 1e-9
+        assert 0.0 <= share_a <= 1.0 and 0.0 <= share_b <= 1.0
+    for slots in (1, 4, 8):
+        assert claim(slots, share_a) >= 1
+
+
+@hgiven(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["r1", "r2"]),
+            st.sampled_from([1, 2]),
+            st.sampled_from(["a", "b"]),
+            st.integers(0, 1000),
+        ),
+        max_size=30,
+    )
+)
+def test_merging_beats_in_any_order_counts_nothing_twice(beats):
+    """Beats lost, repeated or reordered (a partition healing) leave the largest count."""
+    forward, backward = ServiceLedger(NodeId("r0")), ServiceLedger(NodeId("r0"))
+    expect: dict[tuple[str, int, str], float] = {}
+    for node, inc, team, value in beats:
+        beat = PeerCounters(node, inc, {team: float(value)})
+        forward.merge(beat)
+        forward.merge(beat)
+        key = (node, inc, team)
+        expect[key] = max(expect.get(key, 0.0), float(value))
+    for node, inc, team, value in reversed(beats):
+        backward.merge(PeerCounters(node, inc, {team: float(value)}))
+    for team in ("a", "b"):
+        want = sum(v for (_, _, t), v in expect.items() if t == team)
+        assert forward.remote_total(TeamId(team)) == want
+        assert backward.remote_total(TeamId(team)) == want
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -73,7 +73,7 @@
         """Start the dispatcher, watchers and peer link and subscribe them to the timer."""
         s = self.settings
         self.dispatcher = _SnapshotDispatcher.start(
-            NodeId(s.node), self.incarnation, s.assertions, self.snapshot
+            NodeId(s.node), self.incarnation, s.assertions, s.peer_timeout_s, self.snapshot
         )
         self._bootstrap()
         ConfigWatcher.start(s.config_url, self.dispatcher, s.watch_wait_s)
@@ -143,8 +143,10 @@
 class _SnapshotDispatcher(Dispatcher):
     """A dispatcher that also publishes the configuration in force to the front."""
 
-    def __init__(self, node, incarnation, assertions, snapshot: ConfigSnapshot) -> None:
-        super().__init__(node, incarnation, assertions)
+    def __init__(
+        self, node, incarnation, assertions, peer_timeout_s, snapshot: ConfigSnapshot
+    ) -> None:
+        super().__init__(node, incarnation, assertions, peer_timeout_s)
         self.snapshot = snapshot
 
     def _apply(self, cfg) -> None:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -18,6 +18,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
 from turmerictray.fairness.queue import FairQueue, Pending
+from turmerictray.fairness.shares import ShareTable, claim
 from turmerictray.router import metrics
 from turmerictray.router.messages import (
     Admit,
@@ -51,7 +52,9 @@
         Check the dispatcher's invariants after every message (slower; for randomised runs).
     """
 
-    def __init__(self, node: NodeId, incarnation: int, assertions: bool = False) -> None:
+    def __init__(
+        self, node: NodeId, incarnation: int, assertions: bool = False, peer_timeout_s: float = 3.0
+    ) -> None:
         super().__init__()
         self.node = node
         self.incarnation = incarnation
@@ -62,6 +65,8 @@
         self.queues: dict[ServiceName, FairQueue] = {}
         self.draining = False
         self.granted: dict[str, Grant] = {}
+        self.shares = ShareTable(node, peer_timeout_s)
+        self.share = 1.0
 
     def on_receive(self, message: object) -> object:
         result = self.handle(message)
@@ -140,6 +145,9 @@
     @handle.register
     def _(self, msg: PeerSummary) -> None:
         self.ledger.merge(msg.counters)
+        self.shares.update(msg.counters.node, msg.demand)
+        self._update_claims()
+        self._pump()
 
     @handle.register
     def _(self, msg: Drain) -> None:
@@ -149,14 +157,16 @@
     @handle.register
     def _(self, msg: Tick) -> None:
         self._expire(msg.now)
+        self._update_claims()
+        self._pump()
 
     @handle.register
     def _(self, msg: StatusQuery) -> dict:
         return self.status()
 
     @handle.register
-    def _(self, msg: CountersQuery) -> tuple[PeerCounters, int]:
-        return self.own_counters(), self.config.version
+    def _(self, msg: CountersQuery) -> tuple[PeerCounters, int, dict[str, int]]:
+        return self.own_counters(), self.config.version, self._local_demand()
 
     @handle.register
     def _(self, msg: TargetsQuery) -> list[tuple[str, str]]:
@@ -175,6 +185,7 @@
             "node": self.node,
             "config_version": self.config.version,
             "draining": self.draining,
+            "share": round(self.share, 3),
             "queued": self._queued(),
             "inflight": self.table.inflight_total(),
             "targets": [
@@ -249,6 +260,18 @@
         if self.draining and cfg is not None:
             self._pump()
 
+    def _local_demand(self) -> dict[str, int]:
+        demand: dict[str, int] = {}
+        for queue in self.queues.values():
+            for team in queue.backlogged():
+                demand[team] = demand.get(team, 0) + queue.depth(team)
+        return demand
+
+    def _update_claims(self) -> None:
+        self.share = self.shares.share(self._local_demand(), self.ledger.weights)
+        for view in self.table.targets.values():
+            view.claim = claim(view.slots, self.share)
+
     def _queued(self) -> int:
         return sum(len(queue) for queue in self.queues.values())
 
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -92,9 +92,10 @@
 
 @dataclass(frozen=True)
 class PeerSummary:
-    """A peer's settled counters, from the peer link."""
+    """A peer's settled counters and waiting requests per team, from the peer link."""
 
     counters: PeerCounters
+    demand: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -114,4 +115,4 @@
 
 @dataclass(frozen=True)
 class CountersQuery:
-    """Ask for ``(own PeerCounters, config version)`` for the next heartbeat."""
+    """Ask for ``(own PeerCounters, config version, waiting per team)`` for a heartbeat."""
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -41,6 +41,8 @@
         Settled cumulative tokens per team (all or only the changed ones).
     full : bool
         Whether ``counters`` holds every team.
+    demand : dict of str to int
+        Requests waiting on the sender per backlogged team.
     """
 
     node: str
@@ -49,6 +51,7 @@
     config_version: int
     counters: PeerCounters
     full: bool
+    demand: dict[str, int] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -121,7 +124,7 @@
             self._take(message)
 
     def _beat(self) -> None:
-        counters, version = self.dispatcher.ask(CountersQuery(), timeout=2)
+        counters, version, demand = self.dispatcher.ask(CountersQuery(), timeout=2)
         self.seq += 1
         full = self.seq % FULL_EVERY == 1
         if full:
@@ -136,6 +139,7 @@
             version,
             PeerCounters(counters.node, counters.incarnation, changed),
             full,
+            demand,
         )
         data = _ENCODER.encode(beat)
         self.pub.send(data)
@@ -163,7 +167,7 @@
         if beat.node in self.lost:
             self.lost.discard(beat.node)
             log_event("peer_back", peer=beat.node, peer_zone=beat.zone)
-        self.dispatcher.tell(PeerSummary(beat.counters))
+        self.dispatcher.tell(PeerSummary(beat.counters, beat.demand))
 
     def _check_lost(self, now: float) -> None:
         for node, last in list(self.seen.items()):
--- a/turmerictray/routing/target.py
+++ b/turmerictray/routing/target.py
@@ -40,10 +40,19 @@
     own_at_report: int = 0
     dispatched: int = 0
 
-    def others_load(self) -> int:
-        """Requests other routers keep on this target, from the lagged report."""
-        return max(0, self.reported_busy - self.own_at_report)
+    claim: int = 0
+
+    def idle_by_report(self) -> int:
+        """Slots the lagged report shows idle, less those this router filled since."""
+        return self.slots - self.reported_busy - max(0, self.inflight - self.own_at_report)
 
     def free_slots(self) -> int:
-        """Slots this router may still fill; negative when the target is over-full."""
-        return self.slots - self.inflight - self.others_load()
+        """Slots this router may fill now: its own claim, or idle ones it may borrow.
+
+        The claim (see :mod:`turmerictray.fairness.shares`) keeps routers from taking each
+        other's part of a busy target; borrowing keeps a target from idling when the routers
+        that claim it have nothing to send. A borrowed slot may meet a late report and wait in
+        the engine's own queue for a moment, which costs less than an idle slot.
+        """
+        claim = self.claim or self.slots
+        return max(claim - self.inflight, self.idle_by_report())
