--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -229,6 +229,40 @@
     return 0
 
 
+@app.command
+def bench(seconds: float = 5.0, out: Path = Path("bench.json"), plot: Path | None = None) -> int:
+    """Measure the slopes of a router's costs on small stand-ins (see docs/CAPACITY.md).
+
+    Parameters
+    ----------
+    seconds
+        Length of each timed measurement.
+    out
+        Where the results go, as JSON.
+    plot
+        Write a PNG of control bytes/s against fleet size here.
+    """
+    from turmerictray.loadtool.bench import format_bench, run_bench, save_bench
+
+    res = run_bench(seconds)
+    print(format_bench(res))
+    save_bench(res, str(out))
+    if plot:
+        import matplotlib
+
+        matplotlib.use("Agg")
+        import matplotlib.pyplot as plt
+
+        fig, ax = plt.subplots(figsize=(6, 3.5))
+        sizes = sorted(res.idle)
+        ax.plot(sizes, [res.idle[n]["bytes_per_s"] for n in sizes], marker="o")
+        ax.set_xlabel("routers in the fleet")
+        ax.set_ylabel("control bytes/s per router (idle)")
+        fig.tight_layout()
+        fig.savefig(plot)
+    return 0
+
+
 def main() -> None:
     """Entry point of ``turmerictray``."""
     result = app()
--- /dev/null
+++ b/turmerictray/loadtool/bench.py
@@ -0,0 +1,209 @@
+"""The capacity bench: slopes of a router's costs, measured on small stand-ins.
+
+Each measurement varies one size (teams in a heartbeat, peers, requests) and records what a
+router spends: heartbeat bytes, control bytes per second, processor seconds, resident memory.
+``docs/CAPACITY.md`` works the target-size figures out from these slopes.
+"""
+
+import json
+import threading
+import time
+import tracemalloc
+from dataclasses import asdict, dataclass, field
+
+import psutil
+import urllib3
+
+from turmerictray.core.ids import NodeId, TeamId
+from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
+from turmerictray.fairness.shares import ShareTable
+from turmerictray.loadtool.client import call_stream
+from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.router.peers import _ENCODER, Heartbeat
+
+
+@dataclass
+class BenchResults:
+    """Slopes and the points they were fitted on."""
+
+    beat_bytes: dict[int, int] = field(default_factory=dict)
+    beat_bytes_per_team: float = 0.0
+    ledger_bytes: dict[int, int] = field(default_factory=dict)
+    ledger_bytes_per_team: float = 0.0
+    idle: dict[int, dict] = field(default_factory=dict)
+    control_bytes_per_peer_s: float = 0.0
+    cpu_s_per_request: float = 0.0
+    cpu_by_tokens: dict[int, float] = field(default_factory=dict)
+    cpu_s_per_token: float = 0.0
+    requests_per_s: float = 0.0
+    router_rss_mb: float = 0.0
+    idle_cpu_core_fraction: float = 0.0
+
+
+def _slope(points: dict[int, float]) -> float:
+    xs, ys = list(points), list(points.values())
+    n = len(xs)
+    mx, my = sum(xs) / n, sum(ys) / n
+    den = sum((x - mx) ** 2 for x in xs)
+    return sum((x - mx) * (y - my) for x, y in zip(xs, ys, strict=True)) / den if den else 0.0
+
+
+def beat_size(teams: int) -> int:
+    """Bytes of one full heartbeat carrying ``teams`` counters and as many backlog entries."""
+    counters = {f"team-{i:05d}": 123456.0 + i for i in range(teams)}
+    demand = {f"team-{i:05d}": 7 for i in range(teams)}
+    beat = Heartbeat(
+        "router-123",
+        "halle-ansbach",
+        99999,
+        1700,
+        PeerCounters("router-123", time.time_ns(), counters),
+        True,
+        demand,
+    )
+    return len(_ENCODER.encode(beat))
+
+
+def ledger_size(teams: int, peers: int = 8) -> int:
+    """Bytes a router's ledger and share table hold for ``teams`` teams heard from ``peers``."""
+    tracemalloc.start()
+    base = tracemalloc.get_traced_memory()[0]
+    ledger = ServiceLedger(NodeId("r0"))
+    shares = ShareTable(NodeId("r0"), 3.0)
+    names = [f"team-{i:05d}" for i in range(teams)]
+    for name in names:
+        ledger.settle(TeamId(name), 10.0, 12.0)
+    for p in range(peers):
+        ledger.merge(PeerCounters(f"r{p + 1}", 1, {n: 5.0 for n in names}))
+        shares.update(f"r{p + 1}", {n: 1 for n in names}, now=0.0)
+    used = tracemalloc.get_traced_memory()[0] - base
+    tracemalloc.stop()
+    return used
+
+
+def _router_procs(fleet: LocalFleet) -> list[psutil.Process]:
+    return [psutil.Process(p.popen.pid) for p in fleet.routers()]
+
+
+def _control_total(fleet: LocalFleet, name: str) -> float:
+    text = urllib3.request("GET", fleet.procs[name].url + "/metrics").data.decode()
+    return sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in text.splitlines()
+        if line.startswith("turmerictray_control_bytes_total{")
+    )
+
+
+def idle_control(routers: int, seconds: float) -> dict:
+    """Control bytes/s and processor share per router of an idle fleet of ``routers``."""
+    fleet = LocalFleet(FleetSpec(engines=1, services=0, routers=routers)).start()
+    try:
+        time.sleep(1.0)
+        procs = _router_procs(fleet)
+        cpu0 = [sum(p.cpu_times()[:2]) for p in procs]
+        bytes0 = [_control_total(fleet, p.name) for p in fleet.routers()]
+        time.sleep(seconds)
+        cpu1 = [sum(p.cpu_times()[:2]) for p in procs]
+        bytes1 = [_control_total(fleet, p.name) for p in fleet.routers()]
+        rss = max(p.memory_info().rss for p in procs) / 2**20
+    finally:
+        fleet.stop()
+    return {
+        "bytes_per_s": sum(b - a for a, b in zip(bytes0, bytes1, strict=True))
+        / (routers * seconds),
+        "cpu_fraction": sum(b - a for a, b in zip(cpu0, cpu1, strict=True)) / (routers * seconds),
+        "rss_mb": rss,
+    }
+
+
+def request_cost(seconds: float, tokens: int = 16, callers: int = 16) -> tuple[float, float, float]:
+    """Router processor seconds per request of ``tokens`` tokens under load.
+
+    Returns
+    -------
+    tuple of float
+        ``(cpu s per request, requests per s, router RSS in MB)``; the router's idle rate,
+        measured first for 2 s, is taken off.
+    """
+    fleet = LocalFleet(
+        FleetSpec(engines=2, engine_slots=8, services=0, routers=1, tokens_per_s=2000.0)
+    ).start()
+    count = [0]
+    lock = threading.Lock()
+    try:
+        proc = _router_procs(fleet)[0]
+        url = fleet.routers()[0].url
+        idle0 = sum(proc.cpu_times()[:2])
+        time.sleep(2.0)
+        idle_rate = (sum(proc.cpu_times()[:2]) - idle0) / 2.0
+        stop_at = time.monotonic() + seconds
+
+        def caller() -> None:
+            http = urllib3.PoolManager(retries=False)
+            while time.monotonic() < stop_at:
+                if call_stream(http, url, "depot", tokens).ok:
+                    with lock:
+                        count[0] += 1
+
+        cpu0 = sum(proc.cpu_times()[:2])
+        threads = [threading.Thread(target=caller) for _ in range(callers)]
+        for thr in threads:
+            thr.start()
+        for thr in threads:
+            thr.join(seconds + 30)
+        cpu = sum(proc.cpu_times()[:2]) - cpu0 - idle_rate * seconds
+        rss = proc.memory_info().rss / 2**20
+    finally:
+        fleet.stop()
+    return cpu / max(1, count[0]), count[0] / seconds, rss
+
+
+def run_bench(seconds: float = 5.0, peer_sizes: tuple[int, ...] = (2, 4, 6)) -> BenchResults:
+    """Run every measurement; takes about ``len(peer_sizes) * (seconds + 4) + seconds + 8`` s."""
+    res = BenchResults()
+    for teams in (10, 100, 1000, 5800):
+        res.beat_bytes[teams] = beat_size(teams)
+        res.ledger_bytes[teams] = ledger_size(teams)
+    res.beat_bytes_per_team = _slope(res.beat_bytes)
+    res.ledger_bytes_per_team = _slope(res.ledger_bytes)
+    for routers in peer_sizes:
+        res.idle[routers] = idle_control(routers, seconds)
+    res.control_bytes_per_peer_s = _slope({n - 1: v["bytes_per_s"] for n, v in res.idle.items()})
+    res.idle_cpu_core_fraction = max(v["cpu_fraction"] for v in res.idle.values())
+    for tokens in (16, 64):
+        cpu, rate, rss = request_cost(seconds, tokens)
+        res.cpu_by_tokens[tokens] = cpu
+        if tokens == 16:
+            res.cpu_s_per_request, res.requests_per_s, res.router_rss_mb = cpu, rate, rss
+    res.cpu_s_per_token = _slope(res.cpu_by_tokens)
+    return res
+
+
+def format_bench(res: BenchResults) -> str:
+    """The bench's short table."""
+    rows = [
+        "heartbeat bytes by teams: "
+        + ", ".join(f"{k}={v}" for k, v in res.beat_bytes.items())
+        + f" -> {res.beat_bytes_per_team:.1f} B/team",
+        "ledger + share table bytes by teams (8 peers): "
+        + ", ".join(f"{k}={v}" for k, v in res.ledger_bytes.items())
+        + f" -> {res.ledger_bytes_per_team:.0f} B/team",
+        "idle control per router by fleet size: "
+        + ", ".join(
+            f"{k}: {v['bytes_per_s']:.0f} B/s cpu {v['cpu_fraction']:.4f} "
+            f"rss {v['rss_mb']:.0f} MB"
+            for k, v in res.idle.items()
+        )
+        + f" -> {res.control_bytes_per_peer_s:.0f} B/s per peer",
+        f"router cpu per request: {res.cpu_s_per_request * 1000:.2f} ms "
+        f"(16 tokens) at {res.requests_per_s:.0f} req/s, rss {res.router_rss_mb:.0f} MB; "
+        + ", ".join(f"{k} tokens={v * 1000:.2f} ms" for k, v in res.cpu_by_tokens.items())
+        + f" -> {res.cpu_s_per_token * 1e6:.1f} us/token",
+    ]
+    return "\n".join(rows)
+
+
+def save_bench(res: BenchResults, path: str) -> None:
+    """Write the results as JSON."""
+    with open(path, "w") as fh:
+        json.dump(asdict(res), fh, indent=2)
