A restarted router catches up with its peers' configuration before it serves

Cause: a router restarted with no memory while the configuration service answered an old revision (a replica behind) took that revision and served under it; its peer had revision 2 in force. The new test showed every answer of the restarted router for 3 s carrying X-Config-Version 1: an accepted change reverted for its callers. Ruled out: the version check in ConfigState (it refuses older texts, but a router that remembers nothing has no newer one to compare with).

Change: heartbeats carry the sender's HTTP URL beside its config version; routers serve their text in force at GET /admin/config; when a peer reports a newer version the watcher fetches the peer's text, checks it like any other, and offers it. A readiness gate refuses requests (503 not_run 'starting', Retry-After 1) until every configured peer has been heard and the router has caught up with them, or peer_timeout_s (3 s) has passed, so a zone cut off from its peers still serves. Answers carry X-Config-Version; the stand-in's stale mode can serve a given old revision.

Before: test failed, versions [1, 1, 1, ...].

Conclusion: the no-revert promise now holds across restarts with a stale service, as far as one peer that has the newer text is reachable; with every peer gone too, the router serves the service's text after 3 s, and that case is listed as not proved.

--- /dev/null
+++ b/tests/router/features/config_never_reverts.feature
@@ -0,0 +1,7 @@
+Feature: An accepted configuration never reverts
+  Scenario: A router restarts with no memory while the configuration service answers an old revision
+    Given a fleet of 2 routers and 1 engine
+    And revision 2 of the configuration is in force on every router
+    When the configuration service falls back to revision 1
+    And router-1 is killed and started again
+    Then every answer router-1 gives for 3 seconds carries configuration version 2 or newer
--- /dev/null
+++ b/tests/router/test_config_revert.py
@@ -0,0 +1,65 @@
+"""The configuration in force never goes back, also across a restart."""
+
+import json
+import signal
+import time
+
+import urllib3
+from pytest_bdd import given, scenarios, then, when
+
+scenarios("features/config_never_reverts.feature")
+
+HTTP = urllib3.PoolManager(retries=False)
+_BODY = json.dumps({"max_tokens": 2, "messages": [{"role": "user", "content": "plan"}]})
+
+
+@given("a fleet of 2 routers and 1 engine", target_fixture="fleet")
+def fleet(start_fleet):
+    return start_fleet(engines=1, routers=2, services=0, teams={"depot": 1.0})
+
+
+@given("revision 2 of the configuration is in force on every router")
+def revision_two(fleet):
+    newer = dict(fleet.config, limits={**fleet.config["limits"], "retry_after_s": 2.0})
+    assert fleet.post_json("config", "/admin/publish", newer)["version"] == 2
+    deadline = time.monotonic() + 10
+    while time.monotonic() < deadline:
+        if all(fleet.get_json(p.name, "/status")["config_version"] == 2 for p in fleet.routers()):
+            return
+        time.sleep(0.1)
+    raise AssertionError("revision 2 not in force everywhere within 10 s")
+
+
+@when("the configuration service falls back to revision 1")
+def stale(fleet):
+    fleet.post_json("config", "/admin/mode", {"mode": "stale", "revision": 1})
+
+
+@when("router-1 is killed and started again")
+def restart(fleet, ctx):
+    # The caller of router-1 must never be served under revision 1 again. The router comes
+    # back with no memory and the only text the service gives it is revision 1; its peer
+    # still has revision 2 in force. Taking revision 1 would undo an accepted change.
+    fleet.signal("router-1", signal.SIGKILL)
+    fleet.procs["router-1"].popen.wait(10)
+    ctx["router"] = fleet.start_router(1)
+
+
+@then("every answer router-1 gives for 3 seconds carries configuration version 2 or newer")
+def no_revert(ctx):
+    url = ctx["router"].url + "/v1/chat/completions"
+    versions = []
+    first = None
+    deadline = time.monotonic() + 20
+    while time.monotonic() < deadline and (first is None or time.monotonic() < first + 3):
+        try:
+            resp = HTTP.request("POST", url, body=_BODY, headers={"X-Team": "depot"}, timeout=5.0)
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.02)
+            continue
+        if resp.status == 200:
+            first = first or time.monotonic()
+            versions.append(int(resp.headers["X-Config-Version"]))
+        time.sleep(0.02)
+    assert versions, "router-1 never answered"
+    assert min(versions) >= 2, versions[:10]
--- a/turmerictray/config/settings.py
+++ b/turmerictray/config/settings.py
@@ -49,6 +49,7 @@
     peers: list[NngAddress] = msgspec.field(default_factory=list)
     instances_url: Url | None = None
     bootstrap_config: str | None = None
+    advertise_url: Url | None = None
     log_file: str | None = None
     load_poll_s: Seconds = 0.5
     instances_poll_s: Seconds = 0.5
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -78,6 +78,10 @@
     """The router is shutting down and takes no new requests."""
 
 
+class Starting(AdmissionError):
+    """The router has not yet caught up with its peers' configuration."""
+
+
 class NoTarget(AdmissionError):
     """No live target serves the requested service."""
 
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -277,9 +277,7 @@
                 )
             try:
                 resp = self.http.request("GET", proc.url + path, timeout=1.0)
-                if resp.status == 200 and (
-                    proc.kind != "router" or json.loads(resp.data)["config_version"] > 0
-                ):
+                if resp.status == 200 and (proc.kind != "router" or json.loads(resp.data)["ready"]):
                     return
             except urllib3.exceptions.HTTPError:
                 pass
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -73,18 +73,31 @@
         """Start the dispatcher, watchers and peer link and subscribe them to the timer."""
         s = self.settings
         self.dispatcher = _SnapshotDispatcher.start(
-            NodeId(s.node), self.incarnation, s.assertions, s.peer_timeout_s, self.snapshot
+            NodeId(s.node),
+            self.incarnation,
+            s.assertions,
+            s.peer_timeout_s,
+            len(s.peers),
+            self.snapshot,
         )
         self._bootstrap()
-        ConfigWatcher.start(s.config_url, self.dispatcher, s.watch_wait_s)
+        watcher = ConfigWatcher.start(s.config_url, self.dispatcher, s.watch_wait_s)
         self.timer.subscribe(self.dispatcher, "expire", _EXPIRE_TICK_S)
         if s.instances_url:
             poller = InstancePoller.start(s.instances_url, self.dispatcher)
             self.timer.subscribe(poller, "instances", s.instances_poll_s)
         load = LoadPoller.start(self.dispatcher)
         self.timer.subscribe(load, "load", s.load_poll_s)
+        url = s.advertise_url or f"http://{s.listen.host}:{s.listen.port}"
         link = PeerLink.start(
-            s.node, s.zone, s.peer_listen, s.peers, self.dispatcher, s.peer_timeout_s
+            s.node,
+            s.zone,
+            s.peer_listen,
+            s.peers,
+            self.dispatcher,
+            s.peer_timeout_s,
+            watcher,
+            url,
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
         proxy = Proxy(self.dispatcher, self.upstream, s.node)
@@ -144,9 +157,15 @@
     """A dispatcher that also publishes the configuration in force to the front."""
 
     def __init__(
-        self, node, incarnation, assertions, peer_timeout_s, snapshot: ConfigSnapshot
+        self,
+        node,
+        incarnation,
+        assertions,
+        peer_timeout_s,
+        expected_peers,
+        snapshot: ConfigSnapshot,
     ) -> None:
-        super().__init__(node, incarnation, assertions, peer_timeout_s)
+        super().__init__(node, incarnation, assertions, peer_timeout_s, expected_peers)
         self.snapshot = snapshot
 
     def _apply(self, cfg) -> None:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -12,7 +12,7 @@
 
 from turmerictray.config.schema import Config
 from turmerictray.config.state import ConfigState
-from turmerictray.core.errors import Draining, NoTarget, QueueTimeout
+from turmerictray.core.errors import Draining, NoTarget, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
@@ -50,10 +50,20 @@
         This process's start time in nanoseconds; used as fencing number and peer incarnation.
     assertions : bool
         Check the dispatcher's invariants after every message (slower; for randomised runs).
+    peer_timeout_s : float
+        A peer silent this long no longer counts; also the longest wait for peers at start.
+    expected_peers : int
+        Peers named in the settings; the router serves once it has heard them all and caught
+        up with their configuration, or after ``peer_timeout_s``.
     """
 
     def __init__(
-        self, node: NodeId, incarnation: int, assertions: bool = False, peer_timeout_s: float = 3.0
+        self,
+        node: NodeId,
+        incarnation: int,
+        assertions: bool = False,
+        peer_timeout_s: float = 3.0,
+        expected_peers: int = 0,
     ) -> None:
         super().__init__()
         self.node = node
@@ -67,6 +77,11 @@
         self.granted: dict[str, Grant] = {}
         self.shares = ShareTable(node, peer_timeout_s)
         self.share = 1.0
+        self.started_at = time.monotonic()
+        self.startup_s = peer_timeout_s
+        self.expected_peers = expected_peers
+        self.peer_versions: dict[str, int] = {}
+        self.ready = False
 
     def on_receive(self, message: object) -> object:
         result = self.handle(message)
@@ -86,6 +101,11 @@
             retry = cfg.limits.retry_after_s if cfg else 1.0
             msg.reply.set_exception(Draining("draining", retry))
             return
+        if cfg is not None and not self.ready:
+            # A router back from a restart may hold an older text than its peers (the service
+            # can be stale); serving before it has heard them would undo an accepted change.
+            msg.reply.set_exception(Starting("starting", 1.0))
+            return
         if cfg is None or not self.table.of_service(msg.placement.service):
             msg.reply.set_exception(NoTarget("no_target", cfg.limits.retry_after_s if cfg else 1))
             return
@@ -127,6 +147,7 @@
             return
         self._apply(msg.cfg)
         log_event("config_in_force", version=msg.cfg.version)
+        self._check_ready(time.monotonic())
         self._pump()
 
     @handle.register
@@ -146,6 +167,8 @@
     def _(self, msg: PeerSummary) -> None:
         self.ledger.merge(msg.counters)
         self.shares.update(msg.counters.node, msg.demand)
+        self.peer_versions[msg.counters.node] = msg.config_version
+        self._check_ready(time.monotonic())
         self._update_claims()
         self._pump()
 
@@ -156,6 +179,7 @@
 
     @handle.register
     def _(self, msg: Tick) -> None:
+        self._check_ready(msg.now)
         self._expire(msg.now)
         self._update_claims()
         self._pump()
@@ -185,6 +209,7 @@
             "node": self.node,
             "config_version": self.config.version,
             "draining": self.draining,
+            "ready": self.ready,
             "share": round(self.share, 3),
             "queued": self._queued(),
             "inflight": self.table.inflight_total(),
@@ -260,6 +285,21 @@
         if self.draining and cfg is not None:
             self._pump()
 
+    def _check_ready(self, now: float) -> None:
+        if self.ready or self.config.current is None:
+            return
+        heard_all = len(self.peer_versions) >= self.expected_peers
+        caught_up = self.config.version >= max(self.peer_versions.values(), default=0)
+        timed_out = now - self.started_at > self.startup_s
+        if (heard_all and caught_up) or timed_out:
+            self.ready = True
+            log_event(
+                "ready",
+                version=self.config.version,
+                peers_heard=len(self.peer_versions),
+                timed_out=timed_out and not (heard_all and caught_up),
+            )
+
     def _local_demand(self) -> dict[str, int]:
         demand: dict[str, int] = {}
         for queue in self.queues.values():
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -90,6 +90,11 @@
         if path == "/status":
             state = self.dispatcher.ask(StatusQuery(), timeout=5)
             return _send(start_response, 200, msgspec.json.encode(state))
+        if path == "/admin/config":
+            cfg = self.snapshot.current
+            if cfg is None:
+                return _send(start_response, 404, b'{"error": {"type": "no_config"}}')
+            return _send(start_response, 200, msgspec.json.encode(cfg))
         if path == "/metrics":
             return _send(start_response, 200, generate_latest(metrics.REGISTRY), "text/plain")
         return _send(start_response, 404, b'{"error": {"type": "not_found"}}')
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -96,6 +96,7 @@
 
     counters: PeerCounters
     demand: dict[str, int] = field(default_factory=dict)
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
@@ -113,6 +114,14 @@
     """Ask for ``(target id, url)`` pairs of all known targets."""
 
 
+@dataclass(frozen=True)
+class PeerHasNewer:
+    """A peer has a newer configuration in force; its text is at ``url``/admin/config."""
+
+    version: int
+    url: str
+
+
 @dataclass(frozen=True)
 class CountersQuery:
     """Ask for ``(own PeerCounters, config version, waiting per team)`` for a heartbeat."""
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -19,7 +19,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters
 from turmerictray.router import metrics
-from turmerictray.router.messages import CountersQuery, PeerSummary
+from turmerictray.router.messages import CountersQuery, PeerHasNewer, PeerSummary
 
 FULL_EVERY = 10
 """A heartbeat with every counter is sent once in this many beats."""
@@ -43,6 +43,8 @@
         Whether ``counters`` holds every team.
     demand : dict of str to int
         Requests waiting on the sender per backlogged team.
+    url : str
+        The sender's HTTP front, where peers fetch its configuration text.
     """
 
     node: str
@@ -52,6 +54,7 @@
     counters: PeerCounters
     full: bool
     demand: dict[str, int] = {}
+    url: str = ""
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -71,6 +74,10 @@
     dispatcher : pykka.ActorRef
     peer_timeout_s : float
         A peer silent this long is reported lost.
+    watcher : pykka.ActorRef
+        The configuration watcher, told when a peer has a newer configuration.
+    url : str
+        This router's HTTP front, sent to peers.
     """
 
     def __init__(
@@ -81,11 +88,16 @@
         peers: list[str],
         dispatcher: pykka.ActorRef,
         peer_timeout_s: float,
+        watcher: pykka.ActorRef,
+        url: str,
     ) -> None:
         super().__init__()
         self.node, self.zone = node, zone
         self.listen, self.peers = listen, peers
         self.dispatcher = dispatcher
+        self.watcher = watcher
+        self.url = url
+        self.best_version = 0
         self.peer_timeout_s = peer_timeout_s
         self.seq = 0
         self.sent: dict[str, float] = {}
@@ -140,6 +152,7 @@
             PeerCounters(counters.node, counters.incarnation, changed),
             full,
             demand,
+            self.url,
         )
         data = _ENCODER.encode(beat)
         self.pub.send(data)
@@ -167,7 +180,10 @@
         if beat.node in self.lost:
             self.lost.discard(beat.node)
             log_event("peer_back", peer=beat.node, peer_zone=beat.zone)
-        self.dispatcher.tell(PeerSummary(beat.counters, beat.demand))
+        self.dispatcher.tell(PeerSummary(beat.counters, beat.demand, beat.config_version))
+        if beat.config_version > self.best_version and beat.url:
+            self.best_version = beat.config_version
+            self.watcher.tell(PeerHasNewer(beat.config_version, beat.url))
 
     def _check_lost(self, now: float) -> None:
         for node, last in list(self.seen.items()):
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -171,7 +171,11 @@
 
     def _answer_headers(self, req: CallerRequest, resp) -> list[tuple[str, str]]:
         kind = resp.headers.get("Content-Type", "application/json")
-        return [("Content-Type", kind), ("X-Request-Id", req.req_id)]
+        return [
+            ("Content-Type", kind),
+            ("X-Request-Id", req.req_id),
+            ("X-Config-Version", str(req.config_version)),
+        ]
 
     def _relay(self, req: CallerRequest, grant: Grant, resp) -> Iterator[bytes]:
         tail = b""
--- a/turmerictray/router/request.py
+++ b/turmerictray/router/request.py
@@ -46,6 +46,7 @@
     idempotent: bool
     upstream_path: str
     stream: bool
+    config_version: int = 0
 
 
 def identify_team(cfg: Config, headers: dict[str, str]) -> TeamId:
@@ -125,4 +126,5 @@
         idempotent,
         path,
         stream,
+        cfg.version,
     )
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -14,7 +14,7 @@
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router import metrics
-from turmerictray.router.messages import ConfigApplied
+from turmerictray.router.messages import ConfigApplied, PeerHasNewer
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
 
@@ -51,7 +51,9 @@
         self.http.clear()
 
     def on_receive(self, message: object) -> None:
-        if isinstance(message, _Poll):
+        if isinstance(message, PeerHasNewer):
+            self._fetch_from_peer(message)
+        elif isinstance(message, _Poll):
             self._poll()
             if self.actor_ref.is_alive():
                 self.actor_ref.tell(_Poll())
@@ -80,6 +82,27 @@
         self.failures = 0
         self.offer(resp.data)
 
+    def _fetch_from_peer(self, msg: PeerHasNewer) -> None:
+        # A router restarted while the service is stale or down would otherwise stay on the
+        # old text the service gives it; the peer's copy is checked like any other text.
+        if msg.version <= self.version:
+            return
+        try:
+            resp = self.http.request(
+                "GET",
+                msg.url.rstrip("/") + "/admin/config",
+                timeout=urllib3.Timeout(connect=1.0, read=2.0),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            log_event(
+                "peer_config_unreachable", level="WARNING", url=msg.url, reason=type(exc).__name__
+            )
+            return
+        metrics.count_control("config", 200, len(resp.data) + 200)
+        if resp.status == 200:
+            log_event("peer_config_fetched", version=msg.version, url=msg.url)
+            self.offer(resp.data)
+
     def offer(self, text: bytes) -> None:
         """Check a text and pass it on if it is newer than the last one passed on."""
         try:
--- a/turmerictray/standins/configsvc.py
+++ b/turmerictray/standins/configsvc.py
@@ -7,7 +7,8 @@
 
 Admin calls (for tests and the demo): ``POST /admin/publish`` with a text (any JSON object,
 valid for the router or not), ``POST /admin/mode`` with ``{"mode": "ok|down|stale"}``: ``down``
-answers 503 to every read, ``stale`` keeps answering the revision current when it was set.
+answers 503 to every read, ``stale`` keeps answering one revision (``"revision": n``, by
+default the current one), as a replica that fell behind would.
 """
 
 import threading
@@ -99,12 +100,16 @@
         return json_reply({"version": self._publish(call.body)})
 
     def set_mode(self, call: Call) -> Reply:
-        mode = call.json()["mode"]
+        doc = call.json()
+        mode = doc["mode"]
         if mode not in ("ok", "down", "stale"):
             raise ValueError(f"unknown mode {mode!r}")
         with self.changed:
-            if mode == "stale" and self.mode != "stale":
-                self.stale_at = len(self.revisions)
+            if mode == "stale":
+                revision = int(doc.get("revision", len(self.revisions)))
+                if not 1 <= revision <= len(self.revisions):
+                    raise ValueError(f"no revision {revision}")
+                self.stale_at = revision
             self.mode = mode
             self.changed.notify_all()
         log_event("config_service_mode", mode=mode)
