--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -129,7 +129,7 @@
         self.granted.pop(msg.req_id, None)
         view = self.table.targets.get(msg.target)
         if view is not None:
-            view.inflight = max(0, view.inflight - 1)
+            view.set_inflight(max(0, view.inflight - 1))
         self.ledger.settle(msg.team, msg.hint, msg.cost)
         metrics.TOKENS.labels(msg.team).inc(msg.cost)
         self._pump()
@@ -160,7 +160,8 @@
     def _(self, msg: LoadReport) -> None:
         view = self.table.targets.get(msg.target)
         if view is not None:
-            self.table.report_load(msg.target, msg.busy, view.inflight)
+            taken_at = time.monotonic() - msg.age_s
+            self.table.report_load(msg.target, msg.busy, view.inflight_at(taken_at))
             self._pump()
 
     @handle.register
@@ -269,7 +270,7 @@
     def _grant(self, item: Pending, view) -> None:
         if item.reply.done():
             return
-        view.inflight += 1
+        view.set_inflight(view.inflight + 1)
         view.dispatched += 1
         self.ledger.charge(item.team, item.hint)
         grant = Grant(view.id, view.url, self.incarnation)
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -84,10 +84,11 @@
 
 @dataclass(frozen=True)
 class LoadReport:
-    """A target's lagged load: running plus waiting requests."""
+    """A target's lagged load: running plus waiting requests, as of ``age_s`` seconds ago."""
 
     target: TargetId
     busy: int
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -115,7 +115,7 @@
                     exclude.add(grant.target)
                     continue
                 raise
-            self._note_load(grant, resp.headers.get("X-Load-Busy"))
+            self._note_load(grant, resp.headers)
             log_event(
                 "sent",
                 req=req.req_id,
@@ -240,9 +240,13 @@
     def _finish(self, req: CallerRequest, grant: Grant, cost: float) -> None:
         self.dispatcher.tell(Finished(req.req_id, req.team, grant.target, req.hint, cost))
 
-    def _note_load(self, grant: Grant, busy: str | None) -> None:
-        if busy is not None and busy.isdigit():
-            self.dispatcher.tell(LoadReport(grant.target, int(busy)))
+    def _note_load(self, grant: Grant, headers) -> None:
+        busy, age = headers.get("X-Load-Busy"), headers.get("X-Load-Age", "0")
+        try:
+            report = LoadReport(grant.target, int(busy), float(age))
+        except (TypeError, ValueError):
+            return
+        self.dispatcher.tell(report)
 
 
 def _cost_of(tail: bytes, req: CallerRequest, chunks: int) -> float:
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -47,4 +47,5 @@
             except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
                 continue
             metrics.count_control("load", 120, len(resp.data) + 120)
-            self.dispatcher.tell(LoadReport(TargetId(tid), figures.running + figures.waiting))
+            busy = figures.running + figures.waiting
+            self.dispatcher.tell(LoadReport(TargetId(tid), busy, figures.age_s))
--- a/turmerictray/routing/target.py
+++ b/turmerictray/routing/target.py
@@ -1,10 +1,15 @@
 """One target as a router sees it."""
 
-from dataclasses import dataclass
+import time
+from collections import deque
+from dataclasses import dataclass, field
 from enum import Enum
 
 from turmerictray.core.ids import ServiceName, TargetId
 
+_HISTORY = 256
+"""Changes of in-flight count kept per target; at 100 a second, 2.5 s of history."""
+
 
 class TargetState(Enum):
     """Whether a target takes new work."""
@@ -41,6 +46,24 @@
     dispatched: int = 0
 
     claim: int = 0
+    history: deque = field(default_factory=lambda: deque(maxlen=_HISTORY))
+
+    def set_inflight(self, value: int) -> None:
+        """Change this router's in-flight count, remembering when."""
+        self.inflight = value
+        self.history.append((time.monotonic(), value))
+
+    def inflight_at(self, when: float) -> int:
+        """This router's in-flight count at ``time.monotonic()`` value ``when``.
+
+        A load report describes the target as it was ``age`` seconds ago; comparing it with
+        today's in-flight count would count requests sent since as already in the report and
+        borrow slots that are taken. Unknown (too old) times give 0, which borrows least.
+        """
+        for stamp, value in reversed(self.history):
+            if stamp <= when:
+                return value
+        return 0
 
     def idle_by_report(self) -> int:
         """Slots the lagged report shows idle, less those this router filled since."""
--- a/turmerictray/standins/engine.py
+++ b/turmerictray/standins/engine.py
@@ -81,9 +81,9 @@
         """Stop the batcher actor."""
         self.batcher.stop()
 
-    def _busy_header(self) -> tuple[str, str]:
-        running, waiting, _ = self.batcher.ask(b.LoadQuery())
-        return ("X-Load-Busy", str(running + waiting))
+    def _load_headers(self) -> list[tuple[str, str]]:
+        running, waiting, age = self.batcher.ask(b.LoadQuery())
+        return [("X-Load-Busy", str(running + waiting)), ("X-Load-Age", f"{age:.3f}")]
 
     def complete(self, call: Call) -> Reply:
         body = msgspec.json.decode(call.body, type=_Body)
@@ -115,12 +115,12 @@
             "completion_tokens": body.max_tokens,
             "total_tokens": prompt_tokens + body.max_tokens,
         }
-        busy = self._busy_header()
+        load = self._load_headers()
         if body.stream:
             return Reply(
                 200,
                 self._sse(tokens, req_id, body.model, usage, slot, team),
-                [busy],
+                load,
                 "text/event-stream",
             )
         started = time.monotonic()
@@ -139,7 +139,7 @@
                 "usage": usage,
             },
             200,
-            [busy],
+            load,
         )
 
     def _tokens(self, body: _Body, req_id: str, uncached: int, slot: b.Slot):
