Proofs under a frozen peer and a flooding team; status lists teams known from peers

Cause: the new freeze proof (2 routers, 2 engines x 2 slots; depot on router-0, riders on router-1; router-1 SIGSTOPped for about 5 s then SIGCONTed) failed with KeyError 'depot' when reading router-1's /status: status listed only teams with local service or local backlog, so fleet-wide service known only from peers' counters was invisible to operators. The ledger itself held the counts. Ruled out: a merge fault (router-0's figures already matched the sum).

Change: ServiceLedger.known_teams() (local settled, provisional, and every peer's), used by status.

Proofs: while router-1 is frozen, router-0's share reaches 1.0 within 6 s (peer timeout 3 s); after it wakes, every answer of both teams is whole and its own, and on both routers each team's fleet-wide service equals the sum of the two routers' own counts. Flood: 20 flood callers and 2 small callers of equal weight on one 2-slot engine for 6 s: each small caller gets at least 3x a flood caller's tokens, and flood still gets at least a third.

Conclusion: a freeze neither idles the pool nor double counts service after waking; a flood starves no one.

--- /dev/null
+++ b/tests/router/test_freeze_and_flood.py
@@ -0,0 +1,158 @@
+"""Frozen peers and flooding teams."""
+
+import signal
+import threading
+import time
+
+import urllib3
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from turmerictray.loadtool.client import call_stream
+
+scenarios("features/freeze_and_flood.feature")
+
+
+class Callers:
+    """Closed-loop callers per (team, router) until stopped; keeps every outcome."""
+
+    def __init__(self) -> None:
+        self.outcomes: list = []
+        self.stop = threading.Event()
+        self.threads: list[threading.Thread] = []
+        self.lock = threading.Lock()
+
+    def add(self, url: str, team: str, count: int, tokens: int) -> None:
+        for _ in range(count):
+            thr = threading.Thread(target=self._loop, args=(url, team, tokens), daemon=True)
+            self.threads.append(thr)
+            thr.start()
+
+    def _loop(self, url: str, team: str, tokens: int) -> None:
+        http = urllib3.PoolManager(retries=False)
+        while not self.stop.is_set():
+            out = call_stream(http, url, team, tokens)
+            with self.lock:
+                self.outcomes.append(out)
+
+    def finish(self) -> None:
+        self.stop.set()
+        for thr in self.threads:
+            thr.join(60)
+
+    def tokens(self, team: str) -> int:
+        return sum(o.tokens for o in self.outcomes if o.team == team)
+
+
+@given(
+    parsers.parse('a fleet of 2 routers and 2 engines with 2 slots each, teams "{a}" and ' '"{b}"'),
+    target_fixture="fleet",
+)
+def two_routers(start_fleet, a, b):
+    return start_fleet(engines=2, engine_slots=2, routers=2, services=0, teams={a: 1.0, b: 1.0})
+
+
+@when("depot calls only router-0 and riders only router-1, and router-1 is frozen")
+def freeze(fleet, ctx):
+    # Callers of router-1 see their streams pause, then finish after it wakes. While it is
+    # silent, router-0 must stop leaving router-1's part of each engine idle; once it wakes,
+    # acting on its old view, heartbeats must bring both routers' counters together again
+    # without counting any team's service twice.
+    callers = Callers()
+    callers.add(fleet.procs["router-0"].url, "depot", 6, 20)
+    callers.add(fleet.procs["router-1"].url, "riders", 6, 20)
+    ctx["callers"] = callers
+    time.sleep(2.0)
+    assert fleet.get_json("router-0", "/status")["share"] < 1.0
+    fleet.signal("router-1", signal.SIGSTOP)
+    ctx["frozen_at"] = time.monotonic()
+
+
+@then(
+    parsers.parse(
+        "within {seconds:d} seconds router-0 claims every slot while router-1 is " "silent"
+    )
+)
+def claims_all(fleet, ctx, seconds):
+    deadline = ctx["frozen_at"] + seconds
+    while time.monotonic() < deadline:
+        if fleet.get_json("router-0", "/status")["share"] == 1.0:
+            return
+        time.sleep(0.1)
+    raise AssertionError("router-0 still leaves the frozen router's share idle")
+
+
+@when("router-1 wakes and the callers stop")
+def wake(fleet, ctx):
+    fleet.signal("router-1", signal.SIGCONT)
+    time.sleep(2.0)
+    ctx["callers"].finish()
+    time.sleep(6.0)
+
+
+@then("every answer of both teams is whole, in order and its own")
+def whole(ctx):
+    bad = [o for o in ctx["callers"].outcomes if not o.ok]
+    assert not bad, bad[:3]
+
+
+@then("each router counts each team's fleet-wide service as the sum of both routers' own")
+def converged(fleet):
+    views = [fleet.get_json(name, "/status")["teams"] for name in ("router-0", "router-1")]
+    for team in ("depot", "riders"):
+        own = sum(view.get(team, {}).get("local", 0.0) for view in views)
+        for view in views:
+            assert view[team]["fleet"] == own, (team, view[team], own)
+
+
+@given(
+    parsers.parse(
+        'a fleet of 1 router and 1 engine with 2 slots, teams "{a}" and "{b}" of ' "weight 1"
+    ),
+    target_fixture="fleet",
+)
+def flood_fleet(start_fleet, a, b):
+    return start_fleet(
+        engines=1,
+        engine_slots=2,
+        routers=1,
+        services=0,
+        tokens_per_s=400.0,
+        teams={a: 1.0, b: 1.0},
+        limits={"queue_per_team": 64},
+    )
+
+
+@when(
+    parsers.parse(
+        "flood keeps {many:d} callers busy and small keeps {few:d} for {seconds:d} " "seconds"
+    )
+)
+def flood(fleet, ctx, many, few, seconds):
+    # The small team's callers see answers about as fast as if flood were absent: its
+    # requests are the least served, so each goes next; flood's twenty share what is left.
+    callers = Callers()
+    url = fleet.routers()[0].url
+    callers.add(url, "flood", many, 20)
+    callers.add(url, "small", few, 20)
+    time.sleep(seconds)
+    callers.finish()
+    ctx.update(callers=callers, many=many, few=few)
+
+
+@then(
+    parsers.parse(
+        "each small caller got at least {times:d} times the tokens of each flood " "caller"
+    )
+)
+def small_not_starved(ctx, times):
+    callers = ctx["callers"]
+    per_small = callers.tokens("small") / ctx["few"]
+    per_flood = callers.tokens("flood") / ctx["many"]
+    assert per_small >= times * per_flood, (per_small, per_flood)
+
+
+@then("flood still got at least a third of all tokens")
+def flood_not_starved(ctx):
+    callers = ctx["callers"]
+    total = callers.tokens("flood") + callers.tokens("small")
+    assert callers.tokens("flood") >= total / 3, (callers.tokens("flood"), total)
--- a/turmerictray/fairness/ledger.py
+++ b/turmerictray/fairness/ledger.py
@@ -96,6 +96,13 @@
         if level > self.normalised(team):
             self.floor[team] = level
 
+    def known_teams(self) -> set[str]:
+        """Teams with service counted here or reported by a peer."""
+        teams = set(self.settled) | set(self.provisional)
+        for counters in self.remote.values():
+            teams.update(counters)
+        return teams
+
     def own_counters(self) -> dict[str, float]:
         """This router's settled cumulative counters, for its peers."""
         return {team: value for team, value in self.settled.items() if value > 0}
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -203,7 +203,7 @@
 
     def status(self) -> dict:
         """A JSON-ready snapshot: config version, queues, targets, fleet service per team."""
-        teams = set(self.ledger.settled) | {
+        teams = self.ledger.known_teams() | {
             team for queue in self.queues.values() for team in queue.backlogged()
         }
         return {
