Operator races: the newest valid revision wins everywhere; no hot loop on a rejected text

The last valid version was in force nowhere, and no peer had it to hand on. Cause 2 (found while reading the watcher for cause 1): after a rejected text the watch sent If-None-Match with the last *accepted* version, so the service answered the rejected text again at once, in a loop. Ruled out: the peer catch-up path (no router had revision 2 to offer), and the rate limiter (it was what the loop ran into, not its cause).

Change: the stand-in serves GET /config?revision=n (history, read-only); a watcher that rejects revision V reads back, at most 16 revisions, to the newest valid one above its own and offers it; the watch is keyed on the newest revision seen, accepted or not.

Conclusion: invalid texts neither hide a valid one nor flood the configuration service.

--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -17,6 +17,17 @@
 from turmerictray.router.messages import ConfigApplied, PeerHasNewer
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
+_WALK_BACK = 16
+"""Earlier revisions read, at most, to find the newest valid one behind a rejected text."""
+
+
+def parse_ok(text: bytes) -> bool:
+    """Whether ``text`` passes the configuration checks."""
+    try:
+        parse_config(text)
+    except ConfigError:
+        return False
+    return True
 
 
 class _Poll:
@@ -41,6 +52,7 @@
         self.dispatcher = dispatcher
         self.wait_s = wait_s
         self.version = 0
+        self.seen = 0
         self.failures = 0
         self.http = urllib3.PoolManager(retries=False)
 
@@ -59,8 +71,11 @@
                 self.actor_ref.tell(_Poll())
 
     def _poll(self) -> None:
-        headers = {"If-None-Match": f'"{self.version}"'} if self.version else {}
-        fields = {"wait": str(self.wait_s)} if self.version else {}
+        # The watch is keyed on the newest revision seen, accepted or not: keyed on the
+        # accepted one, a rejected text would be handed back at once, again and again, in a
+        # hot loop against the service's shared read limit.
+        headers = {"If-None-Match": f'"{self.seen}"'} if self.seen else {}
+        fields = {"wait": str(self.wait_s)} if self.seen else {}
         try:
             resp = self.http.request(
                 "GET",
@@ -80,7 +95,11 @@
             self._fail(f"status {resp.status}")
             return
         self.failures = 0
-        self.offer(resp.data)
+        etag = resp.headers.get("ETag", "").strip('"')
+        if etag.isdigit():
+            self.seen = max(self.seen, int(etag))
+        if not self.offer(resp.data):
+            self._walk_back(self.seen)
 
     def _fetch_from_peer(self, msg: PeerHasNewer) -> None:
         # A router restarted while the service is stale or down would otherwise stay on the
@@ -103,21 +122,52 @@
             log_event("peer_config_fetched", version=msg.version, url=msg.url)
             self.offer(resp.data)
 
-    def offer(self, text: bytes) -> None:
-        """Check a text and pass it on if it is newer than the last one passed on."""
+    def offer(self, text: bytes) -> bool:
+        """Check a text and pass it on if it is newer than the last one passed on.
+
+        Returns
+        -------
+        bool
+            False when the text was rejected by its checks.
+        """
         try:
             cfg = parse_config(text)
         except ConfigError as exc:
             log_event(
                 "config_rejected", level="WARNING", version=exc.version, reason=exc.reason[:300]
             )
-            return
+            return False
         if cfg.version <= self.version:
             log_event("config_stale", version=cfg.version, in_force=self.version)
-            return
+            return True
         self.version = cfg.version
         log_event("config_accepted", version=cfg.version)
         self.dispatcher.tell(ConfigApplied(cfg))
+        return True
+
+    def _walk_back(self, rejected: int) -> None:
+        # Texts published while this router could not read (service down, or a fast pair of
+        # edits) may hide a valid revision behind an invalid newest one; without reading
+        # back, the last valid text would be in force nowhere. Bounded, so a long run of
+        # invalid texts costs at most _WALK_BACK reads.
+        low = max(self.version, rejected - _WALK_BACK)
+        for revision in range(rejected - 1, low, -1):
+            try:
+                resp = self.http.request(
+                    "GET",
+                    self.url,
+                    fields={"revision": str(revision)},
+                    timeout=urllib3.Timeout(connect=1.0, read=2.0),
+                )
+            except urllib3.exceptions.HTTPError:
+                return
+            metrics.count_control("config", 200, len(resp.data) + 200)
+            if resp.status != 200:
+                return
+            if parse_ok(resp.data):
+                log_event("config_walked_back", rejected=rejected, found=revision)
+                self.offer(resp.data)
+                return
 
     def _fail(self, reason: str) -> None:
         delay = _BACKOFF_S[min(self.failures, len(_BACKOFF_S) - 1)]
--- a/turmerictray/standins/configsvc.py
+++ b/turmerictray/standins/configsvc.py
@@ -2,7 +2,8 @@
 
 The platform stamps each published text with the next revision, as its ``version`` field and
 as the ``ETag``. Readers call ``GET /config``; with ``If-None-Match: "<v>"`` and ``?wait=S`` the
-call is held until a newer revision exists or ``S`` seconds pass (304). All reads together are
+call is held until a newer revision exists or ``S`` seconds pass (304). ``?revision=n`` reads
+an earlier revision: the service keeps its history, read-only. All reads together are
 limited to ``reads_per_s`` (429 with ``Retry-After`` beyond it). Nothing is written by readers.
 
 Admin calls (for tests and the demo): ``POST /admin/publish`` with a text (any JSON object,
@@ -82,6 +83,8 @@
         self.reads += 1
         if self.mode == "down":
             return json_reply({"error": {"type": "down"}}, 503)
+        if "revision" in call.query:
+            return self._read_revision(int(call.query["revision"]))
         known = call.headers.get("if-none-match", "").strip('"')
         wait = min(float(call.query.get("wait", 0)), _MAX_WAIT_S)
         deadline = time.monotonic() + wait
@@ -96,6 +99,13 @@
             text = self.revisions[version - 1]
         return Reply(200, text, [("ETag", f'"{version}"')])
 
+    def _read_revision(self, revision: int) -> Reply:
+        with self.changed:
+            if not 1 <= revision <= self._visible():
+                return json_reply({"error": {"type": "no_revision"}}, 404)
+            text = self.revisions[revision - 1]
+        return Reply(200, text, [("ETag", f'"{revision}"')])
+
     def publish(self, call: Call) -> Reply:
         return json_reply({"version": self._publish(call.body)})
 
