--- a/turmerictray/loadtool/bench.py
+++ b/turmerictray/loadtool/bench.py
@@ -38,6 +38,7 @@
     requests_per_s: float = 0.0
     router_rss_mb: float = 0.0
     idle_cpu_core_fraction: float = 0.0
+    config_in_force_s: list[float] = field(default_factory=list)
 
 
 def _slope(points: dict[int, float]) -> float:
@@ -158,6 +159,26 @@
     return cpu / max(1, count[0]), count[0] / seconds, rss
 
 
+def config_in_force_s(routers: int = 4, changes: int = 5) -> list[float]:
+    """Seconds from publishing a change to its being in force on every one of ``routers``."""
+    fleet = LocalFleet(FleetSpec(engines=1, services=0, routers=routers)).start()
+    times = []
+    try:
+        for i in range(changes):
+            text = dict(fleet.config, limits={**fleet.config["limits"], "retry_after_s": 1.0 + i})
+            start = time.monotonic()
+            version = fleet.post_json("config", "/admin/publish", text)["version"]
+            while any(
+                fleet.get_json(p.name, "/status")["config_version"] < version
+                for p in fleet.routers()
+            ):
+                time.sleep(0.005)
+            times.append(time.monotonic() - start)
+    finally:
+        fleet.stop()
+    return times
+
+
 def run_bench(seconds: float = 5.0, peer_sizes: tuple[int, ...] = (2, 4, 6)) -> BenchResults:
     """Run every measurement; takes about ``len(peer_sizes) * (seconds + 4) + seconds + 8`` s."""
     res = BenchResults()
@@ -176,6 +197,7 @@
         if tokens == 16:
             res.cpu_s_per_request, res.requests_per_s, res.router_rss_mb = cpu, rate, rss
     res.cpu_s_per_token = _slope(res.cpu_by_tokens)
+    res.config_in_force_s = config_in_force_s()
     return res
 
 
@@ -199,6 +221,8 @@
         f"(16 tokens) at {res.requests_per_s:.0f} req/s, rss {res.router_rss_mb:.0f} MB; "
         + ", ".join(f"{k} tokens={v * 1000:.2f} ms" for k, v in res.cpu_by_tokens.items())
         + f" -> {res.cpu_s_per_token * 1e6:.1f} us/token",
+        "configuration change in force on all 4 routers: "
+        + ", ".join(f"{t * 1000:.0f} ms" for t in res.config_in_force_s),
     ]
     return "\n".join(rows)
 
