Assertion mode stops a router loudly; process tests fail on any broken invariant

Cause: in assertion mode a broken dispatcher invariant raised AssertionError inside a pykka actor, which only stops that actor: the router would go on accepting callers and hang them, and a test would see a timeout, not the invariant. Ruled out: nothing observed failing; this makes a failure visible.

Change: a broken invariant logs invariant_broken (with the message it followed) and exits the router with status 70; the fleet fixture fails any process test whose logs hold such a line. Every process test runs routers in assertion mode (work-conserving: no free live slot while work waits; in-flight never negative).

Conclusion: every process run doubles as a run with invariants asserted in the program.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,12 @@
     yield start
     for fleet in fleets:
         fleet.stop()
+    for fleet in fleets:
+        for log in fleet.logs():
+            broken = [
+                line for line in log.read_text().splitlines() if "event=invariant_broken" in line
+            ]
+            assert not broken, broken[:3]
 
 
 @pytest.fixture
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -5,6 +5,7 @@
 the ledger, which counts service fleet-wide.
 """
 
+import os
 import time
 from functools import singledispatchmethod
 
@@ -38,6 +39,9 @@
 from turmerictray.routing.table import TargetTable
 from turmerictray.routing.target import TargetState
 
+INVARIANT_EXIT = 70
+"""Exit status of a router whose invariant broke in assertion mode."""
+
 
 class Dispatcher(pykka.ThreadingActor):
     """Grants target slots to queued requests, fairly and without idling.
@@ -86,7 +90,15 @@
     def on_receive(self, message: object) -> object:
         result = self.handle(message)
         if self.assertions:
-            self._check_invariants()
+            try:
+                self._check_invariants()
+            except AssertionError as exc:
+                # In assertion mode a broken invariant must stop the run loudly: a pykka
+                # actor that raises only stops itself, and the router would hang quietly.
+                log_event(
+                    "invariant_broken", level="ERROR", reason=str(exc), after=type(message).__name__
+                )
+                os._exit(INVARIANT_EXIT)
         return result
 
     @singledispatchmethod
