--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -65,8 +65,11 @@
         self.http: HttpServer | None = None
         self.front: Front | None = None
         self._draining = threading.Lock()
+        # Started in this order and stopped in reverse: the front stops first, so no caller
+        # is cut by the actors stopping under it.
         self.app.add(self.timer)
         self.app.add(_Actors(self))
+        self.app.add(_Front(self))
         self.app.on_signal(self.drain_and_stop)
 
     def start_actors(self) -> None:
@@ -100,11 +103,14 @@
             url,
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
+
+    def start_front(self) -> None:
+        """Open the HTTP front once the dispatcher it talks to is running."""
+        s = self.settings
         proxy = Proxy(self.dispatcher, self.upstream, s.node)
         self.front = Front(self.dispatcher, proxy, self.snapshot, self.drain_and_stop)
         self.http = HttpServer(s.listen.host, s.listen.port, self.front, s.threads, s.node)
         self.http.start()
-        self.app.add(_Stopper(self.http))
 
     def _bootstrap(self) -> None:
         path = self.settings.bootstrap_config
@@ -140,17 +146,18 @@
         return self.app.run()
 
 
-class _Stopper:
-    """Stops the HTTP server first, so callers are not cut by actors stopping under them."""
+class _Front:
+    """The HTTP front as a component of the application."""
 
-    def __init__(self, http: HttpServer) -> None:
-        self.http = http
+    def __init__(self, router: Router) -> None:
+        self.router = router
 
     def start(self) -> None:
-        """Nothing to open: the server started with the actors."""
+        self.router.start_front()
 
     def stop(self) -> None:
-        self.http.stop()
+        if self.router.http is not None:
+            self.router.http.stop()
 
 
 class _SnapshotDispatcher(Dispatcher):
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -70,6 +70,9 @@
     def serve(self, req: CallerRequest, cfg: Config) -> Answer:
         """Queue, send, and return the answer of ``req``.
 
+        A call that was not sent is tried on another target; one whose outcome is unknown is
+        tried again only when it is idempotent; at most ``max_retries`` more tries in all.
+
         Raises
         ------
         AdmissionError
@@ -84,58 +87,74 @@
         for attempt in range(limits.max_retries + 1):
             grant = self._admit(req, cfg, frozenset(exclude), front=attempt > 0)
             try:
-                resp = self.upstream.open(
-                    grant.url + req.upstream_path,
-                    req.body,
-                    self._headers(req, grant),
-                    limits.connect_timeout_s,
-                    limits.request_timeout_s,
-                )
-            except (NotSent, UpstreamRefused) as exc:
-                self._finish(req, grant, 0.0)
-                log_event(
-                    "not_sent",
-                    req=req.req_id,
-                    target=grant.target,
-                    attempt=attempt,
-                    exc=type(exc).__name__,
-                )
+                return self._attempt(req, grant, limits, attempt)
+            except (NotSent, UpstreamRefused):
                 exclude.add(grant.target)
-                continue
             except OutcomeUnknown:
-                self._finish(req, grant, req.hint)
-                log_event(
-                    "outcome_unknown",
-                    req=req.req_id,
-                    target=grant.target,
-                    idempotent=req.idempotent,
-                    attempt=attempt,
-                )
-                if req.idempotent and attempt < limits.max_retries:
-                    exclude.add(grant.target)
-                    continue
-                raise
-            self._note_load(grant, resp.headers)
+                if not req.idempotent or attempt == limits.max_retries:
+                    raise
+                exclude.add(grant.target)
+        raise NotSent(f"no target took the request after {limits.max_retries + 1} tries")
+
+    def _attempt(self, req: CallerRequest, grant: Grant, limits, attempt: int) -> Answer:
+        try:
+            resp = self.upstream.open(
+                grant.url + req.upstream_path,
+                req.body,
+                self._headers(req, grant),
+                limits.connect_timeout_s,
+                limits.request_timeout_s,
+            )
+        except (NotSent, UpstreamRefused) as exc:
+            self._finish(req, grant, 0.0)
             log_event(
-                "sent",
+                "not_sent",
                 req=req.req_id,
-                team=req.team,
                 target=grant.target,
-                status=resp.status,
                 attempt=attempt,
+                exc=type(exc).__name__,
             )
-            headers = self._answer_headers(req, resp)
-            if req.stream:
-                return Answer(resp.status, headers, self._relay(req, grant, resp))
-            try:
-                data = self._read_whole(req, grant, resp)
-            except OutcomeUnknown:
-                if req.idempotent and attempt < limits.max_retries:
-                    exclude.add(grant.target)
-                    continue
-                raise
-            return Answer(resp.status, [*headers, ("Content-Length", str(len(data)))], [data])
-        raise NotSent(f"no target took the request after {limits.max_retries + 1} tries")
+            raise
+        except OutcomeUnknown:
+            self._unknown(req, grant, "send", attempt)
+            raise
+        self._note_load(grant, resp.headers)
+        log_event(
+            "sent",
+            req=req.req_id,
+            team=req.team,
+            target=grant.target,
+            status=resp.status,
+            attempt=attempt,
+        )
+        headers = self._answer_headers(req, resp)
+        if req.stream:
+            return Answer(resp.status, headers, self._relay(req, grant, resp))
+        data = self._read_whole(req, grant, resp, attempt)
+        return Answer(resp.status, [*headers, ("Content-Length", str(len(data)))], [data])
+
+    def _unknown(self, req: CallerRequest, grant: Grant, stage: str, attempt: int) -> None:
+        self._finish(req, grant, req.hint)
+        log_event(
+            "outcome_unknown",
+            req=req.req_id,
+            target=grant.target,
+            idempotent=req.idempotent,
+            stage=stage,
+            attempt=attempt,
+        )
+
+    def _done(self, req: CallerRequest, grant: Grant, cost: float, outcome: str) -> None:
+        self._finish(req, grant, cost)
+        metrics.REQUESTS.labels(req.team, outcome).inc()
+        log_event(
+            "finished",
+            req=req.req_id,
+            team=req.team,
+            target=grant.target,
+            outcome=outcome,
+            cost=cost,
+        )
 
     def _admit(
         self, req: CallerRequest, cfg: Config, exclude: frozenset[str], front: bool
@@ -196,45 +215,18 @@
             resp.release_conn()
             raise
         finally:
-            cost = _cost_of(tail, req, chunks)
-            self._finish(req, grant, cost)
-            metrics.REQUESTS.labels(req.team, outcome).inc()
-            log_event(
-                "finished",
-                req=req.req_id,
-                team=req.team,
-                target=grant.target,
-                outcome=outcome,
-                cost=cost,
-            )
+            self._done(req, grant, _cost_of(tail, req, chunks), outcome)
 
-    def _read_whole(self, req: CallerRequest, grant: Grant, resp) -> bytes:
+    def _read_whole(self, req: CallerRequest, grant: Grant, resp, attempt: int) -> bytes:
         # An answer that is not streamed reaches the caller whole or not at all: its status
         # goes out only after the last byte came in, so a break mid-body becomes an
         # "outcome unknown" error instead of a 200 with half a body.
         try:
             data = b"".join(self.upstream.stream(resp))
         except OutcomeUnknown:
-            self._finish(req, grant, req.hint)
-            log_event(
-                "outcome_unknown",
-                req=req.req_id,
-                target=grant.target,
-                idempotent=req.idempotent,
-                stage="body",
-            )
+            self._unknown(req, grant, "body", attempt)
             raise
-        cost = _cost_of(data[-_TAIL_BYTES:], req, 1)
-        self._finish(req, grant, cost)
-        metrics.REQUESTS.labels(req.team, "done").inc()
-        log_event(
-            "finished",
-            req=req.req_id,
-            team=req.team,
-            target=grant.target,
-            outcome="done",
-            cost=cost,
-        )
+        self._done(req, grant, _cost_of(data[-_TAIL_BYTES:], req, 1), "done")
         return data
 
     def _finish(self, req: CallerRequest, grant: Grant, cost: float) -> None:
