--- a/turmerictray/standins/engine.py
+++ b/turmerictray/standins/engine.py
@@ -30,7 +30,14 @@
 from turmerictray.config.settings import EngineSettings
 from turmerictray.core.logs import log_event
 from turmerictray.standins import batcher as b
-from turmerictray.standins.web import Call, Reply, WebApp, json_reply
+from turmerictray.standins.web import (
+    AbortAnswer,
+    Call,
+    Reply,
+    WebApp,
+    broken_reply,
+    json_reply,
+)
 
 _CHARS_PER_TOKEN = 4
 _HANG_S = 3600.0
@@ -46,20 +53,6 @@
     stream: bool = False
 
 
-class _Abort(Exception):
-    """Raised inside a streamed answer to break the connection mid-stream."""
-
-
-def broken_reply() -> Reply:
-    """An answer whose connection breaks after the headers and part of the body."""
-
-    def body():
-        yield b'{"partial": '
-        raise _Abort("reset")
-
-    return Reply(200, body(), [("Content-Length", "4096")])
-
-
 class Engine:
     """The engine's HTTP handlers around a :class:`~turmerictray.standins.batcher.Batcher`."""
 
@@ -126,7 +119,7 @@
         started = time.monotonic()
         try:
             content = "".join(tokens)
-        except _Abort:
+        except AbortAnswer:
             self._release(slot, team, 0, time.monotonic() - started)
             return broken_reply()
         self._release(slot, team, usage["total_tokens"], time.monotonic() - started)
@@ -156,7 +149,7 @@
                 return
             if slot.fault is b.Fault.RESET and i == _RESET_AFTER_TOKENS:
                 log_event("engine_reset", req=req_id, at=i)
-                raise _Abort(req_id)
+                raise AbortAnswer(req_id)
             time.sleep(step)
             yield f"{req_id}:{i} "
 
--- a/turmerictray/standins/service.py
+++ b/turmerictray/standins/service.py
@@ -21,8 +21,7 @@
 from turmerictray.config.settings import ServiceSettings
 from turmerictray.core.logs import log_event
 from turmerictray.standins.batcher import Fault
-from turmerictray.standins.engine import broken_reply
-from turmerictray.standins.web import Call, Reply, WebApp, json_reply
+from turmerictray.standins.web import Call, Reply, WebApp, broken_reply, json_reply
 
 _HANG_S = 3600.0
 
--- a/turmerictray/standins/web.py
+++ b/turmerictray/standins/web.py
@@ -32,6 +32,20 @@
     kind: str = "application/json"
 
 
+class AbortAnswer(Exception):
+    """Raised inside an answer's body to break the connection mid-answer (a reset)."""
+
+
+def broken_reply() -> Reply:
+    """An answer whose connection breaks after the headers and part of the body."""
+
+    def body():
+        yield b'{"partial": '
+        raise AbortAnswer("reset")
+
+    return Reply(200, body(), [("Content-Length", "4096")])
+
+
 def json_reply(doc: object, status: int = 200, headers=None) -> Reply:
     """A JSON answer."""
     return Reply(status, msgspec.json.encode(doc), list(headers or []))
