A refusal says 'not run' only when no try may have run

Cause: Proxy.serve kept only its last try's error. After a first try whose outcome was unknown, a retry that found the queue timed out, or could not connect, ended as 503 not_run although the first may have run. Found while at it, each with its own cause: - a retry was kept off every target it had failed on, also when no other was live, so it waited out the queue timeout beside an idle engine (8.7 s run, answer 503); - a team's head kept off the open targets stopped grants to all teams behind it; - a grant racing the caller's own time-out was taken by nobody and its slot never given back; - Withdraw removed every waiting request with the same id, other teams' included, without answering them; - a router without any configuration answered 500 instead of not_run with Retry-After, and a bad Content-Length was a traceback. Ruled out: the queue expiry itself (refuses at its deadline, given_up.feature green) and urllib3's sorting of errors.

Change: serve remembers a broken try and ends as outcome_unknown from then on, with Retry-After since only idempotent calls get that far; targets a call failed on are avoided only while another is live; grants pass over a blocked head; a waiting thread cancels its reply future, which the dispatcher checks before granting (Withdraw is gone). The assertion-mode check of idle slots is stricter to match: any head, not all heads.

--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -86,6 +86,10 @@
     """No live target serves the requested service."""
 
 
+class NoConfig(AdmissionError):
+    """The router has not yet read any configuration."""
+
+
 class CallerError(TurmerictrayError):
     """The caller's request is malformed or names an unknown team or service.
 
@@ -112,7 +116,20 @@
 
 
 class OutcomeUnknown(UpstreamError):
-    """The call failed after bytes may have reached the target; it may have run."""
+    """The call failed after bytes may have reached the target; it may have run.
+
+    Parameters
+    ----------
+    reason : str
+        What broke.
+    retry_after : float or None
+        Seconds after which an idempotent call may be repeated; None for a non-idempotent one,
+        whose caller must first find out whether it ran.
+    """
+
+    def __init__(self, reason: str, retry_after: float | None = None) -> None:
+        super().__init__(reason)
+        self.retry_after = retry_after
 
 
 class UpstreamRefused(UpstreamError):
--- a/turmerictray/fairness/queue.py
+++ b/turmerictray/fairness/queue.py
@@ -1,6 +1,7 @@
 """The fair queue: a router's backlog, ordered across teams by normalised service."""
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -98,24 +99,22 @@
         """The oldest waiting request of ``team``."""
         return self._queues[team][0]
 
-    def expire_matching(self, req_id: RequestId) -> list[Pending]:
-        """Remove and return the waiting requests with id ``req_id``."""
-        gone: list[Pending] = []
-        for team in list(self._queues):
-            queue = self._queues[team]
-            gone.extend(item for item in queue if item.req_id == req_id)
-            keep = deque(item for item in queue if item.req_id != req_id)
-            if keep:
-                self._queues[team] = keep
-            else:
-                del self._queues[team]
-        return gone
+    def by_service(self) -> Iterator[TeamId]:
+        """Backlogged teams, least served first; the queue must not change meanwhile."""
+        first = self.peek_team()
+        if first is None:
+            return
+        yield first
+        rest = [team for team in self._queues if team != first]
+        yield from sorted(rest, key=lambda team: (self.ledger.normalised(team), team))
 
     def pop(self) -> Pending | None:
         """Take the next request of the least served backlogged team, or None."""
         team = self.peek_team()
-        if team is None:
-            return None
+        return None if team is None else self.pop_from(team)
+
+    def pop_from(self, team: TeamId) -> Pending:
+        """Take the oldest waiting request of ``team``, which must be backlogged."""
         queue = self._queues[team]
         item = queue.popleft()
         if not queue:
--- a/turmerictray/router/answers.py
+++ b/turmerictray/router/answers.py
@@ -40,8 +40,8 @@
     Returns
     -------
     ErrorAnswer
-        ``not_run`` answers carry ``Retry-After``; ``outcome_unknown`` does not, since the call
-        may have run and the caller must check before sending it again.
+        ``not_run`` answers carry ``Retry-After``. ``outcome_unknown`` carries it only for an
+        idempotent call; a non-idempotent one may have run, and its caller must check first.
     """
     return ErrorAnswer(500, [], _json("internal", str(exc)))
 
@@ -58,7 +58,8 @@
 
 @error_answer.register
 def _(exc: OutcomeUnknown) -> ErrorAnswer:
-    return ErrorAnswer(502, [], _json("outcome_unknown", str(exc)))
+    headers = [] if exc.retry_after is None else [_retry_after(exc.retry_after)]
+    return ErrorAnswer(502, headers, _json("outcome_unknown", str(exc)))
 
 
 @error_answer.register
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -33,11 +33,10 @@
     PeerSummary,
     StatusQuery,
     TargetsQuery,
-    Withdraw,
 )
 from turmerictray.routing.choice import choose_target
 from turmerictray.routing.table import TargetTable
-from turmerictray.routing.target import TargetState
+from turmerictray.routing.target import TargetState, TargetView
 
 INVARIANT_EXIT = 70
 """Exit status of a router whose invariant broke in assertion mode."""
@@ -78,7 +77,6 @@
         self.table = TargetTable()
         self.queues: dict[ServiceName, FairQueue] = {}
         self.draining = False
-        self.granted: dict[str, Grant] = {}
         self.shares = ShareTable(node, peer_timeout_s)
         self.share = 1.0
         self.started_at = time.monotonic()
@@ -138,7 +136,6 @@
 
     @handle.register
     def _(self, msg: Finished) -> None:
-        self.granted.pop(msg.req_id, None)
         view = self.table.targets.get(msg.target)
         if view is not None:
             view.set_inflight(max(0, view.inflight - 1))
@@ -146,12 +143,6 @@
         metrics.TOKENS.labels(msg.team).inc(msg.cost)
         self._pump()
 
-    @handle.register
-    def _(self, msg: Withdraw) -> None:
-        for queue in self.queues.values():
-            for item in queue.expire_matching(msg.req_id):
-                log_event("withdrawn", req=item.req_id, team=item.team)
-
     @handle.register
     def _(self, msg: ConfigApplied) -> None:
         if not self.config.offer(msg.cfg):
@@ -268,31 +259,40 @@
     def _pump(self) -> None:
         for service, queue in self.queues.items():
             targets = self.table.of_service(service)
-            while len(queue):
-                team = queue.peek_team()
-                head = queue.peek_head(team)
-                view = choose_target(targets, head.context.prefix_key, head.context.exclude)
-                if view is None:
-                    break
-                item = queue.pop()
-                self._grant(item, view)
+            while self._grant_next(queue, targets):
+                pass
         metrics.QUEUED.set(self._queued())
         metrics.INFLIGHT.set(self.table.inflight_total())
 
-    def _grant(self, item: Pending, view) -> None:
-        if item.reply.done():
+    def _grant_next(self, queue: FairQueue, targets: list[TargetView]) -> bool:
+        for team in queue.by_service():
+            placement = queue.peek_head(team).context
+            view = choose_target(targets, placement.prefix_key, placement.exclude)
+            if view is not None:
+                self._grant(queue.pop_from(team), view)
+                return True
+            if not placement.exclude:
+                return False
+            # Only this team's head is kept off the open targets (it already failed there);
+            # stopping here would leave them idle while other teams' work waits.
+        return False
+
+    def _grant(self, item: Pending, view: TargetView) -> None:
+        # A caller's thread that stopped waiting has cancelled its reply. Granting it would
+        # take a slot that nobody gives back, and the target would look busy for good.
+        if not item.reply.set_running_or_notify_cancel():
             return
         view.set_inflight(view.inflight + 1)
         view.dispatched += 1
         self.ledger.charge(item.team, item.hint)
-        grant = Grant(view.id, view.url, self.incarnation)
-        self.granted[item.req_id] = grant
-        item.reply.set_result(grant)
+        item.reply.set_result(Grant(view.id, view.url, self.incarnation))
 
     def _expire(self, now: float) -> None:
         cfg = self.config.current
         for queue in self.queues.values():
             for item in queue.expire(now):
+                if not item.reply.set_running_or_notify_cancel():
+                    continue
                 item.reply.set_exception(QueueTimeout("queue_timeout", cfg.limits.retry_after_s))
                 log_event("given_up", req=item.req_id, team=item.team, reason="queue_timeout")
         if self.draining and cfg is not None:
@@ -340,5 +340,5 @@
                 if v.state is TargetState.LIVE and v.free_slots() > 0
             ]
             heads = [queue.peek_head(team).context.exclude for team in queue.backlogged()]
-            idle = [v for v in free if all(v.id not in excl for excl in heads)]
+            idle = [v for v in free if any(v.id not in excl for excl in heads)]
             assert not idle, f"work waits for {service} while {idle[0].id} has a free slot"
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -18,7 +18,7 @@
 from prometheus_client import generate_latest
 
 from turmerictray.config.schema import Config
-from turmerictray.core.errors import CallerError, TurmerictrayError
+from turmerictray.core.errors import CallerError, NoConfig, TurmerictrayError
 from turmerictray.core.logs import log_event
 from turmerictray.router import metrics
 from turmerictray.router.answers import error_answer
@@ -27,6 +27,7 @@
 from turmerictray.router.request import read_model_request, read_service_request
 
 _MAX_BODY = 4 << 20
+_NO_CONFIG_RETRY_S = 1.0
 _MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 
 
@@ -104,7 +105,7 @@
         headers = _headers(environ)
         try:
             if cfg is None:
-                raise TurmerictrayError("no configuration in force yet")
+                raise NoConfig("no_config", _NO_CONFIG_RETRY_S)
             body = _read_body(environ)
             if path.startswith("/svc/"):
                 req = read_service_request(cfg, path, headers, body)
@@ -139,7 +140,10 @@
 
 
 def _read_body(environ: dict) -> bytes:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+    declared = environ.get("CONTENT_LENGTH") or "0"
+    if not declared.isdigit():
+        raise CallerError(f"bad Content-Length {declared!r}")
+    length = int(declared)
     if length > _MAX_BODY:
         raise CallerError(f"body of {length} bytes is over {_MAX_BODY}", 413)
     return environ["wsgi.input"].read(length) if length else b""
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -39,7 +39,11 @@
 
 @dataclass
 class Admit:
-    """Queue a request; the dispatcher resolves ``reply`` with a :class:`Grant` or an error."""
+    """Queue a request; the dispatcher resolves ``reply`` with a :class:`Grant` or an error.
+
+    A caller's thread that gives up waiting cancels ``reply``; the dispatcher then drops the
+    request instead of granting it.
+    """
 
     req_id: RequestId
     team: TeamId
@@ -60,14 +64,6 @@
     cost: float
 
 
-@dataclass(frozen=True)
-class Withdraw:
-    """The caller went away before its request was granted."""
-
-    req_id: RequestId
-    team: TeamId
-
-
 @dataclass(frozen=True)
 class ConfigApplied:
     """A newer configuration was accepted."""
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -23,7 +23,7 @@
 )
 from turmerictray.core.logs import log_event
 from turmerictray.router import metrics
-from turmerictray.router.messages import Admit, Finished, Grant, LoadReport, Placement, Withdraw
+from turmerictray.router.messages import Admit, Finished, Grant, LoadReport, Placement
 from turmerictray.router.request import CallerRequest
 from turmerictray.router.upstream import Upstream
 
@@ -71,30 +71,42 @@
         """Queue, send, and return the answer of ``req``.
 
         A call that was not sent is tried on another target; one whose outcome is unknown is
-        tried again only when it is idempotent; at most ``max_retries`` more tries in all.
+        tried again only when it is idempotent; at most ``max_retries`` more tries in all. Once
+        one try's outcome is unknown, every later failure ends as unknown too.
 
         Raises
         ------
         AdmissionError
-            Refused or given up before any byte was sent: it was not run.
+            Refused or given up before any byte was sent by any try: it was not run.
         NotSent
             Every try failed before reaching a target: it was not run.
         OutcomeUnknown
-            A non-idempotent call broke after it may have reached the target.
+            A call broke after it may have reached the target, and no retry answered it.
         """
         exclude: set[str] = set()
-        limits = cfg.limits
-        for attempt in range(limits.max_retries + 1):
-            grant = self._admit(req, cfg, frozenset(exclude), front=attempt > 0)
+        tries = cfg.limits.max_retries + 1
+        broken: OutcomeUnknown | None = None
+        for attempt in range(tries):
             try:
-                return self._attempt(req, grant, limits, attempt)
+                grant = self._admit(req, cfg, frozenset(exclude), front=attempt > 0)
+            except AdmissionError:
+                if broken is None:
+                    raise
+                break
+            try:
+                return self._attempt(req, grant, cfg.limits, attempt)
             except (NotSent, UpstreamRefused):
                 exclude.add(grant.target)
-            except OutcomeUnknown:
-                if not req.idempotent or attempt == limits.max_retries:
+            except OutcomeUnknown as exc:
+                if not req.idempotent:
                     raise
+                broken = exc
                 exclude.add(grant.target)
-        raise NotSent(f"no target took the request after {limits.max_retries + 1} tries")
+        if broken is not None:
+            # The last failure may say "not run", but of its own try only: an earlier try may
+            # have run, and a caller told "not run" would believe that nothing happened.
+            raise OutcomeUnknown(str(broken), cfg.limits.retry_after_s) from broken
+        raise NotSent(f"no target took the request after {tries} tries")
 
     def _attempt(self, req: CallerRequest, grant: Grant, limits, attempt: int) -> Answer:
         try:
@@ -167,9 +179,11 @@
             grant = reply.result(timeout=cfg.limits.queue_timeout_s + _GRANT_MARGIN_S)
         except FutureTimeout:
             # The dispatcher's expiry tick should have answered first; if the actor is stalled
-            # the caller still gets a final answer now instead of waiting without end.
-            self.dispatcher.tell(Withdraw(req.req_id, req.team))
-            raise QueueTimeout("queue_timeout", cfg.limits.retry_after_s) from None
+            # the caller still gets a final answer now instead of waiting without end. A grant
+            # that comes at the same moment wins over the cancel and is used.
+            if reply.cancel():
+                raise QueueTimeout("queue_timeout", cfg.limits.retry_after_s) from None
+            grant = reply.result()
         except AdmissionError:
             metrics.REQUESTS.labels(req.team, "refused").inc()
             raise
--- a/turmerictray/routing/choice.py
+++ b/turmerictray/routing/choice.py
@@ -28,18 +28,19 @@
     prefix_key : str or None
         Key of the request's prompt prefix; None for no affinity.
     exclude : frozenset of str
-        Target ids not to use (those a retried request already failed on).
+        Target ids to keep off (those a retried request already failed on) while any other
+        target is live.
 
     Returns
     -------
     TargetView or None
         None when no live target has a free slot.
     """
-    open_targets = [
-        tgt
-        for tgt in targets
-        if tgt.state is TargetState.LIVE and tgt.free_slots() > 0 and tgt.id not in exclude
-    ]
+    live = [tgt for tgt in targets if tgt.state is TargetState.LIVE]
+    # With every live target excluded, a retry would wait for one that never comes and be given
+    # up at the queue timeout while a slot stands idle; one more try there is the better end.
+    allowed = [tgt for tgt in live if tgt.id not in exclude] or live
+    open_targets = [tgt for tgt in allowed if tgt.free_slots() > 0]
     if not open_targets:
         return None
     if prefix_key is not None:
