At most once across routers: keys of orders are claimed at three homes before sending

Cause: routers share nothing, so a caller told 'outcome unknown' who repeated its order through another router had it run again. Ruled out: sending a key always to the same target (a plain service does not deduplicate, and a cut or a dead target moves it); one owner router per key (its restart forgets, its loss refuses); asking every router (does not scale, and one dead router stops all orders).

Change, in turmerictray.orders: three homes per key by rendezvous hashing over the settings' full list of routers, spread over zones; a request is sent only with the votes of a majority, and any home that holds the key for another request refuses it (409 duplicate). Homes keep claims in memory for limits.order_memory_s (300 s). A restarted home vouches for a key only when the key's other homes have told it what they remember, asked no sooner than 1 s after its start, so that claims under way have arrived. A claim is acted on for half its memory at most, which stops a frozen router that wakes late, whether or not the target checks fencing numbers. A side of a cut without a majority refuses orders as not run with Retry-After, or runs them where the service says when_cut: serve. peers in the settings now name node, zone and both addresses; limits.leaving_grace_s, which nothing read, is gone. loadtool.relay cuts links by holding bytes back. /status shows whether a router vouches.

Proof: tests/orders, by processes under kill, rolling restart, cut and freeze, and a stateful run of the claim tables.

--- a/tests/router/test_config_revert.py
+++ b/tests/router/test_config_revert.py
@@ -1,7 +1,6 @@
 """The configuration in force never goes back, also across a restart."""
 
 import json
-import signal
 import time
 
 import urllib3
@@ -40,9 +39,8 @@
     # The caller of router-1 must never be served under revision 1 again. The router comes
     # back with no memory and the only text the service gives it is revision 1; its peer
     # still has revision 2 in force. Taking revision 1 would undo an accepted change.
-    fleet.signal("router-1", signal.SIGKILL)
-    fleet.procs["router-1"].popen.wait(10)
-    ctx["router"] = fleet.start_router(1)
+    fleet.kill("router-1")
+    ctx["router"] = fleet.restart_router(1)
 
 
 @then("every answer router-1 gives for 3 seconds carries configuration version 2 or newer")
--- a/tests/router/test_truthful_refusals.py
+++ b/tests/router/test_truthful_refusals.py
@@ -10,10 +10,11 @@
 
 from turmerictray.config.load import parse_config
 from turmerictray.config.schema import ServiceKind
+from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core.errors import NotSent, OutcomeUnknown, QueueTimeout, TurmerictrayError
 from turmerictray.core.ids import RequestId, ServiceName, TargetId, TeamId
 from turmerictray.router.answers import error_answer
-from turmerictray.router.front import ConfigSnapshot, Front
+from turmerictray.router.front import Front
 from turmerictray.router.messages import Admit, Grant
 from turmerictray.router.proxy import Proxy
 from turmerictray.router.request import CallerRequest
@@ -67,10 +68,15 @@
         raise self.errors.pop(0)
 
 
+class FakeGuard:
+    """Grants no claims; idempotent calls must not ask for one."""
+
+
 @pytest.fixture
 def build_proxy():
     def build(grants: list, errors: list) -> Proxy:
-        return Proxy(FakeDispatcher.start(grants), FakeUpstream(errors), "router-0")
+        dispatcher = FakeDispatcher.start(grants)
+        return Proxy(dispatcher, FakeUpstream(errors), FakeGuard(), "router-0")
 
     yield build
     pykka.ActorRegistry.stop_all()
--- a/turmerictray/config/schema.py
+++ b/turmerictray/config/schema.py
@@ -22,6 +22,17 @@
     PLAIN = "plain"
 
 
+class CutPolicy(Enum):
+    """What to do with a non-idempotent request when its key's homes cannot be reached.
+
+    ``refuse`` keeps at-most-once: the request is refused as not run. ``serve`` runs it, and a
+    copy sent through a router on the other side of a cut may run too.
+    """
+
+    REFUSE = "refuse"
+    SERVE = "serve"
+
+
 class Target(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One back end instance of a service.
 
@@ -65,6 +76,8 @@
         Whether every call of the service may be repeated.
     non_idempotent_paths : list of str
         Paths of a plain service whose calls run at most once, whatever ``idempotent`` says.
+    when_cut : CutPolicy
+        For non-idempotent requests while routers cannot reach each other.
     """
 
     name: Name
@@ -74,6 +87,7 @@
     models: list[Name] = msgspec.field(default_factory=list)
     idempotent: bool = True
     non_idempotent_paths: list[str] = msgspec.field(default_factory=list)
+    when_cut: CutPolicy = CutPolicy.REFUSE
 
 
 class Team(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -95,14 +109,21 @@
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Limits and timeouts, in requests and seconds."""
+    """Limits and timeouts, in requests and seconds.
+
+    Attributes
+    ----------
+    order_memory_s : float
+        How long the routers remember the key of a non-idempotent request; a caller must not
+        send the same key again later than this.
+    """
 
     queue_per_team: Count = 256
     queue_timeout_s: Seconds = 30.0
     request_timeout_s: Seconds = 120.0
     connect_timeout_s: Seconds = 1.0
     retry_after_s: Seconds = 2.0
-    leaving_grace_s: Seconds = 2.0
+    order_memory_s: Seconds = 300.0
     max_retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 1
     default_cost_hint: Positive = 64.0
 
--- a/turmerictray/config/settings.py
+++ b/turmerictray/config/settings.py
@@ -20,6 +20,23 @@
     host: str = "127.0.0.1"
 
 
+class PeerSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Another router of the deployment.
+
+    Attributes
+    ----------
+    node, zone : str
+        As in that router's own settings.
+    heartbeat, claims : str
+        Its ``peer_listen`` and ``claims_listen`` as this router reaches them.
+    """
+
+    node: Annotated[str, msgspec.Meta(min_length=1)]
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    heartbeat: NngAddress
+    claims: NngAddress
+
+
 class RouterSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of one router (entry instance).
 
@@ -30,9 +47,12 @@
     listen : Listen
         Its HTTP front for callers and operators.
     peer_listen : str
-        Its peer link address, ``tcp://host:port``.
-    peers : list of str
-        Peer link addresses of the other routers it knows at start.
+        Where peers subscribe to its heartbeats, ``tcp://host:port``.
+    claims_listen : str
+        Where peers claim keys of non-idempotent requests, ``tcp://host:port``.
+    peers : list of PeerSettings
+        Every other router of the deployment, up or down; the same on all of them, since the
+        homes of a key follow from it.
     config_url : str
         The configuration service.
     instances_url : str or None
@@ -45,8 +65,9 @@
     zone: Annotated[str, msgspec.Meta(min_length=1)]
     listen: Listen
     peer_listen: NngAddress
+    claims_listen: NngAddress
     config_url: Url
-    peers: list[NngAddress] = msgspec.field(default_factory=list)
+    peers: list[PeerSettings] = msgspec.field(default_factory=list)
     instances_url: Url | None = None
     bootstrap_config: str | None = None
     advertise_url: Url | None = None
--- /dev/null
+++ b/turmerictray/config/snapshot.py
@@ -0,0 +1,18 @@
+"""The configuration in force, shared read-only with threads outside the dispatcher."""
+
+from turmerictray.config.schema import Config, Limits
+
+
+class ConfigSnapshot:
+    """Holds the configuration in force.
+
+    Only the dispatcher replaces ``current``; a ``Config`` is frozen, so readers see either the
+    old or the new one whole.
+    """
+
+    def __init__(self) -> None:
+        self.current: Config | None = None
+
+    def limits(self) -> Limits:
+        """The limits in force; the schema's defaults before the first configuration."""
+        return self.current.limits if self.current is not None else Limits()
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -90,6 +90,14 @@
     """The router has not yet read any configuration."""
 
 
+class ClaimUnavailable(AdmissionError):
+    """Too few routers could vouch that no other copy of a non-idempotent request ran."""
+
+
+class DuplicateOrder(TurmerictrayError):
+    """Another copy of a non-idempotent request was taken; this copy was not run."""
+
+
 class CallerError(TurmerictrayError):
     """The caller's request is malformed or names an unknown team or service.
 
--- a/turmerictray/router/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -14,7 +14,7 @@
 INFLIGHT = Gauge("turmerictray_inflight", "Requests sent and not ended.", registry=REGISTRY)
 CONTROL_BYTES = Counter(
     "turmerictray_control_bytes_total",
-    "Bytes of control traffic (peer link, configuration, instance list, load reports).",
+    "Bytes of control traffic (peer link, claims, configuration, instance list, load reports).",
     ["channel", "direction"],
     registry=REGISTRY,
 )
@@ -24,6 +24,15 @@
     buckets=(0.001, 0.01, 0.05, 0.1, 0.5, 1, 2, 5, 10, 30),
     registry=REGISTRY,
 )
+CLAIMS = Counter(
+    "turmerictray_claims_total",
+    "Claims on keys of non-idempotent requests, by verdict.",
+    ["verdict"],
+    registry=REGISTRY,
+)
+CLAIMS_KEPT = Gauge(
+    "turmerictray_claims_kept", "Claims this router remembers as a home.", registry=REGISTRY
+)
 CONFIG_VERSION = Gauge(
     "turmerictray_config_version", "Configuration version in force.", registry=REGISTRY
 )
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -12,11 +12,14 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import urllib3
 
+from turmerictray.loadtool.relay import Network
+
 _READY_TIMEOUT_S = 20.0
 
 
@@ -27,6 +30,18 @@
         return sock.getsockname()[1]
 
 
+def _nng(port: int) -> str:
+    return f"tcp://127.0.0.1:{port}"
+
+
+def _ready(status: dict) -> bool:
+    return status["ready"]
+
+
+def _vouching(status: dict) -> bool:
+    return status["orders"]["vouching"]
+
+
 @dataclass
 class Proc:
     """A started process and what it serves."""
@@ -39,6 +54,15 @@
     log: Path
 
 
+@dataclass(frozen=True)
+class RouterPorts:
+    """The ports one router listens on."""
+
+    http: int
+    heartbeat: int
+    claims: int
+
+
 @dataclass
 class FleetSpec:
     """What to start.
@@ -61,6 +85,9 @@
         Overrides of the configuration's ``limits``.
     check_fencing : bool
     instance_lag_s : float
+    cuttable : bool
+        Put relays between the routers and between each router and the platform, so that
+        :meth:`LocalFleet.cut` can cut them off from each other.
     """
 
     engines: int = 2
@@ -74,6 +101,7 @@
     check_fencing: bool = True
     instance_lag_s: float = 0.5
     load_lag_s: float = 0.3
+    cuttable: bool = False
 
 
 class LocalFleet:
@@ -93,6 +121,7 @@
         self.procs: dict[str, Proc] = {}
         self.http = urllib3.PoolManager(retries=False)
         self.config: dict = {}
+        self.network: Network | None = Network() if spec.cuttable else None
 
     # -- building -------------------------------------------------------------------------
 
@@ -211,36 +240,49 @@
                 "log_file": str(self.dir / "instances.log"),
             },
         )
-        peer_ports = [free_port() for _ in range(s.routers)]
+        ports = [RouterPorts(free_port(), free_port(), free_port()) for _ in range(s.routers)]
         for i in range(s.routers):
-            self.start_router(i, peer_ports)
+            self._spawn(f"router-{i}", "router", ports[i].http, self._router_settings(i, ports))
         for proc in self.procs.values():
             self.wait_ready(proc)
 
-    def start_router(self, idx: int, peer_ports: list[int] | None = None) -> Proc:
-        """Start (or restart, with the same ports) router ``idx``."""
+    def restart_router(self, idx: int) -> Proc:
+        """Start router ``idx`` again with the settings it had."""
+        old = self.procs[f"router-{idx}"]
+        doc = json.loads(old.settings.read_text())
+        return self._spawn(old.name, "router", doc["listen"]["port"], doc)
+
+    def _router_settings(self, idx: int, ports: list[RouterPorts]) -> dict:
         name = f"router-{idx}"
-        old = self.procs.get(name)
-        if old is not None:
-            doc = json.loads(old.settings.read_text())
-            port = doc["listen"]["port"]
-        else:
-            port = free_port()
-            peers = [f"tcp://127.0.0.1:{p}" for j, p in enumerate(peer_ports) if j != idx]
-            doc = {
-                "node": name,
-                "zone": self._zone(idx),
-                "listen": {"port": port},
-                "peer_listen": f"tcp://127.0.0.1:{peer_ports[idx]}",
-                "peers": peers,
-                "config_url": self.procs["config"].url,
-                "instances_url": self.procs["instances"].url,
-                "log_file": str(self.dir / f"{name}.log"),
-                "assertions": True,
-                "drain_timeout_s": 20.0,
-            }
-        proc = self._spawn(name, "router", port, doc)
-        return proc
+        return {
+            "node": name,
+            "zone": self._zone(idx),
+            "listen": {"port": ports[idx].http},
+            "peer_listen": _nng(ports[idx].heartbeat),
+            "claims_listen": _nng(ports[idx].claims),
+            "peers": [
+                {
+                    "node": f"router-{j}",
+                    "zone": self._zone(j),
+                    "heartbeat": _nng(self._reach(name, f"router-{j}", ports[j].heartbeat)),
+                    "claims": _nng(self._reach(name, f"router-{j}", ports[j].claims)),
+                }
+                for j in range(len(ports))
+                if j != idx
+            ],
+            "config_url": self._platform_url(name, "config"),
+            "instances_url": self._platform_url(name, "instances"),
+            "log_file": str(self.dir / f"{name}.log"),
+            "assertions": True,
+            "drain_timeout_s": 20.0,
+        }
+
+    def _reach(self, source: str, target: str, port: int) -> int:
+        return port if self.network is None else self.network.add(source, target, port)
+
+    def _platform_url(self, router: str, name: str) -> str:
+        port = int(self.procs[name].url.rsplit(":", 1)[1])
+        return f"http://127.0.0.1:{self._reach(router, name, port)}"
 
     def _spawn(self, name: str, kind: str, port: int, settings: dict) -> Proc:
         path = self._write(name, settings)
@@ -268,6 +310,15 @@
             "config": "/admin/stats",
             "instances": "/instances",
         }[proc.kind]
+        self._wait(proc, path, _ready if proc.kind == "router" else None, timeout)
+
+    def wait_vouching(self, proc: Proc, timeout: float = _READY_TIMEOUT_S) -> None:
+        """Wait until router ``proc`` vouches for the key of every order."""
+        self._wait(proc, "/status", _vouching, timeout)
+
+    def _wait(
+        self, proc: Proc, path: str, test: Callable[[dict], bool] | None, timeout: float
+    ) -> None:
         deadline = time.monotonic() + timeout
         while time.monotonic() < deadline:
             if proc.popen.poll() is not None:
@@ -277,7 +328,7 @@
                 )
             try:
                 resp = self.http.request("GET", proc.url + path, timeout=1.0)
-                if resp.status == 200 and (proc.kind != "router" or json.loads(resp.data)["ready"]):
+                if resp.status == 200 and (test is None or test(json.loads(resp.data))):
                     return
             except urllib3.exceptions.HTTPError:
                 pass
@@ -288,8 +339,23 @@
         """Send ``signum`` to process ``name``."""
         self.procs[name].popen.send_signal(signum)
 
+    def kill(self, name: str) -> None:
+        """Kill process ``name`` without warning and wait until it is gone."""
+        self.signal(name, signal.SIGKILL)
+        self.procs[name].popen.wait(10)
+
+    def cut(self, names: set[str], others: set[str]) -> None:
+        """Cut ``names`` (routers) off from ``others`` (routers, ``config``, ``instances``)."""
+        self.network.cut(names, others)
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.network.heal()
+
     def stop(self) -> None:
         """SIGTERM everything, then SIGKILL what is left after a few seconds."""
+        if self.network is not None:
+            self.network.heal()
         for proc in self.procs.values():
             if proc.popen.poll() is None:
                 try:
@@ -304,6 +370,9 @@
             except subprocess.TimeoutExpired:
                 proc.popen.kill()
                 proc.popen.wait()
+        if self.network is not None:
+            self.network.close()
+            self.network = None
 
     # -- helpers for tests and the load tool ----------------------------------------------
 
--- /dev/null
+++ b/turmerictray/orders/home.py
@@ -0,0 +1,142 @@
+"""The home actor: owns this router's claim table and the socket that peers ask."""
+
+import threading
+import time
+from functools import singledispatchmethod
+
+import msgspec
+import pykka
+import pynng
+
+from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core import metrics
+from turmerictray.core.errors import PeerError
+from turmerictray.core.ids import NodeId
+from turmerictray.core.logs import log_event
+from turmerictray.core.timer import Tick
+from turmerictray.orders.ask import AskHome, HomeQuery, HomeState, Synced
+from turmerictray.orders.homes import Member
+from turmerictray.orders.table import ClaimTable
+from turmerictray.orders.vote import Vote
+from turmerictray.orders.wire import (
+    ENCODER,
+    REQUEST_DECODER,
+    HomeAnswer,
+    HomeRequest,
+    Records,
+    Release,
+    Sync,
+    Take,
+    Voted,
+)
+
+_RECV_TIMEOUT_MS = 200
+_ASK_TIMEOUT_S = 2.0
+
+
+class ClaimHome(pykka.ThreadingActor):
+    """Answers claims, from peers over a REP socket and from this router by message.
+
+    Parameters
+    ----------
+    node : NodeId
+    members : list of Member
+        Every router of the deployment.
+    listen : str
+        Own address, ``tcp://host:port``.
+    snapshot : ConfigSnapshot
+        Gives ``limits.order_memory_s`` of the configuration in force.
+    """
+
+    def __init__(
+        self, node: NodeId, members: list[Member], listen: str, snapshot: ConfigSnapshot
+    ) -> None:
+        super().__init__()
+        self.node = node
+        self.listen = listen
+        self.snapshot = snapshot
+        self.table = ClaimTable(node, members, time.monotonic())
+        self._closing = threading.Event()
+        self._rep: pynng.Rep0 | None = None
+        self._reader: threading.Thread | None = None
+
+    def on_start(self) -> None:
+        try:
+            self._rep = pynng.Rep0(listen=self.listen, recv_timeout=_RECV_TIMEOUT_MS)
+        except pynng.NNGException as exc:
+            raise PeerError(f"cannot listen on {self.listen}: {exc}") from exc
+        self._reader = threading.Thread(target=self._read, name="claims-reader", daemon=True)
+        self._reader.start()
+
+    def on_stop(self) -> None:
+        self._closing.set()
+        if self._rep is not None:
+            self._rep.close()
+
+    @singledispatchmethod
+    def on_receive(self, message: object) -> HomeAnswer | None:
+        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        return None
+
+    @on_receive.register
+    def _(self, msg: AskHome) -> None:
+        vote = self.on_receive(msg.question).vote
+        if msg.reply.set_running_or_notify_cancel():
+            msg.reply.set_result(vote)
+
+    @on_receive.register
+    def _(self, msg: Take) -> Voted:
+        return Voted(self.table.take(msg.key, msg.holder, self._memory_s(), time.monotonic()))
+
+    @on_receive.register
+    def _(self, msg: Release) -> Voted:
+        self.table.release(msg.key, msg.holder)
+        return Voted(Vote.GRANTED)
+
+    @on_receive.register
+    def _(self, msg: Sync) -> Records:
+        return Records(self.node, self.table.records_for(msg.node, time.monotonic()))
+
+    @on_receive.register
+    def _(self, msg: Synced) -> None:
+        rec = msg.answer
+        self.table.absorb(rec.source, rec.records, msg.asked_at, time.monotonic())
+        log_event("claims_synced", peer=rec.source, records=len(rec.records))
+
+    @on_receive.register
+    def _(self, _msg: HomeQuery) -> HomeState:
+        vouching = self.table.vouches_for_all(self._memory_s(), time.monotonic())
+        return HomeState(len(self.table), sorted(self.table.synced), vouching)
+
+    @on_receive.register
+    def _(self, msg: Tick) -> None:
+        self.table.expire(self._memory_s(), msg.now)
+        metrics.CLAIMS_KEPT.set(len(self.table))
+
+    def _memory_s(self) -> float:
+        return self.snapshot.limits().order_memory_s
+
+    def _read(self) -> None:
+        while not self._closing.is_set():
+            try:
+                data = self._rep.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            answer = self._answer(data)
+            metrics.count_control("claims", len(answer), len(data))
+            try:
+                self._rep.send(answer)
+            except pynng.NNGException:
+                continue
+
+    def _answer(self, data: bytes) -> bytes:
+        try:
+            req: HomeRequest = REQUEST_DECODER.decode(data)
+            return ENCODER.encode(self.actor_ref.ask(req, timeout=_ASK_TIMEOUT_S))
+        except msgspec.DecodeError:
+            log_event("peer_bad_message", level="WARNING", size=len(data))
+        except (pykka.ActorDeadError, pykka.Timeout):
+            log_event("claims_home_stalled", level="WARNING")
+        return ENCODER.encode(Voted(Vote.UNSURE))
--- a/turmerictray/router/answers.py
+++ b/turmerictray/router/answers.py
@@ -7,6 +7,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerError,
+    DuplicateOrder,
     NotSent,
     OutcomeUnknown,
     TurmerictrayError,
@@ -51,6 +52,11 @@
     return ErrorAnswer(exc.status, [_retry_after(exc.retry_after)], _json("not_run", exc.reason))
 
 
+@error_answer.register
+def _(exc: DuplicateOrder) -> ErrorAnswer:
+    return ErrorAnswer(409, [], _json("duplicate", str(exc)))
+
+
 @error_answer.register
 def _(exc: NotSent) -> ErrorAnswer:
     return ErrorAnswer(503, [_retry_after(1)], _json("not_run", str(exc)))
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -13,13 +13,18 @@
 
 from turmerictray.config.load import load_settings, parse_config
 from turmerictray.config.settings import RouterSettings
+from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core.app import Application
 from turmerictray.core.errors import ConfigError, SettingsError
-from turmerictray.core.ids import NodeId
+from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, setup_logging
 from turmerictray.core.timer import TimerService
+from turmerictray.orders.guard import OrderGuard
+from turmerictray.orders.home import ClaimHome
+from turmerictray.orders.homes import Member
+from turmerictray.orders.link import HomeLink
 from turmerictray.router.dispatcher import Dispatcher
-from turmerictray.router.front import ConfigSnapshot, Front
+from turmerictray.router.front import Front
 from turmerictray.router.messages import ConfigApplied, Drain, StatusQuery
 from turmerictray.router.peers import PeerLink
 from turmerictray.router.proxy import Proxy
@@ -31,6 +36,7 @@
 
 _EXPIRE_TICK_S = 0.1
 _DRAIN_POLL_S = 0.1
+_CLAIMS_TICK_S = 0.5
 
 
 class _Actors:
@@ -62,6 +68,7 @@
         self.snapshot = ConfigSnapshot()
         self.upstream = Upstream()
         self.dispatcher: pykka.ActorRef | None = None
+        self.guard: OrderGuard | None = None
         self.http: HttpServer | None = None
         self.front: Front | None = None
         self._draining = threading.Lock()
@@ -96,18 +103,33 @@
             s.node,
             s.zone,
             s.peer_listen,
-            s.peers,
+            [peer.heartbeat for peer in s.peers],
             self.dispatcher,
             s.peer_timeout_s,
             watcher,
             url,
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
+        self.guard = self._start_guard()
+
+    def _start_guard(self) -> OrderGuard:
+        s = self.settings
+        node = NodeId(s.node)
+        members = [Member(node, ZoneId(s.zone))]
+        members += [Member(NodeId(peer.node), ZoneId(peer.zone)) for peer in s.peers]
+        home = ClaimHome.start(node, members, s.claims_listen, self.snapshot)
+        self.timer.subscribe(home, "claims", _CLAIMS_TICK_S)
+        homes = {node: home}
+        for peer in s.peers:
+            link = HomeLink.start(node, NodeId(peer.node), peer.claims, home)
+            self.timer.subscribe(link, "claims", _CLAIMS_TICK_S)
+            homes[NodeId(peer.node)] = link
+        return OrderGuard(node, members, homes)
 
     def start_front(self) -> None:
         """Open the HTTP front once the dispatcher it talks to is running."""
         s = self.settings
-        proxy = Proxy(self.dispatcher, self.upstream, s.node)
+        proxy = Proxy(self.dispatcher, self.upstream, self.guard, s.node)
         self.front = Front(self.dispatcher, proxy, self.snapshot, self.drain_and_stop)
         self.http = HttpServer(s.listen.host, s.listen.port, self.front, s.threads, s.node)
         self.http.start()
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -13,6 +13,7 @@
 
 from turmerictray.config.schema import Config
 from turmerictray.config.state import ConfigState
+from turmerictray.core import metrics
 from turmerictray.core.errors import Draining, NoTarget, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event
@@ -20,7 +21,6 @@
 from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.shares import ShareTable, claim
-from turmerictray.router import metrics
 from turmerictray.router.messages import (
     Admit,
     ConfigApplied,
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -17,10 +17,10 @@
 import pykka
 from prometheus_client import generate_latest
 
-from turmerictray.config.schema import Config
+from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core import metrics
 from turmerictray.core.errors import CallerError, NoConfig, TurmerictrayError
 from turmerictray.core.logs import log_event
-from turmerictray.router import metrics
 from turmerictray.router.answers import error_answer
 from turmerictray.router.messages import StatusQuery
 from turmerictray.router.proxy import Proxy
@@ -31,17 +31,6 @@
 _MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 
 
-class ConfigSnapshot:
-    """The configuration in force, shared read-only with the front's threads.
-
-    Only the dispatcher replaces ``current``; a ``Config`` is frozen, so readers see either the
-    old or the new one whole.
-    """
-
-    def __init__(self) -> None:
-        self.current: Config | None = None
-
-
 class Front:
     """The WSGI application.
 
@@ -90,6 +79,7 @@
             )
         if path == "/status":
             state = self.dispatcher.ask(StatusQuery(), timeout=5)
+            state["orders"] = self.proxy.guard.state()
             return _send(start_response, 200, msgspec.json.encode(state))
         if path == "/admin/config":
             cfg = self.snapshot.current
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -14,11 +14,11 @@
 import pykka
 import pynng
 
+from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters
-from turmerictray.router import metrics
 from turmerictray.router.messages import CountersQuery, PeerHasNewer, PeerSummary
 
 FULL_EVERY = 10
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -14,15 +14,19 @@
 import pykka
 
 from turmerictray.config.schema import Config, ServiceKind
+from turmerictray.core import metrics
 from turmerictray.core.errors import (
     AdmissionError,
+    ClaimUnavailable,
+    DuplicateOrder,
     NotSent,
     OutcomeUnknown,
     QueueTimeout,
     UpstreamRefused,
 )
 from turmerictray.core.logs import log_event
-from turmerictray.router import metrics
+from turmerictray.orders.guard import Claim, OrderGuard
+from turmerictray.orders.keys import claim_key
 from turmerictray.router.messages import Admit, Finished, Grant, LoadReport, Placement
 from turmerictray.router.request import CallerRequest
 from turmerictray.router.upstream import Upstream
@@ -49,6 +53,13 @@
     body: Iterable[bytes]
 
 
+@dataclass
+class _Order:
+    """The claim of one non-idempotent request, once it has one."""
+
+    claim: Claim | None = None
+
+
 class Proxy:
     """Serves caller requests through the dispatcher and the upstream pool.
 
@@ -58,13 +69,18 @@
         The router's dispatcher.
     upstream : Upstream
         The router's connection pool.
+    guard : OrderGuard
+        Claims the keys of non-idempotent requests.
     node : str
         This router, named to targets in ``X-Router``.
     """
 
-    def __init__(self, dispatcher: pykka.ActorRef, upstream: Upstream, node: str) -> None:
+    def __init__(
+        self, dispatcher: pykka.ActorRef, upstream: Upstream, guard: OrderGuard, node: str
+    ) -> None:
         self.dispatcher = dispatcher
         self.upstream = upstream
+        self.guard = guard
         self.node = node
 
     def serve(self, req: CallerRequest, cfg: Config) -> Answer:
@@ -72,7 +88,9 @@
 
         A call that was not sent is tried on another target; one whose outcome is unknown is
         tried again only when it is idempotent; at most ``max_retries`` more tries in all. Once
-        one try's outcome is unknown, every later failure ends as unknown too.
+        one try's outcome is unknown, every later failure ends as unknown too. The key that a
+        caller gave a non-idempotent request is claimed before its first byte is sent, and given
+        back if no try sent one.
 
         Raises
         ------
@@ -82,7 +100,18 @@
             Every try failed before reaching a target: it was not run.
         OutcomeUnknown
             A call broke after it may have reached the target, and no retry answered it.
+        DuplicateOrder
+            Another copy of a non-idempotent request was taken; this one was not run.
         """
+        order = _Order()
+        try:
+            return self._serve(req, cfg, order)
+        except (AdmissionError, NotSent):
+            if order.claim is not None:
+                self.guard.release(order.claim)
+            raise
+
+    def _serve(self, req: CallerRequest, cfg: Config, order: "_Order") -> Answer:
         exclude: set[str] = set()
         tries = cfg.limits.max_retries + 1
         broken: OutcomeUnknown | None = None
@@ -93,6 +122,8 @@
                 if broken is None:
                     raise
                 break
+            if not req.idempotent and req.caller_keyed:
+                self._claim(req, grant, cfg, order)
             try:
                 return self._attempt(req, grant, cfg.limits, attempt)
             except (NotSent, UpstreamRefused):
@@ -108,6 +139,25 @@
             raise OutcomeUnknown(str(broken), cfg.limits.retry_after_s) from broken
         raise NotSent(f"no target took the request after {tries} tries")
 
+    def _claim(self, req: CallerRequest, grant: Grant, cfg: Config, order: "_Order") -> None:
+        limits = cfg.limits
+        try:
+            if order.claim is None:
+                key = claim_key(req.team, req.service, req.req_id)
+                order.claim = self.guard.take(
+                    key, req.when_cut, limits.order_memory_s, limits.retry_after_s
+                )
+            # A process frozen between claim and send wakes up still believing in its claim,
+            # which the homes may have forgotten and given to a copy. A claim is acted on for
+            # half as long as the homes keep it, so the copy is refused before this one is sent
+            # too late. What stays open is a freeze within the send itself.
+            if not order.claim.fresh(time.monotonic()):
+                raise ClaimUnavailable("claim_too_old", limits.retry_after_s)
+        except (ClaimUnavailable, DuplicateOrder) as exc:
+            self._finish(req, grant, 0.0)
+            log_event("order_stopped", req=req.req_id, target=grant.target, reason=str(exc))
+            raise
+
     def _attempt(self, req: CallerRequest, grant: Grant, limits, attempt: int) -> Answer:
         try:
             resp = self.upstream.open(
--- a/turmerictray/router/request.py
+++ b/turmerictray/router/request.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from turmerictray.config.schema import Config, Service, ServiceKind
+from turmerictray.config.schema import Config, CutPolicy, Service, ServiceKind
 from turmerictray.core.errors import CallerError
 from turmerictray.core.ids import RequestId, ServiceName, TeamId
 
@@ -32,6 +32,10 @@
         Rough cost in tokens: prompt length over four plus ``max_tokens``.
     idempotent : bool
         False when the caller sent ``Idempotency-Key`` or the service marks the call.
+    when_cut : CutPolicy
+        The service's rule for non-idempotent requests while routers are cut off.
+    caller_keyed : bool
+        Whether ``req_id`` came from the caller, who may then send the request again under it.
     upstream_path : str
         Path to call on the target.
     """
@@ -47,6 +51,8 @@
     upstream_path: str
     stream: bool
     config_version: int = 0
+    when_cut: CutPolicy = CutPolicy.REFUSE
+    caller_keyed: bool = False
 
 
 def identify_team(cfg: Config, headers: dict[str, str]) -> TeamId:
@@ -114,7 +120,8 @@
 def _build(cfg, svc: Service, path, headers, body, hint, prefix_key, stream) -> CallerRequest:
     key = headers.get("idempotency-key")
     idempotent = key is None and svc.idempotent and path not in svc.non_idempotent_paths
-    req_id = key or headers.get("x-request-id") or uuid.uuid4().hex
+    given = key or headers.get("x-request-id") or None
+    req_id = given or uuid.uuid4().hex
     return CallerRequest(
         RequestId(req_id),
         identify_team(cfg, headers),
@@ -127,4 +134,6 @@
         path,
         stream,
         cfg.version,
+        svc.when_cut,
+        given is not None,
     )
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -11,9 +11,9 @@
 import urllib3
 
 from turmerictray.config.load import parse_config
+from turmerictray.core import metrics
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
-from turmerictray.router import metrics
 from turmerictray.router.messages import ConfigApplied, PeerHasNewer
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -7,10 +7,10 @@
 import pykka
 import urllib3
 
+from turmerictray.core import metrics
 from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
-from turmerictray.router import metrics
 from turmerictray.router.messages import Listing
 from turmerictray.routing.target import TargetState
 
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -9,9 +9,9 @@
 import pykka
 import urllib3
 
+from turmerictray.core import metrics
 from turmerictray.core.ids import TargetId
 from turmerictray.core.timer import Tick
-from turmerictray.router import metrics
 from turmerictray.router.messages import LoadReport, TargetsQuery
 
 
