A returning team no longer holds the pool alone; restarted routers get their own history back

Cause: the fair queue raised a returning team to a fixed floor. Its normalised service was max(total, floor), so service it then received did not move it: it stayed first in line until its total had passed the floor, the very thing the floor was for. In a unit run a team back from idle got 39 of the next 40 grants. Also found: peers never told a restarted router what it had served before, so it favoured the teams it had served most; counters learned at the end of a partition were owed back in full, starving a team for the length of the cut; every restart left a set of counters behind for ever. Ruled out: a larger or decaying floor (any fixed level has the fault); forgetting remote counters after a cut (two routers would then disagree for good).

Change: the level is added as an offset when a team joins that waits nowhere in the fleet; limits.catch_up_tokens bounds what a waiting team may be owed; heartbeats echo a restarted router's earlier lives to it for three beats; lives beyond three are folded into offsets. Ties go to the oldest request, not to the first name. The experiment tool can start a team late.

--- /dev/null
+++ b/tests/fairness/test_returning_team.py
@@ -0,0 +1,148 @@
+"""Teams that come back, cuts that heal, and routers that restart, in the fair queue's order."""
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from turmerictray.core.ids import NodeId, RequestId, TeamId
+from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
+from turmerictray.fairness.queue import FairQueue, Pending
+
+scenarios("features/returning_team.feature")
+
+
+def _queue() -> FairQueue:
+    return FairQueue(ServiceLedger(NodeId("r0"), incarnation=9), 1000, retry_after=1.0)
+
+
+def _push(queue: FairQueue, team: str, count: int) -> None:
+    for i in range(count):
+        queue.push(Pending(RequestId(f"{team}-{i}"), TeamId(team), 10.0, deadline=1e9))
+
+
+@given(
+    parsers.parse('a team "{team}" of weight 1 that was served {tokens:d} tokens and still waits'),
+    target_fixture="queue",
+)
+def served_and_waiting(team, tokens):
+    queue = _queue()
+    queue.ledger.settle(TeamId(team), 0.0, float(tokens))
+    _push(queue, team, 100)
+    return queue
+
+
+@given(parsers.parse('a peer reports that "{team}" waits there'))
+def waits_there(queue, team):
+    queue.ledger.waiting_elsewhere = {TeamId(team)}
+
+
+@when(parsers.parse('an idle team "{team}" of weight 1 comes back with {count:d} requests'))
+def comes_back(queue, team, count):
+    # Callers of the team that stayed see their waits grow without end if the returning team
+    # is served alone until its total has caught up with an hour of theirs. It should start
+    # level with the least served backlogged team and share from there on.
+    _push(queue, team, count)
+
+
+@given(
+    parsers.parse(
+        'teams "{a}" and "{b}" of weight 1 that wait here, and a catch-up limit of {limit:d} tokens'
+    ),
+    target_fixture="queue",
+)
+def both_wait(ctx, a, b, limit):
+    ctx["limit"] = float(limit)
+    queue = _queue()
+    _push(queue, a, 100)
+    _push(queue, b, 100)
+    return queue
+
+
+@when(parsers.parse("a peer reports {tokens:d} tokens of service to {team}"))
+def peer_reports(queue, ctx, tokens, team):
+    # During the cut the far side served one team alone, since only that team called there.
+    # Callers of that team here would now wait until the other has received as much: starved
+    # by an outage they had no part in. The debt is cut down to the limit instead.
+    queue.ledger.merge(PeerCounters("r1", 1, {team: float(tokens)}))
+    queue.ledger.forgive(ctx["limit"])
+
+
+@when(parsers.parse("{count:d} requests of {tokens:d} tokens are granted"))
+def grant(queue, ctx, count, tokens):
+    got: dict[str, int] = {}
+    for _ in range(count):
+        item = queue.pop()
+        queue.ledger.charge(item.team, item.hint)
+        queue.ledger.settle(item.team, item.hint, float(tokens))
+        got[item.team] = got.get(item.team, 0) + 1
+    ctx.update(got=got, count=count)
+
+
+@then(parsers.parse("{team} got between {low:d} and {high:d} of them"))
+def got_between(ctx, team, low, high):
+    assert low <= ctx["got"].get(team, 0) <= high, ctx["got"]
+
+
+@then(parsers.parse("{team} got all of them"))
+def got_all(ctx, team):
+    assert ctx["got"] == {team: ctx["count"]}
+
+
+@given(
+    parsers.parse('a router that served {tokens:d} tokens to "{team}" and was restarted'),
+    target_fixture="ledger",
+)
+def restarted(ctx, tokens, team):
+    # The restarted router counts from zero. Without its earlier service it would take the
+    # teams it had served most for the least served ones and put them first.
+    before = ServiceLedger(NodeId("r0"), incarnation=1)
+    before.settle(TeamId(team), 0.0, float(tokens))
+    ctx["peer"] = ServiceLedger(NodeId("r1"), incarnation=5)
+    ctx["peer"].merge(before.own_report())
+    return ServiceLedger(NodeId("r0"), incarnation=2)
+
+
+@when("a peer echoes what it knew of the router's earlier life")
+def echo(ctx, ledger):
+    ctx["peer"].merge(ledger.own_report())
+    ctx["echoes"] = ctx["peer"].earlier_lives(NodeId("r0"))
+    for report in ctx["echoes"]:
+        ledger.merge(report)
+
+
+@then(parsers.parse("the router counts {tokens:d} tokens for {team} once, also when told again"))
+def counted_once(ctx, ledger, tokens, team):
+    assert ledger.total(TeamId(team)) == tokens
+    for report in ctx["echoes"]:
+        ledger.merge(report)
+    assert ledger.total(TeamId(team)) == tokens
+
+
+@given(
+    parsers.parse(
+        'a peer that was restarted {times:d} times, serving {tokens:d} tokens to "{team}" each time'
+    ),
+    target_fixture="ledger",
+)
+def many_lives(times, tokens, team):
+    # Every replacement of a router starts a new life. Kept apart for ever they would grow a
+    # router's memory by one set of counters per restart, at 160 restarts a day.
+    ledger = ServiceLedger(NodeId("r0"), incarnation=9)
+    for life in range(1, times + 1):
+        ledger.merge(PeerCounters("r1", life, {team: float(tokens)}))
+    return ledger
+
+
+@then(parsers.parse("the ledger counts {tokens:d} tokens for {team} in its order of service"))
+def counts_in_order(ledger, tokens, team):
+    assert ledger.normalised(TeamId(team)) == tokens
+
+
+@then(parsers.parse("it keeps at most {lives:d} lives of the peer"))
+def keeps_few(ledger, lives):
+    assert len([key for key in ledger.remote if key[0] == "r1"]) <= lives
+
+
+@then("a late beat of the first life changes nothing")
+def late_beat(ledger):
+    before = ledger.normalised(TeamId("depot"))
+    ledger.merge(PeerCounters("r1", 1, {"depot": 10.0}))
+    assert ledger.normalised(TeamId("depot")) == before
--- a/tests/router/test_freeze_and_flood.py
+++ b/tests/router/test_freeze_and_flood.py
@@ -1,48 +1,15 @@
 """Frozen peers and flooding teams."""
 
 import signal
-import threading
 import time
 
-import urllib3
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from turmerictray.loadtool.client import call_stream
+from tests.router.callers import Callers
 
 scenarios("features/freeze_and_flood.feature")
 
 
-class Callers:
-    """Closed-loop callers per (team, router) until stopped; keeps every outcome."""
-
-    def __init__(self) -> None:
-        self.outcomes: list = []
-        self.stop = threading.Event()
-        self.threads: list[threading.Thread] = []
-        self.lock = threading.Lock()
-
-    def add(self, url: str, team: str, count: int, tokens: int) -> None:
-        for _ in range(count):
-            thr = threading.Thread(target=self._loop, args=(url, team, tokens), daemon=True)
-            self.threads.append(thr)
-            thr.start()
-
-    def _loop(self, url: str, team: str, tokens: int) -> None:
-        http = urllib3.PoolManager(retries=False)
-        while not self.stop.is_set():
-            out = call_stream(http, url, team, tokens)
-            with self.lock:
-                self.outcomes.append(out)
-
-    def finish(self) -> None:
-        self.stop.set()
-        for thr in self.threads:
-            thr.join(60)
-
-    def tokens(self, team: str) -> int:
-        return sum(o.tokens for o in self.outcomes if o.team == team)
-
-
 @given(
     parsers.parse('a fleet of 2 routers and 2 engines with 2 slots each, teams "{a}" and ' '"{b}"'),
     target_fixture="fleet",
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -7,7 +7,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import Literal
+from typing import TYPE_CHECKING, Literal
 
 import cyclopts
 import urllib3
@@ -22,6 +22,9 @@
 )
 from turmerictray.core.errors import ConfigError, SettingsError
 
+if TYPE_CHECKING:
+    from turmerictray.loadtool.experiment import TeamLoad
+
 app = cyclopts.App(name="turmerictray", help="A router fleet that shares model capacity fairly.")
 config_app = cyclopts.App(name="config", help="Check configuration texts and settings files.")
 app.command(config_app)
@@ -159,6 +162,17 @@
     return 0
 
 
+def _team_load(parts: list[str], routers: int) -> "TeamLoad":
+    from turmerictray.loadtool.experiment import TeamLoad
+
+    name, weight, callers, *rest = parts
+    idx = [int(part) for part in rest[0].split(",")] if rest else list(range(routers))
+    if len(rest) > 2 or not all(0 <= num < routers for num in idx):
+        raise ValueError(name)
+    start_s = float(rest[1]) if len(rest) == 2 else 0.0
+    return TeamLoad(name, float(weight), int(callers), idx, start_s)
+
+
 @app.command
 def load(
     router: list[str],
@@ -178,7 +192,8 @@
     engine
         Engine base URLs (for utilisation).
     team
-        ``name:weight:callers[:router,router...]``, for example ``depot:2:8:0``.
+        ``name:weight:callers[:router,router...[:start]]``, for example ``depot:2:8:0`` or
+        ``night:1:8:0,1:8`` for callers that begin after 8 s.
     duration
         Measured seconds (after a 2 s warm-up).
     max_tokens
@@ -188,17 +203,21 @@
     plot
         Write a PNG of service over time here.
     """
-    from turmerictray.loadtool.experiment import Experiment, TeamLoad, run_experiment
+    from turmerictray.loadtool.experiment import Experiment, run_experiment
     from turmerictray.loadtool.report import format_results, plot_series
 
     teams = []
     for spec in team:
         parts = spec.split(":")
-        if len(parts) not in (3, 4):
-            print(f"error: team {spec!r}: want name:weight:callers[:routers]", file=sys.stderr)
+        try:
+            teams.append(_team_load(parts, len(router)))
+        except ValueError:
+            print(
+                f"error: team {spec!r}: want name:weight:callers[:routers[:start]] with router "
+                f"numbers from 0 to {len(router) - 1}",
+                file=sys.stderr,
+            )
             return 2
-        idx = [int(i) for i in parts[3].split(",")] if len(parts) == 4 else list(range(len(router)))
-        teams.append(TeamLoad(parts[0], float(parts[1]), int(parts[2]), idx))
     res = run_experiment(
         Experiment(router, engine, teams, duration, max_tokens=max_tokens, seed=seed)
     )
@@ -229,6 +248,30 @@
     return 0
 
 
+@app.command
+def chaos(seed: int = 1, seconds: float = 20.0, workdir: Path | None = None) -> int:
+    """Play a seeded schedule of faults on a local fleet under load and check every promise.
+
+    Kills, freezes and cuts routers, takes the configuration service down or stale, publishes
+    valid and invalid texts, and breaks answers, while teams stream and book orders. Exits 1 and
+    lists the broken promises if there are any.
+
+    Parameters
+    ----------
+    seed
+        Draws the schedule.
+    seconds
+        Length of the run.
+    workdir
+        Where settings and logs go; a new temporary folder by default.
+    """
+    from turmerictray.loadtool.chaos import format_chaos, run_chaos
+
+    report = run_chaos(seed, seconds, str(workdir) if workdir else None)
+    print(format_chaos(report))
+    return 1 if report.violations else 0
+
+
 @app.command
 def bench(seconds: float = 5.0, out: Path = Path("bench.json"), plot: Path | None = None) -> int:
     """Measure the slopes of a router's costs on small stand-ins (see docs/CAPACITY.md).
--- a/turmerictray/config/schema.py
+++ b/turmerictray/config/schema.py
@@ -116,6 +116,9 @@
     order_memory_s : float
         How long the routers remember the key of a non-idempotent request; a caller must not
         send the same key again later than this.
+    catch_up_tokens : float
+        The most service, in tokens per unit of weight, that one waiting team may be owed
+        against another, for example after a partition heals.
     """
 
     queue_per_team: Count = 256
@@ -124,6 +127,7 @@
     connect_timeout_s: Seconds = 1.0
     retry_after_s: Seconds = 2.0
     order_memory_s: Seconds = 300.0
+    catch_up_tokens: Positive = 50_000.0
     max_retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 1
     default_cost_hint: Positive = 64.0
 
--- a/turmerictray/config/state.py
+++ b/turmerictray/config/state.py
@@ -1,6 +1,6 @@
 """The configuration in force on one router: it only moves forward."""
 
-from turmerictray.config.schema import Config
+from turmerictray.config.schema import Config, Limits
 
 
 class ConfigState:
@@ -18,6 +18,10 @@
         """Version in force, 0 before the first."""
         return self.current.version if self.current else 0
 
+    def limits(self) -> Limits:
+        """The limits in force; the schema's defaults before the first configuration."""
+        return self.current.limits if self.current else Limits()
+
     def offer(self, cfg: Config) -> bool:
         """Take ``cfg`` if it is newer than the one in force.
 
--- a/turmerictray/core/logs.py
+++ b/turmerictray/core/logs.py
@@ -47,8 +47,10 @@
     return " ".join(f"{key}={_quote(val)}" for key, val in pairs)
 
 
-def setup_logging(role: str, node: str = "-", zone: str = "-", path: str | None = None) -> None:
-    """Send this process's events to standard error and, if given, to a file.
+def setup_logging(
+    role: str, node: str = "-", zone: str = "-", path: str | None = None, stderr: bool = True
+) -> None:
+    """Send this process's events to standard error, to a file, or to both.
 
     Parameters
     ----------
@@ -58,10 +60,13 @@
         The process's identity from its settings.
     path : str or None
         A log file to append to.
+    stderr : bool
+        False for tools whose standard error belongs to the person running them.
     """
     _identity.update(node=node, zone=zone, role=role)
     logger.remove()
-    logger.add(sys.stderr, format="{message}", level="INFO", enqueue=False)
+    if stderr:
+        logger.add(sys.stderr, format="{message}", level="INFO", enqueue=False)
     if path:
         logger.add(path, format="{message}", level="INFO", enqueue=False)
 
--- a/turmerictray/fairness/queue.py
+++ b/turmerictray/fairness/queue.py
@@ -78,7 +78,7 @@
         """
         queue = self._queues.get(item.team)
         if queue is None:
-            self.ledger.lift(item.team, self.backlogged())
+            self.ledger.join(item.team)
             queue = self._queues[item.team] = deque()
         elif len(queue) >= self.max_per_team and not front:
             raise QueueFull("queue_full", self.retry_after)
@@ -93,7 +93,7 @@
         """The team :meth:`pop` would serve next, or None when nothing waits."""
         if not self._queues:
             return None
-        return min(self._queues, key=lambda team: (self.ledger.normalised(team), team))
+        return min(self._queues, key=self._order)
 
     def peek_head(self, team: TeamId) -> Pending:
         """The oldest waiting request of ``team``."""
@@ -106,7 +106,7 @@
             return
         yield first
         rest = [team for team in self._queues if team != first]
-        yield from sorted(rest, key=lambda team: (self.ledger.normalised(team), team))
+        yield from sorted(rest, key=self._order)
 
     def pop(self) -> Pending | None:
         """Take the next request of the least served backlogged team, or None."""
@@ -118,7 +118,7 @@
         queue = self._queues[team]
         item = queue.popleft()
         if not queue:
-            del self._queues[team]
+            self._drop(team)
         return item
 
     def expire(self, now: float) -> list[Pending]:
@@ -131,11 +131,12 @@
             if keep:
                 self._queues[team] = keep
             else:
-                del self._queues[team]
+                self._drop(team)
         return gone
 
-    def drain_all(self) -> list[Pending]:
-        """Remove and return everything that waits."""
-        items = [item for queue in self._queues.values() for item in queue]
-        self._queues.clear()
-        return items
+    def _order(self, team: TeamId) -> tuple[float, int]:
+        return self.ledger.normalised(team), self._queues[team][0].seq
+
+    def _drop(self, team: TeamId) -> None:
+        del self._queues[team]
+        self.ledger.leave(team)
--- a/turmerictray/fairness/shares.py
+++ b/turmerictray/fairness/shares.py
@@ -36,6 +36,17 @@
         if peer != self.node:
             self.peers[peer] = (dict(demand), time.monotonic() if now is None else now)
 
+    def teams_waiting(self, now: float | None = None) -> set[TeamId]:
+        """Teams that have requests waiting on a peer heard within ``stale_s``."""
+        now = time.monotonic() if now is None else now
+        return {
+            TeamId(team)
+            for demand, seen in self.peers.values()
+            if now - seen <= self.stale_s
+            for team, count in demand.items()
+            if count > 0
+        }
+
     def share(
         self, local: dict[TeamId, int], weights: dict[TeamId, float], now: float | None = None
     ) -> float:
--- a/turmerictray/loadtool/experiment.py
+++ b/turmerictray/loadtool/experiment.py
@@ -31,12 +31,16 @@
         Closed-loop callers (more than its fair share of slots keeps it backlogged).
     routers : list of int
         Router indexes its callers are spread over, in turn.
+    start_s : float
+        When its callers begin, in seconds from the start of the run; a team that comes late
+        finds the others with service behind them.
     """
 
     name: str
     weight: float
     callers: int
     routers: list[int]
+    start_s: float = 0.0
 
 
 @dataclass
@@ -125,7 +129,9 @@
         for i in range(team.callers):
             router = exp.router_urls[team.routers[i % len(team.routers)]]
             thr = threading.Thread(
-                target=caller, args=(team, router, rng.uniform(0, 0.2)), daemon=True
+                target=caller,
+                args=(team, router, team.start_s + rng.uniform(0, 0.2)),
+                daemon=True,
             )
             threads.append(thr)
     for thr in threads:
@@ -172,7 +178,8 @@
             continue
         if window[0] <= now <= window[1]:
             with lock:
-                results.series.append((now - window[0], dict(served)))
+                row = {team.name: served[team.name] / team.weight for team in exp.teams}
+                results.series.append((now - window[0], row))
             if queued > 0:
                 busy += sum(s["running"] for s in stats)
                 slots_seen += sum(s["slots"] for s in stats)
--- a/turmerictray/loadtool/report.py
+++ b/turmerictray/loadtool/report.py
@@ -33,9 +33,9 @@
     fig, ax = plt.subplots(figsize=(7, 4))
     teams = sorted(res.service)
     for team in teams:
-        ax.plot([t for t, _ in res.series], [s[team] for _, s in res.series], label=team)
+        ax.plot([at for at, _ in res.series], [row[team] for _, row in res.series], label=team)
     ax.set_xlabel("seconds into the measured window")
-    ax.set_ylabel("tokens served (raw)")
+    ax.set_ylabel("tokens served per unit of weight")
     ax.legend()
     fig.tight_layout()
     fig.savefig(path)
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -18,19 +18,20 @@
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
-from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
+from turmerictray.fairness.ledger import ServiceLedger
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.shares import ShareTable, claim
 from turmerictray.router.messages import (
     Admit,
     ConfigApplied,
-    CountersQuery,
     Drain,
     Finished,
     Grant,
     Listing,
     LoadReport,
     PeerSummary,
+    Report,
+    ReportQuery,
     StatusQuery,
     TargetsQuery,
 )
@@ -72,7 +73,7 @@
         self.node = node
         self.incarnation = incarnation
         self.assertions = assertions
-        self.ledger = ServiceLedger(node)
+        self.ledger = ServiceLedger(node, incarnation)
         self.config = ConfigState()
         self.table = TargetTable()
         self.queues: dict[ServiceName, FairQueue] = {}
@@ -169,8 +170,13 @@
 
     @handle.register
     def _(self, msg: PeerSummary) -> None:
-        self.ledger.merge(msg.counters)
+        if self.ledger.merge(msg.counters):
+            log_event("peer_life", peer=msg.counters.node, incarnation=msg.counters.incarnation)
+        for report in msg.echoes:
+            self.ledger.merge(report)
         self.shares.update(msg.counters.node, msg.demand)
+        self.ledger.waiting_elsewhere = self.shares.teams_waiting()
+        self.ledger.forgive(self.config.limits().catch_up_tokens)
         self.peer_versions[msg.counters.node] = msg.config_version
         self._check_ready(time.monotonic())
         self._update_claims()
@@ -193,17 +199,14 @@
         return self.status()
 
     @handle.register
-    def _(self, msg: CountersQuery) -> tuple[PeerCounters, int, dict[str, int]]:
-        return self.own_counters(), self.config.version, self._local_demand()
+    def _(self, msg: ReportQuery) -> Report:
+        echoes = [rep for node in msg.echo for rep in self.ledger.earlier_lives(node)]
+        return Report(self.ledger.own_report(), self.config.version, self._local_demand(), echoes)
 
     @handle.register
     def _(self, msg: TargetsQuery) -> list[tuple[str, str]]:
         return [(view.id, view.url) for view in self.table.targets.values()]
 
-    def own_counters(self) -> PeerCounters:
-        """This router's settled counters, for the peer link."""
-        return PeerCounters(self.node, self.incarnation, self.ledger.own_counters())
-
     def status(self) -> dict:
         """A JSON-ready snapshot: config version, queues, targets, fleet service per team."""
         teams = self.ledger.known_teams() | {
@@ -237,7 +240,7 @@
                 }
                 for team in sorted(teams)
             },
-            "peers": sorted({node for node, _ in self.ledger.remote}),
+            "peers": sorted({node for node, _ in self.ledger.remote} - {self.node}),
         }
 
     def _queue(self, service: ServiceName) -> FairQueue:
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from turmerictray.config.schema import Config
-from turmerictray.core.ids import RequestId, ServiceName, TargetId, TeamId
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
 from turmerictray.fairness.ledger import PeerCounters
 from turmerictray.routing.target import TargetState
 
@@ -89,11 +89,24 @@
 
 @dataclass(frozen=True)
 class PeerSummary:
-    """A peer's settled counters and waiting requests per team, from the peer link."""
+    """A peer's heartbeat, from the peer link.
+
+    Attributes
+    ----------
+    counters : PeerCounters
+        The peer's own settled counters.
+    demand : dict of str to int
+        Requests waiting on the peer per team.
+    config_version : int
+    echoes : list of PeerCounters
+        What the peer knows of restarted routers' earlier lives, this router's perhaps among
+        them.
+    """
 
     counters: PeerCounters
     demand: dict[str, int] = field(default_factory=dict)
     config_version: int = 0
+    echoes: list[PeerCounters] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -120,5 +133,28 @@
 
 
 @dataclass(frozen=True)
-class CountersQuery:
-    """Ask for ``(own PeerCounters, config version, waiting per team)`` for a heartbeat."""
+class ReportQuery:
+    """Ask for a :class:`Report`, with the earlier lives of the nodes in ``echo``."""
+
+    echo: frozenset[NodeId] = frozenset()
+
+
+@dataclass(frozen=True)
+class Report:
+    """What a heartbeat tells of this router.
+
+    Attributes
+    ----------
+    counters : PeerCounters
+    config_version : int
+        In force.
+    demand : dict of str to int
+        Requests waiting here per team.
+    echoes : list of PeerCounters
+        Earlier lives of restarted peers.
+    """
+
+    counters: PeerCounters
+    config_version: int
+    demand: dict[str, int]
+    echoes: list[PeerCounters]
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -3,8 +3,10 @@
 Each router listens with a PUB socket and dials every peer's PUB with one SUB socket. A
 heartbeat carries the router's settled per-team counters: only the teams that changed since the
 last beat, and all of them every ``FULL_EVERY`` beats, so a lost beat or a peer that restarted
-catches up within that many beats. Counters only grow and are merged by taking the larger value,
-so beats may be lost, repeated or reordered without service being counted twice.
+catches up within that many beats. A peer that started anew is also told what is known of its
+earlier lives, since it forgot the service it gave itself. Counters only grow and are merged by
+taking the larger value, so beats may be lost, repeated or reordered without service being
+counted twice.
 """
 
 import threading
@@ -16,14 +18,18 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
+from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters
-from turmerictray.router.messages import CountersQuery, PeerHasNewer, PeerSummary
+from turmerictray.router.messages import PeerHasNewer, PeerSummary, ReportQuery
 
 FULL_EVERY = 10
 """A heartbeat with every counter is sent once in this many beats."""
 
+ECHO_BEATS = 3
+"""Full heartbeats sent after a peer started anew, with what is known of its earlier lives."""
+
 _RECV_TIMEOUT_MS = 200
 
 
@@ -45,6 +51,8 @@
         Requests waiting on the sender per backlogged team.
     url : str
         The sender's HTTP front, where peers fetch its configuration text.
+    echoes : list of PeerCounters
+        What the sender knows of the earlier lives of routers that restarted lately.
     """
 
     node: str
@@ -55,6 +63,7 @@
     full: bool
     demand: dict[str, int] = {}
     url: str = ""
+    echoes: list[PeerCounters] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -103,6 +112,8 @@
         self.sent: dict[str, float] = {}
         self.seen: dict[str, float] = {}
         self.lost: set[str] = set()
+        self.lives: dict[str, int] = {}
+        self.newborn: dict[str, int] = {}
         self._closing = threading.Event()
         self.pub: pynng.Pub0 | None = None
         self.sub: pynng.Sub0 | None = None
@@ -136,23 +147,27 @@
             self._take(message)
 
     def _beat(self) -> None:
-        counters, version, demand = self.dispatcher.ask(CountersQuery(), timeout=2)
+        echo = frozenset(NodeId(node) for node in self.newborn)
+        report = self.dispatcher.ask(ReportQuery(echo), timeout=2)
+        own = report.counters
         self.seq += 1
-        full = self.seq % FULL_EVERY == 1
+        full = self.seq % FULL_EVERY == 1 or bool(self.newborn)
         if full:
-            changed = dict(counters.counters)
+            changed = dict(own.counters)
         else:
-            changed = {t: v for t, v in counters.counters.items() if self.sent.get(t) != v}
+            changed = {t: v for t, v in own.counters.items() if self.sent.get(t) != v}
         self.sent.update(changed)
+        self.newborn = {node: left - 1 for node, left in self.newborn.items() if left > 1}
         beat = Heartbeat(
             self.node,
             self.zone,
             self.seq,
-            version,
-            PeerCounters(counters.node, counters.incarnation, changed),
+            report.config_version,
+            PeerCounters(own.node, own.incarnation, changed),
             full,
-            demand,
+            report.demand,
             self.url,
+            report.echoes,
         )
         data = _ENCODER.encode(beat)
         self.pub.send(data)
@@ -177,10 +192,15 @@
 
     def _take(self, beat: Heartbeat) -> None:
         self.seen[beat.node] = time.monotonic()
+        if self.lives.get(beat.node) != beat.counters.incarnation:
+            self.lives[beat.node] = beat.counters.incarnation
+            self.newborn[beat.node] = ECHO_BEATS
         if beat.node in self.lost:
             self.lost.discard(beat.node)
             log_event("peer_back", peer=beat.node, peer_zone=beat.zone)
-        self.dispatcher.tell(PeerSummary(beat.counters, beat.demand, beat.config_version))
+        self.dispatcher.tell(
+            PeerSummary(beat.counters, beat.demand, beat.config_version, beat.echoes)
+        )
         if beat.config_version > self.best_version and beat.url:
             self.best_version = beat.config_version
             self.watcher.tell(PeerHasNewer(beat.config_version, beat.url))
