--- a/turmerictray/loadtool/client.py
+++ b/turmerictray/loadtool/client.py
@@ -23,6 +23,8 @@
         The answer's error type, empty when none.
     first_token_s, total_s : float
         Seconds from sending to the first token and to the end.
+    foreign : bool
+        Whether the answer carried a token that is not the next one of this call.
     """
 
     req_id: str
@@ -35,6 +37,7 @@
     first_token_s: float
     total_s: float
     retry_after: str | None = None
+    foreign: bool = False
 
 
 def call_stream(
@@ -114,6 +117,7 @@
     buf = b""
     expected = 0
     ok = True
+    foreign = False
     done = False
     first = 0.0
     error = ""
@@ -139,13 +143,12 @@
                 if not first:
                     first = time.monotonic() - started
                 if content != f"{req_id}:{expected} ":
-                    ok = False
+                    foreign = True
                 expected += 1
     except urllib3.exceptions.HTTPError as exc:
         ok, error = False, type(exc).__name__
     finally:
         resp.release_conn()
-    whole = ok and done and expected == max_tokens
-    return Outcome(
-        req_id, team, 200, expected, whole, error, wall, first, time.monotonic() - started
-    )
+    whole = ok and done and not foreign and expected == max_tokens
+    total = time.monotonic() - started
+    return Outcome(req_id, team, 200, expected, whole, error, wall, first, total, foreign=foreign)
--- a/turmerictray/loadtool/history.py
+++ b/turmerictray/loadtool/history.py
@@ -4,10 +4,13 @@
 count executions per request id. The checker reports every call whose answer broke a promise.
 """
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
+from pathlib import Path
 
 from turmerictray.loadtool.client import Outcome
+from turmerictray.loadtool.orders import OrderTrial
 
 _START_SLACK_S = 0.5
 """Time allowed from grant to first token (connect, prefill)."""
@@ -72,3 +75,58 @@
         if runs > 1:
             bad.append(Violation(out.req_id, "at-most-once", f"executed {runs}x"))
     return bad
+
+
+def check_orders(trials: Iterable[OrderTrial], executions: dict[str, int]) -> list[Violation]:
+    """Check orders, each tried perhaps through several routers, against the services' counts.
+
+    Returns
+    -------
+    list of Violation
+        Empty when the history keeps every promise:
+
+        * ``at-most-once``: no order executed more than once;
+        * ``booked-ran``: an order answered 200 executed;
+        * ``not-run-true``: an order whose every try was refused as not run never executed.
+    """
+    bad: list[Violation] = []
+    for trial in trials:
+        runs = executions.get(trial.key, 0)
+        if runs > 1:
+            bad.append(Violation(trial.key, "at-most-once", f"executed {runs}x: {trial.answers}"))
+        if any(answer.status == 200 for answer in trial.answers) and runs == 0:
+            bad.append(Violation(trial.key, "booked-ran", "never executed"))
+        refused = bool(trial.answers) and all(ans.error == "not_run" for ans in trial.answers)
+        if refused and runs:
+            bad.append(Violation(trial.key, "not-run-true", f"executed {runs}x"))
+    return bad
+
+
+_IN_FORCE = re.compile(r"event=config_in_force version=(\d+)")
+
+
+def check_config_logs(logs: Iterable[Path]) -> list[Violation]:
+    """Check that no router's log shows a configuration in force below one before it.
+
+    A router that restarts keeps nothing, so each process's lines are checked on their own.
+
+    Returns
+    -------
+    list of Violation
+        With the rule ``config-revert`` or, for a router in assertion mode, ``invariant``.
+    """
+    bad: list[Violation] = []
+    for log in logs:
+        newest = 0
+        for line in log.read_text().splitlines():
+            if " seq=0 " in line:
+                newest = 0
+            if "event=invariant_broken" in line:
+                bad.append(Violation(log.stem, "invariant", line))
+            found = _IN_FORCE.search(line)
+            if found is None:
+                continue
+            if int(found[1]) < newest:
+                bad.append(Violation(log.stem, "config-revert", line))
+            newest = int(found[1])
+    return bad
