Engines load what the text says: orders fenced by the configuration's version

Cause: engines take orders to load models, and some refuse an old fencing number, but no router gave any, so nothing showed that a router woken late cannot undo a newer order. Ruled out: the router's incarnation as number (a restart would outrank a newer text; clocks differ); one leader (needs shared state); every router ordering every engine (a mutant that does so gives more than one order per change and brings an old model back).

Change: targets may list models; the router responsible for an engine (rendezvous hashing over the routers heard in its zone) compares once a second and orders the whole wanted list under the text's version. Engines that ignore the number are only ordered by a router whose version the configuration service confirmed within 5 s. The engine stand-in tells and takes models. Also a settings check: plain services load no models.

Proof: engine_orders.feature: one order per change; the responsible router frozen through a change, for both kinds of engine; a held-up order refused; an engine restart. By processes the freshness check is not caught missing (the woken watcher usually wins the race), so a scenario on the placer alone covers it and fails without it.

--- a/tests/orders/test_claims_stateful.py
+++ b/tests/orders/test_claims_stateful.py
@@ -6,7 +6,8 @@
 
 from turmerictray.config.schema import CutPolicy
 from turmerictray.core.ids import NodeId, ZoneId
-from turmerictray.orders.homes import Member, homes_of
+from turmerictray.core.member import Member
+from turmerictray.orders.homes import homes_of
 from turmerictray.orders.keys import ClaimKey
 from turmerictray.orders.table import VOTES_VALID_S, ClaimTable
 from turmerictray.orders.verdict import Verdict, decide
--- a/tests/orders/test_orders_across_routers.py
+++ b/tests/orders/test_orders_across_routers.py
@@ -12,9 +12,9 @@
 from turmerictray.config.schema import CutPolicy, ServiceKind
 from turmerictray.core.errors import ClaimUnavailable
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
+from turmerictray.core.member import Member
 from turmerictray.loadtool.client import call_stream
 from turmerictray.orders.guard import OrderGuard
-from turmerictray.orders.homes import Member
 from turmerictray.orders.keys import ClaimKey, claim_key
 from turmerictray.orders.table import ClaimTable
 from turmerictray.orders.vote import Vote
--- /dev/null
+++ b/tests/placement/test_engine_orders.py
@@ -0,0 +1,184 @@
+"""Orders to engines under changes, freezes and restarts."""
+
+import json
+import signal
+import time
+
+import urllib3
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from turmerictray.config.load import parse_config
+from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core.ids import NodeId, ZoneId
+from turmerictray.core.member import Member
+from turmerictray.core.timer import Tick
+from turmerictray.placement.engine import EngineModels, ModelOrder
+from turmerictray.placement.placer import Placer
+from turmerictray.router.messages import ConfigConfirmed
+
+scenarios("features/engine_orders.feature")
+
+HTTP = urllib3.PoolManager(retries=False)
+
+
+@given(
+    parsers.re(
+        r"3 routers and (?P<engines>\d) engines? that (?P<kind>check|ignore) fencing numbers, "
+        r'told to load "(?P<model>[^"]+)"'
+    ),
+    target_fixture="fleet",
+)
+def fleet(start_fleet, ctx, engines, kind, model):
+    ctx["orders"] = 0
+    return start_fleet(
+        engines=int(engines),
+        routers=3,
+        services=0,
+        teams={"depot": 1.0},
+        check_fencing=kind == "check",
+        models=[model],
+    )
+
+
+def _stats(fleet) -> list[dict]:
+    return [fleet.get_json(proc.name, "/admin/stats") for proc in fleet.engines()]
+
+
+@then(
+    parsers.re(
+        r'within (?P<secs>\d+) seconds every engine has loaded "(?P<model>[^"]+)" '
+        r"by one (more )?order"
+    )
+)
+def loaded(fleet, ctx, secs, model):
+    deadline = time.monotonic() + int(secs)
+    while any(stats["models"] != [model] for stats in _stats(fleet)):
+        assert time.monotonic() < deadline, _stats(fleet)
+        time.sleep(0.1)
+    time.sleep(1.5)
+    ctx["orders"] += 1
+    assert [len(stats["orders"]) for stats in _stats(fleet)] == [ctx["orders"]] * len(
+        fleet.engines()
+    )
+
+
+@when(parsers.parse('the configuration says "{model}"'))
+def change(fleet, model):
+    text = dict(fleet.config)
+    text["services"] = [
+        dict(svc, targets=[dict(tgt, models=[model]) for tgt in svc["targets"]])
+        for svc in fleet.config["services"]
+    ]
+    fleet.post_json("config", "/admin/publish", text)
+
+
+@when(
+    parsers.parse('the router that gave the order is frozen and the configuration says "{model}"')
+)
+def freeze_and_change(fleet, ctx, model):
+    # Callers of the new model get it although the responsible router is frozen: another takes
+    # the engine over once the frozen one has been silent for the peer timeout. When it wakes, it
+    # still holds the old text and its first tick finds the engine "wrong": on an engine that
+    # ignores fencing numbers, its order would bring the old model back.
+    log = (fleet.dir / "engine-0.log").read_text()
+    order = next(line for line in log.splitlines() if "event=engine_order" in line)
+    ctx["frozen"] = order.rsplit("router=", 1)[1].split()[0]
+    fleet.signal(ctx["frozen"], signal.SIGSTOP)
+    change(fleet, model)
+
+
+@when("the frozen router wakes")
+def wake(fleet, ctx):
+    fleet.signal(ctx["frozen"], signal.SIGCONT)
+
+
+@then(parsers.parse('for {secs:d} seconds no engine takes an order for "{model}" again'))
+def never_back(fleet, ctx, secs, model):
+    deadline = time.monotonic() + secs
+    while time.monotonic() < deadline:
+        for stats in _stats(fleet):
+            later = stats["orders"][ctx["orders"] - 1 :]
+            assert all(model not in models for _, _, models in later), stats["orders"]
+        time.sleep(0.1)
+
+
+@when(parsers.parse('an order for "{model}" with the fencing number before arrives'))
+def late_order(fleet, ctx, model):
+    # The order left its router before the change and was held up on the way.
+    order = {"fence": 0, "action": "set_models", "models": [model]}
+    ctx["answer"] = fleet.post_json("engine-0", "/admin/order", order)
+
+
+@then(parsers.parse('it is refused and the engine keeps "{model}"'))
+def refused(fleet, ctx, model):
+    assert ctx["answer"]["error"]["type"] == "stale_fence"
+    assert _stats(fleet)[0]["models"] == [model]
+
+
+@when("the engine is killed and started again")
+def restart_engine(fleet, ctx):
+    # Nothing of the engine lasts; callers of its model wait until it is ordered again.
+    fleet.kill("engine-0")
+    fleet.wait_ready(fleet.restart("engine-0"))
+    ctx["orders"] = 0
+
+
+class FakeEngine:
+    """Takes every order."""
+
+    def __init__(self, models: list[str]) -> None:
+        self.models = models
+        self.orders: list[ModelOrder] = []
+
+    def read(self, _url: str) -> EngineModels:
+        return EngineModels(self.models)
+
+    def order(self, _url: str, order: ModelOrder, _node: str) -> None:
+        self.orders.append(order)
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+
+@given(
+    parsers.re(
+        r'a placer told "(?P<mine>[^"]+)" long ago and an engine that (?P<kind>check|ignore) '
+        r'fencing numbers with "(?P<theirs>[^"]+)"'
+    ),
+    target_fixture="placer",
+)
+def old_placer(ctx, mine, kind, theirs):
+    # The router was frozen while the configuration changed and another router ordered the new
+    # model. Woken, it sees another model than its text says, and cannot tell which is newer.
+    target = {"id": "e0", "url": "http://e0", "zone": "madina"}
+    target |= {"models": [mine], "fencing": kind == "check"}
+    llm = {"name": "llm", "kind": "model", "targets": [target]}
+    snapshot = ConfigSnapshot()
+    snapshot.current = parse_config(json.dumps({"version": 1, "services": [llm], "teams": []}))
+    ctx["engine"] = FakeEngine([theirs])
+    node = NodeId("r0")
+    placer = Placer.start(node, [Member(node, ZoneId("madina"))], snapshot, ctx["engine"], 3.0)
+    placer.tell(ConfigConfirmed(1, time.monotonic() - 60.0))
+    yield placer
+    placer.stop()
+
+
+@when("the placer compares them")
+def compare(placer, ctx):
+    ctx["engine"].orders.clear()
+    placer.ask(Tick("placement", time.monotonic()))
+
+
+@when("the configuration service confirms the placer's version")
+def confirm(placer):
+    placer.tell(ConfigConfirmed(1, time.monotonic()))
+
+
+@then("it orders the engine")
+def ordered(ctx):
+    assert ctx["engine"].orders == [ModelOrder(1, ["chat-1"])]
+
+
+@then("it does not order the engine")
+def not_ordered(ctx):
+    assert ctx["engine"].orders == []
--- a/turmerictray/config/load.py
+++ b/turmerictray/config/load.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from turmerictray.config.schema import Config
+from turmerictray.config.schema import Config, ServiceKind
 from turmerictray.core.errors import ConfigError, SettingsError
 
 T = TypeVar("T")
@@ -74,6 +74,8 @@
         for dep in svc.depends_on:
             if dep not in svc_names:
                 fail(f"depends on unknown service {dep!r} - at `$.services[{idx}].depends_on`")
+        if svc.kind is ServiceKind.PLAIN and any(tgt.models for tgt in svc.targets):
+            fail(f"only engines load models - at `$.services[{idx}].targets[*].models`")
         if not svc.targets:
             fail(f"service has no targets - at `$.services[{idx}].targets`")
     team_ids = [team.id for team in cfg.teams]
--- a/turmerictray/config/schema.py
+++ b/turmerictray/config/schema.py
@@ -48,6 +48,9 @@
         Requests the target serves at once (its batch size).
     fencing : bool
         Whether the target refuses orders that carry an old fencing number.
+    models : list of str
+        For an engine, the models, adapters and versions it is ordered to have loaded; none means
+        that the routers give it no orders.
     """
 
     id: Name
@@ -55,6 +58,7 @@
     zone: Name
     slots: Count = 4
     fencing: bool = False
+    models: list[Name] = msgspec.field(default_factory=list)
 
 
 class Service(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/turmerictray/config/settings.py
+++ b/turmerictray/config/settings.py
@@ -78,6 +78,7 @@
     load_poll_s: Seconds = 0.5
     instances_poll_s: Seconds = 0.5
     heartbeat_s: Seconds = 0.5
+    placement_poll_s: Seconds = 1.0
     peer_timeout_s: Seconds = 3.0
     drain_timeout_s: Seconds = 30.0
     watch_wait_s: Seconds = 2.0
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -157,5 +157,13 @@
         self.body = body
 
 
+class EngineError(TurmerictrayError):
+    """An engine's order interface could not be reached or gave no sense."""
+
+
+class StaleFence(EngineError):
+    """The engine refused an order whose fencing number is lower than one it has seen."""
+
+
 class PeerError(TurmerictrayError):
     """The peer link could not be set up or a peer message could not be decoded."""
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -84,6 +84,8 @@
     limits : dict
         Overrides of the configuration's ``limits``.
     check_fencing : bool
+    models : list of str
+        What the engines are to load; none means that the routers give no orders.
     instance_lag_s : float
     cuttable : bool
         Put relays between the routers and between each router and the platform, so that
@@ -101,6 +103,7 @@
     teams: dict[str, float] = field(default_factory=lambda: {"depot": 1.0, "riders": 1.0})
     limits: dict = field(default_factory=dict)
     check_fencing: bool = True
+    models: list[str] = field(default_factory=list)
     instance_lag_s: float = 0.5
     load_lag_s: float = 0.3
     cuttable: bool = False
@@ -146,6 +149,7 @@
                 "zone": self._zone(i),
                 "slots": s.engine_slots,
                 "fencing": s.check_fencing,
+                "models": s.models,
             }
             for i, (eid, url) in enumerate(engine_urls.items())
         ]
--- a/turmerictray/orders/guard.py
+++ b/turmerictray/orders/guard.py
@@ -12,8 +12,9 @@
 from turmerictray.core.errors import ClaimUnavailable, DuplicateOrder
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
+from turmerictray.core.member import Member
 from turmerictray.orders.ask import AskHome, HomeQuery, HomeState
-from turmerictray.orders.homes import Member, homes_of
+from turmerictray.orders.homes import homes_of
 from turmerictray.orders.keys import ClaimKey
 from turmerictray.orders.table import VOTES_VALID_S
 from turmerictray.orders.verdict import Verdict, decide
--- a/turmerictray/orders/home.py
+++ b/turmerictray/orders/home.py
@@ -13,9 +13,9 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
+from turmerictray.core.member import Member
 from turmerictray.core.timer import Tick
 from turmerictray.orders.ask import AskHome, HomeQuery, HomeState, Synced
-from turmerictray.orders.homes import Member
 from turmerictray.orders.table import ClaimTable
 from turmerictray.orders.vote import Vote
 from turmerictray.orders.wire import (
--- a/turmerictray/orders/homes.py
+++ b/turmerictray/orders/homes.py
@@ -6,23 +6,15 @@
 """
 
 import hashlib
-from dataclasses import dataclass
 
 from turmerictray.core.ids import NodeId, ZoneId
+from turmerictray.core.member import Member
 from turmerictray.orders.keys import ClaimKey
 
 HOMES = 3
 """Homes per key: with a majority of two, one home may be lost, cut off or restarting."""
 
 
-@dataclass(frozen=True)
-class Member:
-    """A router of the deployment, as the settings name it."""
-
-    node: NodeId
-    zone: ZoneId
-
-
 def _rank(key: ClaimKey, node: NodeId) -> bytes:
     return hashlib.blake2b(key + node.encode(), digest_size=8).digest()
 
--- a/turmerictray/orders/table.py
+++ b/turmerictray/orders/table.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from turmerictray.core.ids import NodeId
-from turmerictray.orders.homes import Member, homes_of
+from turmerictray.core.member import Member
+from turmerictray.orders.homes import homes_of
 from turmerictray.orders.keys import ClaimKey
 from turmerictray.orders.vote import Vote
 from turmerictray.orders.wire import ClaimRecord
--- /dev/null
+++ b/turmerictray/placement/engine.py
@@ -0,0 +1,74 @@
+"""Reading an engine's models and giving it orders, over HTTP."""
+
+import msgspec
+import urllib3
+
+from turmerictray.core import metrics
+from turmerictray.core.errors import EngineError, StaleFence
+
+_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+_HEADERS_SIZE = 150
+
+
+class EngineModels(msgspec.Struct, frozen=True):
+    """What an engine has loaded, and the highest fencing number it has seen."""
+
+    models: list[str]
+    fence: int = 0
+
+
+class ModelOrder(msgspec.Struct, frozen=True):
+    """An order to hold exactly ``models``; ``fence`` is the configuration's version."""
+
+    fence: int
+    models: list[str]
+    action: str = "set_models"
+
+
+class EngineClient:
+    """Calls engines' order interface."""
+
+    def __init__(self) -> None:
+        self._http = urllib3.PoolManager(num_pools=256, retries=False)
+
+    def read(self, url: str) -> EngineModels:
+        """What the engine at ``url`` has loaded.
+
+        Raises
+        ------
+        EngineError
+            The engine could not be reached or gave no sense.
+        """
+        return msgspec.convert(self._call("GET", url + "/admin/models"), EngineModels)
+
+    def order(self, url: str, order: ModelOrder, node: str) -> None:
+        """Give an order.
+
+        Raises
+        ------
+        StaleFence
+            The engine has seen a higher fencing number and refused.
+        EngineError
+            The order failed; it may or may not have been taken, and may be given again.
+        """
+        body = msgspec.json.encode(order)
+        self._call("POST", url + "/admin/order", body, {"X-Router": node})
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.clear()
+
+    def _call(self, method: str, url: str, body: bytes | None = None, headers=None) -> object:
+        try:
+            resp = self._http.request(method, url, body=body, headers=headers, timeout=_TIMEOUT)
+            doc = msgspec.json.decode(resp.data)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            raise EngineError(f"{url}: {type(exc).__name__}") from exc
+        metrics.count_control(
+            "placement", len(body or b"") + _HEADERS_SIZE, len(resp.data) + _HEADERS_SIZE
+        )
+        if resp.status == 409:
+            raise StaleFence(f"{url}: order refused as stale")
+        if resp.status != 200:
+            raise EngineError(f"{url}: status {resp.status}")
+        return doc
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -18,11 +18,13 @@
 from turmerictray.core.errors import ConfigError, SettingsError
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, setup_logging
+from turmerictray.core.member import Member
 from turmerictray.core.timer import TimerService
 from turmerictray.orders.guard import OrderGuard
 from turmerictray.orders.home import ClaimHome
-from turmerictray.orders.homes import Member
 from turmerictray.orders.link import HomeLink
+from turmerictray.placement.engine import EngineClient
+from turmerictray.placement.placer import Placer
 from turmerictray.router.dispatcher import Dispatcher
 from turmerictray.router.front import Front
 from turmerictray.router.messages import ConfigApplied, Drain, StatusQuery
@@ -92,7 +94,12 @@
             self.snapshot,
         )
         self._bootstrap()
-        watcher = ConfigWatcher.start(s.config_url, self.dispatcher, s.watch_wait_s)
+        members = self._members()
+        placer = Placer.start(
+            NodeId(s.node), members, self.snapshot, EngineClient(), s.peer_timeout_s
+        )
+        self.timer.subscribe(placer, "placement", s.placement_poll_s)
+        watcher = ConfigWatcher.start(s.config_url, self.dispatcher, placer, s.watch_wait_s)
         self.timer.subscribe(self.dispatcher, "expire", _EXPIRE_TICK_S)
         if s.instances_url:
             poller = InstancePoller.start(s.instances_url, self.dispatcher)
@@ -107,17 +114,21 @@
             [peer.heartbeat for peer in s.peers],
             self.dispatcher,
             s.peer_timeout_s,
+            placer,
             watcher,
             url,
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
-        self.guard = self._start_guard()
+        self.guard = self._start_guard(members)
+
+    def _members(self) -> list[Member]:
+        s = self.settings
+        members = [Member(NodeId(s.node), ZoneId(s.zone))]
+        return members + [Member(NodeId(peer.node), ZoneId(peer.zone)) for peer in s.peers]
 
-    def _start_guard(self) -> OrderGuard:
+    def _start_guard(self, members: list[Member]) -> OrderGuard:
         s = self.settings
         node = NodeId(s.node)
-        members = [Member(node, ZoneId(s.zone))]
-        members += [Member(NodeId(peer.node), ZoneId(peer.zone)) for peer in s.peers]
         home = ClaimHome.start(node, members, s.claims_listen, self.snapshot)
         self.timer.subscribe(home, "claims", _CLAIMS_TICK_S)
         homes = {node: home}
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -80,6 +80,17 @@
     cfg: Config
 
 
+@dataclass(frozen=True)
+class ConfigConfirmed:
+    """The configuration service answered a read asked for at ``asked_at`` (monotonic seconds).
+
+    ``version`` is the newest revision it told, whether accepted or not.
+    """
+
+    version: int
+    asked_at: float
+
+
 @dataclass(frozen=True)
 class Listing:
     """The instance list's states of targets."""
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -83,6 +83,8 @@
     dispatcher : pykka.ActorRef
     peer_timeout_s : float
         A peer silent this long is reported lost.
+    placer : pykka.ActorRef
+        Told which peers are heard.
     watcher : pykka.ActorRef
         The configuration watcher, told when a peer has a newer configuration.
     url : str
@@ -97,6 +99,7 @@
         peers: list[str],
         dispatcher: pykka.ActorRef,
         peer_timeout_s: float,
+        placer: pykka.ActorRef,
         watcher: pykka.ActorRef,
         url: str,
     ) -> None:
@@ -104,6 +107,7 @@
         self.node, self.zone = node, zone
         self.listen, self.peers = listen, peers
         self.dispatcher = dispatcher
+        self.placer = placer
         self.watcher = watcher
         self.url = url
         self.best_version = 0
@@ -198,9 +202,9 @@
         if beat.node in self.lost:
             self.lost.discard(beat.node)
             log_event("peer_back", peer=beat.node, peer_zone=beat.zone)
-        self.dispatcher.tell(
-            PeerSummary(beat.counters, beat.demand, beat.config_version, beat.echoes)
-        )
+        summary = PeerSummary(beat.counters, beat.demand, beat.config_version, beat.echoes)
+        self.dispatcher.tell(summary)
+        self.placer.tell(summary)
         if beat.config_version > self.best_version and beat.url:
             self.best_version = beat.config_version
             self.watcher.tell(PeerHasNewer(beat.config_version, beat.url))
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -14,7 +14,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
-from turmerictray.router.messages import ConfigApplied, PeerHasNewer
+from turmerictray.router.messages import ConfigApplied, ConfigConfirmed, PeerHasNewer
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
 _WALK_BACK = 16
@@ -42,12 +42,17 @@
     url : str
         Base URL of the configuration service.
     dispatcher : pykka.ActorRef
+    placer : pykka.ActorRef
+        Told of every answer of the service, as it may act only on what is known to be newest.
     wait_s : float
         How long one watch call may be held, in seconds; also bounds the time to stop.
     """
 
-    def __init__(self, url: str, dispatcher: pykka.ActorRef, wait_s: float) -> None:
+    def __init__(
+        self, url: str, dispatcher: pykka.ActorRef, placer: pykka.ActorRef, wait_s: float
+    ) -> None:
         super().__init__()
+        self.placer = placer
         self.url = url.rstrip("/") + "/config"
         self.dispatcher = dispatcher
         self.wait_s = wait_s
@@ -74,6 +79,7 @@
         # The watch is keyed on the newest revision seen, accepted or not: keyed on the
         # accepted one, a rejected text would be handed back at once, again and again, in a
         # hot loop against the service's shared read limit.
+        asked_at = time.monotonic()
         headers = {"If-None-Match": f'"{self.seen}"'} if self.seen else {}
         fields = {"wait": str(self.wait_s)} if self.seen else {}
         try:
@@ -90,6 +96,7 @@
         metrics.count_control("config", 200, len(resp.data) + 200)
         if resp.status == 304:
             self.failures = 0
+            self.placer.tell(ConfigConfirmed(self.seen, asked_at))
             return
         if resp.status != 200:
             self._fail(f"status {resp.status}")
@@ -98,6 +105,7 @@
         etag = resp.headers.get("ETag", "").strip('"')
         if etag.isdigit():
             self.seen = max(self.seen, int(etag))
+            self.placer.tell(ConfigConfirmed(int(etag), asked_at))
         if not self.offer(resp.data):
             self._walk_back(self.seen)
 
--- a/turmerictray/standins/batcher.py
+++ b/turmerictray/standins/batcher.py
@@ -65,6 +65,11 @@
 class Order:
     fence: int
     action: str
+    models: list[str]
+
+
+class ModelsQuery:
+    pass
 
 
 class LoadQuery:
@@ -102,7 +107,8 @@
         self.cache: OrderedDict[str, None] = OrderedDict()
         self.fault, self.fault_count = Fault.NONE, 0
         self.fence = 0
-        self.orders: list[tuple[int, str]] = []
+        self.orders: list[tuple[int, str, list[str]]] = []
+        self.models: list[str] = []
         self.executions: dict[str, int] = {}
         self.tokens: dict[str, int] = {}
         self.busy_s = 0.0
@@ -129,6 +135,8 @@
             self.fault, self.fault_count = msg.mode, msg.count
         elif isinstance(msg, Order):
             return self._order(msg)
+        elif isinstance(msg, ModelsQuery):
+            return list(self.models), self.fence
         elif isinstance(msg, LoadQuery):
             return self._lagged_load()
         elif isinstance(msg, StatsQuery):
@@ -161,7 +169,9 @@
         if self.check_fencing and msg.fence < self.fence:
             return False, self.fence
         self.fence = max(self.fence, msg.fence)
-        self.orders.append((msg.fence, msg.action))
+        self.orders.append((msg.fence, msg.action, msg.models))
+        if msg.action == "set_models":
+            self.models = list(msg.models)
         return True, self.fence
 
     def _sample(self) -> None:
@@ -190,4 +200,5 @@
             "waiting": len(self.waiting),
             "orders": self.orders,
             "fence": self.fence,
+            "models": self.models,
         }
--- a/turmerictray/standins/engine.py
+++ b/turmerictray/standins/engine.py
@@ -13,8 +13,10 @@
 ``POST /v1/cancel/<id>``
     Stops a running request.
 ``POST /admin/order``
-    ``{"fence": n, "action": "..."}``; refused with 409 when fencing is checked and ``n`` is
-    lower than a number already seen.
+    ``{"fence": n, "action": "set_models", "models": [...]}``; refused with 409 when fencing is
+    checked and ``n`` is lower than a number already seen.
+``GET /admin/models``
+    ``{"models": [...], "fence": n}``: what is loaded, and the highest number seen.
 ``POST /admin/fault``
     ``{"mode": "slow|fail|hang|reset|not_run|none", "count": n}`` for the next ``n`` requests.
 ``GET /admin/stats``
@@ -67,6 +69,7 @@
         self.app.route("POST", "/v1/cancel/", self.cancel)
         self.app.route("GET", "/load", self.load)
         self.app.route("POST", "/admin/order", self.order)
+        self.app.route("GET", "/admin/models", self.models)
         self.app.route("POST", "/admin/fault", self.set_fault)
         self.app.route("GET", "/admin/stats", self.stats)
 
@@ -192,12 +195,24 @@
 
     def order(self, call: Call) -> Reply:
         doc = call.json()
-        ok, fence = self.batcher.ask(b.Order(int(doc["fence"]), str(doc["action"])))
-        log_event("engine_order", fence=doc["fence"], action=doc["action"], accepted=ok)
+        models = [str(name) for name in doc.get("models", [])]
+        ok, fence = self.batcher.ask(b.Order(int(doc["fence"]), str(doc["action"]), models))
+        log_event(
+            "engine_order",
+            fence=doc["fence"],
+            action=doc["action"],
+            models=",".join(models),
+            accepted=ok,
+            router=call.headers.get("x-router"),
+        )
         if not ok:
             return json_reply({"error": {"type": "stale_fence", "fence": fence}}, 409)
         return json_reply({"accepted": True, "fence": fence})
 
+    def models(self, call: Call) -> Reply:
+        models, fence = self.batcher.ask(b.ModelsQuery())
+        return json_reply({"models": models, "fence": fence})
+
     def set_fault(self, call: Call) -> Reply:
         doc = call.json()
         self.batcher.tell(b.SetFault(b.Fault(doc["mode"]), int(doc.get("count", -1))))
