No tight loop on a stale service; drains keep retries; connections no longer break orders

The watch was keyed on the newest revision ever seen. A service that fell behind it answered at once with its old text, and was asked again at once: two routers read it 2,957 times in 3 s, half of the fleet-wide limit of 2,000 a second. It is keyed on the last revision answered, and an answer that brings nothing new is followed by a pause of 0.5 s. After: at most 30 reads in 3 s, and a later revision in force within 6 s. The front closed idle connections after 1 s, so a caller that kept its connection met a closed one. Kept for 75 s now. 3. An order sent over a kept connection that the target closed at that moment ended as 'outcome unknown' without having run. Orders go over a connection of their own. 4. A request between two tries was refused as draining, or the process stopped under it. Retries are taken during a drain, and the router must be found idle twice.

--- a/tests/config/test_config_check.py
+++ b/tests/config/test_config_check.py
@@ -44,6 +44,30 @@
     ctx["text"] = msgspec.json.encode(doc)
 
 
+def _with_orders() -> dict:
+    doc = copy.deepcopy(BASE)
+    target = {"id": "s0", "url": "http://127.0.0.1:2", "zone": "tema-hall"}
+    doc["services"].append({"name": "orders", "kind": "plain", "targets": [target]})
+    return doc
+
+
+@given(
+    parsers.parse('a configuration text whose services "{one}" and "{other}" depend on each other')
+)
+def text_cycle(ctx, one, other):
+    doc = _with_orders()
+    doc["services"][0]["depends_on"] = [other]
+    doc["services"][1]["depends_on"] = [one]
+    ctx["text"] = msgspec.json.encode(doc)
+
+
+@given("a configuration text whose plain service is told to load a model")
+def text_plain_models(ctx):
+    doc = _with_orders()
+    doc["services"][1]["targets"][0]["models"] = ["chat-1"]
+    ctx["text"] = msgspec.json.encode(doc)
+
+
 @when("the text is checked")
 def check(ctx):
     try:
--- a/tests/router/test_config_revert.py
+++ b/tests/router/test_config_revert.py
@@ -61,3 +61,25 @@
         time.sleep(0.02)
     assert versions, "router-1 never answered"
     assert min(versions) >= 2, versions[:10]
+
+
+@then("the routers read it no more than 10 times a second together")
+def few_reads(fleet):
+    # Callers notice nothing, but the service counts every read of every router against one
+    # limit. A router whose watch names a revision newer than the service's own is answered at
+    # once, with the old text, and asks again at once.
+    time.sleep(1.0)
+    before = fleet.get_json("config", "/admin/stats")["reads"]
+    time.sleep(3.0)
+    reads = fleet.get_json("config", "/admin/stats")["reads"] - before
+    assert reads <= 30, f"{reads} reads in 3 s"
+
+
+@then("revision 3, published when the service has caught up, is in force within 6 seconds")
+def caught_up(fleet):
+    fleet.post_json("config", "/admin/mode", {"mode": "ok"})
+    assert fleet.post_json("config", "/admin/publish", dict(fleet.config))["version"] == 3
+    deadline = time.monotonic() + 6
+    while any(fleet.get_json(p.name, "/status")["config_version"] < 3 for p in fleet.routers()):
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
--- a/turmerictray/config/load.py
+++ b/turmerictray/config/load.py
@@ -4,6 +4,7 @@
 reason; a refused text changes nothing in force.
 """
 
+from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
 from typing import TypeVar
 
@@ -62,6 +63,14 @@
     return sorted({name for name in names if name in seen or seen.add(name)})
 
 
+def _dependency_cycle(depends_on: dict[str, list[str]]) -> tuple[str, ...]:
+    try:
+        TopologicalSorter(depends_on).prepare()
+    except CycleError as exc:
+        return tuple(exc.args[1])
+    return ()
+
+
 def _check_consistency(cfg: Config) -> None:
     fail = _failer(cfg.version)
     svc_names = [svc.name for svc in cfg.services]
@@ -78,6 +87,9 @@
             fail(f"only engines load models - at `$.services[{idx}].targets[*].models`")
         if not svc.targets:
             fail(f"service has no targets - at `$.services[{idx}].targets`")
+    cycle = _dependency_cycle({svc.name: svc.depends_on for svc in cfg.services})
+    if cycle:
+        fail(f"services depend on each other: {' -> '.join(cycle)} - at `$.services`")
     team_ids = [team.id for team in cfg.teams]
     for name in _duplicates(team_ids):
         fail(f"team id {name!r} is used twice - at `$.teams`")
--- a/turmerictray/core/timer.py
+++ b/turmerictray/core/timer.py
@@ -12,6 +12,7 @@
 import pykka
 
 _STEP_S = 0.02
+_LATE_S = 0.4
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,14 @@
     name: str
     now: float
 
+    def is_late(self) -> bool:
+        """Whether the tick waited so long in the subscriber's mailbox that it may be skipped.
+
+        A subscriber that was blocked (a dead target's timeout, a frozen process) finds a pile
+        of ticks; working them all off would keep it behind for as long again.
+        """
+        return time.monotonic() - self.now > _LATE_S
+
 
 @dataclass
 class _Subscription:
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -26,8 +26,6 @@
 FRESH_S = 5.0
 """How long after the configuration service was asked its answer still counts as the newest."""
 
-_LATE_TICK_S = 1.0
-
 
 class Placer(pykka.ThreadingActor):
     """Compares engines with the configuration on each tick and orders what differs.
@@ -80,7 +78,7 @@
     @on_receive.register
     def _(self, msg: Tick) -> None:
         cfg = self.snapshot.current
-        if cfg is None or time.monotonic() - msg.now > _LATE_TICK_S:
+        if cfg is None or msg.is_late():
             return
         live = self._live()
         for target in _engines(cfg):
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -31,6 +31,7 @@
 from turmerictray.router.peers import PeerLink
 from turmerictray.router.proxy import Proxy
 from turmerictray.router.server import HttpServer
+from turmerictray.router.status import RouterStatus
 from turmerictray.router.upstream import Upstream
 from turmerictray.router.watch_config import ConfigWatcher
 from turmerictray.router.watch_instances import InstancePoller
@@ -84,14 +85,14 @@
     def start_actors(self) -> None:
         """Start the dispatcher, watchers and peer link and subscribe them to the timer."""
         s = self.settings
-        self.dispatcher = _SnapshotDispatcher.start(
+        self.dispatcher = Dispatcher.start(
             NodeId(s.node),
             self.incarnation,
-            s.assertions,
-            s.peer_timeout_s,
-            len(s.peers),
-            s.threads,
             self.snapshot,
+            assertions=s.assertions,
+            peer_timeout_s=s.peer_timeout_s,
+            expected_peers=len(s.peers),
+            places=s.threads,
         )
         self._bootstrap()
         members = self._members()
@@ -106,17 +107,16 @@
             self.timer.subscribe(poller, "instances", s.instances_poll_s)
         load = LoadPoller.start(self.dispatcher)
         self.timer.subscribe(load, "load", s.load_poll_s)
-        url = s.advertise_url or f"http://{s.listen.host}:{s.listen.port}"
         link = PeerLink.start(
-            s.node,
-            s.zone,
-            s.peer_listen,
-            [peer.heartbeat for peer in s.peers],
-            self.dispatcher,
-            s.peer_timeout_s,
-            placer,
-            watcher,
-            url,
+            node=s.node,
+            zone=s.zone,
+            listen=s.peer_listen,
+            peers=[peer.heartbeat for peer in s.peers],
+            dispatcher=self.dispatcher,
+            peer_timeout_s=s.peer_timeout_s,
+            placer=placer,
+            watcher=watcher,
+            url=s.advertise_url or f"http://{s.listen.host}:{s.listen.port}",
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
         self.guard = self._start_guard(members)
@@ -165,15 +165,20 @@
         if self.front is not None:
             self.front.draining = True
         self.dispatcher.tell(Drain())
-        deadline = time.monotonic() + self.settings.drain_timeout_s
-        state = self.dispatcher.ask(StatusQuery(), timeout=5)
-        while time.monotonic() < deadline:
+        state = self._wait_idle(time.monotonic() + self.settings.drain_timeout_s)
+        log_event("drain_done", inflight=state.inflight, queued=state.queued)
+        self.app.request_stop()
+
+    def _wait_idle(self, deadline: float) -> RouterStatus:
+        # A request between two tries is neither queued nor in flight for a moment; stopping
+        # then would cut it, so the router must be found idle twice in a row.
+        idle = 0
+        while True:
             state = self.dispatcher.ask(StatusQuery(), timeout=5)
-            if state["inflight"] == 0 and state["queued"] == 0:
-                break
+            idle = idle + 1 if state.inflight == 0 and state.queued == 0 else 0
+            if idle == 2 or time.monotonic() >= deadline:
+                return state
             time.sleep(_DRAIN_POLL_S)
-        log_event("drain_done", inflight=state["inflight"], queued=state["queued"])
-        self.app.request_stop()
 
     def run(self) -> int:
         """Run until stopped; returns the process exit code."""
@@ -194,27 +199,6 @@
             self.router.http.stop()
 
 
-class _SnapshotDispatcher(Dispatcher):
-    """A dispatcher that also publishes the configuration in force to the front."""
-
-    def __init__(
-        self,
-        node,
-        incarnation,
-        assertions,
-        peer_timeout_s,
-        expected_peers,
-        places,
-        snapshot: ConfigSnapshot,
-    ) -> None:
-        super().__init__(node, incarnation, assertions, peer_timeout_s, expected_peers, places)
-        self.snapshot = snapshot
-
-    def _apply(self, cfg) -> None:
-        super()._apply(cfg)
-        self.snapshot.current = cfg
-
-
 def run_router(settings_path: str) -> int:
     """Load settings and run a router; returns the exit code (2 for refused settings)."""
     try:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -12,17 +12,18 @@
 import pykka
 
 from turmerictray.config.schema import Config
+from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.config.state import ConfigState
 from turmerictray.core import metrics
 from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
-from turmerictray.fairness.allot import SlotCount, allot
+from turmerictray.fairness.allot import SlotCount
 from turmerictray.fairness.hold import Hold
 from turmerictray.fairness.ledger import ServiceLedger
 from turmerictray.fairness.queue import FairQueue, Pending
-from turmerictray.fairness.shares import ShareTable
+from turmerictray.fairness.slots import SlotShares
 from turmerictray.router.messages import (
     Admit,
     ConfigApplied,
@@ -37,6 +38,7 @@
     StatusQuery,
     TargetsQuery,
 )
+from turmerictray.router.status import RouterStatus, TargetStatus, TeamStatus
 from turmerictray.routing.choice import choose_target
 from turmerictray.routing.table import TargetTable
 from turmerictray.routing.target import TargetState, TargetView
@@ -54,6 +56,8 @@
         This router.
     incarnation : int
         This process's start time in nanoseconds; used as fencing number and peer incarnation.
+    snapshot : ConfigSnapshot
+        Where the configuration in force is put for the other parts to read.
     assertions : bool
         Check the dispatcher's invariants after every message (slower; for randomised runs).
     peer_timeout_s : float
@@ -69,6 +73,7 @@
         self,
         node: NodeId,
         incarnation: int,
+        snapshot: ConfigSnapshot,
         assertions: bool = False,
         peer_timeout_s: float = 3.0,
         expected_peers: int = 0,
@@ -77,6 +82,7 @@
         super().__init__()
         self.node = node
         self.incarnation = incarnation
+        self.snapshot = snapshot
         self.assertions = assertions
         self.ledger = ServiceLedger(node, incarnation)
         self.config = ConfigState()
@@ -84,8 +90,7 @@
         self.queues: dict[ServiceName, FairQueue] = {}
         self.hold = Hold(places)
         self.draining = False
-        self.peer_timeout_s = peer_timeout_s
-        self.shares: dict[ServiceName, ShareTable] = {}
+        self.shares = SlotShares(node, peer_timeout_s)
         self.started_at = time.monotonic()
         self.startup_s = peer_timeout_s
         self.expected_peers = expected_peers
@@ -114,7 +119,7 @@
     @handle.register
     def _(self, msg: Admit) -> None:
         cfg = self.config.current
-        if self.draining:
+        if self.draining and not msg.retry:
             retry = cfg.limits.retry_after_s if cfg else 1.0
             msg.reply.set_exception(Draining("draining", retry))
             return
@@ -138,7 +143,7 @@
         idle = not len(queue)
         try:
             self._check_hold(msg, cfg)
-            queue.push(pending, front=msg.front)
+            queue.push(pending, front=msg.retry)
         except QueueFull as exc:
             msg.reply.set_exception(exc)
             return
@@ -193,7 +198,8 @@
             log_event("peer_life", peer=msg.counters.node, incarnation=msg.counters.incarnation)
         for report in msg.echoes:
             self.ledger.merge(report)
-        self._take_demand(msg)
+        self.shares.update(msg.counters.node, msg.demand)
+        self.ledger.waiting_elsewhere = self.shares.teams_waiting()
         self.ledger.forgive(self.config.limits().catch_up_tokens)
         self.peer_versions[msg.counters.node] = msg.config_version
         self._check_ready(time.monotonic())
@@ -215,7 +221,7 @@
         self._pump()
 
     @handle.register
-    def _(self, msg: StatusQuery) -> dict:
+    def _(self, msg: StatusQuery) -> RouterStatus:
         return self.status()
 
     @handle.register
@@ -227,47 +233,37 @@
     def _(self, msg: TargetsQuery) -> list[tuple[str, str]]:
         return [(view.id, view.url) for view in self.table.targets.values()]
 
-    def status(self) -> dict:
-        """A JSON-ready snapshot: config version, queues, targets, fleet service per team."""
+    def status(self) -> RouterStatus:
+        """A snapshot of the router's state, without its claims on orders."""
         teams = self.ledger.known_teams() | {
             team for queue in self.queues.values() for team in queue.backlogged()
         }
-        return {
-            "node": self.node,
-            "config_version": self.config.version,
-            "draining": self.draining,
-            "ready": self.ready,
-            "share": round(min((self._share(svc) for svc in self.queues), default=1.0), 3),
-            "queued": self._queued(),
-            "in_hand": len(self.hold),
-            "inflight": self.table.inflight_total(),
-            "targets": [
-                {
-                    "id": v.id,
-                    "service": v.service,
-                    "state": v.state.value,
-                    "inflight": v.inflight,
-                    "reported_busy": v.reported_busy,
-                    "slots": v.slots,
-                    "dispatched": v.dispatched,
-                }
-                for v in self.table.targets.values()
-            ],
-            "teams": {
-                team: {
-                    "local": self.ledger.settled[TeamId(team)],
-                    "fleet": self.ledger.total(TeamId(team)),
-                    "queued": sum(q.depth(TeamId(team)) for q in self.queues.values()),
-                }
-                for team in sorted(teams)
-            },
-            "peers": sorted({node for node, _ in self.ledger.remote} - {self.node}),
-        }
+        shares = (
+            self.shares.share(service, self._demand_for(service), self.ledger.weights)
+            for service in self.queues
+        )
+        return RouterStatus(
+            node=self.node,
+            config_version=self.config.version,
+            draining=self.draining,
+            ready=self.ready,
+            share=round(min(shares, default=1.0), 3),
+            queued=self._queued(),
+            in_hand=len(self.hold),
+            inflight=self.table.inflight_total(),
+            targets=[_target_status(view) for view in self.table.targets.values()],
+            teams={team: self._team_status(TeamId(team)) for team in sorted(teams)},
+            peers=sorted({node for node, _ in self.ledger.remote} - {self.node}),
+        )
+
+    def _team_status(self, team: TeamId) -> TeamStatus:
+        queued = sum(queue.depth(team) for queue in self.queues.values())
+        return TeamStatus(self.ledger.settled[team], self.ledger.total(team), queued)
 
     def _check_hold(self, msg: Admit, cfg: Config) -> None:
         # Requests past the front's threads wait unseen in the server, in order of arrival,
         # where one flooding team stands before all others. A retry is in hand already.
-        if not msg.front and not self.hold.admits(msg.team):
+        if not msg.retry and not self.hold.admits(msg.team):
             raise QueueFull("front_full", cfg.limits.retry_after_s)
 
     def _queue(self, service: ServiceName) -> FairQueue:
@@ -284,6 +280,7 @@
         for queue in self.queues.values():
             queue.max_per_team = cfg.limits.queue_per_team
             queue.retry_after = cfg.limits.retry_after_s
+        self.snapshot.current = cfg
         metrics.CONFIG_VERSION.set(cfg.version)
 
     def _pump(self) -> None:
@@ -345,23 +342,6 @@
                 timed_out=timed_out and not (heard_all and caught_up),
             )
 
-    def _take_demand(self, msg: PeerSummary) -> None:
-        peer = msg.counters.node
-        for service in {*self.shares, *map(ServiceName, msg.demand)}:
-            self._share_table(service).update(peer, msg.demand.get(service, {}))
-        self.ledger.waiting_elsewhere = set().union(
-            *(table.teams_waiting() for table in self.shares.values())
-        )
-
-    def _share_table(self, service: ServiceName) -> ShareTable:
-        table = self.shares.get(service)
-        if table is None:
-            table = self.shares[service] = ShareTable(self.node, self.peer_timeout_s)
-        return table
-
-    def _share(self, service: ServiceName) -> float:
-        return self._share_table(service).share(self._demand_for(service), self.ledger.weights)
-
     def _demand_for(self, service: ServiceName) -> dict[TeamId, int]:
         queue = self.queues.get(service)
         return {team: queue.depth(team) for team in queue.backlogged()} if queue else {}
@@ -375,14 +355,13 @@
             self._claim_slots(service)
 
     def _claim_slots(self, service: ServiceName) -> None:
-        shares = self._share_table(service).shares(self._demand_for(service), self.ledger.weights)
         views = [view for view in self.table.of_service(service) if view.state is TargetState.LIVE]
-        if not shares:
-            claims = {view.id: view.slots for view in views}
-        elif self.node not in shares:
-            claims = {}
-        else:
-            claims = allot(self.node, shares, [SlotCount(view.id, view.slots) for view in views])
+        claims = self.shares.claims(
+            service,
+            self._demand_for(service),
+            self.ledger.weights,
+            [SlotCount(view.id, view.slots) for view in views],
+        )
         for view in views:
             view.claim = claims.get(view.id, 0)
 
@@ -405,3 +384,17 @@
                 placement = queue.peek_head(team).context
                 view = choose_target(targets, placement.prefix_key, placement.exclude)
                 assert view is None, f"work waits for {service} while {view.id} has a free slot"
+
+
+def _target_status(view: TargetView) -> TargetStatus:
+    return TargetStatus(
+        view.id,
+        view.service,
+        view.state.value,
+        view.inflight,
+        view.claim,
+        view.reported_busy,
+        view.slots,
+        view.dispatched,
+        view.suspect_until is not None,
+    )
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -79,8 +79,8 @@
             )
         if path == "/status":
             state = self.dispatcher.ask(StatusQuery(), timeout=5)
-            state["orders"] = self.proxy.guard.state()
-            return _send(start_response, 200, msgspec.json.encode(state))
+            whole = msgspec.structs.replace(state, orders=self.proxy.guard.state())
+            return _send(start_response, 200, msgspec.json.encode(whole))
         if path == "/admin/config":
             cfg = self.snapshot.current
             if cfg is None:
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -42,7 +42,8 @@
     """Queue a request; the dispatcher resolves ``reply`` with a :class:`Grant` or an error.
 
     A caller's thread that gives up waiting cancels ``reply``; the dispatcher then drops the
-    request instead of granting it.
+    request instead of granting it. A ``retry`` of a request accepted before goes to the head of
+    its team's queue and is taken also while the router drains.
     """
 
     req_id: RequestId
@@ -50,7 +51,7 @@
     hint: float
     placement: Placement
     reply: Future = field(default_factory=Future)
-    front: bool = False
+    retry: bool = False
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -145,7 +145,8 @@
 
     def on_receive(self, message: object) -> None:
         if isinstance(message, Tick):
-            self._beat()
+            if not message.is_late():
+                self._beat()
             self._check_lost(time.monotonic())
         elif isinstance(message, Heartbeat):
             self._take(message)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -117,7 +117,7 @@
         broken: OutcomeUnknown | None = None
         for attempt in range(tries):
             try:
-                grant = self._admit(req, cfg, frozenset(exclude), front=attempt > 0)
+                grant = self._admit(req, cfg, frozenset(exclude), retry=attempt > 0)
             except AdmissionError:
                 if broken is None:
                     raise
@@ -166,6 +166,7 @@
                 self._headers(req, grant),
                 limits.connect_timeout_s,
                 limits.request_timeout_s,
+                req.idempotent,
             )
         except (NotSent, UpstreamRefused) as exc:
             self._finish(req, grant, 0.0, reached=isinstance(exc, UpstreamRefused))
@@ -219,12 +220,12 @@
         )
 
     def _admit(
-        self, req: CallerRequest, cfg: Config, exclude: frozenset[str], front: bool
+        self, req: CallerRequest, cfg: Config, exclude: frozenset[str], retry: bool
     ) -> Grant:
         placement = Placement(req.service, req.prefix_key, exclude)
         reply: Future = Future()
         start = time.monotonic()
-        self.dispatcher.tell(Admit(req.req_id, req.team, req.hint, placement, reply, front))
+        self.dispatcher.tell(Admit(req.req_id, req.team, req.hint, placement, reply, retry))
         try:
             grant = reply.result(timeout=cfg.limits.queue_timeout_s + _GRANT_MARGIN_S)
         except FutureTimeout:
--- a/turmerictray/router/server.py
+++ b/turmerictray/router/server.py
@@ -6,6 +6,10 @@
 
 from turmerictray.core.logs import log_event
 
+_IDLE_S = 75
+"""Seconds an idle connection is kept, longer than callers and balancers commonly keep theirs:
+the end that closes first must be theirs, or their next request meets a closed connection."""
+
 
 class HttpServer:
     """Serves a WSGI application on its own thread pool.
@@ -32,7 +36,7 @@
             shutdown_timeout=5,
             request_queue_size=1024,
         )
-        self.server.timeout = 1
+        self.server.timeout = _IDLE_S
         self._thread = threading.Thread(target=self._serve, name=f"http-{name}", daemon=True)
 
     def start(self) -> None:
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -28,7 +28,13 @@
         self._pool = urllib3.PoolManager(num_pools=256, maxsize=maxsize, block=False, retries=False)
 
     def open(
-        self, url: str, body: bytes, headers: dict[str, str], connect_s: float, read_s: float
+        self,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+        connect_s: float,
+        read_s: float,
+        idempotent: bool = True,
     ) -> urllib3.BaseHTTPResponse:
         """Send a POST and return the response with its body still to be read.
 
@@ -42,6 +48,8 @@
             Request headers.
         connect_s, read_s : float
             Connect and read timeouts, in seconds.
+        idempotent : bool
+            A call that is not goes over a connection of its own.
 
         Returns
         -------
@@ -57,9 +65,13 @@
         UpstreamRefused
             The target answered 503 with ``X-Not-Run: 1``: it refused before doing any work.
         """
+        # A target may close a kept connection just as the next call is written to it. That call
+        # may be repeated if it is idempotent; an order would end as "outcome unknown" although
+        # it never ran, so it goes over a connection of its own.
+        send = self._pool.request if idempotent else _request_alone
         timeout = urllib3.Timeout(connect=connect_s, read=read_s)
         try:
-            resp = self._pool.request(
+            resp = send(
                 "POST",
                 url,
                 body=body,
@@ -97,3 +109,10 @@
     def close(self) -> None:
         """Close every pooled connection."""
         self._pool.clear()
+
+
+def _request_alone(method: str, url: str, headers: dict[str, str], **options):
+    # The pool and its one connection live as long as the response, so nothing is reused.
+    pool = urllib3.connection_from_url(url, maxsize=1)
+    target = urllib3.util.parse_url(url).request_uri
+    return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -17,6 +17,7 @@
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed, PeerHasNewer
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
+_NOTHING_NEW_S = 0.5
 _WALK_BACK = 16
 """Earlier revisions read, at most, to find the newest valid one behind a rejected text."""
 
@@ -57,7 +58,7 @@
         self.dispatcher = dispatcher
         self.wait_s = wait_s
         self.version = 0
-        self.seen = 0
+        self.answered = 0
         self.failures = 0
         self.http = urllib3.PoolManager(retries=False)
 
@@ -76,12 +77,13 @@
                 self.actor_ref.tell(_Poll())
 
     def _poll(self) -> None:
-        # The watch is keyed on the newest revision seen, accepted or not: keyed on the
-        # accepted one, a rejected text would be handed back at once, again and again, in a
-        # hot loop against the service's shared read limit.
+        # The watch is keyed on the revision the service answered last, accepted or not, newest
+        # or not. Keyed on the accepted one, a rejected text would be handed back at once, again
+        # and again; keyed on the newest one seen, so would the old text of a service that fell
+        # behind: either way a hot loop against the service's shared read limit.
         asked_at = time.monotonic()
-        headers = {"If-None-Match": f'"{self.seen}"'} if self.seen else {}
-        fields = {"wait": str(self.wait_s)} if self.seen else {}
+        headers = {"If-None-Match": f'"{self.answered}"'} if self.answered else {}
+        fields = {"wait": str(self.wait_s)} if self.answered else {}
         try:
             resp = self.http.request(
                 "GET",
@@ -96,7 +98,7 @@
         metrics.count_control("config", 200, len(resp.data) + 200)
         if resp.status == 304:
             self.failures = 0
-            self.placer.tell(ConfigConfirmed(self.seen, asked_at))
+            self.placer.tell(ConfigConfirmed(self.answered, asked_at))
             return
         if resp.status != 200:
             self._fail(f"status {resp.status}")
@@ -104,10 +106,15 @@
         self.failures = 0
         etag = resp.headers.get("ETag", "").strip('"')
         if etag.isdigit():
-            self.seen = max(self.seen, int(etag))
-            self.placer.tell(ConfigConfirmed(int(etag), asked_at))
+            self.answered = int(etag)
+            self.placer.tell(ConfigConfirmed(self.answered, asked_at))
+        known = self.version
         if not self.offer(resp.data):
-            self._walk_back(self.seen)
+            self._walk_back(self.answered)
+        if self.version == known:
+            # Read through replicas of which some are behind, each answer differs from the last
+            # and comes at once. The pause keeps that to a few reads a second.
+            time.sleep(_NOTHING_NEW_S)
 
     def _fetch_from_peer(self, msg: PeerHasNewer) -> None:
         # A router restarted while the service is stale or down would otherwise stay on the
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -49,7 +49,7 @@
         self.http.clear()
 
     def on_receive(self, message: object) -> None:
-        if not isinstance(message, Tick):
+        if not isinstance(message, Tick) or message.is_late():
             return
         try:
             resp = self.http.request("GET", self.url, timeout=urllib3.Timeout(1.0, read=1.0))
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -35,7 +35,7 @@
         self.http.clear()
 
     def on_receive(self, message: object) -> None:
-        if not isinstance(message, Tick):
+        if not isinstance(message, Tick) or message.is_late():
             return
         targets = self.dispatcher.ask(TargetsQuery(), timeout=2)
         for tid, url in targets:
