Reading pass: the local fleet, the fault player and the flood steps stand on their own

Logic that stood twice: three readers of the control byte counter are one (loadtool.scrape, by prometheus_client's parser); two sets of flood steps are one in tests/router/conftest.py; the bench's plot moved from the command line to the report.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import settings
 
-from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.loadtool.fleet_spec import FleetSpec
+from turmerictray.loadtool.local import LocalFleet
 
 # The same examples on every run, so that a verdict never depends on luck.
 settings.register_profile("repeatable", derandomize=True, deadline=None)
--- a/tests/router/test_front_limits.py
+++ b/tests/router/test_front_limits.py
@@ -6,7 +6,6 @@
 import urllib3
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from tests.router.callers import Callers
 from turmerictray.loadtool.client import call_stream
 
 scenarios("features/front_limits.feature")
@@ -22,6 +21,9 @@
     target_fixture="fleet",
 )
 def small_front(start_fleet, threads, a, b):
+    # Each caller's connection holds one thread of the front while its request waits. If the
+    # flooding team's requests hold them all, the small team's wait outside, unseen by the fair
+    # queue, in order of arrival behind sixty others.
     return start_fleet(
         engines=1,
         engine_slots=2,
@@ -33,39 +35,6 @@
     )
 
 
-@when(
-    parsers.parse("flood keeps {many:d} callers busy and small keeps {few:d} for {secs:d} seconds")
-)
-def flood(fleet, ctx, many, few, secs):
-    # Each caller's connection holds one thread of the front while its request waits. If the
-    # flooding team's requests hold them all, the small team's wait outside, unseen by the fair
-    # queue, in order of arrival behind sixty others.
-    callers = Callers()
-    url = fleet.routers()[0].url
-    callers.add(url, "flood", many, 20)
-    callers.add(url, "small", few, 20)
-    time.sleep(secs)
-    callers.finish()
-    ctx.update(callers=callers, many=many, few=few)
-
-
-@then(
-    parsers.parse("each small caller got at least {times:d} times the tokens of each flood caller")
-)
-def small_not_starved(ctx, times):
-    callers = ctx["callers"]
-    per_small = callers.tokens("small") / ctx["few"]
-    per_flood = callers.tokens("flood") / ctx["many"]
-    assert per_small >= times * per_flood, (per_small, per_flood)
-
-
-@then("flood still got at least a third of all tokens")
-def flood_served(ctx):
-    callers = ctx["callers"]
-    total = callers.tokens("flood") + callers.tokens("small")
-    assert callers.tokens("flood") >= total / 3, (callers.tokens("flood"), total)
-
-
 @then("every refusal came within 1 second and said not run with Retry-After")
 def refusals(ctx):
     refused = [out for out in ctx["callers"].outcomes if not out.ok]
--- a/tests/router/test_given_up.py
+++ b/tests/router/test_given_up.py
@@ -32,7 +32,7 @@
 
 @when(
     parsers.parse(
-        "{callers:d} callers of one team each ask for an answer of {tokens:d} " "tokens at once"
+        "{callers:d} callers of one team each ask for an answer of {tokens:d} tokens at once"
     )
 )
 def flood(fleet, ctx, callers, tokens):
--- a/tests/router/test_process_path.py
+++ b/tests/router/test_process_path.py
@@ -172,7 +172,7 @@
 
 @when(
     parsers.parse(
-        "{count:d} answers of {tokens:d} tokens are streaming and the router gets " "SIGTERM"
+        "{count:d} answers of {tokens:d} tokens are streaming and the router gets SIGTERM"
     )
 )
 def sigterm_midway(fleet, ctx, count, tokens):
--- a/turmerictray/cli/demo.py
+++ b/turmerictray/cli/demo.py
@@ -5,7 +5,8 @@
 import time
 
 from turmerictray.loadtool.experiment import Experiment, TeamLoad, latency_ratio, run_experiment
-from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.loadtool.fleet_spec import FleetSpec
+from turmerictray.loadtool.local import LocalFleet
 from turmerictray.loadtool.report import format_results
 
 
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -1,7 +1,8 @@
 """The ``turmerictray`` command-line tool.
 
 Commands: ``serve`` (run a router), ``standin`` (run a stand-in), ``config check``, ``status``,
-``drain``, ``load`` (the load and experiment tool), ``timeline`` and ``demo``.
+``drain``, ``load`` (the load and experiment tool), ``chaos`` (randomised faults), ``bench`` (the
+capacity bench), ``timeline`` and ``demo``.
 """
 
 import json
@@ -286,23 +287,13 @@
         Write a PNG of control bytes/s against fleet size here.
     """
     from turmerictray.loadtool.bench import format_bench, run_bench, save_bench
+    from turmerictray.loadtool.report import plot_control
 
     res = run_bench(seconds)
     print(format_bench(res))
     save_bench(res, str(out))
     if plot:
-        import matplotlib
-
-        matplotlib.use("Agg")
-        import matplotlib.pyplot as plt
-
-        fig, ax = plt.subplots(figsize=(6, 3.5))
-        sizes = sorted(res.idle)
-        ax.plot(sizes, [res.idle[n]["bytes_per_s"] for n in sizes], marker="o")
-        ax.set_xlabel("routers in the fleet")
-        ax.set_ylabel("control bytes/s per router (idle)")
-        fig.tight_layout()
-        fig.savefig(plot)
+        plot_control(res, str(plot))
     return 0
 
 
--- a/turmerictray/loadtool/bench.py
+++ b/turmerictray/loadtool/bench.py
@@ -19,8 +19,10 @@
 from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
 from turmerictray.fairness.shares import ShareTable
 from turmerictray.loadtool.client import call_stream
-from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.loadtool.fleet_spec import FleetSpec
+from turmerictray.loadtool.local import LocalFleet
 from turmerictray.loadtool.order_cost import OrderCost, measure_order_cost
+from turmerictray.loadtool.scrape import control_bytes
 from turmerictray.router.peers import _ENCODER, Heartbeat
 
 
@@ -100,15 +102,6 @@
     return [psutil.Process(p.popen.pid) for p in fleet.routers()]
 
 
-def _control_total(fleet: LocalFleet, name: str) -> float:
-    text = urllib3.request("GET", fleet.procs[name].url + "/metrics").data.decode()
-    return sum(
-        float(line.rsplit(" ", 1)[1])
-        for line in text.splitlines()
-        if line.startswith("turmerictray_control_bytes_total{")
-    )
-
-
 def idle_control(routers: int, seconds: float) -> dict:
     """Control bytes/s and processor share per router of an idle fleet of ``routers``."""
     fleet = LocalFleet(FleetSpec(engines=1, services=0, routers=routers)).start()
@@ -116,10 +109,10 @@
         time.sleep(1.0)
         procs = _router_procs(fleet)
         cpu0 = [sum(p.cpu_times()[:2]) for p in procs]
-        bytes0 = [_control_total(fleet, p.name) for p in fleet.routers()]
+        bytes0 = [control_bytes(p.url) for p in fleet.routers()]
         time.sleep(seconds)
         cpu1 = [sum(p.cpu_times()[:2]) for p in procs]
-        bytes1 = [_control_total(fleet, p.name) for p in fleet.routers()]
+        bytes1 = [control_bytes(p.url) for p in fleet.routers()]
         rss = max(p.memory_info().rss for p in procs) / 2**20
     finally:
         fleet.stop()
--- a/turmerictray/loadtool/chaos.py
+++ b/turmerictray/loadtool/chaos.py
@@ -4,23 +4,21 @@
 is checked against what the targets executed.
 """
 
-import heapq
-import itertools
 import random
-import signal
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import urllib3
 
-from turmerictray.core.logs import log_event, setup_logging
+from turmerictray.core.logs import setup_logging
 from turmerictray.loadtool.client import Outcome, call_stream
-from turmerictray.loadtool.faults import Fault, FaultKind, draw_faults
+from turmerictray.loadtool.fault_player import FaultPlayer
+from turmerictray.loadtool.faults import draw_faults
+from turmerictray.loadtool.fleet_spec import FleetSpec
 from turmerictray.loadtool.history import Violation, check_config_logs, check_history, check_orders
-from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.loadtool.local import LocalFleet
 from turmerictray.loadtool.orders import OrderCaller, OrderTrial
 
 _TEAMS = {"depot": 2.0, "riders": 1.0, "kiosks": 1.0}
@@ -62,128 +60,6 @@
     violations: list[Violation] = field(default_factory=list)
 
 
-class FaultPlayer:
-    """Plays a schedule of faults on a fleet, in its own thread.
-
-    Parameters
-    ----------
-    fleet : LocalFleet
-        With ``cuttable`` links.
-    faults : list of Fault
-    """
-
-    def __init__(self, fleet: LocalFleet, faults: list[Fault]) -> None:
-        self.fleet = fleet
-        self.routers = [proc.name for proc in fleet.routers()]
-        self._order = itertools.count()
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
-        self._down: set[str] = set()
-        self.played: dict[str, int] = {}
-        for fault in faults:
-            self._at(fault.at_s, lambda fault=fault: self._play(fault))
-        self._thread = threading.Thread(target=self._run, name="faults", daemon=True)
-
-    def start(self) -> None:
-        """Begin with the schedule."""
-        self._began = time.monotonic()
-        self._thread.start()
-
-    def finish(self) -> None:
-        """Wait for the schedule's end, with every fault undone."""
-        self._thread.join()
-        self.fleet.heal()
-        self.fleet.post_json("config", "/admin/mode", {"mode": "ok"})
-
-    def _at(self, at_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at_s, next(self._order), action))
-
-    def _run(self) -> None:
-        while self._agenda:
-            at_s, _, action = heapq.heappop(self._agenda)
-            time.sleep(max(0.0, self._began + at_s - time.monotonic()))
-            action()
-
-    def _play(self, fault: Fault) -> None:
-        log_event("fault", kind=fault.kind.value, victim=fault.victim, for_s=round(fault.for_s, 2))
-        self.played[fault.kind.value] = self.played.get(fault.kind.value, 0) + 1
-        _ACTIONS[fault.kind](self, fault)
-
-    def _router(self, fault: Fault) -> str | None:
-        name = self.routers[fault.victim % len(self.routers)]
-        return None if name in self._down else name
-
-    def _kill(self, fault: Fault) -> None:
-        name = self._router(fault)
-        if name is None:
-            return
-        self._down.add(name)
-        self.fleet.kill(name)
-        self._at(fault.at_s + fault.for_s, lambda: self._restart(name))
-
-    def _restart(self, name: str) -> None:
-        self.fleet.restart(name)
-        self._down.discard(name)
-
-    def _freeze(self, fault: Fault) -> None:
-        name = self._router(fault)
-        if name is None:
-            return
-        self._down.add(name)
-        self.fleet.signal(name, signal.SIGSTOP)
-        self._at(fault.at_s + fault.for_s, lambda: self._wake(name))
-
-    def _wake(self, name: str) -> None:
-        self.fleet.signal(name, signal.SIGCONT)
-        self._down.discard(name)
-
-    def _cut(self, fault: Fault) -> None:
-        name = self.routers[fault.victim % len(self.routers)]
-        others = {*self.routers, "config", "instances"} - {name}
-        self.fleet.cut({name}, others)
-        self._at(fault.at_s + fault.for_s, self.fleet.heal)
-
-    def _config_mode(self, fault: Fault) -> None:
-        mode = "down" if fault.kind is FaultKind.CONFIG_DOWN else "stale"
-        self.fleet.post_json("config", "/admin/mode", {"mode": mode})
-        back = fault.at_s + fault.for_s
-        self._at(back, lambda: self.fleet.post_json("config", "/admin/mode", {"mode": "ok"}))
-
-    def _publish(self, fault: Fault) -> None:
-        limits = {**self.fleet.config["limits"], "retry_after_s": 1.0 + fault.victim % 5}
-        self.fleet.post_json("config", "/admin/publish", dict(self.fleet.config, limits=limits))
-
-    def _publish_invalid(self, _fault: Fault) -> None:
-        self.fleet.post_json("config", "/admin/publish", dict(self.fleet.config, teams="none"))
-
-    def _target(self, fault: Fault) -> None:
-        role, mode, count = _TARGET_FAULTS[fault.kind]
-        procs = [proc.name for proc in self.fleet.procs.values() if proc.kind == role]
-        name = procs[fault.victim % len(procs)]
-        self.fleet.post_json(name, "/admin/fault", {"mode": mode, "count": count})
-
-
-_ACTIONS: dict[FaultKind, Callable[[FaultPlayer, Fault], None]] = {
-    FaultKind.KILL_ROUTER: FaultPlayer._kill,
-    FaultKind.FREEZE_ROUTER: FaultPlayer._freeze,
-    FaultKind.CUT_ROUTER: FaultPlayer._cut,
-    FaultKind.CONFIG_DOWN: FaultPlayer._config_mode,
-    FaultKind.CONFIG_STALE: FaultPlayer._config_mode,
-    FaultKind.PUBLISH: FaultPlayer._publish,
-    FaultKind.PUBLISH_INVALID: FaultPlayer._publish_invalid,
-    FaultKind.ENGINE_RESET: FaultPlayer._target,
-    FaultKind.ENGINE_SLOW: FaultPlayer._target,
-    FaultKind.ORDER_RESET: FaultPlayer._target,
-    FaultKind.ORDER_NOT_RUN: FaultPlayer._target,
-}
-
-_TARGET_FAULTS = {
-    FaultKind.ENGINE_RESET: ("engine", "reset", 4),
-    FaultKind.ENGINE_SLOW: ("engine", "slow", 4),
-    FaultKind.ORDER_RESET: ("service", "reset", 6),
-    FaultKind.ORDER_NOT_RUN: ("service", "not_run", 6),
-}
-
-
 class _Streams:
     """Closed-loop streaming callers, each call at a random router."""
 
--- a/turmerictray/loadtool/experiment.py
+++ b/turmerictray/loadtool/experiment.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from turmerictray.loadtool.client import Outcome, call_stream
+from turmerictray.loadtool.scrape import control_bytes
 
 _SAMPLE_S = 0.1
 
@@ -86,15 +87,6 @@
     series: list[tuple[float, dict[str, float]]] = field(default_factory=list)
 
 
-def _control_bytes(http: urllib3.PoolManager, url: str) -> float:
-    resp = http.request("GET", url + "/metrics", timeout=5.0)
-    total = 0.0
-    for line in resp.data.decode().splitlines():
-        if line.startswith("turmerictray_control_bytes_total{"):
-            total += float(line.rsplit(" ", 1)[1])
-    return total
-
-
 def run_experiment(exp: Experiment) -> Results:
     """Run the load and measure it.
 
@@ -110,7 +102,7 @@
     stop_at = start + exp.warmup_s + exp.duration_s
     window = (start + exp.warmup_s, stop_at)
     served = {team.name: 0.0 for team in exp.teams}
-    ctl_before = [_control_bytes(http, url) for url in exp.router_urls]
+    ctl_before = [control_bytes(url) for url in exp.router_urls]
 
     def caller(team: TeamLoad, router: str, delay: float) -> None:
         time.sleep(delay)
@@ -140,7 +132,7 @@
     for thr in threads:
         thr.join(timeout=60)
     elapsed = time.monotonic() - start
-    ctl_after = [_control_bytes(http, url) for url in exp.router_urls]
+    ctl_after = [control_bytes(url) for url in exp.router_urls]
     results.control_bytes_per_s = sum(a - b for a, b in zip(ctl_after, ctl_before, strict=True)) / (
         elapsed * len(exp.router_urls)
     )
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -13,11 +13,12 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import urllib3
 
+from turmerictray.loadtool.fleet_spec import FleetSpec
 from turmerictray.loadtool.relay import Network
 
 _READY_TIMEOUT_S = 20.0
@@ -63,53 +64,6 @@
     claims: int
 
 
-@dataclass
-class FleetSpec:
-    """What to start.
-
-    Attributes
-    ----------
-    engines : int
-        Model engine stand-ins.
-    engine_slots : int
-    tokens_per_s : float
-        Decode rate of one engine slot.
-    services : int
-        Plain service stand-ins.
-    routers : int
-    zones : list of str
-        Zones, given to routers and targets in turn.
-    teams : dict of str to float
-        Team to weight.
-    limits : dict
-        Overrides of the configuration's ``limits``.
-    check_fencing : bool
-    models : list of str
-        What the engines are to load; none means that the routers give no orders.
-    instance_lag_s : float
-    cuttable : bool
-        Put relays between the routers and between each router and the platform, so that
-        :meth:`LocalFleet.cut` can cut them off from each other.
-    router_threads : int
-        Threads of each router's front.
-    """
-
-    engines: int = 2
-    engine_slots: int = 4
-    tokens_per_s: float = 200.0
-    services: int = 1
-    routers: int = 2
-    zones: list[str] = field(default_factory=lambda: ["tema-hall", "kaneshie", "madina"])
-    teams: dict[str, float] = field(default_factory=lambda: {"depot": 1.0, "riders": 1.0})
-    limits: dict = field(default_factory=dict)
-    check_fencing: bool = True
-    models: list[str] = field(default_factory=list)
-    instance_lag_s: float = 0.5
-    load_lag_s: float = 0.3
-    cuttable: bool = False
-    router_threads: int = 256
-
-
 class LocalFleet:
     """Starts, finds and stops the processes of one :class:`FleetSpec`.
 
@@ -131,50 +85,11 @@
 
     # -- building -------------------------------------------------------------------------
 
-    def _zone(self, idx: int) -> str:
-        return self.spec.zones[idx % len(self.spec.zones)]
-
     def _write(self, name: str, doc: dict) -> Path:
         path = self.dir / f"{name}.json"
         path.write_text(json.dumps(doc, indent=2))
         return path
 
-    def build_config(self, engine_urls: dict[str, str], service_urls: dict[str, str]) -> dict:
-        """The configuration text for the started targets."""
-        s = self.spec
-        engines = [
-            {
-                "id": eid,
-                "url": url,
-                "zone": self._zone(i),
-                "slots": s.engine_slots,
-                "fencing": s.check_fencing,
-                "models": s.models,
-            }
-            for i, (eid, url) in enumerate(engine_urls.items())
-        ]
-        services = [{"name": "llm", "kind": "model", "models": ["stand-in"], "targets": engines}]
-        if service_urls:
-            services.append(
-                {
-                    "name": "orders",
-                    "kind": "plain",
-                    "idempotent": False,
-                    "depends_on": ["llm"],
-                    "targets": [
-                        {"id": sid, "url": url, "zone": self._zone(i), "slots": 16}
-                        for i, (sid, url) in enumerate(service_urls.items())
-                    ],
-                }
-            )
-        limits = {"queue_timeout_s": 30.0, "retry_after_s": 1.0, **s.limits}
-        return {
-            "version": 1,
-            "services": services,
-            "teams": [{"id": t, "weight": w} for t, w in s.teams.items()],
-            "limits": limits,
-        }
-
     # -- life cycle -----------------------------------------------------------------------
 
     def start(self) -> "LocalFleet":
@@ -187,6 +102,13 @@
         return self
 
     def _start_all(self) -> None:
+        self._start_targets()
+        self._start_platform()
+        self._start_routers()
+        for proc in self.procs.values():
+            self.wait_ready(proc)
+
+    def _start_targets(self) -> None:
         s = self.spec
         engine_urls, service_urls = {}, {}
         for i in range(s.engines):
@@ -199,7 +121,7 @@
                 {
                     "id": eid,
                     "listen": {"port": port},
-                    "zone": self._zone(i),
+                    "zone": self.spec.zone(i),
                     "slots": s.engine_slots,
                     "tokens_per_s": s.tokens_per_s,
                     "load_lag_s": s.load_lag_s,
@@ -218,12 +140,14 @@
                 {
                     "id": sid,
                     "listen": {"port": port},
-                    "zone": self._zone(i),
+                    "zone": self.spec.zone(i),
                     "log_file": str(self.dir / f"{sid}.log"),
                 },
             )
             service_urls[sid] = f"http://127.0.0.1:{port}"
-        self.config = self.build_config(engine_urls, service_urls)
+        self.config = s.config_text(engine_urls, service_urls)
+
+    def _start_platform(self) -> None:
         initial = self._write("config-text", self.config)
         port = free_port()
         self._spawn(
@@ -243,15 +167,16 @@
             port,
             {
                 "listen": {"port": port},
-                "lag_s": s.instance_lag_s,
+                "lag_s": self.spec.instance_lag_s,
                 "log_file": str(self.dir / "instances.log"),
             },
         )
-        ports = [RouterPorts(free_port(), free_port(), free_port()) for _ in range(s.routers)]
-        for i in range(s.routers):
+
+    def _start_routers(self) -> None:
+        count = self.spec.routers
+        ports = [RouterPorts(free_port(), free_port(), free_port()) for _ in range(count)]
+        for i in range(count):
             self._spawn(f"router-{i}", "router", ports[i].http, self._router_settings(i, ports))
-        for proc in self.procs.values():
-            self.wait_ready(proc)
 
     def restart(self, name: str) -> Proc:
         """Start process ``name`` again with the settings it had."""
@@ -264,14 +189,14 @@
         name = f"router-{idx}"
         return {
             "node": name,
-            "zone": self._zone(idx),
+            "zone": self.spec.zone(idx),
             "listen": {"port": ports[idx].http},
             "peer_listen": _nng(ports[idx].heartbeat),
             "claims_listen": _nng(ports[idx].claims),
             "peers": [
                 {
                     "node": f"router-{j}",
-                    "zone": self._zone(j),
+                    "zone": self.spec.zone(j),
                     "heartbeat": _nng(self._reach(name, f"router-{j}", ports[j].heartbeat)),
                     "claims": _nng(self._reach(name, f"router-{j}", ports[j].claims)),
                 }
--- a/turmerictray/loadtool/order_cost.py
+++ b/turmerictray/loadtool/order_cost.py
@@ -8,7 +8,9 @@
 import psutil
 import urllib3
 
-from turmerictray.loadtool.local import FleetSpec, LocalFleet
+from turmerictray.loadtool.fleet_spec import FleetSpec
+from turmerictray.loadtool.local import LocalFleet
+from turmerictray.loadtool.scrape import control_bytes
 
 
 @dataclass
@@ -32,15 +34,9 @@
 
 
 def _claim_bytes(fleet: LocalFleet) -> float:
-    total = 0.0
-    for proc in fleet.routers():
-        text = urllib3.request("GET", proc.url + "/metrics").data.decode()
-        total += sum(
-            float(line.rsplit(" ", 1)[1])
-            for line in text.splitlines()
-            if line.startswith('turmerictray_control_bytes_total{channel="claims",direction="tx"')
-        )
-    return total
+    return sum(
+        control_bytes(proc.url, channel="claims", direction="tx") for proc in fleet.routers()
+    )
 
 
 def _cpu_s(fleet: LocalFleet) -> float:
--- a/turmerictray/loadtool/report.py
+++ b/turmerictray/loadtool/report.py
@@ -1,5 +1,6 @@
-"""Printing and plotting what an experiment measured."""
+"""Printing and plotting what an experiment or the bench measured."""
 
+from turmerictray.loadtool.bench import BenchResults
 from turmerictray.loadtool.experiment import Results
 
 
@@ -25,18 +26,40 @@
     ImportError
         When matplotlib is not installed (``pip install turmerictray[plot]``).
     """
+    fig, ax = _figure()
+    for team in sorted(res.service):
+        ax.plot([at for at, _ in res.series], [row[team] for _, row in res.series], label=team)
+    ax.set_xlabel("seconds into the measured window")
+    ax.set_ylabel("tokens served per unit of weight")
+    ax.legend()
+    _save(fig, path)
+
+
+def plot_control(res: BenchResults, path: str) -> None:
+    """Write a PNG of idle control traffic per router against the fleet's size.
+
+    Raises
+    ------
+    ImportError
+        When matplotlib is not installed (``pip install turmerictray[plot]``).
+    """
+    fig, ax = _figure()
+    sizes = sorted(res.idle)
+    ax.plot(sizes, [res.idle[size]["bytes_per_s"] for size in sizes], marker="o")
+    ax.set_xlabel("routers in the fleet")
+    ax.set_ylabel("control bytes/s per router (idle)")
+    _save(fig, path)
+
+
+def _figure():
     import matplotlib
 
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
 
-    fig, ax = plt.subplots(figsize=(7, 4))
-    teams = sorted(res.service)
-    for team in teams:
-        ax.plot([at for at, _ in res.series], [row[team] for _, row in res.series], label=team)
-    ax.set_xlabel("seconds into the measured window")
-    ax.set_ylabel("tokens served per unit of weight")
-    ax.legend()
+    return plt.subplots(figsize=(7, 4))
+
+
+def _save(fig, path: str) -> None:
     fig.tight_layout()
     fig.savefig(path)
-    plt.close(fig)
