--- a/turmerictray/core/timer.py
+++ b/turmerictray/core/timer.py
@@ -1,8 +1,8 @@
 """The timer service that parts subscribe to.
 
-One thread wakes at a fine step and sends each subscriber a :class:`Tick` message when its
-period has passed. Subscribers are pykka actors, so a tick is handled on the subscriber's own
-thread, with its own state, like any other message.
+One thread sleeps until the nearest tick is due and sends each subscriber a :class:`Tick` message
+when its period has passed. Subscribers are pykka actors, so a tick is handled on the subscriber's
+own thread, with its own state, like any other message.
 """
 
 import threading
@@ -11,7 +11,12 @@
 
 import pykka
 
-_STEP_S = 0.02
+_LONGEST_S = 0.1
+"""Longest sleep, so that a new subscription is noticed in time."""
+
+_EARLY_S = 0.01
+"""Ticks due this soon are sent on the same wake-up."""
+
 _LATE_S = 0.4
 
 
@@ -66,7 +71,7 @@
         name : str
             Names the subscription in the tick.
         period : float
-            Seconds between ticks; at least the service's step of 20 ms.
+            Seconds between ticks.
         """
         with self._lock:
             self._subs.append(_Subscription(ref, name, period, time.monotonic() + period))
@@ -81,13 +86,19 @@
         if self._thread.is_alive():
             self._thread.join(timeout=2)
 
+    def _pause(self) -> float:
+        now = time.monotonic()
+        with self._lock:
+            nearest = min((sub.due for sub in self._subs), default=now + _LONGEST_S)
+        return min(_LONGEST_S, max(0.0, nearest - now))
+
     def _run(self) -> None:
-        while not self._stop.wait(_STEP_S):
+        while not self._stop.wait(self._pause()):
             now = time.monotonic()
             with self._lock:
                 subs = list(self._subs)
             for sub in subs:
-                if now < sub.due:
+                if now + _EARLY_S < sub.due:
                     continue
                 sub.due = now + sub.period
                 if sub.ref.is_alive():
--- a/turmerictray/orders/home.py
+++ b/turmerictray/orders/home.py
@@ -30,7 +30,7 @@
     Voted,
 )
 
-_RECV_TIMEOUT_MS = 200
+_RECV_TIMEOUT_MS = 1000
 _ASK_TIMEOUT_S = 2.0
 
 
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -30,7 +30,7 @@
 ECHO_BEATS = 3
 """Full heartbeats sent after a peer started anew, with what is known of its earlier lives."""
 
-_RECV_TIMEOUT_MS = 200
+_RECV_TIMEOUT_MS = 1000
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
