Routers listed as leaving or gone; no orders before peers are heard; ports that stay free

Placement: a starting router heard nobody yet and took every engine for its own, so an engine could get an order from each starting router (seen once as 2 orders for 1, under load). It now waits until it has heard its peers, or peer_timeout_s. Ports for the local fleet were taken from the range of outgoing connections, and a load's connection took one first. They come from below that range now, each handed out once. 4. The experiment's plot shows service, utilisation and control bytes over time, and the bench measures the time from an engine's leaving mark to its last request.

--- a/tests/placement/features/engine_orders.feature
+++ b/tests/placement/features/engine_orders.feature
@@ -42,3 +42,19 @@
       | kind   | first          |
       | check  | orders         |
       | ignore | does not order |
+
+  Scenario: The responsible router is listed as leaving
+    Given 3 routers and 1 engine that check fencing numbers, told to load "chat-1"
+    Then within 6 seconds every engine has loaded "chat-1" by one order
+    When the instance list calls the router that gave the order leaving
+    And the configuration says "chat-2"
+    Then within 6 seconds every engine has loaded "chat-2" by one more order
+    And another router gave it
+
+  Scenario: A router that has just started has not heard its peers yet
+    Given a placer just started beside a peer, and an engine without its model
+    When the placer compares them
+    Then it does not order the engine
+    When the peer is heard
+    And the placer compares them
+    Then it orders the engine
--- a/tests/placement/test_engine_orders.py
+++ b/tests/placement/test_engine_orders.py
@@ -12,9 +12,11 @@
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.member import Member
 from turmerictray.core.timer import Tick
+from turmerictray.fairness.ledger import PeerCounters
 from turmerictray.placement.engine import EngineModels, ModelOrder
+from turmerictray.placement.issuer import issuer_of
 from turmerictray.placement.placer import Placer
-from turmerictray.router.messages import ConfigConfirmed
+from turmerictray.router.messages import ConfigConfirmed, PeerSummary
 
 scenarios("features/engine_orders.feature")
 
@@ -80,13 +82,32 @@
     # the engine over once the frozen one has been silent for the peer timeout. When it wakes, it
     # still holds the old text and its first tick finds the engine "wrong": on an engine that
     # ignores fencing numbers, its order would bring the old model back.
-    log = (fleet.dir / "engine-0.log").read_text()
-    order = next(line for line in log.splitlines() if "event=engine_order" in line)
-    ctx["frozen"] = order.rsplit("router=", 1)[1].split()[0]
+    ctx["frozen"] = _issuers(fleet)[0]
     fleet.signal(ctx["frozen"], signal.SIGSTOP)
     change(fleet, model)
 
 
+def _issuers(fleet) -> list[str]:
+    log = (fleet.dir / "engine-0.log").read_text()
+    orders = [line for line in log.splitlines() if "event=engine_order" in line]
+    return [line.rsplit("router=", 1)[1].split()[0] for line in orders]
+
+
+@when("the instance list calls the router that gave the order leaving")
+def list_leaving(fleet, ctx):
+    # The router is about to be replaced; were it still responsible, a change just before its
+    # end would wait for its silence to be noticed.
+    state = {"id": _issuers(fleet)[0], "state": "leaving"}
+    fleet.post_json("instances", "/admin/set", state)
+    time.sleep(1.5)
+
+
+@then("another router gave it")
+def another_router(fleet):
+    first, second = _issuers(fleet)
+    assert first != second
+
+
 @when("the frozen router wakes")
 def wake(fleet, ctx):
     fleet.signal(ctx["frozen"], signal.SIGCONT)
@@ -140,6 +161,15 @@
         """Nothing to close."""
 
 
+def _snapshot(engine: str, fencing: bool, model: str = "chat-1") -> ConfigSnapshot:
+    target = {"id": engine, "url": "http://e0", "zone": "madina"}
+    target |= {"models": [model], "fencing": fencing}
+    llm = {"name": "llm", "kind": "model", "targets": [target]}
+    snapshot = ConfigSnapshot()
+    snapshot.current = parse_config(json.dumps({"version": 1, "services": [llm], "teams": []}))
+    return snapshot
+
+
 @given(
     parsers.re(
         r'a placer told "(?P<mine>[^"]+)" long ago and an engine that (?P<kind>check|ignore) '
@@ -150,11 +180,7 @@
 def old_placer(ctx, mine, kind, theirs):
     # The router was frozen while the configuration changed and another router ordered the new
     # model. Woken, it sees another model than its text says, and cannot tell which is newer.
-    target = {"id": "e0", "url": "http://e0", "zone": "madina"}
-    target |= {"models": [mine], "fencing": kind == "check"}
-    llm = {"name": "llm", "kind": "model", "targets": [target]}
-    snapshot = ConfigSnapshot()
-    snapshot.current = parse_config(json.dumps({"version": 1, "services": [llm], "teams": []}))
+    snapshot = _snapshot("e0", kind == "check", mine)
     ctx["engine"] = FakeEngine([theirs])
     node = NodeId("r0")
     placer = Placer.start(node, [Member(node, ZoneId("madina"))], snapshot, ctx["engine"], 3.0)
@@ -182,3 +208,24 @@
 @then("it does not order the engine")
 def not_ordered(ctx):
     assert ctx["engine"].orders == []
+
+
+@given(
+    "a placer just started beside a peer, and an engine without its model", target_fixture="placer"
+)
+def new_placer(ctx):
+    # Hearing nobody, a new router would take every engine for its own, and all routers of a
+    # starting fleet would order the same models at once from a rate-limited weight store.
+    node, peer = NodeId("r0"), NodeId("r1")
+    members = [Member(node, ZoneId("madina")), Member(peer, ZoneId("madina"))]
+    names = (f"e{num}" for num in range(100))
+    mine = next(name for name in names if issuer_of(name, "madina", members) == node)
+    ctx["engine"] = FakeEngine([])
+    placer = Placer.start(node, members, _snapshot(mine, True), ctx["engine"], 60.0)
+    yield placer
+    placer.stop()
+
+
+@when("the peer is heard")
+def heard(placer):
+    placer.tell(PeerSummary(PeerCounters("r1", 1, {})))
--- a/tests/router/test_config_revert.py
+++ b/tests/router/test_config_revert.py
@@ -83,3 +83,21 @@
     while any(fleet.get_json(p.name, "/status")["config_version"] < 3 for p in fleet.routers()):
         assert time.monotonic() < deadline
         time.sleep(0.1)
+
+
+@when("router-0 is killed, the instance list calls it gone, and router-1 is restarted")
+def gone_and_restart(fleet):
+    # Callers of router-1 are refused until it knows that no peer has a newer configuration. A
+    # peer that is gone for good cannot tell; the instance list says not to wait for it.
+    fleet.kill("router-0")
+    fleet.post_json("instances", "/admin/set", {"id": "router-0", "state": "gone"})
+    time.sleep(0.6)
+    fleet.kill("router-1")
+    fleet.wait_ready(fleet.restart("router-1"))
+
+
+@then("router-1 is ready without having waited for router-0")
+def not_waited(fleet):
+    lines = (fleet.dir / "router-1.log").read_text().splitlines()
+    ready = [line for line in lines if "event=ready" in line][-1]
+    assert "timed_out=False" in ready, ready
--- a/turmerictray/loadtool/bench.py
+++ b/turmerictray/loadtool/bench.py
@@ -10,6 +10,7 @@
 import time
 import tracemalloc
 from dataclasses import asdict, dataclass, field
+from datetime import datetime
 
 import psutil
 import urllib3
@@ -43,6 +44,7 @@
     router_rss_mb: float = 0.0
     idle_cpu_core_fraction: float = 0.0
     config_in_force_s: list[float] = field(default_factory=list)
+    leaving_stop_s: float = 0.0
     split_ms: dict[str, float] = field(default_factory=dict)
     order_cost: dict[int, OrderCost] = field(default_factory=dict)
 
@@ -186,6 +188,39 @@
     return times
 
 
+def leaving_stop_s(routers: int = 4, loads_s: float = 5.0) -> float:
+    """Seconds from marking an engine as leaving to the last request it was given, under load.
+
+    The instance list of the run lags by 0.5 s and is polled every 0.5 s.
+    """
+    fleet = LocalFleet(FleetSpec(engines=2, services=0, routers=routers)).start()
+    stop = threading.Event()
+
+    def caller(url: str) -> None:
+        http = urllib3.PoolManager(retries=False)
+        while not stop.is_set():
+            call_stream(http, url, "depot", 10)
+
+    try:
+        threads = [threading.Thread(target=caller, args=(p.url,)) for p in fleet.routers() * 3]
+        for thr in threads:
+            thr.start()
+        time.sleep(2.0)
+        marked = time.time()
+        fleet.post_json("instances", "/admin/set", {"id": "engine-0", "state": "leaving"})
+        time.sleep(loads_s)
+        stop.set()
+        for thr in threads:
+            thr.join(30)
+        log = (fleet.dir / "engine-0.log").read_text().splitlines()
+    finally:
+        stop.set()
+        fleet.stop()
+    last = next(line for line in reversed(log) if "event=engine_admit" in line)
+    stamp = last.split("ts=", 1)[1].split(" ", 1)[0]
+    return datetime.fromisoformat(stamp).timestamp() - marked
+
+
 def run_bench(seconds: float = 5.0, peer_sizes: tuple[int, ...] = (2, 4, 6)) -> BenchResults:
     """Run every measurement; takes about ``len(peer_sizes) * (seconds + 4) + seconds + 8`` s."""
     res = BenchResults()
@@ -205,6 +240,7 @@
             res.cpu_s_per_request, res.requests_per_s, res.router_rss_mb = cpu, rate, rss
     res.cpu_s_per_token = _slope(res.cpu_by_tokens)
     res.config_in_force_s = config_in_force_s()
+    res.leaving_stop_s = leaving_stop_s()
     for routers, targets in ((8, 13), (50, 100), (390, 600)):
         res.split_ms[f"{routers}x{targets}"] = split_time_ms(routers, targets)
     for routers in (3, 6):
@@ -234,6 +270,7 @@
         + f" -> {res.cpu_s_per_token * 1e6:.1f} us/token",
         "configuration change in force on all 4 routers: "
         + ", ".join(f"{t * 1000:.0f} ms" for t in res.config_in_force_s),
+        f"leaving engine's last request: {res.leaving_stop_s:.2f} s after the mark",
         "slot split by routers x targets: "
         + ", ".join(f"{size}={ms:.2f} ms" for size, ms in res.split_ms.items()),
         "order with a key, by routers: "
--- a/turmerictray/loadtool/experiment.py
+++ b/turmerictray/loadtool/experiment.py
@@ -17,6 +17,7 @@
 from turmerictray.loadtool.scrape import control_bytes
 
 _SAMPLE_S = 0.1
+_CONTROL_SAMPLE_S = 1.0
 
 
 @dataclass
@@ -57,6 +58,31 @@
     seed: int = 1
 
 
+@dataclass(frozen=True)
+class Sample:
+    """The run at one moment of the measured window.
+
+    Attributes
+    ----------
+    at_s : float
+        Seconds into the window.
+    service : dict of str to float
+        Tokens per unit of weight served so far, by team.
+    utilisation : float
+        Busy engine slots over all slots.
+    queued : int
+        Requests waiting on all routers.
+    control_bytes : float
+        Control bytes of all routers since the start of the run, both directions.
+    """
+
+    at_s: float
+    service: dict[str, float]
+    utilisation: float
+    queued: int
+    control_bytes: float
+
+
 @dataclass
 class Results:
     """What a run measured.
@@ -84,7 +110,7 @@
     whole_answers: int = 0
     broken_answers: int = 0
     refused: int = 0
-    series: list[tuple[float, dict[str, float]]] = field(default_factory=list)
+    series: list[Sample] = field(default_factory=list)
 
 
 def run_experiment(exp: Experiment) -> Results:
@@ -152,33 +178,35 @@
 def _sample(http, exp: Experiment, stop_at: float, window, results: Results, served, lock):
     busy = 0.0
     slots_seen = 0.0
+    control, control_at = 0.0, 0.0
     while time.monotonic() < stop_at:
         time.sleep(_SAMPLE_S)
         now = time.monotonic()
         try:
-            queued = sum(
-                msgspec.json.decode(http.request("GET", url + "/status", timeout=2.0).data)[
-                    "queued"
-                ]
-                for url in exp.router_urls
-            )
-            stats = [
-                msgspec.json.decode(http.request("GET", url + "/admin/stats", timeout=2.0).data)
-                for url in exp.engine_urls
-            ]
+            queued = sum(_get(http, url + "/status")["queued"] for url in exp.router_urls)
+            stats = [_get(http, url + "/admin/stats") for url in exp.engine_urls]
+            if now - control_at >= _CONTROL_SAMPLE_S:
+                control, control_at = sum(map(control_bytes, exp.router_urls)), now
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError, KeyError):
             continue
-        if window[0] <= now <= window[1]:
-            with lock:
-                row = {team.name: served[team.name] / team.weight for team in exp.teams}
-                results.series.append((now - window[0], row))
-            if queued > 0:
-                busy += sum(s["running"] for s in stats)
-                slots_seen += sum(s["slots"] for s in stats)
-                results.waiting_samples += 1
+        if not window[0] <= now <= window[1]:
+            continue
+        running = sum(engine["running"] for engine in stats)
+        slots = sum(engine["slots"] for engine in stats)
+        with lock:
+            service = {team.name: served[team.name] / team.weight for team in exp.teams}
+        results.series.append(Sample(now - window[0], service, running / slots, queued, control))
+        if queued > 0:
+            busy += running
+            slots_seen += slots
+            results.waiting_samples += 1
     return busy, slots_seen
 
 
+def _get(http: urllib3.PoolManager, url: str) -> dict:
+    return msgspec.json.decode(http.request("GET", url, timeout=2.0).data)
+
+
 def latency_ratio(
     router_url: str, engine_url: str, calls: int = 20, max_tokens: int = 8
 ) -> tuple[float, float, float]:
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -22,13 +23,28 @@
 from turmerictray.loadtool.relay import Network
 
 _READY_TIMEOUT_S = 20.0
+_PORTS = (10240, 32768)
+_handed_out: set[int] = set()
 
 
 def free_port() -> int:
-    """A TCP port on 127.0.0.1 that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A TCP port on 127.0.0.1 that is free now and was not handed out before.
+
+    Ports come from below the range the system gives to outgoing connections (32768 and up on
+    Linux). Taken from that range, a port could go to one of a load's many connections before the
+    process it was meant for had started, which then failed with "address already in use".
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        if port in _handed_out:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _handed_out.add(port)
+        return port
 
 
 def _nng(port: int) -> str:
--- a/turmerictray/loadtool/report.py
+++ b/turmerictray/loadtool/report.py
@@ -19,19 +19,24 @@
 
 
 def plot_series(res: Results, path: str) -> None:
-    """Write a PNG of each team's normalised service over the measured window.
+    """Write a PNG of service per team, utilisation and control bytes over the measured window.
 
     Raises
     ------
     ImportError
         When matplotlib is not installed (``pip install turmerictray[plot]``).
     """
-    fig, ax = _figure()
+    fig, (service, busy, control) = _figure(rows=3)
+    times = [sample.at_s for sample in res.series]
     for team in sorted(res.service):
-        ax.plot([at for at, _ in res.series], [row[team] for _, row in res.series], label=team)
-    ax.set_xlabel("seconds into the measured window")
-    ax.set_ylabel("tokens served per unit of weight")
-    ax.legend()
+        service.plot(times, [sample.service[team] for sample in res.series], label=team)
+    service.set_ylabel("tokens per weight")
+    service.legend()
+    busy.plot(times, [sample.utilisation for sample in res.series])
+    busy.set_ylabel("busy slots / slots")
+    control.plot(times, [sample.control_bytes / 1000 for sample in res.series])
+    control.set_ylabel("control KB, all routers")
+    control.set_xlabel("seconds into the measured window")
     _save(fig, path)
 
 
@@ -51,13 +56,13 @@
     _save(fig, path)
 
 
-def _figure():
+def _figure(rows: int = 1):
     import matplotlib
 
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
 
-    return plt.subplots(figsize=(7, 4))
+    return plt.subplots(rows, figsize=(7, 2 + 2 * rows))
 
 
 def _save(fig, path: str) -> None:
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -21,7 +21,8 @@
 from turmerictray.core.timer import Tick
 from turmerictray.placement.engine import EngineClient, ModelOrder
 from turmerictray.placement.issuer import issuer_of
-from turmerictray.router.messages import ConfigConfirmed, PeerSummary
+from turmerictray.router.messages import ConfigConfirmed, Listing, PeerSummary
+from turmerictray.routing.target import TargetState
 
 FRESH_S = 5.0
 """How long after the configuration service was asked its answer still counts as the newest."""
@@ -56,7 +57,9 @@
         self.snapshot = snapshot
         self.client = client
         self.peer_timeout_s = peer_timeout_s
+        self.started_at = time.monotonic()
         self.heard: dict[str, float] = {}
+        self.away: set[str] = set()
         self.confirmed = ConfigConfirmed(0, float("-inf"))
         self._said: dict[str, str] = {}
 
@@ -75,16 +78,27 @@
     def _(self, msg: ConfigConfirmed) -> None:
         self.confirmed = msg
 
+    @on_receive.register
+    def _(self, msg: Listing) -> None:
+        self.away = {name for name, state in msg.states.items() if state is not TargetState.LIVE}
+
     @on_receive.register
     def _(self, msg: Tick) -> None:
         cfg = self.snapshot.current
-        if cfg is None or msg.is_late():
+        if cfg is None or msg.is_late() or not self._settled():
             return
-        live = self._live()
+        live = self._candidates()
         for target in _engines(cfg):
             if issuer_of(target.id, target.zone, live) == self.node:
                 self._reconcile(target, cfg.version)
 
+    def _settled(self) -> bool:
+        # A router that has just started hears nobody and would take every engine for its own;
+        # a starting fleet would order the same models many times over.
+        others = {member.node for member in self.members} - {self.node} - self.away
+        waited = time.monotonic() - self.started_at > self.peer_timeout_s
+        return waited or others <= self.heard.keys()
+
     def _live(self) -> list[Member]:
         now = time.monotonic()
         return [
@@ -94,6 +108,10 @@
             or now - self.heard.get(member.node, float("-inf")) <= self.peer_timeout_s
         ]
 
+    def _candidates(self) -> list[Member]:
+        live = self._live()
+        return [member for member in live if member.node not in self.away] or live
+
     def _reconcile(self, target: Target, version: int) -> None:
         try:
             state = self.client.read(target.url)
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -91,7 +91,7 @@
             self.snapshot,
             assertions=s.assertions,
             peer_timeout_s=s.peer_timeout_s,
-            expected_peers=len(s.peers),
+            expected_peers=frozenset(peer.node for peer in s.peers),
             places=s.threads,
         )
         self._bootstrap()
@@ -103,7 +103,7 @@
         watcher = ConfigWatcher.start(s.config_url, self.dispatcher, placer, s.watch_wait_s)
         self.timer.subscribe(self.dispatcher, "expire", _EXPIRE_TICK_S)
         if s.instances_url:
-            poller = InstancePoller.start(s.instances_url, self.dispatcher)
+            poller = InstancePoller.start(s.instances_url, [self.dispatcher, placer])
             self.timer.subscribe(poller, "instances", s.instances_poll_s)
         load = LoadPoller.start(self.dispatcher)
         self.timer.subscribe(load, "load", s.load_poll_s)
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -62,9 +62,10 @@
         Check the dispatcher's invariants after every message (slower; for randomised runs).
     peer_timeout_s : float
         A peer silent this long no longer counts; also the longest wait for peers at start.
-    expected_peers : int
-        Peers named in the settings; the router serves once it has heard them all and caught
-        up with their configuration, or after ``peer_timeout_s``.
+    expected_peers : frozenset of str
+        Peers named in the settings; the router serves once it has heard all that the instance
+        list does not call gone and has caught up with their configuration, or after
+        ``peer_timeout_s``.
     places : int
         Requests the front can hold at once, one per thread.
     """
@@ -76,7 +77,7 @@
         snapshot: ConfigSnapshot,
         assertions: bool = False,
         peer_timeout_s: float = 3.0,
-        expected_peers: int = 0,
+        expected_peers: frozenset[str] = frozenset(),
         places: int = 256,
     ) -> None:
         super().__init__()
@@ -94,6 +95,7 @@
         self.started_at = time.monotonic()
         self.startup_s = peer_timeout_s
         self.expected_peers = expected_peers
+        self.gone_peers: set[str] = set()
         self.peer_versions: dict[str, int] = {}
         self.ready = False
 
@@ -181,6 +183,8 @@
     def _(self, msg: Listing) -> None:
         for tid in self.table.apply_listing(msg.states):
             log_event("target_leaving", target=tid, state=self.table.targets[tid].state.value)
+        self.gone_peers = {tid for tid, state in msg.states.items() if state is TargetState.GONE}
+        self._check_ready(time.monotonic())
         self._pump()
 
     @handle.register
@@ -330,7 +334,7 @@
     def _check_ready(self, now: float) -> None:
         if self.ready or self.config.current is None:
             return
-        heard_all = len(self.peer_versions) >= self.expected_peers
+        heard_all = self.expected_peers <= self.peer_versions.keys() | self.gone_peers
         caught_up = self.config.version >= max(self.peer_versions.values(), default=0)
         timed_out = now - self.started_at > self.startup_s
         if (heard_all and caught_up) or timed_out:
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """The instance list's states of targets."""
+    """The instance list's states, by id: targets, and routers by their node name."""
 
     states: dict[TargetId, TargetState]
 
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -1,4 +1,4 @@
-"""The instance list poller actor: which targets are live and which are leaving.
+"""The instance list poller actor: which targets and routers are live and which are leaving.
 
 Protocol: ``GET /instances`` answers ``{"instances": [{"id": ..., "state": "live"}, ...]}``.
 """
@@ -29,19 +29,20 @@
 
 
 class InstancePoller(pykka.ThreadingActor):
-    """Polls the instance list on each tick and tells the dispatcher.
+    """Polls the instance list on each tick and tells its listeners.
 
     Parameters
     ----------
     url : str
         Base URL of the instance list.
-    dispatcher : pykka.ActorRef
+    listeners : list of pykka.ActorRef
+        Told each :class:`~turmerictray.router.messages.Listing`.
     """
 
-    def __init__(self, url: str, dispatcher: pykka.ActorRef) -> None:
+    def __init__(self, url: str, listeners: list[pykka.ActorRef]) -> None:
         super().__init__()
         self.url = url.rstrip("/") + "/instances"
-        self.dispatcher = dispatcher
+        self.listeners = listeners
         self.http = urllib3.PoolManager(retries=False)
         self.down = False
 
@@ -62,4 +63,5 @@
         self.down = False
         metrics.count_control("instances", 150, len(resp.data) + 150)
         states = {TargetId(inst.id): inst.state for inst in listing.instances}
-        self.dispatcher.tell(Listing(states))
+        for ref in self.listeners:
+            ref.tell(Listing(states))
