--- a/turmerictray/loadtool/bench.py
+++ b/turmerictray/loadtool/bench.py
@@ -11,6 +11,7 @@
 import tracemalloc
 from dataclasses import asdict, dataclass, field
 from datetime import datetime
+from pathlib import Path
 
 import psutil
 import urllib3
@@ -202,7 +203,8 @@
             call_stream(http, url, "depot", 10)
 
     try:
-        threads = [threading.Thread(target=caller, args=(p.url,)) for p in fleet.routers() * 3]
+        # More callers than one engine has slots on every router, so that both get work.
+        threads = [threading.Thread(target=caller, args=(p.url,)) for p in fleet.routers() * 6]
         for thr in threads:
             thr.start()
         time.sleep(2.0)
@@ -285,5 +287,6 @@
 
 def save_bench(res: BenchResults, path: str) -> None:
     """Write the results as JSON."""
-    with open(path, "w") as fh:
-        json.dump(asdict(res), fh, indent=2)
+    target = Path(path)
+    target.parent.mkdir(parents=True, exist_ok=True)
+    target.write_text(json.dumps(asdict(res), indent=2))
--- a/turmerictray/loadtool/report.py
+++ b/turmerictray/loadtool/report.py
@@ -1,5 +1,7 @@
 """Printing and plotting what an experiment or the bench measured."""
 
+from pathlib import Path
+
 from turmerictray.loadtool.bench import BenchResults
 from turmerictray.loadtool.experiment import Results
 
@@ -66,5 +68,6 @@
 
 
 def _save(fig, path: str) -> None:
+    Path(path).parent.mkdir(parents=True, exist_ok=True)
     fig.tight_layout()
     fig.savefig(path)
