Trials on the routed path: parts read are told to peers, spills weighed, slowness judged with patience

Routers did not know what peers had had read, spilled to engines that seemed idle, and one late first event made an engine look several times slower, which sent its prompts away. Ruled out: eviction (a part is reused well within what an engine keeps) and stale routes.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -5,11 +5,12 @@
 refused in time or dropped with its caller, and not in the targets, which can do none of that.
 """
 
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.window import engine_idle, engine_open, plain_open
+from turmerictray.admission.window import engine_open, plain_open
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
@@ -19,7 +20,7 @@
 from turmerictray.routing.load import OpenRead, PeerLoad, TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.place import Placement, candidates, place_plain, place_prompt
-from turmerictray.routing.prompt import Prompt
+from turmerictray.routing.prompt import Part, Prompt
 
 _QUEUE_PER_TEAM = 64
 """Waiting requests of one team on one router; more than can be served within any objective."""
@@ -28,6 +29,10 @@
 _MOST_LOOKED_AT = 24
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
 
+_READS_TOLD = 16
+"""Reads of shared parts that peers are told of at a time, the newest; bounds a message's size. At
+the pace of a busy router, some ten a second, none is left out."""
+
 _KEPT_PART = 0.85
 """Part of an engine's memory that holds kept parts; running requests take the rest."""
 
@@ -55,11 +60,14 @@
         None for plain services.
     exclude : frozenset of str
         Targets it has been sent to.
+    held_by : TargetLoad or None
+        The target it waits for.
     """
 
     call_id: int
     prompt: Prompt | None
     exclude: frozenset[str] = frozenset()
+    held_by: TargetLoad | None = None
 
 
 @dataclass(frozen=True)
@@ -95,6 +103,7 @@
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
         self._ledger = ledger
+        self.reads_to_tell: deque[tuple[TargetId, tuple[Part, ...]]] = deque(maxlen=_READS_TOLD)
         self._last_sent = 0.0
         self._mean_gap_s = 0.0
 
@@ -129,6 +138,11 @@
             for load in self.loads.values():
                 load.kept.memory_tokens = int(spec.engine.memory_tokens * _KEPT_PART)
 
+    def note_peer_read(self, target: TargetId, parts: list[Part]) -> None:
+        """A peer has sent ``parts`` to a target, which keeps them from now on."""
+        if target in self.loads:
+            self.loads[target].kept.note_parts(parts)
+
     def note_peer(self, node: NodeId, target: TargetId, load: PeerLoad) -> None:
         """Take a peer's word on its own work on a target."""
         if target in self.loads:
@@ -201,21 +215,53 @@
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
             return place_plain(loads, self.zone, now)
-        placement = place_prompt(loads, wanted.prompt, self.model, self.zone, now)
+        placement = place_prompt(loads, wanted.prompt, wanted.call_id, self.model, self.zone, now)
         if placement is None or engine_open(placement.load, self.model, now):
             return placement
-        # Waiting for the engine that keeps the prompt is worth it while all are busy: reading the
-        # prompt elsewhere takes time from the requests there. An idle engine loses nothing.
-        idle = [load for load in loads if engine_idle(load, self.model, now)]
-        return place_prompt(idle, wanted.prompt, self.model, self.zone, now)
+        # Waiting for the engine that keeps the prompt is worth it: reading the prompt elsewhere
+        # takes time from the requests there. The line before the engine counts in its cost.
+        self._hold(wanted, placement)
+        return None
+
+    def _hold(self, wanted: Wanted, placement: Placement) -> None:
+        if wanted.held_by is not placement.load:
+            self.release(wanted)
+            wanted.held_by = placement.load
+        placement.load.held[wanted.call_id] = placement.miss_tokens
+
+    @staticmethod
+    def release(wanted: Wanted) -> None:
+        """The request waits for no target any more."""
+        if wanted.held_by is not None:
+            wanted.held_by.held.pop(wanted.call_id, None)
+            wanted.held_by = None
+
+    def withdraw(self, call_id: int) -> Pending | None:
+        """Take a waiting request out of the queue; None when it doesn't wait."""
+        for team in self.queue.backlogged():
+            for item in self.queue.waiting(team, self.queue.depth(team)):
+                if item.context.call_id == call_id:
+                    self.queue.discard(item)
+                    self.release(item.context)
+                    return item
+        return None
+
+    def expire(self, now: float) -> list[Pending]:
+        """Take out the requests that have waited their time."""
+        expired = self.queue.expire(now)
+        for item in expired:
+            self.release(item.context)
+        return expired
 
     def _book(self, item: Pending, placement: Placement, now: float) -> None:
         wanted: Wanted = item.context
+        self.release(wanted)
         self._ledger.charge(item.team, item.hint)
         read = OpenRead(now, placement.miss_tokens, placement.ahead_tokens, placement.expected_s)
         placement.load.sent(wanted.call_id, read)
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
+            self.reads_to_tell.append((placement.load.info.id, wanted.prompt.shared))
         if self._last_sent:
             gap = now - self._last_sent
             self._mean_gap_s += _RATE_SMOOTHING * (gap - self._mean_gap_s)
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -9,9 +9,6 @@
 time; it must only be long enough that an engine isn't idle while peers' reports (half a second old)
 still show it busy."""
 
-_IDLE_S = 0.05
-"""Reading that is done within a few batch steps; an engine with less than that counts as idle."""
-
 _PLAIN_AHEAD = 1.5
 """Requests given to a plain target, as a multiple of its slots: one in work and half a one queued
 bridges the way there and back."""
@@ -25,12 +22,6 @@
     return unread * load.slowness <= READ_AHEAD_S * model.read_per_s
 
 
-def engine_idle(load: TargetLoad, model: PoolModel, now: float) -> bool:
-    """Whether an engine has next to nothing to read."""
-    unread = load.unread_tokens(now)
-    return engine_open(load, model, now) and unread * load.slowness <= _IDLE_S * model.read_per_s
-
-
 def plain_open(load: TargetLoad, routers: int, now: float) -> bool:
     """Whether a plain target may be given one more request."""
     if load.running_in_fleet(now) < _PLAIN_AHEAD * load.info.slots:
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -35,6 +35,14 @@
     unread_tokens: int
 
 
+class PartRead(msgspec.Struct, frozen=True, array_like=True):
+    """A shared part of a prompt that a router has sent to a target, ``tokens`` long."""
+
+    target: str
+    part: str
+    tokens: int
+
+
 class RouterSummary(msgspec.Struct, frozen=True, array_like=True):
     """A router's own state, for its peers.
 
@@ -50,6 +58,8 @@
         Tokens served per team since the process started.
     waiting : list of str
         Teams with requests waiting.
+    reads : list of PartRead
+        Since the last message.
     """
 
     node: str
@@ -58,6 +68,7 @@
     work: list[TargetWork]
     service: dict[str, float]
     waiting: list[str]
+    reads: list[PartRead] = []
 
 
 class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -15,7 +15,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters, ServiceLedger
 from turmerictray.fairness.queue import Pending
-from turmerictray.membership.messages import RouterSummary, TargetWork
+from turmerictray.membership.messages import PartRead, RouterSummary, TargetWork
 from turmerictray.router.broker_messages import (
     Ask,
     BrokerQuery,
@@ -33,6 +33,7 @@
 )
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
+from turmerictray.routing.prompt import Part, PartId
 
 _CATCH_UP_TOKENS = 200_000.0
 """What a waiting team may be owed at most, in tokens read: about a second of a small pool, so a
@@ -105,14 +106,9 @@
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
-        pool = self._pool(msg.service)
-        for team in pool.queue.backlogged():
-            for item in pool.queue.waiting(team, pool.queue.depth(team)):
-                if item.context.call_id == msg.call_id:
-                    pool.queue.discard(item)
-                    if item.reply.set_running_or_notify_cancel():
-                        item.reply.set_exception(CallerGone("caller gone while waiting"))
-                    return
+        item = self._pool(msg.service).withdraw(msg.call_id)
+        if item is not None and item.reply.set_running_or_notify_cancel():
+            item.reply.set_exception(CallerGone("caller gone while waiting"))
 
     @handle.register
     def _(self, msg: FirstEvent) -> None:
@@ -152,7 +148,7 @@
     @handle.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
-            for item in pool.queue.expire(msg.now):
+            for item in pool.expire(msg.now):
                 if item.reply.set_running_or_notify_cancel():
                     wait = pool.expected_wait_s(item)
                     item.reply.set_exception(QueueTimeout("queue_timeout", wait))
@@ -234,6 +230,9 @@
             load = PeerLoad(work.running, work.unread_tokens, now)
             for pool in self.pools.values():
                 pool.note_peer(node, work.target, load)
+        for read in summary.reads:
+            for pool in self.pools.values():
+                pool.note_peer_read(read.target, [Part(PartId(read.part), read.tokens)])
         worked = {work.target for work in summary.work}
         for pool in self.pools.values():
             pool.forget_peer_work(node, worked)
@@ -266,8 +265,17 @@
             waiting=sorted(
                 {team for pool in self.pools.values() for team in pool.queue.backlogged()}
             ),
+            reads=self._take_reads(),
         )
 
+    def _take_reads(self) -> list[PartRead]:
+        reads = {}
+        for pool in self.pools.values():
+            for target, parts in pool.reads_to_tell:
+                reads.update({(target, part.part_id): part.tokens for part in parts})
+            pool.reads_to_tell.clear()
+        return [PartRead(target, part, tokens) for (target, part), tokens in reads.items()]
+
     def _own_work(self) -> list[TargetWork]:
         return [
             TargetWork(load.info.id, load.running, load.own_unread_tokens())
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -45,7 +45,7 @@
 """How long past its own time limit a request waits for the broker to say that it is over."""
 
 _SILENCE_FACTOR = 4.0
-_LEAST_SILENCE_S = 0.3
+_LEAST_SILENCE_S = 2.0
 """A target that has not begun to answer after four times the expected time, and not less than this,
 is given up for another one if the request may be repeated: estimates are rarely off by more."""
 
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -68,6 +68,10 @@
             "text": routed.text_version,
             "due_ms": _ms(routed.bounds.give_up - self.arrived),
         }
+        prompt = routed.envelope.prompt
+        if prompt is not None:
+            own = prompt.parts[-1].tokens if prompt.parts else 0
+            fields.update(part=prompt.home_key, input=prompt.input_tokens, own=own)
         if self.granted is not None:
             fields.update(
                 target=self.granted.target.id,
--- a/turmerictray/routing/kept.py
+++ b/turmerictray/routing/kept.py
@@ -1,12 +1,13 @@
 """Which parts of prompts an engine is believed to keep in its memory."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from turmerictray.routing.prompt import Part, PartId, Prompt
 
 
 class KeptParts:
-    """A least-recently-used model of one engine's memory, from what this router sent there.
+    """A least-recently-used model of one engine's memory, from what routers sent there.
 
     Parameters
     ----------
@@ -21,7 +22,11 @@
 
     def note_read(self, prompt: Prompt) -> None:
         """The engine has read ``prompt``, or is about to."""
-        for part in prompt.shared:
+        self.note_parts(prompt.parts)
+
+    def note_parts(self, parts: Iterable[Part]) -> None:
+        """The engine has read ``parts``, for this router or for a peer."""
+        for part in parts:
             self._add(part)
         while self._total > self.memory_tokens and self._parts:
             _, tokens = self._parts.popitem(last=False)
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -25,6 +25,14 @@
 
 _SLOWNESS_RANGE = (0.5, 20.0)
 
+_SLOWNESS_STEP = (0.5, 3.0)
+"""One answer counts as at most this many times faster or slower than expected: work that peers sent
+meanwhile makes single answers late on a well target, but not one after the other."""
+
+_SLOWNESS_SMOOTHING = 0.1
+_TELLING_S = 0.08
+"""Answers expected sooner are ruled by the way there and back and say little about the target."""
+
 
 class TargetPhase(Enum):
     """Where a target is in its life."""
@@ -92,6 +100,8 @@
 
     Attributes
     ----------
+    held : dict of int to int
+        Requests of this router that wait for the target, and the tokens it would read for each.
     slowness : float
         How many times longer its answers take than the pool's model says.
     failure_rate : float
@@ -102,6 +112,7 @@
     kept: KeptParts
     running: int = 0
     reads: dict[int, OpenRead] = field(default_factory=dict)
+    held: dict[int, int] = field(default_factory=dict)
     peers: dict[NodeId, PeerLoad] = field(default_factory=dict)
     slowness: float = 1.0
     failure_rate: float = 0.0
@@ -117,11 +128,13 @@
     def first_event(self, call_id: int, took_s: float) -> None:
         """The first event of an answer came; a slow one makes the target count as slower."""
         read = self.reads.pop(call_id, None)
-        if read is None or read.expected_s <= 0:
+        if read is None or read.expected_s < _TELLING_S:
             return
-        low, high = _SLOWNESS_RANGE
-        seen = min(high, max(low, self.slowness * took_s / read.expected_s))
-        self.slowness += _SMOOTHING * (seen - self.slowness)
+        low, high = _SLOWNESS_STEP
+        step = min(high, max(low, took_s / read.expected_s))
+        least, most = _SLOWNESS_RANGE
+        seen = min(most, max(least, self.slowness * step))
+        self.slowness += _SLOWNESS_SMOOTHING * (seen - self.slowness)
 
     def ended(self, call_id: int) -> None:
         """The request has ended, however."""
@@ -156,6 +169,10 @@
         own = sum(read.tokens for read in self.reads.values())
         return own + sum(load.unread_tokens for load in self._heard(now))
 
+    def held_tokens(self, call_id: int) -> int:
+        """Tokens of the requests that wait here for the target, but for ``call_id`` itself."""
+        return sum(tokens for held, tokens in self.held.items() if held != call_id)
+
     def own_unread_tokens(self) -> int:
         """The same for this router alone."""
         return sum(read.tokens for read in self.reads.values())
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -7,15 +7,16 @@
 from turmerictray.routing.load import TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prompt import Prompt
-from turmerictray.routing.rendezvous import order
+from turmerictray.routing.rendezvous import rank
 
-READ_AGAIN_WEIGHT = 1.0
+READ_AGAIN_WEIGHT = 3.0
 """What reading a shared part again costs beyond the caller's own wait. The time is taken from all
 requests behind it as well, so it counts once more for the pool."""
 
-_HOME_KEPT = (0.9, 0.3)
-"""Chance that the first and the second choice of a part keep it though this router has not sent it
-there: its peers place by the same order."""
+_AWAY_S = 0.1
+"""What a target other than its first choice costs a prompt whose shared parts no engine keeps yet.
+Routers that see such a prompt at the same moment agree on where to read it, unless that engine is
+behind by more than this."""
 
 _ZONE_S = 0.004
 """A longer way and bytes between zones; decides only between targets that are otherwise equal."""
@@ -26,8 +27,9 @@
 _FAILURE_S = 2.0
 """What a failed answer costs a caller: about the time of asking again."""
 
-_OVERDUE_GRACE_S = 0.1
-"""Estimates are off by this much on a well engine."""
+_OVERDUE_GRACE_S = 1.0
+"""On a well engine one first event in thirty comes later than estimated by this much, because peers
+sent work that is not known yet. A shorter grace sends prompts away from where they are kept."""
 
 PLAIN_WORK_S = 0.05
 """Time a plain service takes for a request; only its ratio to the other terms matters."""
@@ -68,40 +70,43 @@
 
 
 def place_prompt(
-    loads: list[TargetLoad], prompt: Prompt, model: PoolModel, zone: ZoneId, now: float
+    loads: list[TargetLoad],
+    prompt: Prompt,
+    call_id: int,
+    model: PoolModel,
+    zone: ZoneId,
+    now: float,
 ) -> Placement | None:
-    """The engine where ``prompt`` costs least, or None without an engine."""
-    if not loads:
-        return None
-    homes = _homes(loads, prompt)
+    """The engine where ``prompt`` costs least, or None without an engine.
+
+    Requests that wait in this router for an engine count as work before it, so that a long line
+    for the one that keeps a popular part sends some of them to read it elsewhere.
+    """
+    kept = {load.info.id: load.kept.kept_tokens(prompt) for load in loads}
+    first = _first_choice(loads, prompt, kept)
     best: tuple[float, Placement] | None = None
     for load in loads:
-        miss = _miss_tokens(load, prompt, homes)
-        found = _engine_cost(load, miss, model, zone, now)
-        if best is None or found[0] < best[0]:
-            best = found
-    return best[1]
+        miss = prompt.input_tokens - kept[load.info.id]
+        ahead = load.unread_tokens(now) + load.held_tokens(call_id)
+        cost, placement = _engine_cost(load, miss, ahead, model, zone, now)
+        if first is not None and load.info.id != first:
+            cost += _AWAY_S
+        if best is None or cost < best[0]:
+            best = (cost, placement)
+    return best[1] if best else None
 
 
-def _homes(loads: list[TargetLoad], prompt: Prompt) -> dict[str, float]:
+def _first_choice(loads: list[TargetLoad], prompt: Prompt, kept: dict[str, int]) -> str | None:
+    """The target to prefer for a prompt that no engine keeps; None when one does."""
     key = prompt.home_key
-    if key is None:
-        return {}
-    ranked = order(key, [load.info.id for load in loads])
-    return dict(zip(ranked, _HOME_KEPT, strict=False))
-
-
-def _miss_tokens(load: TargetLoad, prompt: Prompt, homes: dict[str, float]) -> int:
-    kept = load.kept.kept_tokens(prompt)
-    shared = sum(part.tokens for part in prompt.shared)
-    likely = homes.get(load.info.id, 0.0) * shared
-    return prompt.input_tokens - int(max(kept, likely))
+    if key is None or not loads or any(kept.values()):
+        return None
+    return max(loads, key=lambda load: rank(key, load.info.id)).info.id
 
 
 def _engine_cost(
-    load: TargetLoad, miss: int, model: PoolModel, zone: ZoneId, now: float
+    load: TargetLoad, miss: int, ahead: int, model: PoolModel, zone: ZoneId, now: float
 ) -> tuple[float, Placement]:
-    ahead = load.unread_tokens(now)
     expected = model.first_event_s(ahead + miss) * load.slowness
     again = READ_AGAIN_WEIGHT * miss / model.read_per_s
     fill = load.running_in_fleet(now) / max(load.info.slots, 1)
