--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -5,6 +5,7 @@
 refused in time or dropped with its caller, and not in the targets, which can do none of that.
 """
 
+import statistics
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
@@ -131,8 +132,16 @@
                 info.id, info.service, info.address, info.zone, info.slots, TargetPhase.LEAVING
             )
 
-    def set_spec(self, spec: ServiceSpec) -> None:
-        """Take what the text says of the service."""
+    def set_spec(self, spec: ServiceSpec, tokens_per_s: float = 0.0) -> None:
+        """Take what the text says of the service.
+
+        Parameters
+        ----------
+        tokens_per_s : float
+            What the engines together produce; where the text says so, the model starts from it.
+        """
+        if self.spec.engine is None and spec.engine is not None and tokens_per_s and self.loads:
+            self.model = PoolModel(tokens_per_s / len(self.loads))
         self.spec = spec
         if spec.engine is not None:
             for load in self.loads.values():
@@ -257,7 +266,13 @@
         wanted: Wanted = item.context
         self.release(wanted)
         self._ledger.charge(item.team, item.hint)
-        read = OpenRead(now, placement.miss_tokens, placement.ahead_tokens, placement.expected_s)
+        read = OpenRead(
+            now,
+            placement.miss_tokens,
+            placement.ahead_tokens,
+            placement.expected_s,
+            placement.load.slowness,
+        )
         placement.load.sent(wanted.call_id, read)
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
@@ -277,10 +292,12 @@
         load = self.loads.get(target)
         if load is None:
             return
-        read = load.reads.get(call_id)
-        if read is not None and self.spec.engine is not None:
-            self.model.learn(read.ahead_tokens + read.tokens, took_s, load.slowness)
-        load.first_event(call_id, took_s)
+        read = load.first_event(call_id, took_s)
+        if read is not None and self.spec.engine is not None and not read.ahead_tokens:
+            self.model.learn(read.tokens, took_s)
+        usual = statistics.median(each.log_lateness for each in self.loads.values())
+        for each in self.loads.values():
+            each.judge_slowness(usual)
 
     def settle(self, target: TargetId, call_id: int, outcome: Outcome, now: float) -> None:
         """A send has ended."""
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -174,7 +174,7 @@
     def _apply(self, text: RoutingText) -> None:
         self.ledger.weights = {team.name: team.weight for team in text.teams}
         for spec in text.services.values():
-            self._pool(spec.name).set_spec(spec)
+            self._pool(spec.name).set_spec(spec, text.tokens_per_s)
         metrics.CONFIG_VERSION.set(text.version)
 
     @handle.register
@@ -304,5 +304,5 @@
             self._set_fleet_size(pool)
             text = self.in_force.current
             if text is not None and service in text.services:
-                pool.set_spec(text.services[service])
+                pool.set_spec(text.services[service], text.tokens_per_s)
         return pool
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -3,6 +3,7 @@
 All times are passed in, so that the beliefs can be tested without waiting.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -23,14 +24,16 @@
 _PEER_LOAD_TTL_S = 2.0
 """A peer's word on its own load counts this long: four of its messages may be lost."""
 
-_SLOWNESS_RANGE = (0.5, 20.0)
+_SLOWNESS_RANGE = (0.7, 20.0)
 
-_SLOWNESS_STEP = (0.5, 3.0)
-"""One answer counts as at most this many times faster or slower than expected: work that peers sent
-meanwhile makes single answers late on a well target, but not one after the other."""
+_SLOWNESS_STEP = (0.3, 8.0)
+"""One answer counts as at most this many times faster or slower than expected."""
 
 _SLOWNESS_SMOOTHING = 0.1
-_TELLING_S = 0.08
+"""Weight of one answer in the logarithm of the slowness. Work that peers sent meanwhile makes single
+answers late on a well target, but not ten in a row."""
+
+_TELLING_S = 0.06
 """Answers expected sooner are ruled by the way there and back and say little about the target."""
 
 
@@ -86,12 +89,15 @@
         Tokens the target had to read before it.
     expected_s : float
         Seconds from the send to the first event, as estimated then.
+    slowness : float
+        The target's slowness in that estimate.
     """
 
     sent_at: float
     tokens: int
     ahead_tokens: int
     expected_s: float
+    slowness: float = 1.0
 
 
 @dataclass
@@ -103,7 +109,9 @@
     held : dict of int to int
         Requests of this router that wait for the target, and the tokens it would read for each.
     slowness : float
-        How many times longer its answers take than the pool's model says.
+        How many times longer its answers take than those of its pool.
+    log_lateness : float
+        Moving average of the logarithm of (time taken / time that the pool's model says).
     failure_rate : float
         Moving average of failed answers, 0 to 1.
     """
@@ -115,6 +123,7 @@
     held: dict[int, int] = field(default_factory=dict)
     peers: dict[NodeId, PeerLoad] = field(default_factory=dict)
     slowness: float = 1.0
+    log_lateness: float = 0.0
     failure_rate: float = 0.0
     judged_at: float = 0.0
     unreachable: int = 0
@@ -125,16 +134,24 @@
         self.running += 1
         self.reads[call_id] = read
 
-    def first_event(self, call_id: int, took_s: float) -> None:
-        """The first event of an answer came; a slow one makes the target count as slower."""
+    def first_event(self, call_id: int, took_s: float) -> OpenRead | None:
+        """The first event of an answer came; returns what was known when the request was sent."""
         read = self.reads.pop(call_id, None)
         if read is None or read.expected_s < _TELLING_S:
-            return
+            return read
         low, high = _SLOWNESS_STEP
-        step = min(high, max(low, took_s / read.expected_s))
-        least, most = _SLOWNESS_RANGE
-        seen = min(most, max(least, self.slowness * step))
-        self.slowness += _SLOWNESS_SMOOTHING * (seen - self.slowness)
+        ratio = min(high, max(low, took_s * read.slowness / read.expected_s))
+        self.log_lateness += _SLOWNESS_SMOOTHING * (math.log(ratio) - self.log_lateness)
+        return read
+
+    def judge_slowness(self, usual_log_lateness: float) -> None:
+        """Compare the target's lateness with what is usual in its pool.
+
+        All targets of a pool are late together when it is busy; only the difference is a target's
+        own.
+        """
+        low, high = _SLOWNESS_RANGE
+        self.slowness = min(high, max(low, math.exp(self.log_lateness - usual_log_lateness)))
 
     def ended(self, call_id: int) -> None:
         """The request has ended, however."""
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -9,9 +9,13 @@
 from turmerictray.routing.prompt import Prompt
 from turmerictray.routing.rendezvous import rank
 
-READ_AGAIN_WEIGHT = 3.0
-"""What reading a shared part again costs beyond the caller's own wait. The time is taken from all
-requests behind it as well, so it counts once more for the pool."""
+_AGAIN_IDLE = 2.0
+_AGAIN_BUSY = 6.0
+_BUSY_S = 0.35
+"""What reading costs beyond the caller's own wait, as a multiple of its time: the time is taken from
+all requests that come behind it. On an idle engine few do; on one with :data:`_BUSY_S` of reading
+before it, all of them, and every prompt that is read again there makes the line longer that sent it
+there."""
 
 _AWAY_S = 0.1
 """What a target other than its first choice costs a prompt whose shared parts no engine keeps yet.
@@ -108,7 +112,9 @@
     load: TargetLoad, miss: int, ahead: int, model: PoolModel, zone: ZoneId, now: float
 ) -> tuple[float, Placement]:
     expected = model.first_event_s(ahead + miss) * load.slowness
-    again = READ_AGAIN_WEIGHT * miss / model.read_per_s
+    busy = min(1.0, ahead / (_BUSY_S * model.read_per_s))
+    weight = _AGAIN_IDLE + (_AGAIN_BUSY - _AGAIN_IDLE) * busy
+    again = weight * miss / model.read_per_s
     fill = load.running_in_fleet(now) / max(load.info.slots, 1)
     cost = expected + again + _BATCH_S * fill * load.slowness + _trouble(load, zone, now)
     return cost, Placement(load, miss, ahead, expected)
