--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.window import engine_open, plain_open
+from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
@@ -26,6 +26,9 @@
 _QUEUE_PER_TEAM = 64
 """Waiting requests of one team on one router; more than can be served within any objective."""
 
+_LEAST_WAIT_PART = 0.3
+"""Part of its time that a request may wait however long its prompt is."""
+
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 24
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
@@ -178,8 +181,11 @@
             By the rate at which requests are sent now, its turn comes too late.
         """
         wanted: Wanted = item.context
-        if not candidates(self.loads.values(), wanted.exclude, now):
+        loads = candidates(self.loads.values(), wanted.exclude, now)
+        if not loads:
             raise NoTarget("no_target", 0.5)
+        if not retry:
+            item.deadline = self._wait_until(item, loads, now)
         wait = self.expected_wait_s(item)
         if not retry and now + wait > item.deadline:
             raise WontBeServed("wait_too_long", wait)
@@ -188,6 +194,22 @@
         except QueueFull as exc:
             raise QueueFull(exc.reason, wait) from exc
 
+    def _wait_until(self, item: Pending, loads: list[TargetLoad], now: float) -> float:
+        """Until when a request may wait and still be answered in time.
+
+        Engines that are asked for more than they can do answer everything late when each request
+        waits as long as it may; the ones that can't be in time any more are refused, so that
+        the others are.
+        """
+        prompt = item.context.prompt
+        if prompt is None:
+            return item.deadline
+        miss = min(prompt.input_tokens - load.kept.kept_tokens(prompt) for load in loads)
+        reading = self.model.first_event_s(miss) + READ_AHEAD_S / 2
+        # A prompt that takes longer to read than its objective would never be let in.
+        least = now + _LEAST_WAIT_PART * (item.deadline - now)
+        return max(least, item.deadline - reading)
+
     def expected_wait_s(self, item: Pending) -> float:
         """Seconds until the request's turn, by the queue before it and the pace of sends."""
         return self._mean_gap_s * self._ahead_of(item)
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -3,7 +3,7 @@
 from turmerictray.routing.load import TargetLoad
 from turmerictray.routing.model import PoolModel
 
-READ_AHEAD_S = 0.35
+READ_AHEAD_S = 0.25
 """Prompt reading that an engine may have before it, in seconds. Engines take requests in order of
 arrival and drop none, so work that waits there can't be reordered between teams or given up in
 time; it must only be long enough that an engine isn't idle while peers' reports (half a second old)
