Only shared parts count as read again; the queue is in order of arrival again

Cause: the cost of reading again was taken on the whole prompt. Its own part must be read wherever it goes, so a busy engine that keeps the shared parts looked dearer than an idle one that keeps nothing. Ruled out: eviction, the learned rate (both checked in the log of spills).

--- a/turmerictray/fairness/queue.py
+++ b/turmerictray/fairness/queue.py
@@ -39,7 +39,7 @@
 
 
 class FairQueue:
-    """A queue per team, by deadline; :meth:`pop` serves the backlogged team least served so far.
+    """Per-team FIFO queues; :meth:`pop` serves the backlogged team least served so far.
 
     Parameters
     ----------
@@ -88,7 +88,7 @@
         if front:
             queue.appendleft(item)
         else:
-            queue.insert(_place_by_deadline(queue, item), item)
+            queue.append(item)
 
     def peek_team(self) -> TeamId | None:
         """The team :meth:`pop` would serve next, or None when nothing waits."""
@@ -97,11 +97,11 @@
         return min(self._queues, key=self._order)
 
     def peek_head(self, team: TeamId) -> Pending:
-        """The request of ``team`` that must be served first."""
+        """The oldest waiting request of ``team``."""
         return self._queues[team][0]
 
     def waiting(self, team: TeamId, most: int) -> list[Pending]:
-        """The first ``most`` waiting requests of ``team``, by deadline."""
+        """The first ``most`` waiting requests of ``team``, oldest first."""
         return list(islice(self._queues.get(team, ()), most))
 
     def by_service(self) -> Iterator[TeamId]:
@@ -119,7 +119,7 @@
         return None if team is None else self.pop_from(team)
 
     def pop_from(self, team: TeamId) -> Pending:
-        """Take the first waiting request of ``team``, which must be backlogged."""
+        """Take the oldest waiting request of ``team``, which must be backlogged."""
         queue = self._queues[team]
         item = queue.popleft()
         if not queue:
@@ -155,11 +155,3 @@
     def _drop(self, team: TeamId) -> None:
         del self._queues[team]
         self.ledger.leave(team)
-
-
-def _place_by_deadline(queue: deque[Pending], item: Pending) -> int:
-    """Where ``item`` goes: after all that must be served no later."""
-    place = len(queue)
-    while place and queue[place - 1].deadline > item.deadline:
-        place -= 1
-    return place
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -87,12 +87,14 @@
     for the one that keeps a popular part sends some of them to read it elsewhere.
     """
     kept = {load.info.id: load.kept.kept_tokens(prompt) for load in loads}
+    shared = sum(part.tokens for part in prompt.shared)
     first = _first_choice(loads, prompt, kept)
     best: tuple[float, Placement] | None = None
     for load in loads:
         miss = prompt.input_tokens - kept[load.info.id]
         ahead = load.unread_tokens(now) + load.held_tokens(call_id)
-        cost, placement = _engine_cost(load, miss, ahead, model, zone, now)
+        again = shared - kept[load.info.id]
+        cost, placement = _engine_cost(load, miss, again, ahead, model, zone, now)
         if first is not None and load.info.id != first:
             cost += _AWAY_S
         if best is None or cost < best[0]:
@@ -109,12 +111,18 @@
 
 
 def _engine_cost(
-    load: TargetLoad, miss: int, ahead: int, model: PoolModel, zone: ZoneId, now: float
+    load: TargetLoad,
+    miss: int,
+    again_tokens: int,
+    ahead: int,
+    model: PoolModel,
+    zone: ZoneId,
+    now: float,
 ) -> tuple[float, Placement]:
     expected = model.first_event_s(ahead + miss) * load.slowness
     busy = min(1.0, ahead / (_BUSY_S * model.read_per_s))
     weight = _AGAIN_IDLE + (_AGAIN_BUSY - _AGAIN_IDLE) * busy
-    again = weight * miss / model.read_per_s
+    again = weight * again_tokens / model.read_per_s
     fill = load.running_in_fleet(now) / max(load.info.slots, 1)
     cost = expected + again + _BATCH_S * fill * load.slowness + _trouble(load, zone, now)
     return cost, Placement(load, miss, ahead, expected)
