Engines' windows by lead over waiting teams; peers are told four times a second

Cause: peers' work on an engine was known half a second late, twice an engine's reading window, so all routers filled the same engine; and a router without a queue filled engines before one with a waiting team could. Service was told only when streams ended. Ruled out: cost of placement (same weights), slow gossip links (messages arrive within 3 ms).

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open
+from turmerictray.admission.window import AHEAD_PART, READ_AHEAD_S, engine_open, plain_open
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
@@ -29,6 +29,10 @@
 _LEAST_WAIT_PART = 0.3
 """Part of its time that a request may wait however long its prompt is."""
 
+_AHEAD_TOKENS = 60_000.0
+"""Lead of a team over a waiting one that is let pass: a few large prompts, and what a pool of ten
+engines does in a fifth of a second, which is less than peers' reports lag behind."""
+
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 24
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
@@ -228,9 +232,10 @@
         """
         looked_at = 0
         for team in self.queue.by_service():
+            part = AHEAD_PART if self._ledger.is_ahead(team, _AHEAD_TOKENS) else 1.0
             for item in self.queue.waiting(team, _LOOK_BEHIND):
                 looked_at += 1
-                placement = self._place(item.context, now)
+                placement = self._place(item.context, part, now)
                 if placement is not None:
                     self.queue.discard(item)
                     self._book(item, placement, now)
@@ -241,13 +246,13 @@
             self._last_sent = 0.0
         return None
 
-    def _place(self, wanted: Wanted, now: float) -> Placement | None:
+    def _place(self, wanted: Wanted, part: float, now: float) -> Placement | None:
         loads = candidates(self.loads.values(), wanted.exclude, now)
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
             return place_plain(loads, self.zone, now)
         placement = place_prompt(loads, wanted.prompt, wanted.call_id, self.model, self.zone, now)
-        if placement is None or engine_open(placement.load, self.model, now):
+        if placement is None or engine_open(placement.load, self.model, now, part):
             return placement
         # Waiting for the engine that keeps the prompt is worth it: reading the prompt elsewhere
         # takes time from the requests there. The line before the engine counts in its cost.
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -14,12 +14,24 @@
 bridges the way there and back."""
 
 
-def engine_open(load: TargetLoad, model: PoolModel, now: float) -> bool:
-    """Whether an engine may be given one more request."""
+AHEAD_PART = 0.3
+"""Part of the engines' windows that is open to a team which has had more than one that waits, here or
+at a peer. The rest is left to the other team's router: routers send without asking each other, and
+one without a queue of its own would otherwise fill the engines before one with a queue can."""
+
+
+def engine_open(load: TargetLoad, model: PoolModel, now: float, part: float = 1.0) -> bool:
+    """Whether an engine may be given one more request.
+
+    Parameters
+    ----------
+    part : float
+        Part of the window that the request's team may use.
+    """
     if load.running_in_fleet(now) >= load.info.slots:
         return False
     unread = load.unread_tokens(now)
-    return unread * load.slowness <= READ_AHEAD_S * model.read_per_s
+    return unread * load.slowness <= part * READ_AHEAD_S * model.read_per_s
 
 
 def plain_open(load: TargetLoad, routers: int, now: float) -> bool:
--- a/turmerictray/fairness/ledger.py
+++ b/turmerictray/fairness/ledger.py
@@ -161,6 +161,23 @@
         counters = {team: value for team, value in self.settled.items() if value > 0}
         return PeerCounters(self.node, self.incarnation, counters)
 
+    def charged(self) -> dict[TeamId, float]:
+        """This router's service per team, with the hints of requests still in progress.
+
+        Streams last for seconds; told of only when they end, a team's service would look smaller to
+        peers than it is, and they would go on to serve it first.
+        """
+        teams = set(self.settled) | set(self.provisional)
+        return {team: self.settled[team] + self.provisional[team] for team in teams}
+
+    def is_ahead(self, team: TeamId, slack: float) -> bool:
+        """Whether ``team`` has had ``slack`` tokens per weight more than a team that waits."""
+        waiting = (self._waiting.keys() | self.waiting_elsewhere) - {team}
+        if not waiting:
+            return False
+        least = min(self.normalised(other) for other in waiting)
+        return self.normalised(team) - least > slack
+
     def _raise_to(self, team: TeamId, level: float) -> None:
         gap = level - self.normalised(team)
         if gap > 0:
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -23,15 +23,17 @@
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.membership.table import MemberTable
 
-FANOUT = 12
-"""Routers that one sends to in a period. At two messages a second of about 450 bytes this is 11 KB/s,
-below the budget of 12 KB/s for a fleet of any size."""
+FANOUT = 8
+"""Routers that one sends to in a period. At four messages a second of about 350 bytes this is
+11 KB/s, below the budget of 12 KB/s for a fleet of any size."""
 
-PERIOD_S = 0.5
-"""Time between messages. Peers' loads are this old at the median when they are used."""
+PERIOD_S = 0.25
+"""Time between messages. What peers have sent to an engine is known this late; in that time all of
+them may take the same engine for free, so it is kept well under an engine's reading window."""
 
 _KNOWN_ENTRIES = 6
-"""Entries of other routers in a message, at about 70 bytes each."""
+_KNOWN_EVERY = 4
+"""Every so many messages carry entries of other routers, at about 70 bytes each."""
 
 _REDIAL_S = 2.0
 """A peer silent this long is dialled anew: a connection that a cut left half open swallows messages
@@ -175,7 +177,9 @@
         self.entry = MemberEntry(
             entry.node, entry.zone, entry.address, entry.incarnation, entry.beat + 1, self._leaving
         )
-        known = self.table.sample(now, _KNOWN_ENTRIES, self._rng)
+        known: list[MemberEntry] = []
+        if self.entry.beat % _KNOWN_EVERY == 0:
+            known = self.table.sample(now, _KNOWN_ENTRIES, self._rng)
         message = PeerMessage(self.entry, self._own_summary(), known, self.admin)
         data = msgspec.msgpack.encode(message)
         contacts = self.table.contacts(now, FANOUT, self._rng)
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -39,6 +39,9 @@
 """What a waiting team may be owed at most, in tokens read: about a second of a small pool, so a
 peer heard again after a cut can't starve the team it reports on."""
 
+_ALL_TEAMS_EVERY = 8
+"""Every so many messages tell of all teams, for peers that missed some."""
+
 _BUSY_RETRY_S = 0.5
 
 
@@ -74,6 +77,8 @@
         self.ledger = ServiceLedger(node, incarnation)
         self.pools: dict[ServiceName, ServicePool] = {}
         self.routers = 1
+        self.told = 0
+        self.told_service: dict[TeamId, float] = {}
         self.peers_waiting: dict[str, set[TeamId]] = {}
 
     def on_receive(self, message: object) -> object:
@@ -261,13 +266,22 @@
             incarnation=self.incarnation,
             text_version=self.in_force.version,
             work=self._own_work(),
-            service=dict(self.ledger.own_report().counters),
+            service=self._service_to_tell(),
             waiting=sorted(
                 {team for pool in self.pools.values() for team in pool.queue.backlogged()}
             ),
             reads=self._take_reads(),
         )
 
+    def _service_to_tell(self) -> dict[str, float]:
+        """Service of the teams that had some since the last message; now and then of all."""
+        charged = self.ledger.charged()
+        self.told += 1
+        if self.told % _ALL_TEAMS_EVERY:
+            charged = {t: v for t, v in charged.items() if v > self.told_service.get(t, 0.0)}
+        self.told_service.update(charged)
+        return {team: round(value) for team, value in charged.items()}
+
     def _take_reads(self) -> list[PartRead]:
         reads = {}
         for pool in self.pools.values():
