Stand-ins of the store and the workers; unit tests of the new decisions; two faults they found

RecentService lost the shrinking of counters when it rescaled within an addition (found by hypothesis: teams would have been ordered wrongly after two minutes of running).

--- /dev/null
+++ b/tests/fairness/test_recent.py
@@ -0,0 +1,80 @@
+"""Teams are compared by what they had lately, over the whole fleet."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmerictray.core.ids import NodeId, TeamId
+from turmerictray.fairness.recent import HALF_LIFE_S, RecentService
+
+A, B = TeamId("a"), TeamId("b")
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def make() -> tuple[RecentService, Clock]:
+    clock = Clock()
+    return RecentService(NodeId("r1"), clock), clock
+
+
+def test_service_counts_half_after_a_half_life():
+    service, clock = make()
+    service.charge(A, 1000)
+    clock.now += HALF_LIFE_S
+    service.charge(B, 500)
+    assert abs(service.normalised(A) - service.normalised(B)) < 1e-6
+
+
+def test_team_served_at_a_peer_is_not_served_first_here():
+    # All callers of one team come in elsewhere. Counted only here it would look unserved, and a
+    # team whose callers come in here would be held back for nothing.
+    service, _ = make()
+    service.merge("r2", 1, {A: 0.0})
+    service.merge("r2", 1, {A: 5000.0})
+    service.charge(B, 1000)
+    assert service.normalised(B) < service.normalised(A)
+
+
+def test_peer_counters_told_twice_count_once():
+    service, _ = make()
+    service.merge("r2", 1, {})
+    for _ in range(3):
+        service.merge("r2", 1, {A: 5000.0})
+    service.charge(B, 5000)
+    assert service.normalised(A) == service.normalised(B)
+
+
+def test_what_a_peer_served_before_it_was_heard_is_not_recent():
+    service, _ = make()
+    service.merge("r2", 1, {A: 1e9})
+    assert service.normalised(A) == 0
+
+
+def test_team_with_a_lead_over_a_team_waiting_elsewhere_is_ahead():
+    service, clock = make()
+    service.charge(A, 100_000)
+    assert not service.is_ahead(A, 50_000)
+    service.waiting_elsewhere = {B}
+    assert service.is_ahead(A, 50_000)
+    clock.now += 2 * HALF_LIFE_S
+    assert not service.is_ahead(A, 50_000)
+
+
+@given(st.lists(st.tuples(st.sampled_from([A, B]), st.floats(0, 30), st.floats(1, 1e5))))
+def test_order_is_that_of_plainly_decayed_sums(events):
+    service, clock = make()
+    plain = {A: 0.0, B: 0.0}
+    for team, gap, tokens in events:
+        clock.now += gap
+        plain = {name: value * 0.5 ** (gap / HALF_LIFE_S) for name, value in plain.items()}
+        service.charge(team, tokens)
+        plain[team] += tokens
+    if abs(plain[A] - plain[B]) > 1e-3 * (plain[A] + plain[B]):
+        assert (service.normalised(A) < service.normalised(B)) == (plain[A] < plain[B])
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -15,9 +15,9 @@
 
 
 AHEAD_PART = 0.3
-"""Part of the engines' windows that is open to a team which has had more than one that waits, here or
-at a peer. The rest is left to the other team's router: routers send without asking each other, and
-one without a queue of its own would otherwise fill the engines before one with a queue can."""
+"""Part of the engines' windows that is open to a team which has had more than one that waits, here
+or at a peer. The rest is left to the other team's router: routers send without asking each other,
+and one without a queue of its own would otherwise fill the engines before one with a queue can."""
 
 
 def engine_open(load: TargetLoad, model: PoolModel, now: float, part: float = 1.0) -> bool:
--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -102,8 +102,9 @@
         return self.normalised(team) - least > slack * self._scale()
 
     def _add(self, team: TeamId, tokens: float) -> None:
-        value = self._recent[team] + tokens * self._scale()
-        self._recent[team] = max(0.0, value)
+        # The scale comes first: taking it may shrink what is already counted.
+        added = tokens * self._scale()
+        self._recent[team] = max(0.0, self._recent[team] + added)
 
     def _scale(self) -> float:
         half_lives = (self._clock() - self._begun) / HALF_LIFE_S
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -33,7 +33,8 @@
 
 _KNOWN_ENTRIES = 6
 _KNOWN_EVERY = 4
-"""Every so many messages carry entries of other routers, at about 70 bytes each."""
+"""Every so many messages carry entries of other routers, at about 70 bytes each, while all peers
+are heard directly and the entries only serve routers that join."""
 
 _REDIAL_S = 2.0
 """A peer silent this long is dialled anew: a connection that a cut left half open swallows messages
@@ -116,6 +117,7 @@
         self._on_peer = on_peer
         self._on_size = on_size
         self._size = 1
+        self._ticks = 0
         self._leaving = False
         self._outlets: dict[str, _Outlet] = {}
         self._rng = random.Random()
@@ -147,7 +149,11 @@
         if msg.is_late():
             return
         now = time.monotonic()
-        self._send_all(now)
+        self._ticks += 1
+        # In a fleet that is larger than the fanout, routers hear of each other by the entries in
+        # every message; the messages are longer and come half as often, for the same bytes.
+        if not self._is_large() or self._ticks % 2 == 0:
+            self._send_all(now)
         self._note_size(now)
 
     @handle.register
@@ -172,13 +178,16 @@
         self._leaving = True
         self._send_all(time.monotonic())
 
+    def _is_large(self) -> bool:
+        return self._size > FANOUT + 1
+
     def _send_all(self, now: float) -> None:
         entry = self.entry
         self.entry = MemberEntry(
             entry.node, entry.zone, entry.address, entry.incarnation, entry.beat + 1, self._leaving
         )
         known: list[MemberEntry] = []
-        if self.entry.beat % _KNOWN_EVERY == 0:
+        if self._is_large() or self.entry.beat % _KNOWN_EVERY == 0:
             known = self.table.sample(now, _KNOWN_ENTRIES, self._rng)
         message = PeerMessage(self.entry, self._own_summary(), known, self.admin)
         data = msgspec.msgpack.encode(message)
--- a/turmerictray/membership/table.py
+++ b/turmerictray/membership/table.py
@@ -9,6 +9,10 @@
 ALIVE_S = 3.0
 """A router that nobody has heard of for this long counts as down: six messages lost in a row."""
 
+_ALIVE_PER_ROUTER_S = 0.04
+"""News of a router comes by a detour in a large fleet, where each message brings a few entries; with
+a hundred entries a second this is four times the mean time between two of the same router."""
+
 _FORGOTTEN_S = 60.0
 """A router that is down is still tried for this long, so that two sides of a cut find each other
 again; longer ones come back by the seeds."""
@@ -36,6 +40,7 @@
     def __init__(self, node: NodeId) -> None:
         self.node = node
         self._known: dict[str, _Known] = {}
+        self._newcomers: list[str] = []
 
     def learn(self, entry: MemberEntry, now: float, direct: bool) -> bool:
         """Take an entry; true when it tells of a router, or of a start, not known before.
@@ -48,6 +53,8 @@
         if entry.node == self.node:
             return False
         known = self._known.get(entry.node)
+        if direct and (known is None or not known.heard_at):
+            self._newcomers.append(entry.node)
         if known is None:
             heard_at = now if direct else 0.0
             self._known[entry.node] = _Known(entry, now, heard_at)
@@ -66,9 +73,12 @@
         return [
             known.entry
             for known in self._known.values()
-            if now - known.news_at < ALIVE_S and not known.entry.leaving
+            if now - known.news_at < self._alive_s() and not known.entry.leaving
         ]
 
+    def _alive_s(self) -> float:
+        return ALIVE_S + _ALIVE_PER_ROUTER_S * len(self._known)
+
     def unheard_s(self, node: str, now: float) -> float:
         """Seconds since a router itself was heard."""
         known = self._known.get(node)
@@ -79,13 +89,24 @@
         return len(self.alive(now)) + 1
 
     def contacts(self, now: float, most: int, rng: random.Random) -> list[MemberEntry]:
-        """At most ``most`` routers to send to: those alive first, and one that may be back."""
+        """At most ``most`` routers to send to: newcomers, live ones, and one that may be back.
+
+        A router that starts knows only the seeds; all of a large fleet start at once, and without
+        an answer they would wait until a seed's random choice falls on them.
+        """
         self._forget(now)
         alive = self.alive(now)
         silent = [known.entry for known in self._known.values() if known.entry not in alive]
-        chosen = alive if len(alive) < most else rng.sample(alive, most - 1)
+        chosen = self._take_newcomers(most - 1)
+        rest = [entry for entry in alive if entry not in chosen]
+        room = most - 1 - len(chosen)
+        chosen += rest if len(rest) <= room else rng.sample(rest, room)
         return chosen + ([rng.choice(silent)] if silent else [])
 
+    def _take_newcomers(self, most: int) -> list[MemberEntry]:
+        taken, self._newcomers = self._newcomers[:most], self._newcomers[most:]
+        return [self._known[node].entry for node in taken if node in self._known]
+
     def sample(self, now: float, most: int, rng: random.Random) -> list[MemberEntry]:
         """At most ``most`` live routers, for another one's table."""
         alive = self.alive(now)
--- /dev/null
+++ b/turmerictray/platform/standins/local.py
@@ -0,0 +1,222 @@
+"""A small deployment on loopback: the store, workers, and routers as processes of their own."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import urllib3
+
+from turmerictray.platform.settings import METRICS_PORT, SETTINGS_VARIABLE
+from turmerictray.platform.standins.store import StoreServer
+from turmerictray.platform.standins.worker import Worker
+
+_FRONT_PORT = 8783
+_READY_PORT = 8780
+_CONTROL_PORT = 8785
+_PEER_PORT = 7400
+_START_S = 15.0
+_STOP_S = 15.0
+HOST = "shop.example"
+KEY = "key-depot"
+TEAM = "depot"
+
+
+def default_config(version: int = 1, **changes) -> dict:
+    """An operator's configuration with a plain service and a pool of engines."""
+    config = {
+        "version": version,
+        "routes": [
+            _route("order", "/order/", "non_idempotent", "app"),
+            _route("ping", "/ping/", "idempotent", "app", max_attempts=2),
+            _route("open", "/open/", "idempotent", "app", public=True),
+            _route("plan", "/plan/", "streaming", "llm", max_attempts=2, resumable=True),
+            _route("recon", "/recon/", "streaming", "llm"),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/health"},
+            {"name": "llm", "engine": {"slots": 8, "kv_tokens": 600_000}},
+        ],
+        "limits": {"tokens_per_s": 100_000},
+        "tenants": [
+            {"name": TEAM, "api_keys": [KEY]},
+            {"name": "rider", "api_keys": ["key-rider"]},
+        ],
+    }
+    config.update(changes)
+    return config
+
+
+def _route(name: str, prefix: str, kind: str, service: str, **more) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 3000,
+        "target_latency_ms": 1000,
+        **more,
+    }
+
+
+def free_network() -> str:
+    """The first three parts of a loopback network whose first addresses are free."""
+    for second in range(20, 250):
+        network = f"127.{second}.{os.getpid() % 250}"
+        if _is_free(f"{network}.1"):
+            return network
+    raise RuntimeError("no free loopback network")
+
+
+def _is_free(host: str) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, _FRONT_PORT))
+        except OSError:
+            return False
+        return True
+
+
+class LocalRouter:
+    """A router process.
+
+    Parameters
+    ----------
+    number : int
+        From 1; gives its address in ``network``.
+    """
+
+    def __init__(self, number: int, network: str, zone: str, store: str, folder: Path) -> None:
+        self.name = f"r{number}"
+        self.ip = f"{network}.{number}"
+        self.log_path = folder / f"{self.name}.log"
+        self._settings = folder / f"{self.name}.toml"
+        self._settings.write_text(self._node_file(network, zone, store))
+        self._process: subprocess.Popen | None = None
+
+    @property
+    def front(self) -> tuple[str, int]:
+        """Address for callers."""
+        return self.ip, _FRONT_PORT
+
+    @property
+    def admin(self) -> str:
+        """URL for operators."""
+        return f"http://{self.ip}:{_CONTROL_PORT}"
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start the process."""
+        env = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
+        with open(self.log_path, "ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "turmerictray.platform.main"],
+                env=env,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def is_ready(self) -> bool:
+        """Whether it takes callers."""
+        try:
+            url = f"http://{self.ip}:{_READY_PORT}/api/ready"
+            return urllib3.request("GET", url, timeout=1, retries=False).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def wait_ready(self) -> None:
+        """Wait until it takes callers."""
+        until = time.monotonic() + _START_S
+        while not self.is_ready():
+            if time.monotonic() > until:
+                raise RuntimeError(f"{self.name} is not ready: {self.log_path.read_text()[-800:]}")
+            time.sleep(0.05)
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(signum)
+
+    def wait(self) -> int:
+        """Wait for the process's end; returns its exit code."""
+        return self._process.wait(_STOP_S)
+
+    def stop(self) -> None:
+        """Kill the process if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait(_STOP_S)
+
+    def _node_file(self, network: str, zone: str, store: str) -> str:
+        return f"""
+node = "{self.name}"
+ip = "{self.ip}"
+zone = "{zone}"
+internal_ports = [{_PEER_PORT}, {_PEER_PORT + 15}]
+seeds = ["{network}.1:{_CONTROL_PORT}"]
+[listen]
+front = "{self.ip}:{_FRONT_PORT}"
+ready = "{self.ip}:{_READY_PORT}"
+control = "{self.ip}:{_CONTROL_PORT}"
+[bounds]
+grace_s = 6
+[platform]
+address = "{store}"
+"""
+
+
+class LocalDeployment:
+    """The store, workers and routers of a test.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    """
+
+    def __init__(self, folder: Path, routers: int = 1, apps: int = 2, engines: int = 2) -> None:
+        self.store = StoreServer().start()
+        self.workers = [Worker(f"app-{n}", "app").start() for n in range(apps)]
+        self.workers += [Worker(f"llm-{n}", "llm").start() for n in range(engines)]
+        network = free_network()
+        self.routers = [
+            LocalRouter(number, network, "z1", self.store.address, folder)
+            for number in range(1, routers + 1)
+        ]
+
+    def start(self) -> "LocalDeployment":
+        """Publish the configuration and start the routers."""
+        self.store.store.put("op/config", default_config())
+        for worker in self.workers:
+            self.publish(worker)
+        for router in self.routers:
+            router.start()
+        for router in self.routers:
+            router.wait_ready()
+        return self
+
+    def publish(self, worker: Worker, state: str = "ready") -> None:
+        """Write a worker's entry."""
+        self.store.store.put(f"servers/{worker.id}", worker.entry("z1", state))
+
+    def of_service(self, service: str) -> list[Worker]:
+        """The workers of a service."""
+        return [worker for worker in self.workers if worker.service == service]
+
+    def stop(self) -> None:
+        """Stop everything that was started."""
+        for router in self.routers:
+            router.stop()
+        for worker in self.workers:
+            worker.stop()
+        self.store.stop()
+
+
+__all__ = ["HOST", "KEY", "METRICS_PORT", "TEAM", "LocalDeployment", "LocalRouter"]
--- /dev/null
+++ b/turmerictray/platform/standins/store.py
@@ -0,0 +1,188 @@
+"""A stand-in of the platform's metadata store: items, pages, watches and its troubles."""
+
+import base64
+import threading
+import time
+from dataclasses import dataclass
+from enum import Enum
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+_PAGE_ITEMS = 50
+_SILENT_S = 30.0
+
+
+class StoreTrouble(Enum):
+    """What the store does with the calls that come."""
+
+    NONE = "none"
+    BUSY = "busy"
+    TOO_MANY = "too_many"
+    SILENT = "silent"
+    RESET = "reset"
+
+
+@dataclass(frozen=True)
+class _Change:
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Store:
+    """The store's state; safe to use from many threads."""
+
+    def __init__(self) -> None:
+        self.trouble = StoreTrouble.NONE
+        self.calls = 0
+        self.revision = 1
+        self._items: dict[str, _Change] = {}
+        self._history: list[_Change] = []
+        self._oldest = 0
+        self._changed = threading.Condition()
+
+    def put(self, key: str, doc: object) -> int:
+        """Write an item as JSON; returns its revision."""
+        return self._write(key, msgspec.json.encode(doc))
+
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Write an item as it is; returns its revision."""
+        return self._write(key, value)
+
+    def delete(self, key: str) -> int:
+        """Remove an item; returns the revision of the removal."""
+        return self._write(key, None)
+
+    def compact(self) -> None:
+        """Forget the history so far."""
+        with self._changed:
+            self._history.clear()
+            self._oldest = self.revision
+
+    def _write(self, key: str, value: bytes | None) -> int:
+        with self._changed:
+            self.revision += 1
+            change = _Change(key, self.revision, value)
+            self._items.pop(key, None)
+            if value is not None:
+                self._items[key] = change
+            self._history.append(change)
+            self._changed.notify_all()
+            return self.revision
+
+    def page(self, prefix: str, after: str) -> dict:
+        """One page of items."""
+        with self._changed:
+            keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
+            items = [_wire(self._items[key]) for key in keys[:_PAGE_ITEMS]]
+            more = len(keys) > _PAGE_ITEMS
+            return {"items": items, "has_more": more, "store_revision": self.revision}
+
+    def changes(self, prefix: str, after: int, wait_s: float) -> dict | None:
+        """Changes after a revision, or None when they are forgotten."""
+        until = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                if after < self._oldest:
+                    return None
+                found = [
+                    change
+                    for change in self._history
+                    if change.revision > after and change.key.startswith(prefix)
+                ]
+                left = until - time.monotonic()
+                if found or left <= 0:
+                    events = [_wire(change) for change in found]
+                    return {"events": events, "store_revision": self.revision}
+                self._changed.wait(left)
+
+
+def _wire(change: _Change) -> dict:
+    if change.value is None:
+        return {"key": change.key, "revision": change.revision, "tombstone": True}
+    value = base64.b64encode(change.value).decode()
+    return {"key": change.key, "revision": change.revision, "value": value, "lease": 0}
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:  # noqa: N802 - the standard library's name
+        store: Store = self.server.store
+        store.calls += 1
+        if self._in_trouble(store.trouble):
+            return
+        url = urlsplit(self.path)
+        query = {key: vals[0] for key, vals in parse_qs(url.query).items()}
+        prefix = query.get("path_prefix", "")
+        if url.path == "/api/kv-range":
+            self._answer(200, store.page(prefix, query.get("after_revision", "")))
+        elif url.path == "/api/kv-watch":
+            wait_s = int(query["wait_ms"]) / 1000
+            found = store.changes(prefix, int(query["after_revision"]), wait_s)
+            if not self._in_trouble(store.trouble):
+                self._answer(410 if found is None else 200, found or {})
+        else:
+            self._answer(404, {})
+
+    def _in_trouble(self, trouble: StoreTrouble) -> bool:
+        if trouble is StoreTrouble.NONE:
+            return False
+        if trouble is StoreTrouble.BUSY:
+            self._answer(503, {})
+        elif trouble is StoreTrouble.TOO_MANY:
+            self._answer(429, {})
+        else:
+            if trouble is StoreTrouble.SILENT:
+                self.server.closing.wait(_SILENT_S)
+            self.close_connection = True
+        return True
+
+    def _answer(self, status: int, doc: object) -> None:
+        body = msgspec.json.encode(doc)
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Keep standard error for the test's own output."""
+
+
+class StoreServer:
+    """Serves a :class:`Store` on loopback.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+        0 picks a free one.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.store = Store()
+        self._server = ThreadingHTTPServer((host, port), _Handler)
+        self._server.daemon_threads = True
+        self._server.store = self.store
+        self._server.closing = threading.Event()
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+
+    @property
+    def address(self) -> str:
+        """``host:port``."""
+        host, port = self._server.server_address
+        return f"{host}:{port}"
+
+    def start(self) -> "StoreServer":
+        """Serve on a background thread."""
+        self._thread.start()
+        return self
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.closing.set()
+        self._server.shutdown()
+        self._server.server_close()
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -12,8 +12,8 @@
 from turmerictray.core.errors import HistoryGone, StoreUnavailable
 
 _READ_S = 1.0
-"""Time limit of a read: the store answers in milliseconds, and one that is slow by a factor of fifty
-still answers in time."""
+"""Time limit of a read: the store answers in milliseconds, and one that is slow by a factor of
+fifty still answers in time."""
 
 _WATCH_SLACK_S = 1.0
 
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -105,7 +105,7 @@
                     return
 
     def _end_here(self, exc: TurmerictrayError) -> bool:
-        """Whether a held-back failure has gone to the caller; raises if there is nothing to give."""
+        """Whether a held-back failure has gone to the caller; raises if there is none."""
         if self._call.gone:
             raise CallerGone("caller gone during a try") from exc
         left = self._routed.bounds.give_up - time.monotonic()
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -30,8 +30,8 @@
 """One answer counts as at most this many times faster or slower than expected."""
 
 _SLOWNESS_SMOOTHING = 0.1
-"""Weight of one answer in the logarithm of the slowness. Work that peers sent meanwhile makes single
-answers late on a well target, but not ten in a row."""
+"""Weight of one answer in the logarithm of the slowness. Work that peers sent meanwhile makes
+single answers late on a well target, but not ten in a row."""
 
 _TELLING_S = 0.06
 """Answers expected sooner are ruled by the way there and back and say little about the target."""
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -12,10 +12,10 @@
 _AGAIN_IDLE = 2.0
 _AGAIN_BUSY = 6.0
 _BUSY_S = 0.35
-"""What reading costs beyond the caller's own wait, as a multiple of its time: the time is taken from
-all requests that come behind it. On an idle engine few do; on one with :data:`_BUSY_S` of reading
-before it, all of them, and every prompt that is read again there makes the line longer that sent it
-there."""
+"""What reading costs beyond the caller's own wait, as a multiple of its time: the time is taken
+from all requests that come behind it. On an idle engine few do; on one with :data:`_BUSY_S` of
+reading before it, all of them, and every prompt that is read again there makes the line longer that
+sent it there."""
 
 _AWAY_S = 0.1
 """What a target other than its first choice costs a prompt whose shared parts no engine keeps yet.
--- a/turmerictray/transport/pool.py
+++ b/turmerictray/transport/pool.py
@@ -7,7 +7,7 @@
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection
 
 _MARGIN_S = 0.7
-"""Before a target's idle limit; covers a whole-second limit that was rounded up and a round trip."""
+"""Before a target's idle limit; covers a limit rounded up to whole seconds and a round trip."""
 
 _DEFAULT_IDLE_S = 4.0
 """Idle limit of targets that name none; common servers close after five seconds."""
