--- /dev/null
+++ b/tests/platform/raw.py
@@ -0,0 +1,118 @@
+"""A caller on a raw socket, which sees bytes as they come."""
+
+import re
+import socket
+import time
+from dataclasses import dataclass, field
+
+from turmerictray.platform.standins.local import HOST, KEY
+
+_TIMEOUT_S = 8.0
+
+
+@dataclass
+class RawAnswer:
+    """An answer as a caller sees it."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    took_s: float = 0.0
+
+    def event_ids(self) -> list[int]:
+        """Ids of the whole events in the body."""
+        return [int(number) for number in re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", self.body)]
+
+
+class RawCaller:
+    """One connection to a router."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address, timeout=_TIMEOUT_S)
+        self._rfile = self.sock.makefile("rb")
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self.sock.sendall(data)
+
+    def request(self, method: str, target: str, body: bytes = b"", **headers: str) -> RawAnswer:
+        """Send a request and read its answer."""
+        self.send(make_request(method, target, body, **headers))
+        return self.read()
+
+    def read(self) -> RawAnswer:
+        """Read one answer; ``whole`` is false when it ends early."""
+        begun = time.monotonic()
+        answer = RawAnswer()
+        try:
+            self._read_into(answer)
+        except (ConnectionError, ValueError):
+            answer.whole = False
+        answer.took_s = time.monotonic() - begun
+        return answer
+
+    def _read_into(self, answer: RawAnswer) -> None:
+        line = self._rfile.readline()
+        if not line:
+            return
+        answer.status = int(line.split()[1])
+        while (line := self._rfile.readline().strip()) != b"":
+            name, _, value = line.decode().partition(":")
+            answer.headers[name.title()] = value.strip()
+        if answer.headers.get("Transfer-Encoding") == "chunked":
+            self._read_chunks(answer)
+            return
+        length = int(answer.headers.get("Content-Length", 0))
+        answer.body = self._rfile.read(length)
+        answer.whole = len(answer.body) == length
+
+    def _read_chunks(self, answer: RawAnswer) -> None:
+        while True:
+            line = self._rfile.readline()
+            if not line:
+                return
+            size = int(line, 16)
+            answer.body += self._rfile.read(size)
+            self._rfile.read(2)
+            if not size:
+                answer.whole = True
+                return
+
+    def is_closed(self, within_s: float = 2.0) -> bool:
+        """Whether the router closes the connection without another byte."""
+        self.sock.settimeout(within_s)
+        try:
+            return self._rfile.read(1) == b""
+        except TimeoutError:
+            return False
+        except ConnectionError:
+            return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._rfile.close()
+        self.sock.close()
+
+
+def make_request(method: str, target: str, body: bytes = b"", **headers: str) -> bytes:
+    """The bytes of a proper request; ``headers`` names use underscores."""
+    fields = {
+        "Host": HOST,
+        "X-Request-Id": f"{time.monotonic_ns():016x}",
+        "X-Deadline-Ms": "5000",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": str(len(body)),
+    }
+    fields.update({name.replace("_", "-"): val for name, val in headers.items()})
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {val}" for name, val in fields.items() if val]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+PROMPT = {
+    "X_Model": "m",
+    "X_Token_Count": "1460,80",
+    "X_Prompt_Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+}
+"""Headers of a generation."""
--- a/tests/routing/test_place.py
+++ b/tests/routing/test_place.py
@@ -101,10 +101,10 @@
     loads = [make_load("a0", slots=6), make_load("a1", slots=6)]
     for _ in range(5):
         loads[0].answered(ok=False, now=0.0)
-    assert place_plain(loads, ZONE, 0.1).load.info.id == "a1"
+    assert place_plain(loads, 1, ZONE, 0.1).load.info.id == "a1"
     for call in range(40):
         loads[1].sent(call, OpenRead(0.0, 0, 0, 0.05))
-    assert place_plain(loads, ZONE, 12.0).load.info.id == "a0"
+    assert place_plain(loads, 1, ZONE, 12.0).load.info.id == "a0"
 
 
 def test_peers_work_counts_until_it_is_old():
@@ -122,3 +122,9 @@
     kept.note_read(other)
     assert kept.kept_tokens(PROMPT) == 0
     assert kept.kept_tokens(other) == 12_000
+
+
+def test_idle_plain_targets_take_turns():
+    loads = [make_load(f"a{n}", slots=6) for n in range(3)]
+    chosen = {place_plain(loads, call, ZONE, 0.0).load.info.id for call in range(3)}
+    assert len(chosen) == 3
--- a/turmerictray/admission/budget.py
+++ b/turmerictray/admission/budget.py
@@ -31,6 +31,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def set_limits(self, ratio: float, floor: float, window_s: float) -> None:
+        """Take changed limits; what was spent stays spent."""
+        self.ratio = ratio
+        self.floor = floor
+        self.window_s = window_s
+
     def note_request(self, now: float) -> None:
         """A caller's request for the service has come."""
         self._requests.append(now)
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -250,7 +250,7 @@
         loads = candidates(self.loads.values(), wanted.exclude, now)
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
-            return place_plain(loads, self.zone, now)
+            return place_plain(loads, wanted.call_id, self.zone, now)
         placement = place_prompt(loads, wanted.prompt, wanted.call_id, self.model, self.zone, now)
         if placement is None or engine_open(placement.load, self.model, now, part):
             return placement
--- a/turmerictray/core/app.py
+++ b/turmerictray/core/app.py
@@ -37,6 +37,7 @@
         self._started: list[Component] = []
         self._stop_requested = threading.Event()
         self._on_signal: list[Callable[[], None]] = []
+        self._on_reload: list[Callable[[], None]] = []
 
     def add(self, component: Component) -> Component:
         """Register a component; returns it for convenience."""
@@ -47,6 +48,10 @@
         """Run ``hook`` when SIGTERM or SIGINT arrives (for example, to begin a drain)."""
         self._on_signal.append(hook)
 
+    def on_reload(self, hook: Callable[[], None]) -> None:
+        """Run ``hook`` when SIGHUP arrives."""
+        self._on_reload.append(hook)
+
     def request_stop(self) -> None:
         """Ask :meth:`run` to return and stop all components."""
         self._stop_requested.set()
@@ -76,6 +81,8 @@
         """Start, wait for a stop request or a signal, stop; returns the exit code 0."""
         signal.signal(signal.SIGTERM, self._handle_signal)
         signal.signal(signal.SIGINT, self._handle_signal)
+        # Unhandled, SIGHUP ends the process; it only says that settings have changed.
+        signal.signal(signal.SIGHUP, self._handle_reload)
         self.start()
         try:
             while not self._stop_requested.wait(0.2):
@@ -84,6 +91,11 @@
             self.stop()
         return 0
 
+    def _handle_reload(self, signum: int, _frame: object) -> None:
+        log_event("signal", app=self.name, signum=signum)
+        for hook in self._on_reload:
+            threading.Thread(target=hook, name="reload-hook", daemon=True).start()
+
     def _handle_signal(self, signum: int, _frame: object) -> None:
         log_event("signal", app=self.name, signum=signum)
         if not self._on_signal:
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import msgspec
@@ -48,6 +49,13 @@
         self.data = data
 
 
+@dataclass(frozen=True)
+class Reseed:
+    """The settings name other seeds."""
+
+    seeds: list[str]
+
+
 class Leave:
     """This router is shutting down; its peers are to be told now."""
 
@@ -173,6 +181,10 @@
             self._on_peer(heard)
         self._note_size(now)
 
+    @handle.register
+    def _(self, msg: Reseed) -> None:
+        self.seeds = msg.seeds
+
     @handle.register
     def _(self, msg: Leave) -> None:
         self._leaving = True
--- a/turmerictray/membership/table.py
+++ b/turmerictray/membership/table.py
@@ -10,8 +10,8 @@
 """A router that nobody has heard of for this long counts as down: six messages lost in a row."""
 
 _ALIVE_PER_ROUTER_S = 0.04
-"""News of a router comes by a detour in a large fleet, where each message brings a few entries; with
-a hundred entries a second this is four times the mean time between two of the same router."""
+"""News of a router comes by a detour in a large fleet, where each message brings a few entries;
+with a hundred a second this is four times the mean time between two of the same router."""
 
 _FORGOTTEN_S = 60.0
 """A router that is down is still tried for this long, so that two sides of a cut find each other
--- a/turmerictray/platform/main.py
+++ b/turmerictray/platform/main.py
@@ -22,7 +22,13 @@
         return [TextSource(address, broker, copy), TargetSource(address, broker, copy)]
 
     peer_copy = PeerCopy(decode_text, decode_target)
-    return Gateway(gateway_settings(node_file), PlatformDialect(), peer_copy, sources)
+    return Gateway(
+        gateway_settings(node_file),
+        PlatformDialect(),
+        peer_copy,
+        sources,
+        lambda: gateway_settings(load_node_file()),
+    )
 
 
 def main() -> int:
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -77,7 +77,6 @@
         while not self._stop.is_set():
             try:
                 self._step()
-                self._note_back()
                 pause = _FIRST_PAUSE_S
             except HistoryGone:
                 log_event("store_history_gone", prefix=self._prefix, revision=self._revision)
@@ -91,12 +90,14 @@
         if self._revision is None:
             snapshot = self._client.read_all(self._prefix)
             self._revision = snapshot.revision
+            self._note_back()
             self._on_all(snapshot)
             return
         wait = self._on_idle()
         wait = _WATCH_S if wait is None else min(wait, _WATCH_S)
         snapshot = self._client.watch(self._prefix, self._revision, wait)
         self._revision = max(self._revision, snapshot.revision)
+        self._note_back()
         if snapshot.items:
             self._on_changes(snapshot)
 
@@ -106,6 +107,8 @@
             log_event("store_lost", level="WARNING", prefix=self._prefix, reason=str(exc)[:200])
 
     def _note_back(self) -> None:
+        # Before the changes are handed on: what lapsed while the store was away comes with the
+        # first answer after its return, and is only kept if the return is known by then.
         if self._lost:
             self._lost = False
             self.back_at = time.monotonic()
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -30,10 +30,18 @@
     config = {
         "version": version,
         "routes": [
-            _route("order", "/order/", "non_idempotent", "app"),
+            _route("order", "/order/", "non_idempotent", "app", max_attempts=2),
             _route("ping", "/ping/", "idempotent", "app", max_attempts=2),
             _route("open", "/open/", "idempotent", "app", public=True),
-            _route("plan", "/plan/", "streaming", "llm", max_attempts=2, resumable=True),
+            _route(
+                "plan",
+                "/plan/",
+                "streaming",
+                "llm",
+                max_attempts=2,
+                resumable=True,
+                gap_aim_ms=250,
+            ),
             _route("recon", "/recon/", "streaming", "llm"),
         ],
         "services": [
--- a/turmerictray/platform/standins/store.py
+++ b/turmerictray/platform/standins/store.py
@@ -35,7 +35,7 @@
     """The store's state; safe to use from many threads."""
 
     def __init__(self) -> None:
-        self.trouble = StoreTrouble.NONE
+        self._trouble = StoreTrouble.NONE
         self.calls = 0
         self.revision = 1
         self._items: dict[str, _Change] = {}
@@ -43,6 +43,17 @@
         self._oldest = 0
         self._changed = threading.Condition()
 
+    @property
+    def trouble(self) -> StoreTrouble:
+        """What the store does with the calls that come; a change cuts the watches that wait."""
+        return self._trouble
+
+    @trouble.setter
+    def trouble(self, trouble: StoreTrouble) -> None:
+        with self._changed:
+            self._trouble = trouble
+            self._changed.notify_all()
+
     def put(self, key: str, doc: object) -> int:
         """Write an item as JSON; returns its revision."""
         return self._write(key, msgspec.json.encode(doc))
@@ -93,7 +104,7 @@
                     if change.revision > after and change.key.startswith(prefix)
                 ]
                 left = until - time.monotonic()
-                if found or left <= 0:
+                if found or left <= 0 or self._trouble is not StoreTrouble.NONE:
                     events = [_wire(change) for change in found]
                     return {"events": events, "store_revision": self.revision}
                 self._changed.wait(left)
@@ -148,6 +159,13 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def handle_one_request(self) -> None:
+        """Serve one call; a caller that hung up is no error here."""
+        try:
+            super().handle_one_request()
+        except ConnectionError:
+            self.close_connection = True
+
     def log_message(self, format: str, *args: object) -> None:
         """Keep standard error for the test's own output."""
 
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -287,5 +287,12 @@
             self.send_header(name, value)
         self.end_headers()
 
+    def handle_one_request(self) -> None:
+        """Serve one request; a router that hung up is no error here."""
+        try:
+            super().handle_one_request()
+        except ConnectionError:
+            self.close_connection = True
+
     def log_message(self, format: str, *args: object) -> None:
         """Keep standard error for the test's own output."""
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -242,6 +242,12 @@
         self.ledger.waiting_elsewhere = set().union(*self.peers_waiting.values())
         self._pump_all()
 
+    @handle.register
+    def _(self, msg: RepeatLimits) -> None:
+        self.repeats = msg
+        for pool in self.pools.values():
+            pool.budget.set_limits(msg.ratio, msg.floor, msg.window_s)
+
     @handle.register
     def _(self, msg: FleetSize) -> None:
         self.routers = msg.routers
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -9,6 +9,7 @@
     AdmissionError,
     CallerError,
     CallerGone,
+    Draining,
     NoConfig,
     TurmerictrayError,
 )
@@ -21,6 +22,8 @@
 from turmerictray.transport.hangup import Call, HangUpWatch
 
 _NO_TEXT_RETRY_S = 0.5
+_DRAINING_RETRY_S = 0.05
+"""Another router serves the caller at once."""
 
 
 class RequestFlow:
@@ -37,9 +40,18 @@
         self._parts = parts
         self._in_force = in_force
         self._watch = watch
+        self._closing = False
         self._ids = itertools.count(1)
         self._rng = random.Random()
 
+    def refuse_new(self) -> None:
+        """Refuse the requests that come from now on.
+
+        One that came in over a kept connection late in a shutdown would still run when the process
+        is killed, and its answer would be cut.
+        """
+        self._closing = True
+
     def handle(self, exchange: ClientExchange) -> None:
         """Serve one request to its final answer."""
         call = Call(exchange.sock)
@@ -60,6 +72,8 @@
     def _serve(
         self, exchange: ClientExchange, body: bytes, call: Call, trace: RequestTrace
     ) -> None:
+        if self._closing:
+            raise Draining("draining", _DRAINING_RETRY_S)
         text = self._in_force.current
         if text is None:
             raise NoConfig("no_config", _NO_TEXT_RETRY_S)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -27,6 +27,7 @@
 from turmerictray.router.flow import RequestFlow
 from turmerictray.router.gateway_settings import GatewaySettings
 from turmerictray.router.published import PeerCopy, PublishedCopy
+from turmerictray.router.reload import LOOK_S, Reload, SettingsReloader
 from turmerictray.router.run import Parts
 from turmerictray.router.text_in_force import TextInForce
 from turmerictray.transport.admin import AdminServer, Page
@@ -73,6 +74,8 @@
         Reads published texts that come from a peer.
     sources : callable
         Makes the sources of texts and targets, given the broker and the copy to keep.
+    load_settings : callable
+        Returns the settings as they are now; raises :class:`SettingsError`.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         dialect: Dialect,
         peer_copy: PeerCopy,
         sources: SourceFactory,
+        load_settings: Callable[[], GatewaySettings],
     ) -> None:
         self.settings = settings
         self.incarnation = time.time_ns()
@@ -88,6 +92,7 @@
         self._dialect = dialect
         self._peer_copy = peer_copy
         self._make_sources = sources
+        self._load_settings = load_settings
         self._in_force = TextInForce()
         self._copy = PublishedCopy()
         self._draining = threading.Lock()
@@ -96,6 +101,7 @@
         self._timer = TimerService()
         self._conns = ConnectionPool()
         self._watch = HangUpWatch(self._on_scan)
+        self._flow: RequestFlow | None = None
         self._front: FrontServer | None = None
         self._limits = None
         self._broker: pykka.ActorRef | None = None
@@ -134,6 +140,9 @@
             on_size=lambda size: self._broker.tell(FleetSize(size)),
         )
         self._timer.subscribe(self._link, "peers", PERIOD_S)
+        reloader = SettingsReloader.start(s, self._load_settings, self._broker, self._link)
+        self._timer.subscribe(reloader, "settings", LOOK_S)
+        self.app.on_reload(lambda: reloader.tell(Reload()))
         self._sources = self._make_sources(self._broker, self._copy)
         for source in self._sources:
             source.start()
@@ -147,8 +156,8 @@
     def _start_servers(self) -> None:
         s = self.settings
         parts = Parts(self._broker, self._dialect, self._conns)
-        flow = RequestFlow(parts, self._in_force, self._watch)
-        self._front = FrontServer(s.front.host, s.front.port, flow.handle, s.threads)
+        self._flow = RequestFlow(parts, self._in_force, self._watch)
+        self._front = FrontServer(s.front.host, s.front.port, self._flow.handle, s.threads)
         self._front.start()
         operators = {
             "/status": self._status_page,
@@ -175,15 +184,14 @@
         self._front.drain()
         self._link.tell(Leave())
         log_event("drain_started", in_progress=len(self._watch))
-        latest = begun + self.settings.grace_s - _STOP_RESERVE_S
-        self._wait_idle(begun + _NOTICED_S, latest)
+        time.sleep(_NOTICED_S)
+        self._flow.refuse_new()
+        self._wait_idle(begun + self.settings.grace_s - _STOP_RESERVE_S)
         log_event("drain_done", in_progress=len(self._watch), s=round(time.monotonic() - begun, 2))
         self.app.request_stop()
 
-    def _wait_idle(self, earliest: float, latest: float) -> None:
-        while (now := time.monotonic()) < latest:
-            if now >= earliest and not len(self._watch):
-                return
+    def _wait_idle(self, latest: float) -> None:
+        while time.monotonic() < latest and len(self._watch):
             time.sleep(_DRAIN_LOOK_S)
 
     # -- pages ---------------------------------------------------------------------------------
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -134,10 +134,17 @@
     return cost if load.info.zone == zone else cost + _ZONE_S
 
 
-def place_plain(loads: list[TargetLoad], zone: ZoneId, now: float) -> Placement | None:
-    """The target of a plain service where a request waits least, or None without one."""
+def place_plain(
+    loads: list[TargetLoad], call_id: int, zone: ZoneId, now: float
+) -> Placement | None:
+    """The target of a plain service where a request waits least, or None without one.
+
+    Among equals calls take turns; always the first one would get the requests of all routers that
+    have nothing else in progress.
+    """
     best: tuple[float, Placement] | None = None
-    for load in loads:
+    turn = call_id % max(len(loads), 1)
+    for load in loads[turn:] + loads[:turn]:
         fill = load.running_in_fleet(now) / max(load.info.slots, 1)
         expected = PLAIN_WORK_S * load.slowness * (1 + fill)
         cost = expected + _trouble(load, zone, now)
