A failed answer that was held back is not written into a stream that has begun

Ruled out: the splitter and the resume (no try followed the cut). Test: a stream that failed at one engine and is cut at another; it failed before the change.

--- a/tests/platform/features/streams.feature
+++ b/tests/platform/features/streams.feature
@@ -44,3 +44,10 @@
     When a caller asks for the stream /plan/1
     Then the answer ends early
     And the stream lasted between 2.9 and 3.4 seconds
+
+  Scenario: A stream that failed at one engine and is cut at another does not look complete
+    Given a deployment with 1 router(s)
+    And streams that last 10 seconds
+    And one llm worker meets error
+    When a caller asks for the stream /plan/1
+    Then the answer ends early
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -113,11 +113,21 @@
         self._log_try(exc, left, again)
         if again:
             return False
-        if self._failure is not None:
-            self._relay(self._trace.granted).relay_failure(self._failure)
+        if self._relay_held_failure():
             return True
         raise self._progress.failure(exc, timed_out=left <= 0) from exc
 
+    def _relay_held_failure(self) -> bool:
+        """Give the caller the failed answer that was held back; false if there is none to give.
+
+        Once a stream has begun there is no place for another answer: written into the stream, it
+        would end it as if it were complete.
+        """
+        if self._failure is None or self._progress.answering:
+            return False
+        self._relay(self._trace.granted).relay_failure(self._failure)
+        return True
+
     def _log_try(self, exc: TurmerictrayError, left: float, again: bool) -> None:
         granted = self._trace.granted
         log_request(
@@ -136,10 +146,9 @@
         try:
             granted = self._ask()
         except AdmissionError as exc:
-            if self._failure is None or self._call.gone:
-                raise self._progress.failure(exc, isinstance(exc, QueueTimeout)) from exc
-            self._relay(self._trace.granted).relay_failure(self._failure)
-            return
+            if not self._call.gone and self._relay_held_failure():
+                return
+            raise self._progress.failure(exc, isinstance(exc, QueueTimeout)) from exc
         self._trace.note_granted(granted)
         booking = _Booking(self._parts.broker, self._routed, granted)
         try:
