--- /dev/null
+++ b/tests/router/test_catch_up.py
@@ -0,0 +1,38 @@
+"""When a router that missed a text asks a peer for it."""
+
+from turmerictray.router.catch_up import Lag
+
+
+def test_peers_that_are_behind_as_well_do_not_put_it_off():
+    # The store was silent and most routers missed the newest text. One peer has it; between its
+    # messages come those of the others, with the old version. Each of them must not make the
+    # router wait anew, or withdrawn keys and routes stay in force until its own watch ends.
+    lag = Lag()
+    asked = []
+    for tick in range(8):
+        now = tick * 0.25
+        asked.append(lag.should_ask(9, 3, True, now))
+        assert not lag.should_ask(3, 3, True, now + 0.01)
+    assert asked.index(True) <= 2
+
+
+def test_own_read_comes_first():
+    lag = Lag()
+    assert not lag.should_ask(9, 3, True, 0.0)
+    assert not lag.should_ask(9, 9, True, 0.5)
+    assert not lag.should_ask(10, 9, True, 0.6)
+    assert not lag.should_ask(10, 9, True, 0.9)
+    assert lag.should_ask(10, 9, True, 1.1)
+
+
+def test_router_without_targets_asks_a_peer_of_the_same_version():
+    lag = Lag()
+    assert not lag.should_ask(3, 3, False, 0.0)
+    assert lag.should_ask(3, 3, False, 0.5)
+    assert not lag.should_ask(0, 0, False, 2.0)
+
+
+def test_peers_are_not_asked_with_every_message():
+    lag = Lag()
+    asked = [lag.should_ask(9, 3, True, tick * 0.05) for tick in range(41)]
+    assert sum(asked) <= 7
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -17,9 +17,14 @@
 _TEXT_KEY = "op/config"
 _TARGETS_PREFIX = "servers/"
 
-_WATCH_S = 5.0
-"""How long a watch waits. A silent store is noticed a second later; longer waits would save few
-calls, since a call is made at each change as well."""
+_WATCH_S = 2.5
+"""How long a watch waits. A store that went silent in the middle of a wait, and came back meanwhile
+without answering it, is noticed a second after it; a change made then must be in force two seconds
+after routers count as in touch again, three seconds after the store's return."""
+
+_WATCH_LOST_S = 0.3
+"""The same while the store is away: a long wait that is begun just before its return would be the
+last to end."""
 
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.8
@@ -94,7 +99,8 @@
             self._on_all(snapshot)
             return
         wait = self._on_idle()
-        wait = _WATCH_S if wait is None else min(wait, _WATCH_S)
+        longest = _WATCH_LOST_S if self._lost else _WATCH_S
+        wait = longest if wait is None else min(wait, longest)
         snapshot = self._client.watch(self._prefix, self._revision, wait)
         self._revision = max(self._revision, snapshot.revision)
         self._note_back()
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -18,6 +18,41 @@
 _BETWEEN_S = 0.3
 
 
+class Lag:
+    """Decides when a router that is behind its peers asks one of them.
+
+    A message from a peer that is as far behind says nothing against it: after an outage most of
+    the fleet is, and the one router that knows better must be enough.
+    """
+
+    def __init__(self) -> None:
+        self._behind_since: float | None = None
+        self._behind_version = 0
+        self._next_at = 0.0
+
+    def should_ask(self, peer_version: int, own_version: int, complete: bool, now: float) -> bool:
+        """Whether to ask the peer whose message has just come.
+
+        Parameters
+        ----------
+        peer_version, own_version : int
+            Versions of the text in force; 0 for none.
+        complete : bool
+            This router knows the targets.
+        """
+        if self._behind_since is not None and own_version >= self._behind_version and complete:
+            self._behind_since = None
+        if not peer_version or (peer_version <= own_version and complete):
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        self._behind_version = max(self._behind_version, peer_version)
+        if now - self._behind_since < _OWN_READ_S or now < self._next_at:
+            return False
+        self._next_at = now + _BETWEEN_S
+        return True
+
+
 class CatchUp(pykka.ThreadingActor):
     """Compares peers' versions with this router's own and fetches newer texts from them.
 
@@ -36,28 +71,15 @@
         self._broker = broker
         self._in_force = in_force
         self._copy = copy
-        self._behind_since: float | None = None
-        self._next_at = 0.0
+        self._lag = Lag()
 
     def on_receive(self, message: PeerMessage) -> None:
         """Look at a peer's message."""
-        now = time.monotonic()
-        if not self._is_behind(message):
-            if message.summary.text_version == self._in_force.version:
-                self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < _OWN_READ_S or now < self._next_at:
-            return
-        self._next_at = now + _BETWEEN_S
-        self._fetch(message)
-
-    def _is_behind(self, message: PeerMessage) -> bool:
+        in_force = self._in_force
         version = message.summary.text_version
-        if version > self._in_force.version:
-            return True
-        return version > 0 and not self._in_force.targets_listed
+        now = time.monotonic()
+        if self._lag.should_ask(version, in_force.version, in_force.targets_listed, now):
+            self._fetch(message)
 
     def _fetch(self, message: PeerMessage) -> None:
         peer = message.sender.node
