--- a/tests/fairness/test_recent.py
+++ b/tests/fairness/test_recent.py
@@ -57,14 +57,16 @@
     assert service.normalised(A) == 0
 
 
-def test_team_with_a_lead_over_a_team_waiting_elsewhere_is_ahead():
+def test_lead_over_a_team_that_waits_elsewhere_decays():
     service, clock = make()
     service.charge(A, 100_000)
-    assert not service.is_ahead(A, 50_000)
+    assert service.lead(A, set()) == 0
+    assert service.lead(A, {A}) == 0
     service.waiting_elsewhere = {B}
-    assert service.is_ahead(A, 50_000)
+    assert abs(service.lead(A, set()) - 100_000) < 1
     clock.now += 2 * HALF_LIFE_S
-    assert not service.is_ahead(A, 50_000)
+    assert abs(service.lead(A, set()) - 25_000) < 1
+    assert service.lead(B, {A}) == 0
 
 
 @given(st.lists(st.tuples(st.sampled_from([A, B]), st.floats(0, 30), st.floats(1, 1e5))))
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -11,10 +11,10 @@
 from enum import Enum
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.window import AHEAD_PART, READ_AHEAD_S, engine_open, plain_open
+from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.recent import RecentService
 from turmerictray.routing.kept import KeptParts
@@ -29,9 +29,10 @@
 _LEAST_WAIT_PART = 0.3
 """Part of its time that a request may wait however long its prompt is."""
 
-_AHEAD_TOKENS = 60_000.0
-"""Lead of a team over a waiting one that is let pass: a few large prompts, and what a pool of ten
-engines does in a fifth of a second, which is less than peers' reports lag behind."""
+_BACKLOGGED = 3
+"""Waiting requests from which a team counts as backlogged. One or two wait now and then for the
+engine that keeps their prompt; counted, any small team would make all others seem ahead of it, and
+the differences between the large ones would be lost."""
 
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 24
@@ -224,6 +225,11 @@
         others = (self.queue.depth(team) for team in self.queue.backlogged() if team != item.team)
         return own - 1 + sum(min(depth, own) for depth in others)
 
+    def backlogged(self) -> set[TeamId]:
+        """Teams that wait for room."""
+        teams = self.queue.backlogged()
+        return {team for team in teams if self.queue.depth(team) >= _BACKLOGGED}
+
     def next_sent(self, now: float) -> Sent | None:
         """Take the next request that may be sent now, and book it on its target.
 
@@ -231,8 +237,9 @@
         team's next ones are looked at too, or an engine would idle while work for it waits.
         """
         looked_at = 0
+        backlogged = self.backlogged()
         for team in self.queue.by_service():
-            part = AHEAD_PART if self._ledger.is_ahead(team, _AHEAD_TOKENS) else 1.0
+            part = window_part(self._ledger.lead(team, backlogged))
             for item in self.queue.waiting(team, _LOOK_BEHIND):
                 looked_at += 1
                 placement = self._place(item.context, part, now)
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -14,10 +14,30 @@
 bridges the way there and back."""
 
 
-AHEAD_PART = 0.3
-"""Part of the engines' windows that is open to a team which has had more than one that waits, here
-or at a peer. The rest is left to the other team's router: routers send without asking each other,
-and one without a queue of its own would otherwise fill the engines before one with a queue can."""
+_LEAD_TOKENS = 60_000.0
+"""Lead of a team over a backlogged one that is let pass: a few large prompts, and what a pool of ten
+engines does in a fifth of a second, which is less than peers' reports lag behind."""
+
+_SMALL_LEAD_PART = 0.3
+_LARGE_LEAD_PART = 0.05
+_LARGE_LEAD = 4.0
+
+
+def window_part(lead_tokens: float) -> float:
+    """Part of the engines' windows that is open to a team with a lead over a backlogged one.
+
+    The rest is left to the other team's router: routers send without asking each other, and one
+    without a queue of its own would otherwise fill the engines before one with a queue can. A team
+    far ahead gets only engines with next to nothing to do, so that none idles while work waits.
+
+    Parameters
+    ----------
+    lead_tokens : float
+        See :meth:`turmerictray.fairness.recent.RecentService.lead`.
+    """
+    if lead_tokens <= _LEAD_TOKENS:
+        return 1.0
+    return _SMALL_LEAD_PART if lead_tokens <= _LARGE_LEAD * _LEAD_TOKENS else _LARGE_LEAD_PART
 
 
 def engine_open(load: TargetLoad, model: PoolModel, now: float, part: float = 1.0) -> bool:
--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable
 
 from turmerictray.core.ids import NodeId, TeamId
@@ -44,7 +44,6 @@
         self._recent: dict[TeamId, float] = defaultdict(float)
         self._own: dict[TeamId, float] = defaultdict(float)
         self._heard: dict[tuple[str, int], dict[TeamId, float]] = {}
-        self._waiting: Counter[TeamId] = Counter()
 
     def charge(self, team: TeamId, tokens: float) -> None:
         """Count a request's cost when it is sent."""
@@ -84,22 +83,24 @@
         return self._recent.get(team, 0.0) / self.weights.get(team, 1.0)
 
     def join(self, team: TeamId) -> None:
-        """Count one more service queue in which ``team`` has requests waiting."""
-        self._waiting[team] += 1
+        """A team that begins to wait has no credit to be given: what it did not use has decayed."""
 
     def leave(self, team: TeamId) -> None:
-        """Count one service queue less in which ``team`` has requests waiting."""
-        self._waiting[team] -= 1
-        if self._waiting[team] <= 0:
-            del self._waiting[team]
-
-    def is_ahead(self, team: TeamId, slack: float) -> bool:
-        """Whether ``team`` lately had ``slack`` tokens per weight more than a team that waits."""
-        waiting = (self._waiting.keys() | self.waiting_elsewhere) - {team}
-        if not waiting:
-            return False
-        least = min(self.normalised(other) for other in waiting)
-        return self.normalised(team) - least > slack * self._scale()
+        """Nothing is kept for a team that ceases to wait."""
+
+    def lead(self, team: TeamId, backlogged: set[TeamId]) -> float:
+        """Tokens per weight that ``team`` lately had more than the least served other team.
+
+        Parameters
+        ----------
+        backlogged : set of TeamId
+            Teams that wait here; the ones that wait at peers are known.
+        """
+        others = (backlogged | self.waiting_elsewhere) - {team}
+        if not others:
+            return 0.0
+        least = min(self.normalised(other) for other in others)
+        return max(0.0, self.normalised(team) - least) / self._scale()
 
     def _add(self, team: TeamId, tokens: float) -> None:
         # The scale comes first: taking it may shrink what is already counted.
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -57,7 +57,7 @@
     service : dict of str to float
         Tokens served per team since the process started.
     waiting : list of str
-        Teams with requests waiting.
+        Teams that wait for room.
     reads : list of PartRead
         Since the last message.
     """
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -268,9 +268,7 @@
             text_version=self.in_force.version,
             work=self._own_work(),
             service=self._service_to_tell(),
-            waiting=sorted(
-                {team for pool in self.pools.values() for team in pool.queue.backlogged()}
-            ),
+            waiting=sorted({team for pool in self.pools.values() for team in pool.backlogged()}),
             reads=self._take_reads(),
         )
 
