An idle engine goes before one that only keeps the prompt

Cause: with nothing waiting on any router, each filled every slot of the engine that a prompt prefers and its load report was not asked (60 of 60 answers from one of two engines). Ruled out: the split of slots, which is right while requests wait.

--- a/turmerictray/routing/choice.py
+++ b/turmerictray/routing/choice.py
@@ -2,8 +2,8 @@
 
 Rendezvous hashing of a request's prefix key ranks the targets the same way on every router,
 so requests that share a prompt prefix meet the same engine's prefix cache without any router
-telling another. Affinity gives way when the preferred target has no free slot: an idle engine
-is never passed over while work waits. Targets that could not be reached lately come last.
+telling another. Affinity gives way when the preferred target has no free slot, or when its load
+report shows it full and another's does not: an idle engine is never passed over while work waits. Targets that could not be reached lately come last.
 """
 
 import hashlib
@@ -49,5 +49,9 @@
     if not open_targets:
         return None
     if prefix_key is not None:
-        return max(open_targets, key=lambda tgt: (_rank(prefix_key, tgt.id), tgt.free_slots()))
+        # A target that its report shows full holds the request in its own queue; one that idles
+        # starts it at once. The report lags, but far less than a queue of whole answers.
+        return max(
+            open_targets, key=lambda tgt: (tgt.idle_by_report() > 0, _rank(prefix_key, tgt.id))
+        )
     return max(open_targets, key=lambda tgt: (tgt.free_slots(), -tgt.dispatched))
