The product's own front refuses ambiguous framing and bounds heads, bodies and their time

Causes: cheroot takes Content-Length together with Transfer-Encoding and the last of two lengths; the front read a chunked body as truncated and left its bytes for the next request; heads had no bound in size or time. Ruled out: the callers' library (raw sockets show the same). Limits max_header_bytes, max_body_bytes, header_timeout_s and idle_timeout_s are part of the text.

--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -6,9 +6,10 @@
 READ_AHEAD_S = 0.08
 """Prompt reading that an engine may have before it, in seconds. Engines take requests in order of
 arrival and drop none, so work that waits there can't be reordered between teams or given up in
-time. It must last for a message between routers and the way to the engine. Several routers may fill
-the same gap at once, so windows add up: callers got 0.42 of the worth of their requests with
-0.25 s and 0.46 with 0.08 s (eight routers, nine engines, twice the load they can read, a run each)."""
+time. It must last for a message between routers and the way to the engine. Several routers may
+fill the same gap at once, so windows add up: callers got 0.42 of the worth of their requests with
+0.25 s and 0.46 with 0.08 s (eight routers, nine engines, twice the load they can read, one run
+each)."""
 
 _PLAIN_AHEAD = 1.5
 """Requests given to a plain target, as a multiple of its slots: one in work and half a one queued
--- a/turmerictray/config/schema.py
+++ b/turmerictray/config/schema.py
@@ -123,6 +123,13 @@
     catch_up_tokens : float
         The most service, in tokens per unit of weight, that one waiting team may be owed
         against another, for example after a partition heals.
+    max_header_bytes, max_body_bytes : int
+        Largest head and body of a caller's request.
+    header_timeout_s : float
+        Longest time a request's head may take to arrive.
+    idle_timeout_s : float
+        How long an idle connection of a caller is kept. Longer than callers and balancers commonly
+        keep theirs: if the router closed first, their next request would meet a closed connection.
     """
 
     queue_per_team: Count = 256
@@ -134,6 +141,10 @@
     catch_up_tokens: Positive = 50_000.0
     max_retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 1
     default_cost_hint: Positive = 64.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4 << 20
+    header_timeout_s: Seconds = 3.0
+    idle_timeout_s: Seconds = 75.0
 
 
 class Config(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/turmerictray/config/snapshot.py
+++ b/turmerictray/config/snapshot.py
@@ -1,5 +1,6 @@
 """The configuration in force, shared read-only with threads outside the dispatcher."""
 
+from turmerictray.config.routes import FrontLimits
 from turmerictray.config.schema import Config, Limits
 
 
@@ -16,3 +17,13 @@
     def limits(self) -> Limits:
         """The limits in force; the schema's defaults before the first configuration."""
         return self.current.limits if self.current is not None else Limits()
+
+    def front_limits(self) -> FrontLimits:
+        """Bounds on what a caller may send."""
+        limits = self.limits()
+        return FrontLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -143,7 +143,14 @@
         s = self.settings
         proxy = Proxy(self.dispatcher, self.upstream, self.guard, s.node)
         self.front = Front(self.dispatcher, proxy, self.snapshot, self.drain_and_stop)
-        self.http = HttpServer(s.listen.host, s.listen.port, self.front, s.threads, s.node)
+        self.http = HttpServer(
+            s.listen.host,
+            s.listen.port,
+            self.front,
+            s.threads,
+            s.node,
+            self.snapshot.front_limits,
+        )
         self.http.start()
 
     def _bootstrap(self) -> None:
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -15,6 +15,7 @@
 
 import msgspec
 import pykka
+from cheroot.errors import MaxSizeExceeded
 from prometheus_client import generate_latest
 
 from turmerictray.config.snapshot import ConfigSnapshot
@@ -26,7 +27,6 @@
 from turmerictray.router.proxy import Proxy
 from turmerictray.router.request import read_model_request, read_service_request
 
-_MAX_BODY = 4 << 20
 _NO_CONFIG_RETRY_S = 1.0
 _MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 
@@ -96,7 +96,7 @@
         try:
             if cfg is None:
                 raise NoConfig("no_config", _NO_CONFIG_RETRY_S)
-            body = _read_body(environ)
+            body = _read_body(environ, cfg.limits.max_body_bytes)
             if path.startswith("/svc/"):
                 req = read_service_request(cfg, path, headers, body)
             else:
@@ -129,16 +129,30 @@
     return out
 
 
-def _read_body(environ: dict) -> bytes:
-    declared = environ.get("CONTENT_LENGTH") or "0"
-    if not declared.isdigit():
-        raise CallerError(f"bad Content-Length {declared!r}")
-    length = int(declared)
-    if length > _MAX_BODY:
-        raise CallerError(f"body of {length} bytes is over {_MAX_BODY}", 413)
+def _read_body(environ: dict, most: int) -> bytes:
+    """The whole body; raises :class:`CallerError` if it is malformed or over ``most`` bytes."""
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        return _read_chunks(environ["wsgi.input"], most)
+    length = int(environ.get("CONTENT_LENGTH") or "0")
+    if length > most:
+        raise CallerError(f"body of {length} bytes is over {most}", 413)
     return environ["wsgi.input"].read(length) if length else b""
 
 
+def _read_chunks(rfile, most: int) -> bytes:
+    try:
+        data = rfile.read()
+        # The trailer section is part of the body: left unread, its bytes would be taken as the
+        # next request on this connection.
+        for _ in rfile.read_trailer_lines():
+            pass
+    except MaxSizeExceeded as exc:
+        raise CallerError(f"body is over {most} bytes", 413) from exc
+    except ValueError as exc:
+        raise CallerError(f"body is malformed: {exc}") from exc
+    return data
+
+
 def _status(code: int) -> str:
     try:
         return f"{code} {HTTPStatus(code).phrase}"
--- a/turmerictray/routing/choice.py
+++ b/turmerictray/routing/choice.py
@@ -3,7 +3,8 @@
 Rendezvous hashing of a request's prefix key ranks the targets the same way on every router,
 so requests that share a prompt prefix meet the same engine's prefix cache without any router
 telling another. Affinity gives way when the preferred target has no free slot, or when its load
-report shows it full and another's does not: an idle engine is never passed over while work waits. Targets that could not be reached lately come last.
+report shows it full and another's does not: an idle engine is never passed over while work waits.
+Targets that could not be reached lately come last.
 """
 
 import hashlib
--- /dev/null
+++ b/turmerictray/transport/heads.py
@@ -0,0 +1,89 @@
+"""Connections whose request head must come within a time limit."""
+
+import socket
+import threading
+import time
+
+from cheroot.server import HTTPConnection
+
+from turmerictray.config.routes import FrontLimits
+from turmerictray.core.logs import log_event
+from turmerictray.transport.framing import StrictRequest
+
+
+class HeadDeadlines:
+    """Ends connections whose request head takes too long.
+
+    A caller that sends one byte at a time never runs into the time limit of a single read and
+    would keep a thread for as long as it likes.
+    """
+
+    def __init__(self) -> None:
+        self._begun: dict[HTTPConnection, float] = {}
+        self._lock = threading.Lock()
+
+    def begin(self, conn: HTTPConnection) -> None:
+        """A request's head starts to arrive now."""
+        with self._lock:
+            self._begun[conn] = time.monotonic()
+
+    def end(self, conn: HTTPConnection) -> None:
+        """The head has arrived, or the connection is done."""
+        with self._lock:
+            self._begun.pop(conn, None)
+
+    def close_overdue(self, limit_s: float) -> None:
+        """Stop reading from connections whose head began over ``limit_s`` ago."""
+        horizon = time.monotonic() - limit_s
+        with self._lock:
+            overdue = [conn for conn, begun in self._begun.items() if begun < horizon]
+            for conn in overdue:
+                del self._begun[conn]
+        for conn in overdue:
+            _stop_reading(conn)
+
+
+def _stop_reading(conn: HTTPConnection) -> None:
+    try:
+        conn.socket.shutdown(socket.SHUT_RD)
+    except OSError as exc:
+        log_event("slow_head_already_closed", level="DEBUG", exc=exc)
+
+
+class _TimedRequest(StrictRequest):
+    """A request that tells when its head has been read."""
+
+    def parse_request(self) -> None:
+        """Read the head."""
+        super().parse_request()
+        self.server.heads.end(self.conn)
+
+
+class StrictConnection(HTTPConnection):
+    """A caller's connection: strict framing, and a time limit for each request's head."""
+
+    RequestHandlerClass = _TimedRequest
+
+    def communicate(self) -> bool:
+        """Serve one request; true when the connection is kept open."""
+        self.socket.settimeout(self.server.front_limits.header_timeout_s)
+        self.server.heads.begin(self)
+        try:
+            return super().communicate()
+        finally:
+            self.server.heads.end(self)
+
+
+class StrictServerMixin:
+    """What a cheroot server needs for :class:`StrictConnection`."""
+
+    ConnectionClass = StrictConnection
+    keep_alive_conn_limit = 3000
+    """Idle connections of callers kept open; cheroot's own ten would close nearly all of them."""
+
+    def apply_limits(self, limits: FrontLimits, idle_slack: float = 1.0) -> None:
+        """Put new bounds in force for the requests that come next."""
+        self.front_limits = limits
+        self.max_request_header_size = limits.header_bytes
+        self.max_request_body_size = limits.body_bytes
+        self.timeout = limits.idle_timeout_s * idle_slack
