--- /dev/null
+++ b/tests/admission/test_pool_load.py
@@ -0,0 +1,82 @@
+"""What callers get from several routers that share engines, under loads that hurt."""
+
+from tests.admission.fleet_sim import GOSSIP_S, OBJECTIVE_S, Fleet, play_prompts
+from turmerictray.core.ids import TeamId
+
+ROUTERS, ENGINES = 8, 9
+
+
+def test_calm_load_is_nearly_all_in_time_and_parts_are_read_about_once():
+    fleet = Fleet(ROUTERS, ENGINES)
+    play_prompts(fleet, per_s=20, seconds=30, seed=1)
+    fleet.run(40)
+    assert fleet.in_time(since=8) > 0.95
+    asked = sum(caller.prompt.input_tokens for caller in fleet.callers)
+    own = sum(caller.prompt.parts[-1].tokens for caller in fleet.callers)
+    assert fleet.read_tokens() - own < 0.35 * (asked - own)
+
+
+def test_twice_the_load_that_fits_is_served_in_time_for_what_fits():
+    # Without an end to waiting, every request of an overloaded pool is answered late: each waits as
+    # long as it may, and the first event comes after the objective. The ones that can't be in time
+    # any more must go, so that the others are: 0.32 of all are in time, 0.20 when each waits for its
+    # whole objective, 0.28 when engines are given 0.25 s of reading ahead instead of 0.08 s.
+    fleet = Fleet(ROUTERS, ENGINES)
+    play_prompts(fleet, per_s=160, seconds=25, seed=2)
+    fleet.run(35)
+    late = [c for c in fleet.callers if c.first_at is not None and not c.in_time]
+    served = [c for c in fleet.callers if c.first_at is not None]
+    assert fleet.in_time(since=5) > 0.29
+    assert len(late) < 0.4 * len(served)
+
+
+def test_refusals_come_before_the_objective_has_passed():
+    fleet = Fleet(ROUTERS, ENGINES)
+    play_prompts(fleet, per_s=200, seconds=15, seed=3)
+    fleet.run(25)
+    waits = [c.refused_at - c.arrived for c in fleet.callers if c.refused_at is not None]
+    assert waits
+    assert max(waits) <= OBJECTIVE_S + GOSSIP_S
+
+
+def test_every_request_ends():
+    fleet = Fleet(ROUTERS, ENGINES)
+    play_prompts(fleet, per_s=120, seconds=10, seed=4)
+    fleet.run(60)
+    assert all(c.first_at is not None or c.refused_at is not None for c in fleet.callers)
+    assert all(not load.held for pool in fleet.pools for load in pool.loads.values())
+
+
+def test_popular_part_does_not_fill_one_engine():
+    # Most of the traffic is about one thing. The engine that keeps it would serve it all alone
+    # while the others idle; some of it must be read elsewhere.
+    fleet = Fleet(ROUTERS, ENGINES)
+    play_prompts(fleet, per_s=60, seconds=20, seed=5, subjects=2)
+    fleet.run(30)
+    assert fleet.in_time(since=6) > 0.85
+    busy = [engine for engine in fleet.engines.values() if engine.read_tokens > 200_000]
+    assert len(busy) >= 4
+
+
+def test_team_whose_callers_all_come_in_at_one_router_gets_its_share():
+    # All callers of one team come in at one router, those of another at the seven others. Each
+    # router fills the engines as it sees room, so the second team has seven hands to the first
+    # team's one, and gets several times as much unless its routers hold back for the first.
+    lone, spread = TeamId("lone"), TeamId("spread")
+    fleet = Fleet(ROUTERS, ENGINES)
+    turns = iter(range(10**9))
+    play_prompts(
+        fleet,
+        per_s=180,
+        seconds=20,
+        seed=6,
+        team=lambda rng: lone if rng.random() < 0.5 else spread,
+        router=lambda name: 0 if name == lone else 1 + next(turns) % (ROUTERS - 1),
+    )
+    fleet.run(30)
+
+    def served(team) -> float:
+        done = [c for c in fleet.callers if c.team == team and c.first_at and c.arrived > 4]
+        return sum(caller.prompt.cost for caller in done)
+
+    assert served(lone) > 0.5 * served(spread)
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,25 @@
+"""What on-call engineers can learn from logs alone."""
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from tests.platform.conftest import *  # noqa: F403 - the deployment's fixtures and steps
+from tests.platform.conftest import wait_for
+from turmerictray.cli.explain import explain
+
+scenarios("features/explain.feature")
+
+
+@when(parsers.parse("a caller sends {method} {target} with the id {req_id}"))
+def send_with_id(deployment, caller_to, method, target, req_id):
+    body = b"crates" if method == "POST" else b""
+    caller_to(deployment.routers[0]).request(method, target, body, X_Request_Id=req_id)
+
+
+@then(parsers.parse('the logs explain {req_id} by "{cause}"'))
+def explained(deployment, req_id, cause):
+    logs = [router.log_path for router in deployment.routers]
+
+    def told() -> bool:
+        return cause.strip() in "\n".join(explain(req_id, logs))
+
+    assert wait_for(told), "\n".join(explain(req_id, logs))
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -193,7 +193,7 @@
             item.deadline = self._wait_until(item, loads, now)
         wait = self.expected_wait_s(item)
         if not retry and now + wait > item.deadline:
-            raise WontBeServed("wait_too_long", wait)
+            raise WontBeServed(self._wait_reason(item), wait)
         try:
             self.queue.push(item, front=retry)
         except QueueFull as exc:
@@ -219,6 +219,10 @@
         """Seconds until the request's turn, by the queue before it and the pace of sends."""
         return self._mean_gap_s * self._ahead_of(item)
 
+    def _wait_reason(self, item: Pending) -> str:
+        gap_ms = round(self._mean_gap_s * 1000)
+        return f"wait_too_long: {self._ahead_of(item)} before it, {gap_ms} ms between sends"
+
     def _ahead_of(self, item: Pending) -> int:
         # Teams take turns, so a request waits for its own team's queue and as many of each other.
         own = self.queue.depth(item.team) + 1
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -1,8 +1,9 @@
 """The ``turmerictray`` command-line tool.
 
 Commands: ``serve`` (run a router), ``standin`` (run a stand-in), ``config check``, ``status``,
-``drain``, ``load`` (the load and experiment tool), ``chaos`` (randomised faults), ``bench`` (the
-capacity bench), ``timeline`` and ``demo``.
+``drain``, ``up`` (a local deployment to try by hand), ``explain`` (the story of a request),
+``load`` (the load and experiment tool), ``chaos`` (randomised faults), ``bench`` (the capacity
+bench), ``timeline`` and ``demo``.
 """
 
 import json
@@ -249,6 +250,46 @@
     return 0
 
 
+@app.command
+def up(routers: int = 2, engines: int = 2, workdir: Path | None = None) -> int:
+    """Keep a small deployment on loopback up until interrupted; prints its addresses.
+
+    Parameters
+    ----------
+    routers
+        Router processes to start.
+    engines
+        Engine stand-ins to start, beside two plain workers.
+    workdir
+        Where settings and logs go; a new temporary folder by default.
+    """
+    from turmerictray.cli.up import run_up
+
+    return run_up(routers, engines, workdir)
+
+
+@app.command
+def explain(request_id: str, logs: list[Path]) -> int:
+    """Tell what happened to a request, from the logs of all processes.
+
+    Parameters
+    ----------
+    request_id
+        The id that its caller sent.
+    logs
+        Log files of the routers that may have seen it.
+    """
+    from turmerictray.cli.explain import explain as tell
+
+    try:
+        for line in tell(request_id, logs):
+            print(line)
+    except OSError as exc:
+        print(f"error: {exc.filename}: {exc.strerror}", file=sys.stderr)
+        return 1
+    return 0
+
+
 @app.command
 def chaos(seed: int = 1, seconds: float = 20.0, workdir: Path | None = None) -> int:
     """Play a seeded schedule of faults on a local fleet under load and check every promise.
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -24,6 +24,20 @@
     buckets=(0.001, 0.01, 0.05, 0.1, 0.5, 1, 2, 5, 10, 30),
     registry=REGISTRY,
 )
+REQUEST_TIME = Histogram(
+    "turmerictray_request_seconds",
+    "Time from a request's head to its final answer, by outcome.",
+    ["outcome"],
+    buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30),
+    registry=REGISTRY,
+)
+FIRST_ANSWER_TIME = Histogram(
+    "turmerictray_first_answer_seconds",
+    "Time from a request's head to the first byte of its answer, by service.",
+    ["service"],
+    buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2, 5, 10),
+    registry=REGISTRY,
+)
 CLAIMS = Counter(
     "turmerictray_claims_total",
     "Claims on keys of non-idempotent requests, by verdict.",
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -152,7 +152,8 @@
             for item in pool.expire(msg.now):
                 if item.reply.set_running_or_notify_cancel():
                     wait = pool.expected_wait_s(item)
-                    item.reply.set_exception(QueueTimeout("queue_timeout", wait))
+                    reason = f"queue_timeout: {len(pool.queue)} others wait"
+                    item.reply.set_exception(QueueTimeout(reason, wait))
             if len(pool.queue):
                 self._pump(pool, msg.now)
 
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -52,8 +52,17 @@
         if reason:
             fields["reason"] = reason[:200]
         log_request("request", failed=outcome != "answered", **fields)
-        team = fields.get("team", "-")
+        self._count(outcome)
+
+    def _count(self, outcome: str) -> None:
+        team = self.routed.ledger_team if self.routed is not None else "-"
         metrics.REQUESTS.labels(team, outcome).inc()
+        metrics.REQUEST_TIME.labels(outcome).observe(time.monotonic() - self.arrived)
+        if self.granted_at is not None:
+            metrics.QUEUE_WAIT.observe(self.granted_at - self.arrived)
+        if self.first_at is not None:
+            first = metrics.FIRST_ANSWER_TIME.labels(self.routed.service)
+            first.observe(self.first_at - self.arrived)
 
     def _fields(self) -> dict[str, object]:
         routed = self.routed
