A request whose repeat the budget forbids gets its final answer at once

Cause: the error for a refused repeat was raised inside the loop of tries and caught by it as one more failed try, so the router asked its broker over and over until the request's time was up. Ruled out: the budget itself (it refused each time). Test first: the answer came after 3 s, now at once.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -57,6 +57,11 @@
     return start_deployment(routers=routers)
 
 
+@given("a deployment whose budget of repeats is used up", target_fixture="deployment")
+def deployment_without_repeats(start_deployment):
+    return start_deployment(routers=1, repeats=0)
+
+
 @given(parsers.parse("the next {count:d} requests at {service} workers meet {fault}"))
 def next_requests_meet(deployment, count, service, fault):
     for worker in deployment.of_service(service):
--- a/tests/platform/features/answers.feature
+++ b/tests/platform/features/answers.feature
@@ -76,3 +76,11 @@
     Then the answer is 504
     And it came between 2.9 and 3.4 seconds after the request
     And the worker was left at once
+
+  Scenario: A request whose repeat the budget forbids gets its final answer at once
+    Given a deployment whose budget of repeats is used up
+    And the next 2 requests at app workers meet reset_after_run
+    When a caller sends GET /ping/1
+    Then the answer is 502
+    And it came between 0 and 0.5 seconds after the request
+    And 1 app request(s) ran
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -96,14 +96,18 @@
     ----------
     number : int
         From 1; gives its address in ``network``.
+    repeats : int
+        See :class:`LocalDeployment`.
     """
 
-    def __init__(self, number: int, network: str, zone: str, store: str, folder: Path) -> None:
+    def __init__(
+        self, number: int, network: str, zone: str, store: str, folder: Path, repeats: int
+    ) -> None:
         self.name = f"r{number}"
         self.ip = f"{network}.{number}"
         self.log_path = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text(self._node_file(network, zone, store))
+        self._settings.write_text(self._node_file(network, zone, store, repeats))
         self._process: subprocess.Popen | None = None
 
     @property
@@ -162,7 +166,7 @@
             self._process.kill()
             self._process.wait(_STOP_S)
 
-    def _node_file(self, network: str, zone: str, store: str) -> str:
+    def _node_file(self, network: str, zone: str, store: str, repeats: int) -> str:
         return f"""
 node = "{self.name}"
 ip = "{self.ip}"
@@ -175,6 +179,8 @@
 control = "{self.ip}:{_CONTROL_PORT}"
 [bounds]
 grace_s = 6
+retry_budget_ratio = {0.2 if repeats else 0}
+budget_min_retries = {repeats}
 [platform]
 address = "{store}"
 """
@@ -187,15 +193,24 @@
     ----------
     folder : Path
         For settings and logs.
+    repeats : int
+        Repeats that all routers may send in ten seconds; 0 forbids them.
     """
 
-    def __init__(self, folder: Path, routers: int = 1, apps: int = 2, engines: int = 2) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        routers: int = 1,
+        apps: int = 2,
+        engines: int = 2,
+        repeats: int = 50,
+    ) -> None:
         self.store = StoreServer().start()
         self.workers = [Worker(f"app-{n}", "app").start() for n in range(apps)]
         self.workers += [Worker(f"llm-{n}", "llm").start() for n in range(engines)]
         network = free_network()
         self.routers = [
-            LocalRouter(number, network, "z1", self.store.address, folder)
+            LocalRouter(number, network, "z1", self.store.address, folder, repeats)
             for number in range(1, routers + 1)
         ]
 
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -96,9 +96,9 @@
         TurmerictrayError
             What the caller is to be told; :class:`CallerGone` when there is no caller any more.
         """
-        while True:
+        while (granted := self._ask_or_give_up()) is not None:
             try:
-                self._try_once()
+                self._try_at(granted)
                 return
             except (NotSent, OutcomeUnknown, TargetBusy, TargetFailed) as exc:
                 if self._end_here(exc):
@@ -142,14 +142,18 @@
             reason=f"{type(exc).__name__}: {exc}"[:200],
         )
 
-    def _try_once(self) -> None:
+    def _ask_or_give_up(self) -> Granted | None:
+        """A target to try; None when a held-back failure has gone to the caller instead."""
         try:
             granted = self._ask()
         except AdmissionError as exc:
             if not self._call.gone and self._relay_held_failure():
-                return
+                return None
             raise self._progress.failure(exc, isinstance(exc, QueueTimeout)) from exc
         self._trace.note_granted(granted)
+        return granted
+
+    def _try_at(self, granted: Granted) -> None:
         booking = _Booking(self._parts.broker, self._routed, granted)
         try:
             conn = self._connect(granted, booking)
