--- /dev/null
+++ b/tests/core/test_log_sink.py
@@ -0,0 +1,43 @@
+"""Logging never makes a request wait, and never grows without bound."""
+
+import os
+import time
+
+from turmerictray.core import log_sink
+from turmerictray.core.log_sink import LineBudget, StdoutSink
+
+
+def test_reader_that_stalls_costs_lines_not_time(monkeypatch):
+    # Nobody reads the pipe. A write would block as soon as it is full, and with it the thread that
+    # serves a caller.
+    reader, writer = os.pipe()
+    monkeypatch.setattr(log_sink, "_STDOUT", writer)
+    sink = StdoutSink()
+    begun = time.monotonic()
+    for _ in range(20_000):
+        sink("x" * 200 + "\n")
+    took = time.monotonic() - begun
+    os.close(reader)
+    assert sink.dropped > 10_000
+    assert took < 2.0
+
+
+def test_lines_are_written_in_order(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr(log_sink, "_STDOUT", writer)
+    sink = StdoutSink()
+    for number in range(50):
+        sink(f"{number}\n")
+    sink.close()
+    assert os.read(reader, 65536).decode().split() == [str(number) for number in range(50)]
+    os.close(reader)
+    os.close(writer)
+
+
+def test_answered_requests_do_not_push_out_failures():
+    budget = LineBudget(successes_per_s=5, failures_per_s=5)
+    budget._turn = lambda second: None
+    assert sum(budget.take(failed=False) for _ in range(100)) == 5
+    assert all(budget.take(failed=True) for _ in range(5))
+    assert budget.left_out() == 95
+    assert budget.left_out() == 0
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,85 @@
+"""What operators and targets write, decoded once into the product's types."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmerictray.config.routes import RouteKind
+from turmerictray.core.errors import ConfigError
+from turmerictray.platform.documents import decode_target, decode_text
+from turmerictray.platform.standins.local import default_config
+from turmerictray.routing.load import TargetPhase
+
+
+def encode(doc: object) -> bytes:
+    return json.dumps(doc).encode()
+
+
+def test_text_is_decoded_with_its_units():
+    config = default_config(7)
+    config["limits"] = {"max_header_bytes": 100, "idle_timeout_ms": 15000, "tokens_per_s": 5}
+    text = decode_text(encode(config))
+    assert text.version == 7
+    plan = text.match("shop.example", "/plan/1")
+    assert (plan.kind, plan.resumable, plan.max_attempts) == (RouteKind.STREAMING, True, 2)
+    assert (plan.timeout_s, plan.objective_s, plan.gap_s) == (3.0, 1.0, 0.25)
+    assert text.limits.header_bytes == 100
+    assert text.limits.idle_timeout_s == 15.0
+    assert text.services["llm"].engine.memory_tokens == 600_000
+    assert text.services["app"].engine is None
+
+
+def test_unknown_fields_are_ignored():
+    config = default_config(1, colour="blue")
+    config["routes"][0]["new"] = {"deep": [1]}
+    assert decode_text(encode(config)).version == 1
+
+
+def test_route_split_over_services():
+    config = default_config(1)
+    route = config["routes"][0]
+    del route["service"]
+    route["backends"] = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    found = decode_text(encode(config)).match("shop.example", "/order/1")
+    assert [found.service_for(draw) for draw in (0.0, 0.89, 0.91)] == ["a", "a", "b"]
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"version": "x"}, "version"),
+        ({"routes": [{"name": "r"}]}, "routes[0]"),
+        ({"tenants": [{"api_keys": []}]}, "tenants[0]"),
+        ({"services": [{"name": "s", "engine": {"slots": "many", "kv_tokens": 1}}]}, "slots"),
+    ],
+)
+def test_errors_name_the_field(change, field):
+    with pytest.raises(ConfigError) as caught:
+        decode_text(encode({**default_config(1), **change}))
+    assert field in caught.value.reason
+
+
+def test_route_to_nowhere_is_refused():
+    config = default_config(1)
+    del config["routes"][0]["service"]
+    with pytest.raises(ConfigError, match="neither service nor backends"):
+        decode_text(encode(config))
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_decoded_or_refused(data):
+    for decode in (decode_text, lambda raw: decode_target("i-1", raw)):
+        try:
+            decode(data)
+        except ConfigError:
+            continue
+
+
+def test_target_that_is_not_ready_is_leaving():
+    entry = {"service": "app", "address": "10.0.0.1:80", "zone": "z", "slots": 6}
+    assert decode_target("i-1", encode(entry)).phase is TargetPhase.READY
+    for state in ("draining", "something-new"):
+        info = decode_target("i-1", encode({**entry, "state": state}))
+        assert info.phase is TargetPhase.LEAVING
