--- a/tests/transport/test_target_conn.py
+++ b/tests/transport/test_target_conn.py
@@ -122,12 +122,12 @@
         call(ConnectionPool(), start_target(b"\x00\x01 nothing\r\n\r\n"))
 
 
-def test_refused_connection_was_not_sent(start_target):
-    target = start_target()
-    address = target.address
-    target.close()
-    with pytest.raises(NotSent):
-        ConnectionPool().take("t", address, 0.5)
+def test_refused_connection_was_not_sent():
+    with socket.socket() as nobody_listens:
+        nobody_listens.bind(("127.0.0.1", 0))
+        host, port = nobody_listens.getsockname()
+        with pytest.raises(NotSent):
+            ConnectionPool().take("t", f"{host}:{port}", 0.5)
 
 
 def test_abort_ends_a_wait_at_once(start_target):
