--- a/turmerictray/transport/heads.py
+++ b/turmerictray/transport/heads.py
@@ -10,6 +10,11 @@
 from turmerictray.core.logs import log_event
 from turmerictray.transport.framing import StrictRequest
 
+_READ_FIRST_S = 0.5
+"""How much later than a single read's time limit a whole head's comes. A caller that has stopped
+sending is told 408 by the read; ended by both at once it might be told 400, that its head is
+malformed, which is not what was wrong."""
+
 
 class HeadDeadlines:
     """Ends connections whose request head takes too long.
@@ -34,7 +39,7 @@
 
     def close_overdue(self, limit_s: float) -> None:
         """Stop reading from connections whose head began over ``limit_s`` ago."""
-        horizon = time.monotonic() - limit_s
+        horizon = time.monotonic() - limit_s - _READ_FIRST_S
         with self._lock:
             overdue = [conn for conn, begun in self._begun.items() if begun < horizon]
             for conn in overdue:
