--- a/tests/core/test_log_sink.py
+++ b/tests/core/test_log_sink.py
@@ -7,6 +7,19 @@
 from turmerictray.core.log_sink import LineBudget, StdoutSink
 
 
+class EndlessLines:
+    """A queue that is never empty until it ends."""
+
+    def __init__(self, count: int) -> None:
+        self._left = count
+
+    def get(self) -> str | None:
+        self._left -= 1
+        return "line\n" if self._left > 0 else None
+
+    get_nowait = get
+
+
 def test_reader_that_stalls_costs_lines_not_time(monkeypatch):
     # Nobody reads the pipe. A write would block as soon as it is full, and with it the thread that
     # serves a caller.
@@ -22,6 +35,18 @@
     assert took < 2.0
 
 
+def test_batch_is_bounded_while_lines_keep_coming(monkeypatch):
+    # Lines come as fast as they are taken. A batch that ends only when the queue is empty holds
+    # all of them, outside the bound of the queue, and writes none.
+    written = []
+    monkeypatch.setattr(log_sink, "_write_all", lambda data: written.append(data))
+    sink = StdoutSink.__new__(StdoutSink)
+    sink._lines = EndlessLines(5000)
+    sink._run()
+    assert len(written) > 10
+    assert max(len(data) for data in written) < 3000
+
+
 def test_lines_are_written_in_order(monkeypatch):
     reader, writer = os.pipe()
     monkeypatch.setattr(log_sink, "_STDOUT", writer)
--- a/turmerictray/core/log_sink.py
+++ b/turmerictray/core/log_sink.py
@@ -9,6 +9,9 @@
 """Lines that wait to be written; at 300 bytes each this is 600 KB. A reader that stalls longer
 costs lines, not requests."""
 
+_BATCH_LINES = 200
+"""Lines written with one call; at 300 bytes each this is what a pipe commonly holds."""
+
 _STDOUT = 1
 
 
@@ -40,16 +43,28 @@
 
     def _run(self) -> None:
         while (line := self._lines.get()) is not None:
-            lines = [line]
-            try:
-                while (more := self._lines.get_nowait()) is not None:
-                    lines.append(more)
-            except queue.Empty:
-                more = line
+            lines, ended = self._take_more(line)
             _write_all("".join(lines).encode())
-            if more is None:
+            if ended:
                 return
 
+    def _take_more(self, first: str) -> tuple[list[str], bool]:
+        """Lines that can be written together, and whether the sink was closed behind them.
+
+        The number is bounded: while lines come as fast as they are taken, an unbounded batch would
+        grow without end outside the bounded queue, and nothing would be written.
+        """
+        lines = [first]
+        while len(lines) < _BATCH_LINES:
+            try:
+                line = self._lines.get_nowait()
+            except queue.Empty:
+                break
+            if line is None:
+                return lines, True
+            lines.append(line)
+        return lines, False
+
 
 def _write_all(data: bytes) -> None:
     while data:
