--- a/tests/core/test_log_sink.py
+++ b/tests/core/test_log_sink.py
@@ -20,12 +20,11 @@
     get_nowait = get
 
 
-def test_reader_that_stalls_costs_lines_not_time(monkeypatch):
+def test_reader_that_stalls_costs_lines_not_time():
     # Nobody reads the pipe. A write would block as soon as it is full, and with it the thread that
     # serves a caller.
     reader, writer = os.pipe()
-    monkeypatch.setattr(log_sink, "_STDOUT", writer)
-    sink = StdoutSink()
+    sink = StdoutSink(writer)
     begun = time.monotonic()
     for _ in range(20_000):
         sink("x" * 200 + "\n")
@@ -39,18 +38,18 @@
     # Lines come as fast as they are taken. A batch that ends only when the queue is empty holds
     # all of them, outside the bound of the queue, and writes none.
     written = []
-    monkeypatch.setattr(log_sink, "_write_all", lambda data: written.append(data))
+    monkeypatch.setattr(log_sink, "_write_all", lambda fd, data: written.append(data))
     sink = StdoutSink.__new__(StdoutSink)
+    sink._fd = -1
     sink._lines = EndlessLines(5000)
     sink._run()
     assert len(written) > 10
     assert max(len(data) for data in written) < 3000
 
 
-def test_lines_are_written_in_order(monkeypatch):
+def test_lines_are_written_in_order():
     reader, writer = os.pipe()
-    monkeypatch.setattr(log_sink, "_STDOUT", writer)
-    sink = StdoutSink()
+    sink = StdoutSink(writer)
     for number in range(50):
         sink(f"{number}\n")
     sink.close()
--- a/turmerictray/core/log_sink.py
+++ b/turmerictray/core/log_sink.py
@@ -19,9 +19,15 @@
     """Writes lines on a thread of its own and drops them when the pipe is not read.
 
     Usable as a loguru sink.
+
+    Parameters
+    ----------
+    fd : int
+        Where lines are written.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fd: int = _STDOUT) -> None:
+        self._fd = fd
         self._lines: queue.Queue[str | None] = queue.Queue(_HELD_LINES)
         self.dropped = 0
         self._thread = threading.Thread(target=self._run, name="log-sink", daemon=True)
@@ -44,7 +50,7 @@
     def _run(self) -> None:
         while (line := self._lines.get()) is not None:
             lines, ended = self._take_more(line)
-            _write_all("".join(lines).encode())
+            _write_all(self._fd, "".join(lines).encode())
             if ended:
                 return
 
@@ -66,10 +72,10 @@
         return lines, False
 
 
-def _write_all(data: bytes) -> None:
+def _write_all(fd: int, data: bytes) -> None:
     while data:
         try:
-            data = data[os.write(_STDOUT, data) :]
+            data = data[os.write(fd, data) :]
         except OSError:
             # Nobody reads the log any more; there is no place left to say so.
             return
