The local deployment's command text moves into the platform folder

Cause: cli/up.py spelled the platform's headers outside turmerictray/platform/. Nothing else does (searched for its header and field names). The command itself is unchanged; it was started and stopped by hand.

--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -263,7 +263,7 @@
     workdir
         Where settings and logs go; a new temporary folder by default.
     """
-    from turmerictray.cli.up import run_up
+    from turmerictray.platform.standins.up import run_up
 
     return run_up(routers, engines, workdir)
 
