A dead peer's word on who waits there is forgotten after two seconds

Cause: the teams that a router said were waiting were kept until it said otherwise. Ruled out: a restarted router, which says anew. Change: who waits is kept with the time of the word.

--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from turmerictray.core.ids import NodeId, TeamId
 
@@ -15,6 +15,9 @@
 """Long enough to see through the gaps between a team's requests, which come several a second, and
 short enough that a team which is starved for a few seconds comes first within that time."""
 
+_WAITING_TTL_S = 2.0
+"""A peer's word on who waits there counts this long: eight of its messages may be lost."""
+
 _RESCALE_AFTER = 40.0
 """Half-lives after which weights are brought back to one, well before they overflow."""
 
@@ -38,7 +41,7 @@
     def __init__(self, node: NodeId, clock: Callable[[], float] = time.monotonic) -> None:
         self.node = node
         self.weights: dict[TeamId, float] = {}
-        self.waiting_elsewhere: set[TeamId] = set()
+        self._waiting_at: dict[str, tuple[float, frozenset[TeamId]]] = {}
         self._clock = clock
         self._begun = clock()
         self._recent: dict[TeamId, float] = defaultdict(float)
@@ -74,6 +77,17 @@
                 if not first:
                     self._add(team, gain)
 
+    def note_waiting(self, node: str, teams: Iterable[TeamId]) -> None:
+        """A peer says which teams wait for room at it now."""
+        self._waiting_at[node] = (self._clock(), frozenset(teams))
+
+    def _waiting_elsewhere(self) -> set[TeamId]:
+        # A peer that died, or is cut off, never takes its word back. Kept, its teams would count as
+        # waiting and unserved for ever, and every other team would be held to part of the engines.
+        horizon = self._clock() - _WAITING_TTL_S
+        heard = [teams for heard_at, teams in self._waiting_at.values() if heard_at > horizon]
+        return set().union(*heard)
+
     def told(self) -> dict[TeamId, float]:
         """This router's own cumulative counters, for its peers."""
         return dict(self._own)
@@ -96,7 +110,7 @@
         backlogged : set of TeamId
             Teams that wait here; the ones that wait at peers are known.
         """
-        others = (backlogged | self.waiting_elsewhere) - {team}
+        others = (backlogged | self._waiting_elsewhere()) - {team}
         if not others:
             return 0.0
         least = min(self.normalised(other) for other in others)
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -75,7 +75,6 @@
         self.routers = 1
         self.told = 0
         self.told_service: dict[TeamId, float] = {}
-        self.peers_waiting: dict[str, set[TeamId]] = {}
 
     def on_receive(self, message: object) -> object:
         return self.handle(message)
@@ -239,8 +238,7 @@
         for pool in self.pools.values():
             pool.targets.forget_peer_work(node, worked)
         self.ledger.merge(summary.node, summary.incarnation, summary.service)
-        self.peers_waiting[node] = {TeamId(team) for team in summary.waiting}
-        self.ledger.waiting_elsewhere = set().union(*self.peers_waiting.values())
+        self.ledger.note_waiting(node, map(TeamId, summary.waiting))
         self._pump_all()
 
     @handle.register
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -2,6 +2,7 @@
 
 import statistics
 from collections import deque
+from dataclasses import replace
 
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.ids import NodeId, TargetId
@@ -50,10 +51,7 @@
         """A target's own answer says that it is leaving, before the list does."""
         load = self.loads.get(target)
         if load is not None and load.info.phase is TargetPhase.READY:
-            info = load.info
-            load.info = TargetInfo(
-                info.id, info.service, info.address, info.zone, info.slots, TargetPhase.LEAVING
-            )
+            load.info = replace(load.info, phase=TargetPhase.LEAVING)
 
     def set_spec(self, spec: ServiceSpec, tokens_per_s: float = 0.0) -> None:
         """Take what the text says of the service.
