Code that nothing calls is gone

KeptParts.clear, a count of opened connections, the time of a hang-up, a process id and a settings field that nothing read. Behaviour unchanged; found by searching for callers.

--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -46,7 +46,6 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
-    heartbeat_ms: int = 1200
     bounds: _Bounds = _Bounds()
 
 
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-from turmerictray.platform.settings import METRICS_PORT, SETTINGS_VARIABLE
+from turmerictray.platform.settings import SETTINGS_VARIABLE
 from turmerictray.platform.standins.store import StoreServer
 from turmerictray.platform.standins.worker import Worker
 
@@ -120,11 +120,6 @@
         """URL for operators."""
         return f"http://{self.ip}:{_CONTROL_PORT}"
 
-    @property
-    def pid(self) -> int:
-        """The process's id."""
-        return self._process.pid
-
     def start(self) -> None:
         """Start the process."""
         env = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
@@ -240,6 +235,3 @@
         for worker in self.workers:
             worker.stop()
         self.store.stop()
-
-
-__all__ = ["HOST", "KEY", "METRICS_PORT", "TEAM", "LocalDeployment", "LocalRouter"]
--- a/turmerictray/routing/kept.py
+++ b/turmerictray/routing/kept.py
@@ -41,11 +41,6 @@
             kept += part.tokens
         return kept
 
-    def clear(self) -> None:
-        """The engine has restarted and keeps nothing."""
-        self._parts.clear()
-        self._total = 0
-
     def _add(self, part: Part) -> None:
         if part.part_id not in self._parts:
             self._total += part.tokens
--- a/turmerictray/transport/hangup.py
+++ b/turmerictray/transport/hangup.py
@@ -3,7 +3,6 @@
 import select
 import socket
 import threading
-import time
 from collections.abc import Callable
 
 from turmerictray.core.logs import log_event
@@ -28,7 +27,6 @@
         self.sock = sock
         self.fd = sock.fileno()
         self.gone = False
-        self.gone_at = 0.0
         self._lock = threading.Lock()
         self._abort: Callable[[], None] | None = None
 
@@ -38,7 +36,6 @@
             if self.gone:
                 return
             self.gone = True
-            self.gone_at = time.monotonic()
             abort, self._abort = self._abort, None
         if abort is not None:
             abort()
--- a/turmerictray/transport/pool.py
+++ b/turmerictray/transport/pool.py
@@ -26,7 +26,6 @@
     def __init__(self) -> None:
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._lock = threading.Lock()
-        self.opened = 0
 
     def take(self, target: str, address: str, connect_s: float) -> TargetConnection:
         """An idle connection to ``target``, or a new one.
@@ -40,7 +39,6 @@
             if conn.address == address and conn.is_fresh(_MARGIN_S, _DEFAULT_IDLE_S):
                 return conn
             conn.close()
-        self.opened += 1
         return TargetConnection(address, connect_s)
 
     def give_back(self, target: str, conn: TargetConnection, head: AnswerHead) -> None:
