Connections past their idle limit are closed although nobody takes them again

Cause: an idle connection was only looked at when its target was asked for; a target that is gone never is, so each replaced target left its connections open until the process ended. Ruled out: the limit of 64 a target, which bounds one target, not their number. Change: the pool closes what has expired every five seconds.

--- a/tests/transport/test_target_conn.py
+++ b/tests/transport/test_target_conn.py
@@ -139,3 +139,16 @@
     with pytest.raises(OutcomeUnknown):
         conn.read_head("GET", 5.0)
     assert time.monotonic() - begun < 1.0
+
+
+def test_idle_connections_are_closed_when_nobody_takes_them_again(start_target):
+    # A target is replaced under another id, so its kept connections are never taken again. Left
+    # open, each replacement costs descriptors until the process has none for its callers.
+    target, pool = start_target(OK % b"Keep-Alive: timeout=1\r\n"), ConnectionPool()
+    call(pool, target)
+    assert pool.idle_count() == 1
+    pool.close_expired()
+    assert pool.idle_count() == 1
+    time.sleep(1.1)
+    pool.close_expired()
+    assert pool.idle_count() == 0
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -49,6 +49,9 @@
 
 _DRAIN_LOOK_S = 0.1
 
+_TIDY_S = 5.0
+"""Rhythm of closing connections to targets that nobody takes again; they only cost descriptors."""
+
 
 class Source(Protocol):
     """Reads what the platform publishes and tells the broker."""
@@ -104,6 +107,7 @@
         self._flow: RequestFlow | None = None
         self._front: FrontServer | None = None
         self._limits = None
+        self._tidy_at = 0.0
         self._broker: pykka.ActorRef | None = None
         self._link: pykka.ActorRef | None = None
         self._admins: list[AdminServer] = []
@@ -221,6 +225,10 @@
             self._limits = text.limits
             self._front.apply_limits(text.limits)
         self._front.close_slow_heads()
+        now = time.monotonic()
+        if now >= self._tidy_at:
+            self._tidy_at = now + _TIDY_S
+            self._conns.close_expired()
 
 
 class _Part:
--- a/turmerictray/transport/pool.py
+++ b/turmerictray/transport/pool.py
@@ -55,17 +55,39 @@
         if oldest is not None:
             oldest.close()
 
-    def forget(self, target: str) -> None:
-        """Close the idle connections to a target that is leaving."""
+    def close_expired(self) -> None:
+        """Close connections that are past their target's idle limit and won't be taken again.
+
+        A target that is gone is never asked for, so nothing else would close its connections.
+        """
         with self._lock:
-            idle = self._idle.pop(target, ())
-        for conn in idle:
+            expired = [
+                conn for conn in self._all() if conn.idle_s() > conn.limit_s(_DEFAULT_IDLE_S)
+            ]
+            self._drop(expired)
+        for conn in expired:
             conn.close()
 
+    def idle_count(self) -> int:
+        """Idle connections kept now."""
+        with self._lock:
+            return len(self._all())
+
     def close(self) -> None:
         """Close all idle connections."""
-        for target in list(self._idle):
-            self.forget(target)
+        with self._lock:
+            idle = self._all()
+            self._idle.clear()
+        for conn in idle:
+            conn.close()
+
+    def _all(self) -> list[TargetConnection]:
+        return [conn for idle in self._idle.values() for conn in idle]
+
+    def _drop(self, conns: list[TargetConnection]) -> None:
+        dropped = set(conns)
+        kept = {t: deque(c for c in idle if c not in dropped) for t, idle in self._idle.items()}
+        self._idle = {target: idle for target, idle in kept.items() if idle}
 
     def _pop(self, target: str) -> TargetConnection | None:
         with self._lock:
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -173,9 +173,16 @@
         default_limit_s : float
             The idle limit of a target that doesn't name one.
         """
-        limit = default_limit_s if self.idle_limit_s is None else self.idle_limit_s
-        idle = time.monotonic() - self.idle_since
-        return idle < limit - margin_s and not self._has_stray_bytes()
+        within = self.idle_s() < self.limit_s(default_limit_s) - margin_s
+        return within and not self._has_stray_bytes()
+
+    def limit_s(self, default_limit_s: float) -> float:
+        """The target's idle limit, or ``default_limit_s`` if it doesn't name one."""
+        return default_limit_s if self.idle_limit_s is None else self.idle_limit_s
+
+    def idle_s(self) -> float:
+        """Seconds since the last answer ended."""
+        return time.monotonic() - self.idle_since
 
     def _has_stray_bytes(self) -> bool:
         # Anything readable on an idle connection is a close, a reset or an answer that nobody
