One copy of what stood twice: stand-in servers, unknown messages, peers' words, decoding, a test step

Found by reading the whole change and by the list of duplicates: six actors logged unknown messages each in their own words, two of them with an extra method; the stand-ins had the same server and handler twice; a peer's work was taken in three passes over the targets; two decoders wrapped errors alike.

--- a/tests/admission/fleet_sim.py
+++ b/tests/admission/fleet_sim.py
@@ -148,9 +148,13 @@
         self.at(self.now + GOSSIP_S, self._gossip)
 
     def _hear(self, other, node, pool, told, reads, waiting) -> None:
-        for target, load in pool.targets.loads.items():
-            word = PeerLoad(load.running, load.own_unread_tokens(), self.now)
-            other.targets.note_peer(node, target, word)
+        other.targets.hear_peer(
+            node,
+            {
+                target: PeerLoad(load.running, load.own_unread_tokens(), self.now)
+                for target, load in pool.targets.loads.items()
+            },
+        )
         for target, parts in reads:
             other.targets.note_peer_read(target, parts)
         other._ledger.merge(node, 1, told)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -77,6 +77,13 @@
         worker.plan.faults = shared
 
 
+@given(parsers.parse("streams that last {seconds:d} seconds"))
+def long_streams(deployment, seconds):
+    for worker in deployment.of_service("llm"):
+        worker.plan.events = seconds * 10
+        worker.plan.pause_s = 0.1
+
+
 @when(parsers.parse("a caller sends {method} {target}"))
 def send(deployment, caller_to, ctx, method, target):
     ctx["caller"] = caller_to(deployment.routers[0])
--- a/tests/platform/features/fleet.feature
+++ b/tests/platform/features/fleet.feature
@@ -46,7 +46,7 @@
 
   Scenario: A planned stop cuts no request
     Given a deployment with 1 router(s)
-    And streams that last 2 seconds at all engines
+    And streams that last 2 seconds
     When the router is told to stop during 5 streams
     Then it says at once that it is not ready
     And all 5 streams end whole
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from pytest_bdd import given, parsers, scenarios, then, when
+from pytest_bdd import parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
 from tests.platform.raw import PROMPT, RawCaller
@@ -104,13 +104,6 @@
     assert wait_for(served)
 
 
-@given(parsers.parse("streams that last {seconds:d} seconds at all engines"))
-def streams_last(deployment, seconds):
-    for worker in deployment.of_service("llm"):
-        worker.plan.events = seconds * 10
-        worker.plan.pause_s = 0.1
-
-
 @when(parsers.parse("the router is told to stop during {count:d} streams"))
 def stop_during(deployment, ctx, count):
     router = deployment.routers[0]
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -3,7 +3,7 @@
 import time
 
 import urllib3
-from pytest_bdd import given, parsers, scenarios, then, when
+from pytest_bdd import parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
 from tests.platform.raw import PROMPT, make_request
@@ -13,13 +13,6 @@
 _TOLD_S = 0.5
 
 
-@given(parsers.parse("streams that last {seconds:d} seconds"))
-def long_streams(deployment, seconds):
-    for worker in deployment.of_service("llm"):
-        worker.plan.events = seconds * 10
-        worker.plan.pause_s = 0.1
-
-
 @when(parsers.parse("a caller hangs up after the first event of {target}"))
 def hang_up_streaming(deployment, caller_to, ctx, target):
     caller = caller_to(deployment.routers[0])
--- a/turmerictray/core/logs.py
+++ b/turmerictray/core/logs.py
@@ -98,6 +98,11 @@
     logger.log(level, format_event(event, fields))
 
 
+def log_unknown_message(message: object) -> None:
+    """Log that an actor got a message of a kind that it does not handle."""
+    log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+
+
 def log_request(event: str, failed: bool, **fields: object) -> None:
     """Log one event of a request, if this second's budget of lines allows it.
 
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -19,7 +19,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId, ZoneId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.membership.table import MemberTable
@@ -144,15 +144,12 @@
         if self._pull is not None:
             self._pull.close()
 
-    def on_receive(self, message: object) -> object:
-        return self.handle(message)
-
     @singledispatchmethod
-    def handle(self, message: object) -> object:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+    def on_receive(self, message: object) -> object:
+        log_unknown_message(message)
         return None
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Tick) -> None:
         if msg.is_late():
             return
@@ -164,7 +161,7 @@
             self._send_all(now)
         self._note_size(now)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: _Received) -> None:
         try:
             heard = msgspec.msgpack.decode(msg.data, type=PeerMessage)
@@ -181,11 +178,11 @@
             self._on_peer(heard)
         self._note_size(now)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Reseed) -> None:
         self.seeds = msg.seeds
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Leave) -> None:
         self._leaving = True
         self._send_all(time.monotonic())
--- a/turmerictray/orders/home.py
+++ b/turmerictray/orders/home.py
@@ -12,7 +12,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.member import Member
 from turmerictray.core.timer import Tick
 from turmerictray.orders.ask import AskHome, HomeQuery, HomeState, Synced
@@ -75,7 +75,7 @@
 
     @singledispatchmethod
     def on_receive(self, message: object) -> HomeAnswer | None:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        log_unknown_message(message)
         return None
 
     @on_receive.register
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -9,7 +9,7 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.ids import NodeId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.orders.ask import AskHome, Synced
 from turmerictray.orders.table import SETTLE_S
@@ -64,7 +64,7 @@
 
     @singledispatchmethod
     def on_receive(self, message: object) -> None:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        log_unknown_message(message)
 
     @on_receive.register
     def _(self, msg: AskHome) -> None:
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -16,7 +16,7 @@
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core.errors import EngineError, StaleFence
 from turmerictray.core.ids import NodeId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.member import Member
 from turmerictray.core.timer import Tick
 from turmerictray.placement.engine import EngineClient, ModelOrder
@@ -68,7 +68,7 @@
 
     @singledispatchmethod
     def on_receive(self, message: object) -> None:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        log_unknown_message(message)
 
     @on_receive.register
     def _(self, msg: PeerSummary) -> None:
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -88,10 +88,7 @@
     ConfigError
         It is not valid; the reason names the field.
     """
-    try:
-        cfg = msgspec.json.decode(data, type=_Config, strict=False)
-    except msgspec.DecodeError as exc:
-        raise ConfigError(str(exc)) from exc
+    cfg = _decode(data, _Config, "configuration")
     return RoutingText(
         version=cfg.version,
         routes=tuple(_route(route) for route in cfg.routes),
@@ -107,6 +104,13 @@
     )
 
 
+def _decode(data: bytes, kind: type, what: str):
+    try:
+        return msgspec.json.decode(data, type=kind, strict=False)
+    except msgspec.DecodeError as exc:
+        raise ConfigError(f"{what}: {exc}") from exc
+
+
 def _route(route: _Route) -> Route:
     backends = tuple(Backend(ServiceName(b.service), b.weight) for b in route.backends)
     if not backends and route.service is not None:
@@ -143,10 +147,7 @@
     ConfigError
         It is not valid; the reason names the field.
     """
-    try:
-        entry = msgspec.json.decode(data, type=_Server, strict=False)
-    except msgspec.DecodeError as exc:
-        raise ConfigError(f"target {target}: {exc}") from exc
+    entry = _decode(data, _Server, f"target {target}")
     phase = TargetPhase.READY if entry.state == "ready" else TargetPhase.LEAVING
     return TargetInfo(
         target, ServiceName(entry.service), entry.address, ZoneId(entry.zone), entry.slots, phase
--- a/turmerictray/platform/standins/store.py
+++ b/turmerictray/platform/standins/store.py
@@ -5,11 +5,12 @@
 import time
 from dataclasses import dataclass
 from enum import Enum
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
+from turmerictray.platform.standins.http import BackgroundServer, QuietHandler
+
 _PAGE_ITEMS = 50
 _SILENT_S = 30.0
 
@@ -117,11 +118,9 @@
     return {"key": change.key, "revision": change.revision, "value": value, "lease": 0}
 
 
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-
+class _Handler(QuietHandler):
     def do_GET(self) -> None:  # noqa: N802 - the standard library's name
-        store: Store = self.server.store
+        store: Store = self.server.owner.store
         store.calls += 1
         if self._in_trouble(store.trouble):
             return
@@ -147,7 +146,7 @@
             self._answer(429, {})
         else:
             if trouble is StoreTrouble.SILENT:
-                self.server.closing.wait(_SILENT_S)
+                self.server.owner.closing.wait(_SILENT_S)
             self.close_connection = True
         return True
 
@@ -159,16 +158,6 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def handle_one_request(self) -> None:
-        """Serve one call; a caller that hung up is no error here."""
-        try:
-            super().handle_one_request()
-        except ConnectionError:
-            self.close_connection = True
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Keep standard error for the test's own output."""
-
 
 class StoreServer:
     """Serves a :class:`Store` on loopback.
@@ -182,25 +171,20 @@
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
         self.store = Store()
-        self._server = ThreadingHTTPServer((host, port), _Handler)
-        self._server.daemon_threads = True
-        self._server.store = self.store
-        self._server.closing = threading.Event()
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self.closing = threading.Event()
+        self._server = BackgroundServer(_Handler, self, host, port)
 
     @property
     def address(self) -> str:
         """``host:port``."""
-        host, port = self._server.server_address
-        return f"{host}:{port}"
+        return self._server.address
 
     def start(self) -> "StoreServer":
         """Serve on a background thread."""
-        self._thread.start()
+        self._server.start()
         return self
 
     def stop(self) -> None:
         """Stop serving."""
-        self._server.closing.set()
-        self._server.shutdown()
-        self._server.server_close()
+        self.closing.set()
+        self._server.stop()
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -7,7 +7,8 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from enum import Enum
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from turmerictray.platform.standins.http import BackgroundServer, QuietHandler
 
 _HANG_S = 30.0
 _CLOSE_LOOK_S = 0.02
@@ -92,16 +93,12 @@
         self.closing = threading.Event()
         self._kept: OrderedDict[str, int] = OrderedDict()
         self._engine = threading.Lock()
-        self._server = ThreadingHTTPServer((host, port), _Handler)
-        self._server.daemon_threads = True
-        self._server.worker = self
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._server = BackgroundServer(_Handler, self, host, port)
 
     @property
     def address(self) -> str:
         """``host:port``."""
-        host, port = self._server.server_address
-        return f"{host}:{port}"
+        return self._server.address
 
     def entry(self, zone: str, state: str = "ready") -> dict:
         """The worker's entry in the store."""
@@ -117,14 +114,13 @@
 
     def start(self) -> "Worker":
         """Serve on a background thread."""
-        self._thread.start()
+        self._server.start()
         return self
 
     def stop(self) -> None:
         """Stop serving."""
         self.closing.set()
-        self._server.shutdown()
-        self._server.server_close()
+        self._server.stop()
 
     def runs(self) -> list[Seen]:
         """Requests that ran."""
@@ -150,13 +146,12 @@
         return tokens
 
 
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
+class _Handler(QuietHandler):
     disable_nagle_algorithm = True
 
     @property
     def worker(self) -> Worker:
-        return self.server.worker
+        return self.server.owner
 
     def setup(self) -> None:
         super().setup()
@@ -286,13 +281,3 @@
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
-
-    def handle_one_request(self) -> None:
-        """Serve one request; a router that hung up is no error here."""
-        try:
-            super().handle_one_request()
-        except ConnectionError:
-            self.close_connection = True
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Keep standard error for the test's own output."""
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -11,7 +11,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import AdmissionError, CallerGone, QueueTimeout, RepeatsUsedUp
 from turmerictray.core.ids import NodeId, ServiceName, TeamId, ZoneId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.queue import Pending
 from turmerictray.fairness.recent import RecentService
@@ -76,17 +76,14 @@
         self.told = 0
         self.told_service: dict[TeamId, float] = {}
 
-    def on_receive(self, message: object) -> object:
-        return self.handle(message)
-
     @singledispatchmethod
-    def handle(self, message: object) -> object:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+    def on_receive(self, message: object) -> object:
+        log_unknown_message(message)
         return None
 
     # -- requests --------------------------------------------------------------------------
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Ask) -> None:
         now = time.monotonic()
         pool = self._pool(msg.service)
@@ -104,19 +101,19 @@
             return
         self._pump(pool, now)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Withdraw) -> None:
         item = self._pool(msg.service).withdraw(msg.call_id)
         if item is not None and item.reply.set_running_or_notify_cancel():
             item.reply.set_exception(CallerGone("caller gone while waiting"))
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: FirstEvent) -> None:
         pool = self._pool(msg.service)
         pool.targets.first_event(msg.target, msg.call_id, msg.took_s)
         self._pump(pool, time.monotonic())
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Settled) -> None:
         pool = self._pool(msg.service)
         now = time.monotonic()
@@ -145,7 +142,7 @@
         # would make the target look busy for good.
         pool.unbook(sent)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
             for item in pool.expire(msg.now):
@@ -158,7 +155,7 @@
 
     # -- the text and the targets ------------------------------------------------------------
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: TextArrived) -> None:
         if not self.in_force.offer(msg.text):
             return
@@ -178,7 +175,7 @@
             self._pool(spec.name).targets.set_spec(spec, text.tokens_per_s)
         metrics.CONFIG_VERSION.set(text.version)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: TargetsListed) -> None:
         listed = {info.id for info in msg.targets}
         for pool in self.pools.values():
@@ -189,7 +186,7 @@
         self.in_force.targets_listed = True
         self._pump_all()
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: TargetsChanged) -> None:
         for target in msg.gone:
             for pool in self.pools.values():
@@ -199,7 +196,7 @@
             self._take(info)
         self._pump_all()
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: TargetLeaving) -> None:
         self._pool(msg.service).targets.mark_leaving(msg.target)
 
@@ -223,31 +220,26 @@
 
     # -- peers -------------------------------------------------------------------------------
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: PeerHeard) -> None:
         summary, now = msg.summary, time.monotonic()
         node = NodeId(summary.node)
-        for work in summary.work:
-            load = PeerLoad(work.running, work.unread_tokens, now)
-            for pool in self.pools.values():
-                pool.targets.note_peer(node, work.target, load)
-        for read in summary.reads:
-            for pool in self.pools.values():
-                pool.targets.note_peer_read(read.target, [Part(PartId(read.part), read.tokens)])
-        worked = {work.target for work in summary.work}
+        work = {w.target: PeerLoad(w.running, w.unread_tokens, now) for w in summary.work}
         for pool in self.pools.values():
-            pool.targets.forget_peer_work(node, worked)
+            pool.targets.hear_peer(node, work)
+            for read in summary.reads:
+                pool.targets.note_peer_read(read.target, [Part(PartId(read.part), read.tokens)])
         self.ledger.merge(summary.node, summary.incarnation, summary.service)
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
         self._pump_all()
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: RepeatLimits) -> None:
         self.repeats = msg
         for pool in self.pools.values():
             pool.budget.set_limits(msg.ratio, msg.floor, msg.window_s)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: FleetSize) -> None:
         self.routers = msg.routers
         for pool in self.pools.values():
@@ -259,7 +251,7 @@
         # on and spend theirs.
         pool.budget.routers = max(pool.budget.routers, self.routers)
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: SummaryQuery) -> RouterSummary:
         return RouterSummary(
             node=self.node,
@@ -295,7 +287,7 @@
             if load.running
         ]
 
-    @handle.register
+    @on_receive.register
     def _(self, msg: BrokerQuery) -> dict[str, object]:
         now = time.monotonic()
         return {
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -17,7 +17,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.allot import SlotCount
 from turmerictray.fairness.hold import Hold
@@ -115,7 +115,7 @@
 
     @singledispatchmethod
     def handle(self, message: object) -> object:
-        log_event("unknown_message", level="WARNING", kind=type(message).__name__)
+        log_unknown_message(message)
         return None
 
     @handle.register
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -73,15 +73,12 @@
         if target in self.loads:
             self.loads[target].kept.note_parts(parts)
 
-    def note_peer(self, node: NodeId, target: TargetId, load: PeerLoad) -> None:
-        """Take a peer's word on its own work on a target."""
-        if target in self.loads:
-            self.loads[target].peers[node] = load
-
-    def forget_peer_work(self, node: NodeId, worked: set[TargetId]) -> None:
-        """A peer has no work on targets outside ``worked`` any more."""
+    def hear_peer(self, node: NodeId, work: dict[TargetId, PeerLoad]) -> None:
+        """Take a peer's word on its own work; it has none on targets that it does not name."""
         for target, load in self.loads.items():
-            if target not in worked:
+            if target in work:
+                load.peers[node] = work[target]
+            else:
                 load.peers.pop(node, None)
 
     def note_read(self, target: TargetId, parts: tuple[Part, ...]) -> None:
