--- a/tests/admission/test_pool_load.py
+++ b/tests/admission/test_pool_load.py
@@ -1,19 +1,26 @@
 """What callers get from several routers that share engines, under loads that hurt."""
 
-from tests.admission.fleet_sim import GOSSIP_S, OBJECTIVE_S, Fleet, play_prompts
+from tests.admission.fleet_sim import (
+    OBJECTIVE_S,
+    in_time,
+    play_prompts,
+    read_tokens,
+    reading_fleet,
+)
 from turmerictray.core.ids import TeamId
+from turmerictray.simulation.fleet import GOSSIP_S
 
 ROUTERS, ENGINES = 8, 9
 
 
 def test_calm_load_is_nearly_all_in_time_and_parts_are_read_about_once():
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     play_prompts(fleet, per_s=20, seconds=30, seed=1)
     fleet.run(40)
-    assert fleet.in_time(since=8) > 0.95
+    assert in_time(fleet, since=8) > 0.95
     asked = sum(caller.prompt.input_tokens for caller in fleet.callers)
     own = sum(caller.prompt.parts[-1].tokens for caller in fleet.callers)
-    assert fleet.read_tokens() - own < 0.35 * (asked - own)
+    assert read_tokens(fleet) - own < 0.35 * (asked - own)
 
 
 def test_twice_the_load_that_fits_is_served_in_time_for_what_fits():
@@ -21,17 +28,17 @@
     # long as it may, and the first event comes after the objective. The ones that can't be in time
     # any more must go, so that the others are: 0.32 of all are in time, 0.20 when each waits for
     # its whole objective, 0.28 when engines are given 0.25 s of reading ahead instead of 0.08 s.
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     play_prompts(fleet, per_s=160, seconds=25, seed=2)
     fleet.run(35)
     late = [c for c in fleet.callers if c.first_at is not None and not c.in_time]
     served = [c for c in fleet.callers if c.first_at is not None]
-    assert fleet.in_time(since=5) > 0.29
+    assert in_time(fleet, since=5) > 0.29
     assert len(late) < 0.4 * len(served)
 
 
 def test_refusals_come_before_the_objective_has_passed():
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     play_prompts(fleet, per_s=200, seconds=15, seed=3)
     fleet.run(25)
     waits = [c.refused_at - c.arrived for c in fleet.callers if c.refused_at is not None]
@@ -40,7 +47,7 @@
 
 
 def test_every_request_ends():
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     play_prompts(fleet, per_s=120, seconds=10, seed=4)
     fleet.run(60)
     assert all(c.first_at is not None or c.refused_at is not None for c in fleet.callers)
@@ -50,10 +57,10 @@
 def test_popular_part_does_not_fill_one_engine():
     # Most of the traffic is about one thing. The engine that keeps it would serve it all alone
     # while the others idle; some of it must be read elsewhere.
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     play_prompts(fleet, per_s=60, seconds=20, seed=5, subjects=2)
     fleet.run(30)
-    assert fleet.in_time(since=6) > 0.85
+    assert in_time(fleet, since=6) > 0.85
     busy = [engine for engine in fleet.engines.values() if engine.read_tokens > 200_000]
     assert len(busy) >= 4
 
@@ -65,11 +72,11 @@
     # list when asked is enough to go on as before: 0.90 of the callers in the next four seconds
     # are in time instead of 0.22.
     def in_time_after_restart(recalled: bool) -> float:
-        fleet = Fleet(ROUTERS, ENGINES)
+        fleet = reading_fleet(ROUTERS, ENGINES)
         play_prompts(fleet, per_s=50, seconds=19, seed=7, subjects=200)
-        fleet.at(15.0, fleet.restart_all, recalled)
+        fleet.timeline.at(15.0, fleet.restart_all, recalled)
         fleet.run(30)
-        return fleet.in_time(since=15)
+        return in_time(fleet, since=15)
 
     assert in_time_after_restart(recalled=True) > 0.8
     assert in_time_after_restart(recalled=False) < 0.4
@@ -80,7 +87,7 @@
     # router fills the engines as it sees room, so the second team has seven hands to the first
     # team's one, and gets several times as much unless its routers hold back for the first.
     lone, spread = TeamId("lone"), TeamId("spread")
-    fleet = Fleet(ROUTERS, ENGINES)
+    fleet = reading_fleet(ROUTERS, ENGINES)
     turns = iter(range(10**9))
     play_prompts(
         fleet,
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -16,7 +16,13 @@
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.recent import RecentService
 from turmerictray.routing.load import OpenRead, TargetLoad
-from turmerictray.routing.place import Placement, candidates, place_plain, place_prompt
+from turmerictray.routing.place import (
+    Placement,
+    PlacePrompt,
+    candidates,
+    place_plain,
+    place_prompt,
+)
 from turmerictray.routing.pool_targets import PoolTargets
 from turmerictray.routing.prompt import Prompt
 
@@ -89,18 +95,26 @@
     ledger : RecentService
         Orders the teams.
     budget : RetryBudget
+    place : callable
+        The way of choosing an engine.
     """
 
     def __init__(
-        self, name: ServiceName, zone: ZoneId, ledger: RecentService, budget: RetryBudget
+        self,
+        name: ServiceName,
+        zone: ZoneId,
+        ledger: RecentService,
+        budget: RetryBudget,
+        place: PlacePrompt = place_prompt,
     ) -> None:
         self.name = name
         self.zone = zone
+        self.ledger = ledger
         self.budget = budget
+        self._place_prompt = place
         self.targets = PoolTargets(ServiceSpec(name))
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
-        self._ledger = ledger
         self._last_sent = 0.0
         self._mean_gap_s = 0.0
 
@@ -174,7 +188,7 @@
         looked_at = 0
         backlogged = self.backlogged()
         for team in self.queue.by_service():
-            part = window_part(self._ledger.lead(team, backlogged))
+            part = window_part(self.ledger.lead(team, backlogged))
             for item in self.queue.waiting(team, _LOOK_BEHIND):
                 looked_at += 1
                 placement = self._place(item.context, part, now)
@@ -193,7 +207,7 @@
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
             return place_plain(loads, wanted.call_id, self.zone, now)
-        placement = place_prompt(
+        placement = self._place_prompt(
             loads, wanted.prompt, wanted.call_id, self.targets.model, self.zone, now
         )
         if placement is None or engine_open(placement.load, self.targets.model, now, part):
@@ -236,7 +250,7 @@
     def _book(self, item: Pending, placement: Placement, now: float) -> None:
         wanted: Wanted = item.context
         self.release(wanted)
-        self._ledger.charge(item.team, item.hint)
+        self.ledger.charge(item.team, item.hint)
         read = OpenRead(
             now,
             placement.miss_tokens,
@@ -256,7 +270,7 @@
     def unbook(self, sent: Sent) -> None:
         """Take back a booking whose request is not sent."""
         sent.placement.load.ended(sent.item.context.call_id)
-        self._ledger.settle(sent.item.team, sent.item.hint, 0.0)
+        self.ledger.settle(sent.item.team, sent.item.hint, 0.0)
 
     def settle(self, target: TargetId, call_id: int, outcome: Outcome, now: float) -> None:
         """A send has ended."""
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -1,6 +1,6 @@
 """Choosing a target by what the caller would wait there and what the pool would lose."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from turmerictray.core.ids import ZoneId
@@ -60,6 +60,10 @@
     expected_s: float
 
 
+PlacePrompt = Callable[[list[TargetLoad], Prompt, int, PoolModel, ZoneId, float], Placement | None]
+"""A way of choosing an engine, with the parameters of :func:`place_prompt`."""
+
+
 def candidates(
     loads: Iterable[TargetLoad], exclude: frozenset[str], now: float
 ) -> list[TargetLoad]:
--- /dev/null
+++ b/turmerictray/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Routers and engines in virtual time, around the real decision objects."""
