simulate command: ways of placing compared in virtual time; what a log line costs

turmerictray simulate plays a load (calm, burst, hot subject, hot team, shift, slow engine, restart) once for each way of placing, prints a table and plots it.

--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -2,8 +2,8 @@
 
 Commands: ``serve`` (run a router), ``standin`` (run a stand-in), ``config check``, ``status``,
 ``drain``, ``up`` (a local deployment to try by hand), ``explain`` (the story of a request),
-``load`` (the load and experiment tool), ``chaos`` (randomised faults), ``bench`` (the capacity
-bench), ``timeline`` and ``demo``.
+``load`` (the load and experiment tool), ``simulate`` (ways of deciding compared in virtual time),
+``chaos`` (randomised faults), ``bench`` (the capacity bench), ``timeline`` and ``demo``.
 """
 
 import json
@@ -14,6 +14,7 @@
 import cyclopts
 import urllib3
 
+from turmerictray.cli.simulate import simulate
 from turmerictray.config.load import load_settings, parse_config
 from turmerictray.config.settings import (
     ConfigServiceSettings,
@@ -30,6 +31,7 @@
 app = cyclopts.App(name="turmerictray", help="A router fleet that shares model capacity fairly.")
 config_app = cyclopts.App(name="config", help="Check configuration texts and settings files.")
 app.command(config_app)
+app.command(simulate)
 
 _SETTINGS_KINDS = {
     "router": RouterSettings,
--- a/turmerictray/core/log_sink.py
+++ b/turmerictray/core/log_sink.py
@@ -90,10 +90,15 @@
     Parameters
     ----------
     successes_per_s, failures_per_s : int
+
+    Attributes
+    ----------
+    limits : dict of bool to int
+        Lines a second, of failures under True.
     """
 
     def __init__(self, successes_per_s: int = 60, failures_per_s: int = 120) -> None:
-        self._limits = {False: successes_per_s, True: failures_per_s}
+        self.limits = {False: successes_per_s, True: failures_per_s}
         self._used = {False: 0, True: 0}
         self._second = 0
         self._left_out = 0
@@ -103,7 +108,7 @@
         """Whether one more line may be written now."""
         with self._lock:
             self._turn(int(time.monotonic()))
-            if self._used[failed] >= self._limits[failed]:
+            if self._used[failed] >= self.limits[failed]:
                 self._left_out += 1
                 return False
             self._used[failed] += 1
--- a/turmerictray/loadtool/bench.py
+++ b/turmerictray/loadtool/bench.py
@@ -23,6 +23,7 @@
 from turmerictray.loadtool.client import call_stream
 from turmerictray.loadtool.fleet_spec import FleetSpec
 from turmerictray.loadtool.local import LocalFleet
+from turmerictray.loadtool.log_cost import LogCost, measure_log_cost
 from turmerictray.loadtool.order_cost import OrderCost, measure_order_cost
 from turmerictray.loadtool.scrape import control_bytes
 from turmerictray.router.peers import _ENCODER, Heartbeat
@@ -48,6 +49,7 @@
     leaving_stop_s: float = 0.0
     split_ms: dict[str, float] = field(default_factory=dict)
     order_cost: dict[int, OrderCost] = field(default_factory=dict)
+    log_cost: LogCost | None = None
 
 
 def _slope(points: dict[int, float]) -> float:
@@ -247,6 +249,7 @@
         res.split_ms[f"{routers}x{targets}"] = split_time_ms(routers, targets)
     for routers in (3, 6):
         res.order_cost[routers] = measure_order_cost(routers)
+    res.log_cost = measure_log_cost()
     return res
 
 
@@ -282,6 +285,12 @@
             for n, cost in res.order_cost.items()
         ),
     ]
+    if res.log_cost is not None:
+        rows.append(
+            f"log line of a request: {res.log_cost.line_s * 1e6:.0f} us cpu; "
+            f"at most {res.log_cost.most_lines_per_s} a second, "
+            f"{res.log_cost.most_core_share:.3f} of a core"
+        )
     return "\n".join(rows)
 
 
