A fault soak of the routed path: signals, and links that are cut, delayed, silenced and reset

turmerictray soak plays seeded faults from outside on router processes (kill, kill of all, stop, pause, reload; the store busy, silent, reset, forgetful, cut off from one router, slow; workers that leave, crash and answer wrongly; links to workers and callers cut both ways or one way, delayed, silenced, reset; texts published in series, broken ones too) while callers keep connections and hang up at times, and checks the answers, the runs, the times, hang-ups, leaving workers, planned stops and the logs.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.platform.raw import PROMPT, RawCaller
+from turmerictray.platform.standins.caller import PROMPT, RawCaller
 from turmerictray.platform.standins.local import LocalDeployment, default_config
 from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import WorkerFault
--- /dev/null
+++ b/tests/platform/soak/test_soak.py
@@ -0,0 +1,22 @@
+"""A short soak of router processes, and its schedules."""
+
+from turmerictray.platform.soak.run import SoakSize, format_soak, run_soak
+from turmerictray.platform.soak.schedule import Fault, draw_schedule
+
+SEED = 3
+
+
+def test_same_seed_draws_the_same_faults_and_many_seeds_draw_all():
+    assert draw_schedule(5, 30) == draw_schedule(5, 30)
+    drawn = {planned.fault for seed in range(20) for planned in draw_schedule(seed, 30)}
+    assert drawn == set(Fault)
+
+
+def test_no_promise_is_broken_under_faults(tmp_path):
+    # Routers are stopped, killed all at once and told to read their settings again, the store is
+    # silent, resets and is cut off from one router, workers leave, crash and answer wrongly, and
+    # callers' connections are reset, while callers keep their connections and hang up at times.
+    report = run_soak(SEED, SoakSize(seconds=12.0), tmp_path)
+    assert not report.violations, format_soak(report)
+    assert report.answers[200] > 0.5 * sum(report.answers.values()), format_soak(report)
+    assert {"stop", "kill_all", "store_silent"} <= set(report.faults)
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -7,7 +7,7 @@
 from pytest_bdd import parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
-from tests.platform.raw import PROMPT, RawCaller
+from turmerictray.platform.standins.caller import PROMPT, RawCaller
 from turmerictray.platform.standins.local import default_config
 from turmerictray.platform.standins.store import StoreTrouble
 
@@ -153,7 +153,7 @@
 
 @when("only one engine is listed")
 def one_engine(deployment):
-    deployment.store.store.delete("servers/llm-1")
+    deployment.withdraw(deployment.of_service("llm")[1])
     time.sleep(0.5)
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.platform.raw import PROMPT, make_request
+from turmerictray.platform.standins.caller import PROMPT, make_request
 from turmerictray.platform.standins.local import KEY, TEAM
 
 
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -6,7 +6,7 @@
 from pytest_bdd import parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
-from tests.platform.raw import PROMPT, make_request
+from turmerictray.platform.standins.caller import PROMPT, make_request
 
 scenarios("features/streams.feature")
 
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -3,7 +3,8 @@
 Commands: ``serve`` (run a router), ``standin`` (run a stand-in), ``config check``, ``status``,
 ``drain``, ``up`` (a local deployment to try by hand), ``explain`` (the story of a request),
 ``load`` (the load and experiment tool), ``simulate`` (ways of deciding compared in virtual time),
-``chaos`` (randomised faults), ``bench`` (the capacity bench), ``timeline`` and ``demo``.
+``chaos`` and ``soak`` (randomised faults), ``bench`` (the capacity bench), ``timeline`` and
+``demo``.
 """
 
 import json
@@ -15,6 +16,7 @@
 import urllib3
 
 from turmerictray.cli.simulate import simulate
+from turmerictray.cli.soak import soak
 from turmerictray.config.load import load_settings, parse_config
 from turmerictray.config.settings import (
     ConfigServiceSettings,
@@ -32,6 +34,7 @@
 config_app = cyclopts.App(name="config", help="Check configuration texts and settings files.")
 app.command(config_app)
 app.command(simulate)
+app.command(soak)
 
 _SETTINGS_KINDS = {
     "router": RouterSettings,
--- a/tests/platform/raw.py
+++ b/turmerictray/platform/standins/caller.py
@@ -1,4 +1,4 @@
-"""A caller on a raw socket, which sees bytes as they come."""
+"""A caller of a router on a raw socket, which sees bytes as they come."""
 
 import re
 import socket
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -10,6 +10,7 @@
 
 import urllib3
 
+from turmerictray.loadtool.relay import Network
 from turmerictray.platform.settings import SETTINGS_VARIABLE
 from turmerictray.platform.standins.store import StoreServer
 from turmerictray.platform.standins.worker import Worker
@@ -147,6 +148,11 @@
                 raise RuntimeError(f"{self.name} is not ready: {self.log_path.read_text()[-800:]}")
             time.sleep(0.05)
 
+    @property
+    def exit_code(self) -> int | None:
+        """The process's exit code; None while it runs."""
+        return self._process.poll()
+
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(signum)
@@ -190,6 +196,9 @@
         For settings and logs.
     repeats : int
         Repeats that all routers may send in ten seconds; 0 forbids them.
+    network : Network or None
+        Relays callers' connections to routers (from ``callers``), and routers' to the store and the
+        workers (from the router's name, and from ``routers``), so that they can be disturbed.
     """
 
     def __init__(
@@ -199,13 +208,16 @@
         apps: int = 2,
         engines: int = 2,
         repeats: int = 50,
+        network: Network | None = None,
     ) -> None:
+        self.network = network
+        self._entrances: dict[str, str] = {}
         self.store = StoreServer().start()
         self.workers = [Worker(f"app-{n}", "app").start() for n in range(apps)]
         self.workers += [Worker(f"llm-{n}", "llm").start() for n in range(engines)]
-        network = free_network()
+        loopback = free_network()
         self.routers = [
-            LocalRouter(number, network, "z1", self.store.address, folder, repeats)
+            LocalRouter(number, loopback, "z1", self._store_for(number), folder, repeats)
             for number in range(1, routers + 1)
         ]
 
@@ -222,7 +234,38 @@
 
     def publish(self, worker: Worker, state: str = "ready") -> None:
         """Write a worker's entry."""
-        self.store.store.put(f"servers/{worker.id}", worker.entry("z1", state))
+        entry = worker.entry("z1", state)
+        entry["address"] = self._through("routers", worker.id, worker.address)
+        self.store.store.put(f"servers/{worker.id}", entry)
+
+    def withdraw(self, worker: Worker) -> None:
+        """Remove a worker's entry."""
+        self.store.store.delete(f"servers/{worker.id}")
+
+    def add_worker(self, worker: Worker) -> None:
+        """Take a started worker in and write its entry."""
+        self.workers.append(worker)
+        self.publish(worker)
+
+    def front(self, router: LocalRouter) -> tuple[str, int]:
+        """Where callers reach a router."""
+        address = self._through("callers", router.name, "{}:{}".format(*router.front))
+        host, _, port = address.rpartition(":")
+        return host, int(port)
+
+    def _store_for(self, number: int) -> str:
+        return self._through(f"r{number}", "store", self.store.address)
+
+    def _through(self, source: str, target: str, address: str) -> str:
+        """The address at which ``source`` reaches ``target``."""
+        if self.network is None:
+            return address
+        entrance = f"{source}>{target}"
+        if entrance not in self._entrances:
+            host, _, port = address.rpartition(":")
+            relayed = self.network.add(source, target, int(port), host)
+            self._entrances[entrance] = f"127.0.0.1:{relayed}"
+        return self._entrances[entrance]
 
     def of_service(self, service: str) -> list[Worker]:
         """The workers of a service."""
@@ -235,3 +278,5 @@
         for worker in self.workers:
             worker.stop()
         self.store.stop()
+        if self.network is not None:
+            self.network.close()
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -44,6 +44,7 @@
     body: bytes
     ran: bool = False
     left_early: bool = False
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
