--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from turmerictray.loadtool.history import check_config_logs
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.record import Disturbance, Record, Retired, Sent
 from turmerictray.platform.standins.caller import RawAnswer
@@ -128,8 +129,8 @@
 def test_text_that_goes_back_and_errors_are_found(tmp_path):
     log = tmp_path / "r1.log"
     log.write_text(
-        "event=starting\nevent=text_in_force version=5 source=store\n"
+        " seq=0 event=starting\nevent=text_in_force version=5 source=store\n"
         "event=text_in_force version=4 source=peer:r2\nTraceback (most recent call last):\n"
-        "event=starting\nevent=text_in_force version=3 source=store\n"
+        " seq=0 event=starting\nevent=text_in_force version=3 source=store\n"
     )
-    assert rules(checks.check_logs([log])) == ["config-revert", "error"]
+    assert rules(check_config_logs([log])) == ["config-revert", "error"]
--- a/turmerictray/loadtool/fault_player.py
+++ b/turmerictray/loadtool/fault_player.py
@@ -1,13 +1,10 @@
 """Playing a schedule of faults on a local fleet."""
 
-import heapq
-import itertools
 import signal
-import threading
-import time
 from collections.abc import Callable
 
 from turmerictray.core.logs import log_event
+from turmerictray.loadtool.agenda import Agenda
 from turmerictray.loadtool.faults import Fault, FaultKind
 from turmerictray.loadtool.local import LocalFleet
 
@@ -25,34 +22,22 @@
     def __init__(self, fleet: LocalFleet, faults: list[Fault]) -> None:
         self.fleet = fleet
         self.routers = [proc.name for proc in fleet.routers()]
-        self._order = itertools.count()
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._agenda = Agenda()
         self._down: set[str] = set()
         self.played: dict[str, int] = {}
         for fault in faults:
-            self._at(fault.at_s, lambda fault=fault: self._play(fault))
-        self._thread = threading.Thread(target=self._run, name="faults", daemon=True)
+            self._agenda.at(fault.at_s, lambda fault=fault: self._play(fault))
 
     def start(self) -> None:
         """Begin with the schedule."""
-        self._began = time.monotonic()
-        self._thread.start()
+        self._agenda.start()
 
     def finish(self) -> None:
         """Wait for the schedule's end, with every fault undone."""
-        self._thread.join()
+        self._agenda.finish()
         self.fleet.heal()
         self.fleet.post_json("config", "/admin/mode", {"mode": "ok"})
 
-    def _at(self, at_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at_s, next(self._order), action))
-
-    def _run(self) -> None:
-        while self._agenda:
-            at_s, _, action = heapq.heappop(self._agenda)
-            time.sleep(max(0.0, self._began + at_s - time.monotonic()))
-            action()
-
     def _play(self, fault: Fault) -> None:
         log_event("fault", kind=fault.kind.value, victim=fault.victim, for_s=round(fault.for_s, 2))
         self.played[fault.kind.value] = self.played.get(fault.kind.value, 0) + 1
@@ -68,7 +53,7 @@
             return
         self._down.add(name)
         self.fleet.kill(name)
-        self._at(fault.at_s + fault.for_s, lambda: self._restart(name))
+        self._agenda.at(fault.at_s + fault.for_s, lambda: self._restart(name))
 
     def _restart(self, name: str) -> None:
         self.fleet.restart(name)
@@ -80,7 +65,7 @@
             return
         self._down.add(name)
         self.fleet.signal(name, signal.SIGSTOP)
-        self._at(fault.at_s + fault.for_s, lambda: self._wake(name))
+        self._agenda.at(fault.at_s + fault.for_s, lambda: self._wake(name))
 
     def _wake(self, name: str) -> None:
         self.fleet.signal(name, signal.SIGCONT)
@@ -90,13 +75,13 @@
         name = self.routers[fault.victim % len(self.routers)]
         others = {*self.routers, "config", "instances"} - {name}
         self.fleet.cut({name}, others)
-        self._at(fault.at_s + fault.for_s, self.fleet.heal)
+        self._agenda.at(fault.at_s + fault.for_s, self.fleet.heal)
 
     def _config_mode(self, fault: Fault) -> None:
         mode = "down" if fault.kind is FaultKind.CONFIG_DOWN else "stale"
         self.fleet.post_json("config", "/admin/mode", {"mode": mode})
         back = fault.at_s + fault.for_s
-        self._at(back, lambda: self.fleet.post_json("config", "/admin/mode", {"mode": "ok"}))
+        self._agenda.at(back, lambda: self.fleet.post_json("config", "/admin/mode", {"mode": "ok"}))
 
     def _publish(self, fault: Fault) -> None:
         limits = {**self.fleet.config["limits"], "retry_after_s": 1.0 + fault.victim % 5}
--- a/turmerictray/loadtool/history.py
+++ b/turmerictray/loadtool/history.py
@@ -102,7 +102,7 @@
     return bad
 
 
-_IN_FORCE = re.compile(r"event=config_in_force version=(\d+)")
+_IN_FORCE = re.compile(r"event=(?:config|text)_in_force version=(\d+)")
 
 
 def check_config_logs(logs: Iterable[Path]) -> list[Violation]:
@@ -113,7 +113,8 @@
     Returns
     -------
     list of Violation
-        With the rule ``config-revert`` or, for a router in assertion mode, ``invariant``.
+        With the rule ``config-revert``; ``invariant``, for a router in assertion mode; or
+        ``error``, for an error that nothing handled.
     """
     bad: list[Violation] = []
     for log in logs:
@@ -123,6 +124,8 @@
                 newest = 0
             if "event=invariant_broken" in line:
                 bad.append(Violation(log.stem, "invariant", line))
+            if "Traceback (most recent call last)" in line:
+                bad.append(Violation(log.stem, "error", line[:200]))
             found = _IN_FORCE.search(line)
             if found is None:
                 continue
--- a/turmerictray/platform/soak/callers.py
+++ b/turmerictray/platform/soak/callers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from turmerictray.platform.soak.record import Record, Sent
+from turmerictray.platform.soak.record import STREAMS, Record, Sent
 from turmerictray.platform.standins.caller import PROMPT, RawCaller, make_request
 from turmerictray.platform.standins.local import LocalDeployment
 
@@ -15,9 +15,8 @@
     "plan": ("POST", "/plan/"),
     "recon": ("POST", "/recon/"),
 }
-"""Routes that are called; orders and recons may run once at most."""
+"""Method and path prefix of the routes that are called."""
 
-_STREAMS = frozenset({"plan", "recon"})
 _HANG_UP = 0.06
 _HANG_UP_S = 0.15
 _PAUSE_S = 0.02
@@ -76,7 +75,7 @@
     def _call(self, caller: RawCaller, sent: Sent) -> bool:
         """Send and read the answer; whether the connection can be used again."""
         headers = {"X_Request_Id": sent.request_id}
-        if sent.kind in _STREAMS:
+        if sent.kind in STREAMS:
             subject = f"5ab{self._rng.randrange(_SUBJECTS)}:1200"
             headers |= PROMPT | {"X_Prompt_Prefix": f"{subject},{sent.request_id[4:]}:260"}
         try:
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -2,18 +2,15 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
-from pathlib import Path
 
 from turmerictray.loadtool.history import Violation
-from turmerictray.platform.soak.record import Record, Sent
+from turmerictray.platform.soak.record import RUN_ONCE, STREAMS, Record, Sent
 from turmerictray.platform.standins.local import TEAM
 from turmerictray.platform.standins.worker import Seen, Worker
 
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses by which a router says that the request has not run and never will."""
 
-_ONCE = frozenset({"order", "recon"})
-_STREAMS = frozenset({"plan", "recon"})
 _TIME_OUT_S = 3.0
 _ANSWER_SLACK_S = 1.0
 """Beyond the half second that the promise allows, since processes share a busy machine."""
@@ -30,7 +27,7 @@
     """Every answer that looks complete is its own request's, whole and a worker's."""
     for sent in record.sent:
         answer = sent.answer
-        if sent.kind in _STREAMS and answer.status == 200:
+        if sent.kind in STREAMS and answer.status == 200:
             ids = answer.event_ids()
             if ids != list(range(1, len(ids) + 1)):
                 yield Violation(sent.request_id, "order", f"events {ids}")
@@ -43,7 +40,7 @@
         if answer.headers.get("X-Request-Id") != sent.request_id:
             yield Violation(sent.request_id, "own-answer", f"headers {answer.headers}")
         expected = f"{sent.method} {sent.target} {len(sent.body)}".encode()
-        if sent.kind not in _STREAMS and answer.body != expected:
+        if sent.kind not in STREAMS and answer.body != expected:
             yield Violation(sent.request_id, "own-answer", f"body {answer.body[:60]!r}")
 
 
@@ -68,9 +65,9 @@
             yield Violation(sent.request_id, "unasked", f"{seen.method} {seen.target} differs")
         if seen.headers.get("X-Tenant") != TEAM or "Authorization" in seen.headers:
             yield Violation(sent.request_id, "unasked", "wrong team, or the key was passed on")
-    if sent.kind in _ONCE and len(runs) > 1:
+    if sent.kind in RUN_ONCE and len(runs) > 1:
         yield Violation(sent.request_id, "at-most-once", f"ran {len(runs)} times")
-    if sent.kind in _ONCE and sent.answer.status in _PROMISES:
+    if sent.kind in RUN_ONCE and sent.answer.status in _PROMISES:
         yield Violation(sent.request_id, "not-run-true", f"{sent.answer.status}, but it ran")
 
 
@@ -125,19 +122,3 @@
             calm = not record.disturbed(sent.began - _CALM_S, sent.ended)
             if during and calm:
                 yield Violation(sent.request_id, "graceful-stop", f"cut by {name}'s stop")
-
-
-def check_logs(logs: list[Path]) -> Iterator[Violation]:
-    """No process's text goes back, and none reports an error of its own."""
-    for log in logs:
-        newest = 0
-        for line in log.read_text().splitlines():
-            if "event=starting" in line:
-                newest = 0
-            if "event=text_in_force" in line:
-                version = int(line.partition(" version=")[2].split()[0])
-                if version < newest:
-                    yield Violation(log.stem, "config-revert", f"{newest} to {version}")
-                newest = version
-            if "Traceback" in line or "event=unhandled" in line:
-                yield Violation(log.stem, "error", line[:200])
--- a/turmerictray/platform/soak/player.py
+++ b/turmerictray/platform/soak/player.py
@@ -1,14 +1,13 @@
 """Plays a schedule of faults on a local deployment."""
 
-import heapq
 import itertools
 import random
 import signal
-import threading
 import time
 from collections.abc import Callable
 
 from turmerictray.core.logs import log_event
+from turmerictray.loadtool.agenda import Agenda
 from turmerictray.loadtool.relay import Way
 from turmerictray.platform.soak.record import Disturbance, Record, Retired
 from turmerictray.platform.soak.schedule import Fault, Planned
@@ -46,7 +45,7 @@
 
 
 class FaultPlayer:
-    """Plays faults on a thread of its own and notes when what was disturbed.
+    """Plays faults on a thread of its own, and notes when what was disturbed.
 
     Parameters
     ----------
@@ -64,20 +63,17 @@
         self._version = 1
         self._new_workers = itertools.count(1)
         self._busy: set[str] = set()
-        self._order = itertools.count()
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._agenda = Agenda()
         for planned in schedule:
-            self._at(planned.at_s, lambda planned=planned: self._play(planned))
-        self._thread = threading.Thread(target=self._run, name="faults", daemon=True)
+            self._agenda.at(planned.at_s, lambda planned=planned: self._play(planned))
 
     def start(self) -> None:
         """Begin with the schedule."""
-        self._begun = time.monotonic()
-        self._thread.start()
+        self._agenda.start()
 
     def finish(self) -> None:
         """Wait for the end of the schedule, with every fault undone."""
-        self._thread.join()
+        self._agenda.finish()
         self.deployment.network.heal()
         self.deployment.store.store.trouble = StoreTrouble.NONE
 
@@ -86,18 +82,6 @@
         """The newest version published."""
         return self._version
 
-    def _at(self, at_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._agenda, (at_s, next(self._order), action))
-
-    def _run(self) -> None:
-        while self._agenda:
-            at_s, _, action = heapq.heappop(self._agenda)
-            time.sleep(max(0.0, self._begun + at_s - time.monotonic()))
-            action()
-
-    def _now_s(self) -> float:
-        return time.monotonic() - self._begun
-
     def _play(self, planned: Planned) -> None:
         log_event("fault", kind=planned.fault.value, pick=planned.pick, s=round(planned.for_s, 2))
         self.record.faults[planned.fault.value] += 1
@@ -128,7 +112,7 @@
         self._busy.add(router.name)
         how()
         self._disturb(router.name, planned)
-        self._at(self._now_s() + min(planned.for_s, _RESTART_S), lambda: self._start(router))
+        self._agenda.after(min(planned.for_s, _RESTART_S), lambda: self._start(router))
 
     def _start(self, router: LocalRouter) -> None:
         router.start()
@@ -141,11 +125,11 @@
         self._busy.add(router.name)
         router.signal(signal.SIGTERM)
         self.record.stops.append((router.name, time.monotonic()))
-        self._at(self._now_s() + _RESTART_S, lambda: self._start_when_ended(router))
+        self._agenda.after(_RESTART_S, lambda: self._start_when_ended(router))
 
     def _start_when_ended(self, router: LocalRouter) -> None:
         if router.exit_code is None:
-            self._at(self._now_s() + _RESTART_S, lambda: self._start_when_ended(router))
+            self._agenda.after(_RESTART_S, lambda: self._start_when_ended(router))
             return
         self.record.exits.append((router.name, router.exit_code))
         self._start(router)
@@ -157,7 +141,7 @@
         self._busy.add(router.name)
         router.signal(signal.SIGSTOP)
         self._disturb(router.name, planned)
-        self._at(self._now_s() + planned.for_s, lambda: self._wake(router))
+        self._agenda.after(planned.for_s, lambda: self._wake(router))
 
     def _wake(self, router: LocalRouter) -> None:
         router.signal(signal.SIGCONT)
@@ -174,9 +158,7 @@
         store = self.deployment.store.store
         store.trouble = _STORE_TROUBLE[planned.fault]
         self._disturb("store", planned)
-        self._at(
-            self._now_s() + planned.for_s, lambda: setattr(store, "trouble", StoreTrouble.NONE)
-        )
+        self._agenda.after(planned.for_s, lambda: setattr(store, "trouble", StoreTrouble.NONE))
 
     def _forget(self, planned: Planned) -> None:
         self.deployment.store.store.compact()
@@ -191,7 +173,7 @@
         else:
             network.delay({name}, {"store"}, _DELAY_S)
         self._disturb("store", planned)
-        self._at(self._now_s() + planned.for_s, lambda: network.mend({name}, {"store"}))
+        self._agenda.after(planned.for_s, lambda: network.mend({name}, {"store"}))
 
     def _publish(self, planned: Planned) -> None:
         self._version += 1 + planned.pick % 3
@@ -218,7 +200,7 @@
             back_only = planned.fault is Fault.WORKER_CUT_BACK
             network.cut(*ends, (Way.BACK,) if back_only else tuple(Way))
         self._disturb("worker", planned)
-        self._at(self._now_s() + planned.for_s, lambda: network.mend(*ends))
+        self._agenda.after(planned.for_s, lambda: network.mend(*ends))
 
     def _break_worker(self, planned: Planned) -> None:
         network = self.deployment.network
@@ -237,7 +219,7 @@
         self._replace(worker)
         self.deployment.publish(worker, "draining")
         self.record.retired[worker.id] = Retired(worker.id, time.monotonic(), crashed=False)
-        self._at(self._now_s() + _LEAVES_S, lambda: self._end(worker))
+        self._agenda.after(_LEAVES_S, lambda: self._end(worker))
 
     def _crash(self, planned: Planned) -> None:
         worker = self._worker(planned)
@@ -246,7 +228,7 @@
         self.deployment.network.reset({"routers"}, {worker.id})
         self.record.retired[worker.id] = Retired(worker.id, time.monotonic(), crashed=True)
         self._disturb("worker", planned)
-        self._at(self._now_s() + planned.for_s, lambda: self.deployment.withdraw(worker))
+        self._agenda.after(planned.for_s, lambda: self.deployment.withdraw(worker))
 
     def _end(self, worker: Worker) -> None:
         worker.stop()
@@ -266,7 +248,7 @@
             network.reset(*ends)
             return
         network.delay(*ends, _DELAY_S)
-        self._at(self._now_s() + planned.for_s, lambda: network.mend(*ends))
+        self._agenda.after(planned.for_s, lambda: network.mend(*ends))
 
 
 _ACTIONS: dict[Fault, Callable[[FaultPlayer, Planned], None]] = {
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -5,6 +5,12 @@
 
 from turmerictray.platform.standins.caller import RawAnswer
 
+STREAMS = frozenset({"plan", "recon"})
+"""Routes that answer with a stream."""
+
+RUN_ONCE = frozenset({"order", "recon"})
+"""Routes whose requests may run once at most."""
+
 
 @dataclass(frozen=True)
 class Disturbance:
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from turmerictray.core.logs import setup_logging
-from turmerictray.loadtool.history import Violation
+from turmerictray.loadtool.history import Violation, check_config_logs
 from turmerictray.loadtool.relay import Network
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.callers import SoakCaller
@@ -123,7 +123,7 @@
         *checks.check_gone(record, workers),
         *checks.check_leaving(record, workers),
         *checks.check_stops(record),
-        *checks.check_logs(logs),
+        *check_config_logs(logs),
     ]
 
 
