--- a/tests/cli/features/config_check.feature
+++ b/tests/cli/features/config_check.feature
@@ -13,3 +13,18 @@
     Given the example configuration "examples/volta-sachet/config.json"
     When "turmerictray config check" runs on it as a configuration text
     Then it exits 0
+
+  Scenario Outline: Files of the users' platform are checked as a router reads them
+    Given a file with <content>
+    When "turmerictray config check --kind <kind>" runs on it
+    Then it exits <code> and says "<said>"
+
+    Examples:
+      | content            | kind   | code | said                                |
+      | a routing text     | routes | 0    | routing text version 3, 1 routes    |
+      | a route without to | routes | 1    | has neither service nor backends    |
+      | a broken text      | routes | 1    | $.version                           |
+      | node settings      | node   | 0    | settings of r1 in z1, 2 seeds       |
+      | node without ip    | node   | 1    | missing required field `ip`         |
+      | a seed with no port | node  | 1    | '10.0.0.9' is not host:port         |
+      | a routing text     | nodes  | 2    | one of config, routes, node         |
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -67,3 +67,54 @@
 @then(parsers.parse("it exits {code:d}"))
 def exits(proc, code):
     assert proc.returncode == code, (proc.stdout, proc.stderr)
+
+
+_ROUTE = {
+    "name": "ping",
+    "host": "shop.example",
+    "path_prefix": "/ping/",
+    "kind": "idempotent",
+    "timeout_ms": 800,
+    "target_latency_ms": 200,
+}
+
+_NODE = """
+node = "r1"
+ip = "10.0.0.1"
+zone = "z1"
+internal_ports = [7400, 7415]
+seeds = ["10.0.0.1:8785", "10.0.0.2:8785"]
+[listen]
+front = "10.0.0.1:8783"
+ready = "10.0.0.1:8780"
+control = "10.0.0.1:8785"
+[platform]
+address = "10.0.1.1:8781"
+"""
+
+CONTENTS = {
+    "a routing text": json.dumps({"version": 3, "routes": [{**_ROUTE, "service": "app"}]}),
+    "a route without to": json.dumps({"version": 3, "routes": [_ROUTE]}),
+    "a broken text": json.dumps({"version": "newest"}),
+    "node settings": _NODE,
+    "node without ip": _NODE.replace('ip = "10.0.0.1"', ""),
+    "a seed with no port": _NODE.replace("10.0.0.2:8785", "10.0.0.9"),
+}
+
+
+@given(parsers.parse("a file with {content}"), target_fixture="path")
+def file_with(tmp_path, content):
+    path = tmp_path / "checked"
+    path.write_text(CONTENTS[content])
+    return path
+
+
+@when(parsers.parse('"turmerictray config check --kind {kind}" runs on it'), target_fixture="proc")
+def check_kind(path, kind):
+    return _cli("config", "check", str(path), "--kind", kind)
+
+
+@then(parsers.parse('it exits {code:d} and says "{said}"'))
+def exits_saying(proc, code, said):
+    assert proc.returncode == code, proc
+    assert said in proc.stdout + proc.stderr, (proc.stdout, proc.stderr)
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -15,34 +15,19 @@
 import cyclopts
 import urllib3
 
+from turmerictray.cli.checks import check
 from turmerictray.cli.load import load
 from turmerictray.cli.simulate import simulate
 from turmerictray.cli.soak import soak
-from turmerictray.config.load import load_settings, parse_config
-from turmerictray.config.settings import (
-    ConfigServiceSettings,
-    EngineSettings,
-    InstanceListSettings,
-    RouterSettings,
-    ServiceSettings,
-)
-from turmerictray.core.errors import ConfigError, SettingsError
 
 app = cyclopts.App(name="turmerictray", help="A router fleet that shares model capacity fairly.")
 config_app = cyclopts.App(name="config", help="Check configuration texts and settings files.")
 app.command(config_app)
+config_app.command(check)
 app.command(load)
 app.command(simulate)
 app.command(soak)
 
-_SETTINGS_KINDS = {
-    "router": RouterSettings,
-    "engine": EngineSettings,
-    "service": ServiceSettings,
-    "config-service": ConfigServiceSettings,
-    "instances": InstanceListSettings,
-}
-
 
 @app.command
 def serve(settings: Path) -> int:
@@ -74,47 +59,6 @@
     return run_standin(kind, str(settings))
 
 
-@config_app.command
-def check(file: Path, kind: str = "config") -> int:
-    """Check a configuration text or a settings file; print what is wrong and where.
-
-    Parameters
-    ----------
-    file
-        The file to check.
-    kind
-        ``config`` for a configuration text, or a settings kind: router, engine, service,
-        config-service, instances.
-    """
-    try:
-        if kind == "config":
-            try:
-                raw = file.read_bytes()
-            except OSError as exc:
-                raise SettingsError(str(file), f"cannot read: {exc.strerror}") from exc
-            cfg = parse_config(raw)
-            print(
-                f"ok: {file}: configuration version {cfg.version}, "
-                f"{len(cfg.services)} services, {len(cfg.teams)} teams"
-            )
-            return 0
-        if kind not in _SETTINGS_KINDS:
-            print(
-                f"error: unknown kind {kind!r}; one of config, {', '.join(_SETTINGS_KINDS)}",
-                file=sys.stderr,
-            )
-            return 2
-        load_settings(file, _SETTINGS_KINDS[kind])
-    except ConfigError as exc:
-        print(f"error: {file}: {exc.reason}", file=sys.stderr)
-        return 1
-    except SettingsError as exc:
-        print(f"error: {exc}", file=sys.stderr)
-        return 1
-    print(f"ok: {file}: {kind} settings")
-    return 0
-
-
 def _http_json(method: str, url: str) -> int:
     try:
         resp = urllib3.request(method, url, timeout=5.0, retries=False)
