--- a/tests/router/test_recall.py
+++ b/tests/router/test_recall.py
@@ -1,9 +1,18 @@
 """Whom a router that starts without memory asks what the engines keep."""
 
+import time
+
+import pykka
+import pytest
+
+from turmerictray.core.errors import EngineError
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
+from turmerictray.core.timer import Tick
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
-from turmerictray.router.recall import RecallPlan
+from turmerictray.router.broker_messages import EnginesQuery, KeptHeard
+from turmerictray.router.recall import Recall, RecallPlan
 from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.prompt import Part, PartId
 
 ENGINES = [
     TargetInfo(TargetId(f"e{n}"), ServiceName("llm"), "h:1", ZoneId("z"), 64) for n in range(9)
@@ -52,3 +61,55 @@
     assert plan.own_share(ENGINES) == ENGINES
     assert not plan.is_over(19.0)
     assert plan.is_over(20.0)
+
+
+class FakeBroker(pykka.ThreadingActor):
+    """Knows the engines, after being too busy for ``late`` questions, and keeps what it is told."""
+
+    def __init__(self, late: int) -> None:
+        super().__init__()
+        self.late = late
+        self.heard: dict[TargetId, list[Part]] = {}
+
+    def on_receive(self, message):
+        if isinstance(message, KeptHeard):
+            self.heard.update(message.kept)
+        elif isinstance(message, EnginesQuery):
+            if self.late:
+                self.late -= 1
+                time.sleep(1.2)
+            return ENGINES[:3]
+        return self.heard
+
+
+@pytest.fixture
+def broker():
+    yield lambda late=0: FakeBroker.start(late)
+    pykka.ActorRegistry.stop_all()
+
+
+def tick_until_ended(recall, seconds: float = 8.0) -> None:
+    until = time.monotonic() + seconds
+    while recall.is_alive() and time.monotonic() < until:
+        recall.tell(Tick("recall", time.monotonic()))
+        time.sleep(0.1)
+    assert not recall.is_alive()
+
+
+def test_engine_that_does_not_answer_is_left_out(broker):
+    def list_kept(engine: TargetInfo) -> list[Part]:
+        if engine.id == "e1":
+            raise EngineError("h:1: timed out")
+        return [Part(PartId(f"of-{engine.id}"), 5000)]
+
+    known = broker()
+    tick_until_ended(Recall.start(known, NodeId("r1"), list_kept))
+    assert set(known.ask("what was heard")) == {"e0", "e2"}
+
+
+def test_broker_that_is_late_is_asked_again(broker):
+    # The machine was frozen right after the start: the broker's answer comes too late. Recall that
+    # ended with that would leave the router without what the engines keep for good.
+    known = broker(late=1)
+    tick_until_ended(Recall.start(known, NodeId("r1"), lambda engine: []))
+    assert set(known.ask("what was heard")) == {"e0", "e1", "e2"}
--- a/turmerictray/router/recall.py
+++ b/turmerictray/router/recall.py
@@ -124,7 +124,12 @@
 
     def _step(self, now: float) -> bool:
         """Ask whoever is to be asked now; true when that is done."""
-        engines = self._broker.ask(EnginesQuery(), timeout=_ASK_S)
+        try:
+            engines = self._broker.ask(EnginesQuery(), timeout=_ASK_S)
+        except pykka.Timeout:
+            # A machine that was frozen or is slow; the next look asks again.
+            log_event("recall_failed", level="WARNING", reason="the broker did not answer in time")
+            return False
         if not engines:
             return False
         elder = self._plan.elder()
@@ -150,6 +155,8 @@
 
     def _ask_engines(self, engines: list[TargetInfo]) -> None:
         for engine in engines:
+            if self._plan.is_over(time.monotonic()):
+                return
             try:
                 parts = self._list_kept(engine)
             except EngineError as exc:
