A broker that answers late costs no router its peers; an actor that fails ends its process

Cause, found by reading: the peer link asks the broker for its summary before each message. When the answer takes over two seconds (a freeze in that moment, a slow machine with a long mailbox) the error ended the link for good: the router heard no peer any more and was not heard, and said it was ready. Change: a late summary is logged and its message left out. The actors that a router can't do without end the process when they fail, and the platform starts it again, instead of leaving it half dead.

--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -13,10 +13,10 @@
 from functools import singledispatchmethod
 
 import msgspec
-import pykka
 import pynng
 
 from turmerictray.core import metrics
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -82,7 +82,7 @@
         self._sock.close()
 
 
-class PeerLink(pykka.ThreadingActor):
+class PeerLink(VitalActor):
     """Sends this router's summary to its peers and hands on theirs.
 
     Parameters
@@ -97,7 +97,7 @@
     seeds : list of str
         Peer-link addresses of routers to start with; may be stale.
     own_summary : callable
-        Returns this router's :class:`RouterSummary`.
+        Returns this router's :class:`RouterSummary`, or None when it can't be had in time.
     on_peer : callable
         Called with each :class:`PeerMessage`.
     on_size : callable
@@ -112,7 +112,7 @@
         address: str,
         admin: str,
         seeds: list[str],
-        own_summary: Callable[[], RouterSummary],
+        own_summary: Callable[[], RouterSummary | None],
         on_peer: Callable[[PeerMessage], None],
         on_size: Callable[[int], None],
     ) -> None:
@@ -191,6 +191,11 @@
         return self._size > FANOUT + 1
 
     def _send_all(self, now: float) -> None:
+        summary = self._own_summary()
+        if summary is None:
+            # Nothing is sent rather than a message without work: peers would take the targets
+            # that this router uses for free.
+            return
         entry = self.entry
         self.entry = MemberEntry(
             entry.node, entry.zone, entry.address, entry.incarnation, entry.beat + 1, self._leaving
@@ -198,7 +203,7 @@
         known: list[MemberEntry] = []
         if self._is_large() or self.entry.beat % _KNOWN_EVERY == 0:
             known = self.table.sample(now, _KNOWN_ENTRIES, self._rng)
-        message = PeerMessage(self.entry, self._own_summary(), known, self.admin)
+        message = PeerMessage(self.entry, summary, known, self.admin)
         data = msgspec.msgpack.encode(message)
         contacts = self.table.contacts(now, FANOUT, self._rng)
         addresses = {contact.address: contact.node for contact in contacts}
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -3,12 +3,11 @@
 import time
 from functools import singledispatchmethod
 
-import pykka
-
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.pool import Sent, ServicePool, Wanted
 from turmerictray.config.routes import RoutingText
 from turmerictray.core import metrics
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import AdmissionError, CallerGone, QueueTimeout, RepeatsUsedUp
 from turmerictray.core.ids import NodeId, ServiceName, TeamId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -45,7 +44,7 @@
 _BUSY_RETRY_S = 0.5
 
 
-class Broker(pykka.ThreadingActor):
+class Broker(VitalActor):
     """Grants targets to requests, by team.
 
     Parameters
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -4,6 +4,7 @@
 
 import pykka
 
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import ConfigError, PeerError
 from turmerictray.core.logs import log_event
 from turmerictray.membership.messages import PeerMessage
@@ -53,7 +54,7 @@
         return True
 
 
-class CatchUp(pykka.ThreadingActor):
+class CatchUp(VitalActor):
     """Compares peers' versions with this router's own and fetches newer texts from them.
 
     A router that the store turns away would go on with withdrawn keys and old routes although the
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -14,7 +14,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
 from turmerictray.membership.link import PERIOD_S, Leave, PeerLink
-from turmerictray.membership.messages import PeerMessage
+from turmerictray.membership.messages import PeerMessage, RouterSummary
 from turmerictray.router.broker import Broker
 from turmerictray.router.broker_messages import (
     BrokerQuery,
@@ -153,7 +153,7 @@
             f"tcp://{s.peer}",
             str(s.admin),
             [f"tcp://{seed}" for seed in s.seeds],
-            own_summary=lambda: self._broker.ask(SummaryQuery(), timeout=_ASK_S),
+            own_summary=self._own_summary,
             on_peer=on_peer,
             on_size=lambda size: self._broker.tell(FleetSize(size)),
         )
@@ -165,6 +165,15 @@
         for source in self._sources:
             source.start()
 
+    def _own_summary(self) -> RouterSummary | None:
+        try:
+            return self._broker.ask(SummaryQuery(), timeout=_ASK_S)
+        except pykka.Timeout:
+            # After a freeze, or on a slow machine with a long mailbox. Raised in the peer link, it
+            # would end that link for good.
+            log_event("summary_late", level="WARNING", limit_s=_ASK_S)
+            return None
+
     def _stop_actors(self) -> None:
         for source in self._sources:
             source.stop()
--- a/turmerictray/router/reload.py
+++ b/turmerictray/router/reload.py
@@ -5,6 +5,7 @@
 
 import pykka
 
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import SettingsError
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
@@ -20,7 +21,7 @@
     """Read the settings again now."""
 
 
-class SettingsReloader(pykka.ThreadingActor):
+class SettingsReloader(VitalActor):
     """Reads the settings again when told to and now and then.
 
     Addresses and the node's name are fixed for a process's life; what changes is whom it asks
