A signal during the start stops the application once it is up

Trace: r3 logged starting at 01:27:20.289 and the signal at .290, then AttributeError in drain_and_stop (the front was not there yet) and app_started at .350; it served on for five minutes and the player waited for its end. The drain had taken its lock, so later signals would have been ignored too. Ruled out: the relay and the agenda (the stack shows the player waiting for the process). Change: the application keeps a signal that comes during the start and runs the hooks when all parts are up. Test failed first (the hook met a part that was not started).

--- a/turmerictray/core/app.py
+++ b/turmerictray/core/app.py
@@ -36,6 +36,8 @@
         self._components: list[Component] = []
         self._started: list[Component] = []
         self._stop_requested = threading.Event()
+        self._is_up = False
+        self._told_early = False
         self._on_signal: list[Callable[[], None]] = []
         self._on_reload: list[Callable[[], None]] = []
 
@@ -84,6 +86,9 @@
         # Unhandled, SIGHUP ends the process; it only says that settings have changed.
         signal.signal(signal.SIGHUP, self._handle_reload)
         self.start()
+        self._is_up = True
+        if self._told_early:
+            self._run_signal_hooks()
         try:
             while not self._stop_requested.wait(0.2):
                 pass
@@ -98,6 +103,14 @@
 
     def _handle_signal(self, signum: int, _frame: object) -> None:
         log_event("signal", app=self.name, signum=signum)
+        if not self._is_up:
+            # The hooks need all components. Run now, they would fail on the ones that have not been
+            # started, and the process would ignore every later signal until it is killed.
+            self._told_early = True
+            return
+        self._run_signal_hooks()
+
+    def _run_signal_hooks(self) -> None:
         if not self._on_signal:
             self.request_stop()
             return
