An answer given up before it began closes its connection without a head

Cause: exchange.abort() left the server free to send a head, whose status was never set: a ValueError, then a 500 to the caller, who may have closed only its sending side. Ruled out: framing and the targets' heads (the stack has neither). Change: abort marks the head as sent. Test failed first (500 Internal Server Error instead of nothing).

--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -155,6 +155,9 @@
         """End the answer so that it can't look complete: close without the last chunk."""
         self._req.chunked_write = False
         self._req.close_connection = True
+        # Without a head, the server would try to send one of its own, with a status that was never
+        # set, and then a 500 to a caller who may still be reading.
+        self._req.sent_headers = True
 
     def _begin(self, status: int, headers: Iterable[Header]) -> None:
         self.started = True
