--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -132,6 +132,7 @@
         (129, False, ["graceful-exit"]),
         (-15, True, ["graceful-exit"]),
         (-15, False, []),
+        (None, False, ["graceful-exit"]),
         (0, True, []),
     ],
 )
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -15,7 +15,8 @@
 break, so the player publishes a valid text after it.
 
 135: a router was told to stop within a second of its start, before its program ran, and ended by
-the signal. It had taken no caller; the check of exit codes says so.
+the signal. It had taken no caller; the check of exit codes says so. Told a little later, while its
+parts were being started, a router ignored the signal and every later one.
 
 141: a router started while its sources were being edited, failed with a TypeError and ended.
 """
--- a/turmerictray/loadtool/history.py
+++ b/turmerictray/loadtool/history.py
@@ -102,6 +102,7 @@
     return bad
 
 
+_UNHANDLED = ("Traceback (most recent call last)", "event=http_server_error")
 _IN_FORCE = re.compile(r"event=(?:config|text)_in_force version=(\d+)")
 
 
@@ -124,7 +125,7 @@
                 newest = 0
             if "event=invariant_broken" in line:
                 bad.append(Violation(log.stem, "invariant", line))
-            if "Traceback (most recent call last)" in line:
+            if any(mark in line for mark in _UNHANDLED):
                 bad.append(Violation(log.stem, "error", line[:200]))
             found = _IN_FORCE.search(line)
             if found is None:
--- a/turmerictray/platform/soak/player.py
+++ b/turmerictray/platform/soak/player.py
@@ -22,7 +22,9 @@
 stopped sending to it."""
 
 _ANSWER_FAULTS = 4
-_EXIT_S = 20.0
+_EXIT_S = 12.0
+"""A router that still runs so long after it was told to stop is killed, as a platform would after
+the grace period of six seconds; that is a broken promise."""
 
 _STORE_TROUBLE = {
     Fault.STORE_BUSY: StoreTrouble.BUSY,
@@ -125,14 +127,16 @@
         self._busy.add(router.name)
         was_ready = router.is_ready()
         router.signal(signal.SIGTERM)
-        self.record.stops.append((router.name, time.monotonic()))
-        self._agenda.after(_RESTART_S, lambda: self._start_when_ended(router, was_ready))
+        told_at = time.monotonic()
+        self.record.stops.append((router.name, told_at))
+        self._await_end(router, was_ready, told_at + _EXIT_S)
 
-    def _start_when_ended(self, router: LocalRouter, was_ready: bool) -> None:
-        if router.exit_code is None:
-            self._agenda.after(_RESTART_S, lambda: self._start_when_ended(router, was_ready))
+    def _await_end(self, router: LocalRouter, was_ready: bool, latest: float) -> None:
+        if router.exit_code is None and time.monotonic() < latest:
+            self._agenda.after(_RESTART_S, lambda: self._await_end(router, was_ready, latest))
             return
         self.record.exits.append(Exit(router.name, router.exit_code, was_ready))
+        router.stop()
         self._start(router)
 
     def _pause(self, planned: Planned) -> None:
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -40,13 +40,14 @@
 
     Attributes
     ----------
-    code : int
+    code : int or None
+        None: it still ran when it was killed, long after the grace period.
     was_ready : bool
         It took callers when it was told to stop.
     """
 
     router: str
-    code: int
+    code: int | None
     was_ready: bool
 
 
