--- a/tests/admission/test_pool_load.py
+++ b/tests/admission/test_pool_load.py
@@ -115,3 +115,17 @@
     play_prompts(fleet, per_s=90, seconds=25, seed=1)
     fleet.run(30)
     assert in_time(fleet, since=5) > 0.5
+
+
+def test_engines_do_not_idle_between_the_words_of_peers():
+    # Six routers ask for nine tenths of what the engines read. By what peers told last, engines
+    # look busy for up to a quarter of a second after they are done, and requests wait for it: 0.66
+    # and 0.67 of the callers were in time instead of 0.75 and 0.71, with the engines at work for
+    # 0.88 of the time instead of 0.94.
+    shares = []
+    for seed in (1, 2):
+        fleet = reading_fleet(6, ENGINES)
+        play_prompts(fleet, per_s=90, seconds=25, seed=seed)
+        fleet.run(30)
+        shares.append(in_time(fleet, since=5))
+    assert sum(shares) / 2 > 0.7, shares
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -52,7 +52,7 @@
     """
     if load.running_in_fleet(now) >= load.info.slots:
         return False
-    unread = load.unread_tokens(now)
+    unread = load.unread_tokens(now, model.read_per_s)
     return unread * load.slowness <= part * READ_AHEAD_S * model.read_per_s
 
 
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -208,9 +208,24 @@
         """Whether the target is passed over while others can be reached."""
         return now < self.avoid_until
 
-    def unread_tokens(self, now: float) -> int:
-        """Tokens that the target still has to read, for this router and its peers."""
-        return self.own_unread_tokens() + sum(load.unread_tokens for load in self._heard(now))
+    def unread_tokens(self, now: float, read_per_s: float) -> int:
+        """Tokens that the target still has to read, for this router and its peers.
+
+        Peers tell four times a second. Taken as they were told, their tokens would close an engine
+        that has read them long ago, and the router with the longest queue would leave it idle.
+
+        Parameters
+        ----------
+        read_per_s : float
+            Tokens that a target of the pool reads in a second.
+        """
+        heard = [load for load in self._heard(now) if load.unread_tokens]
+        if not heard:
+            return self.own_unread_tokens()
+        told = sum(load.unread_tokens for load in heard)
+        since_s = now - min(load.heard_at for load in heard)
+        left = max(0, told - int(read_per_s * since_s / self.slowness))
+        return self.own_unread_tokens() + left
 
     def held_tokens(self, call_id: int) -> int:
         """Tokens of the requests that wait here for the target, but for ``call_id`` itself."""
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -96,7 +96,7 @@
     best: tuple[float, Placement] | None = None
     for load in loads:
         miss = prompt.input_tokens - kept[load.info.id]
-        ahead = load.unread_tokens(now) + load.held_tokens(call_id)
+        ahead = load.unread_tokens(now, model.read_per_s) + load.held_tokens(call_id)
         again = shared - kept[load.info.id]
         cost, placement = _engine_cost(load, miss, again, ahead, model, zone, now)
         if first is not None and load.info.id != first:
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -126,15 +126,15 @@
 
     def describe(self, now: float) -> dict[str, object]:
         """The targets' state, for operators."""
-        return {target: _describe(load, now) for target, load in self.loads.items()}
+        return {target: _describe(load, self.model, now) for target, load in self.loads.items()}
 
 
-def _describe(load: TargetLoad, now: float) -> dict[str, object]:
+def _describe(load: TargetLoad, model: PoolModel, now: float) -> dict[str, object]:
     return {
         "phase": load.info.phase.value,
         "running": load.running,
         "running_in_fleet": load.running_in_fleet(now),
-        "unread_tokens": load.unread_tokens(now),
+        "unread_tokens": load.unread_tokens(now, model.read_per_s),
         "slowness": round(load.slowness, 2),
         "failure_rate": round(load.failures(now), 3),
         "avoided": load.avoided(now),
--- a/turmerictray/simulation/ways.py
+++ b/turmerictray/simulation/ways.py
@@ -40,7 +40,7 @@
     ranked = sorted(loads, key=lambda load: rank(key, load.info.id), reverse=True)
     chosen = next((load for load in ranked if running[load.info.id] < bound), ranked[0])
     miss = prompt.input_tokens - chosen.kept.kept_tokens(prompt)
-    ahead = chosen.unread_tokens(now) + chosen.held_tokens(call_id)
+    ahead = chosen.unread_tokens(now, model.read_per_s) + chosen.held_tokens(call_id)
     return Placement(chosen, miss, ahead, model.first_event_s(ahead + miss))
 
 
