--- a/tests/fairness/test_recent.py
+++ b/tests/fairness/test_recent.py
@@ -108,3 +108,35 @@
 def test_nobody_is_behind_before_anything_was_served():
     service, _ = make()
     assert service.behind(A, service.most()) == 0
+
+
+def test_the_best_served_team_is_known_at_once_and_corrected_soon():
+    service, clock = make()
+    service.charge(A, 10_000)
+    assert abs(service.behind(B, service.most()) - 10_000) < 1
+    service.charge(A, 90_000)
+    assert abs(service.behind(B, service.most()) - 100_000) < 1
+    service.settle(A, 90_000, 5_000)
+    clock.now += 0.3
+    assert service.behind(B, service.most()) < 15_000
+
+
+def test_what_the_best_served_team_had_is_rescaled_with_the_rest():
+    # Counts are brought back to one after forty half-lives. The looked-up value, if left as it was,
+    # would be 2**40 times too large: every team would seem far behind for a quarter of a second.
+    service, clock = make()
+    service.charge(A, 10_000)
+    clock.now += 41 * HALF_LIFE_S - 0.1
+    service.charge(B, 10_000)
+    service.most()
+    clock.now += 0.05
+    service.charge(A, 10_000)
+    assert service.behind(A, service.most()) < 100
+
+
+def test_a_lead_is_the_same_at_the_moment_of_rescaling():
+    service, clock = make()
+    clock.now += 39.9 * HALF_LIFE_S
+    service.charge(A, 10_000)
+    clock.now += 0.2 * HALF_LIFE_S
+    assert service.lead(A, {A, B}) < 10_000
--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -18,6 +18,11 @@
 _WAITING_TTL_S = 2.0
 """A peer's word on who waits there counts this long: eight of its messages may be lost."""
 
+_MOST_EVERY_S = 0.25
+"""How often the best served team is looked up; in between only one that was served more can take
+its place, and one whose request cost less than charged keeps it. With 5,800 teams a look takes 1.3
+ms, which for each send would be more than the whole budget of 3 % of a core."""
+
 _RESCALE_AFTER = 40.0
 """Half-lives after which weights are brought back to one, well before they overflow."""
 
@@ -47,6 +52,8 @@
         self._recent: dict[TeamId, float] = defaultdict(float)
         self._own: dict[TeamId, float] = defaultdict(float)
         self._heard: dict[tuple[str, int], dict[TeamId, float]] = {}
+        self._most = 0.0
+        self._most_until = 0.0
 
     def charge(self, team: TeamId, tokens: float) -> None:
         """Count a request's cost when it is sent."""
@@ -113,21 +120,29 @@
         others = (backlogged | self._waiting_elsewhere()) - {team}
         if not others:
             return 0.0
+        scale = self._scale()
         least = min(self.normalised(other) for other in others)
-        return max(0.0, self.normalised(team) - least) / self._scale()
+        return max(0.0, self.normalised(team) - least) / scale
 
     def most(self) -> float:
         """What the best served team had, in the unit of :meth:`normalised`."""
-        return max(map(self.normalised, self._recent), default=0.0)
+        self._scale()
+        now = self._clock()
+        if now >= self._most_until:
+            self._most = max(map(self.normalised, self._recent), default=0.0)
+            self._most_until = now + _MOST_EVERY_S
+        return self._most
 
     def behind(self, team: TeamId, most: float) -> float:
         """Tokens per weight that ``team`` lately had less than ``most``; see :meth:`most`."""
-        return max(0.0, most - self.normalised(team)) / self._scale()
+        scale = self._scale()
+        return max(0.0, most - self.normalised(team)) / scale
 
     def _add(self, team: TeamId, tokens: float) -> None:
         # The scale comes first: taking it may shrink what is already counted.
         added = tokens * self._scale()
         self._recent[team] = max(0.0, self._recent[team] + added)
+        self._most = max(self._most, self.normalised(team))
 
     def _scale(self) -> float:
         half_lives = (self._clock() - self._begun) / HALF_LIFE_S
@@ -135,6 +150,7 @@
             shrink = 0.5**half_lives
             for team in self._recent:
                 self._recent[team] *= shrink
+            self._most *= shrink
             self._begun = self._clock()
             return 1.0
         return 2.0**half_lives
