--- a/tests/routing/test_lost_answers.py
+++ b/tests/routing/test_lost_answers.py
@@ -57,10 +57,11 @@
     assert load.failures(12.3) == pytest.approx(0.2, abs=0.01)
 
 
-def test_a_lost_answer_counts_once(load):
-    load.give_up_reads(13.0)
+def test_a_lost_answer_counts_once(targets, load):
+    [(target, read)] = targets.give_up_reads(13.0)
+    assert (target, read.tokens) == (TARGET, LOST_TOKENS)
     rate = load.failures(13.0)
-    load.give_up_reads(13.1)
+    assert not targets.give_up_reads(13.1)
     assert load.failures(13.0) == rate
 
 
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -247,7 +247,6 @@
 
     def expire(self, now: float) -> list[Pending]:
         """Take out the requests that have waited their time."""
-        self.targets.give_up_reads(now)
         expired = self.queue.expire(now)
         for item in expired:
             self.release(item.context)
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -148,6 +148,7 @@
     @on_receive.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
+            self._give_up_reads(pool, msg.now)
             for item in pool.expire(msg.now):
                 if item.reply.set_running_or_notify_cancel():
                     wait = pool.expected_wait_s(item)
@@ -156,6 +157,17 @@
             if len(pool.queue):
                 self._pump(pool, msg.now)
 
+    def _give_up_reads(self, pool: ServicePool, now: float) -> None:
+        for target, read in pool.targets.give_up_reads(now):
+            log_event(
+                "answer_lost",
+                target=target,
+                service=pool.name,
+                sent_ms_ago=round((now - read.sent_at) * 1000),
+                expected_ms=round(read.expected_s * 1000),
+                ahead_tokens=read.ahead_tokens,
+            )
+
     # -- the text and the targets ------------------------------------------------------------
 
     @on_receive.register
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -163,12 +163,15 @@
             if read.sent_at < answered.sent_at:
                 read.passed = True
 
-    def give_up_reads(self, now: float) -> None:
+    def give_up_reads(self, now: float) -> list[OpenRead]:
         """Take first events that are long overdue for lost, and count them as failed answers."""
-        for read in self._open_reads():
-            if now - read.sent_at - read.expected_s > _LOST_S:
-                read.passed = True
-                self.answered(False, now)
+        lost = [
+            read for read in self._open_reads() if now - read.sent_at - read.expected_s > _LOST_S
+        ]
+        for read in lost:
+            read.passed = True
+            self.answered(False, now)
+        return lost
 
     def judge_slowness(self, usual_log_lateness: float) -> None:
         """Compare the target's lateness with what is usual in its pool.
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -7,7 +7,7 @@
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.ids import NodeId, TargetId
 from turmerictray.routing.kept import KeptParts
-from turmerictray.routing.load import PeerLoad, TargetInfo, TargetLoad, TargetPhase
+from turmerictray.routing.load import OpenRead, PeerLoad, TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prompt import Part
 
@@ -121,10 +121,9 @@
         for each in self.loads.values():
             each.judge_slowness(usual)
 
-    def give_up_reads(self, now: float) -> None:
-        """Stop waiting for first events that are long overdue."""
-        for load in self.loads.values():
-            load.give_up_reads(now)
+    def give_up_reads(self, now: float) -> list[tuple[TargetId, OpenRead]]:
+        """Stop waiting for first events that are long overdue, and tell which."""
+        return [(t, read) for t, load in self.loads.items() for read in load.give_up_reads(now)]
 
     def describe(self, now: float) -> dict[str, object]:
         """The targets' state, for operators."""
