One router schedules the prompts of all

Change: routers ask one of them, chosen by rendezvous hashing among the live ones, over a link of its own; when it is silent for 0.15 s they decide by themselves as before. Calls have ids that are unique in the fleet, and are dropped when their router is gone.

--- a/tests/router/test_late_broker.py
+++ b/tests/router/test_late_broker.py
@@ -51,7 +51,7 @@
             [f"tcp://127.0.0.1:{seed}"],
             own_summary=summary,
             on_peer=on_peer,
-            on_size=lambda size: None,
+            on_members=lambda members: None,
         )
         for name, port, seed, summary, on_peer in (
             ("r1", 17411, 17412, gateway._own_summary, lambda message: None),
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -5,6 +5,8 @@
 refused in time or dropped with its caller, and not in the targets, which can do none of that.
 """
 
+import math
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -12,10 +14,10 @@
 from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
-from turmerictray.core.ids import ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.recent import RecentService
-from turmerictray.routing.load import OpenRead, TargetLoad
+from turmerictray.routing.load import OpenCall, OpenRead, TargetLoad
 from turmerictray.routing.place import (
     Placement,
     PlacePrompt,
@@ -26,8 +28,9 @@
 from turmerictray.routing.pool_targets import PoolTargets
 from turmerictray.routing.prompt import Prompt
 
-_QUEUE_PER_TEAM = 64
-"""Waiting requests of one team on one router; more than can be served within any objective."""
+_QUEUE_PER_TEAM = 256
+"""Waiting requests of one team, of all routers where one schedules for all; more than can be served
+within any objective."""
 
 _LEAST_WAIT_PART = 0.3
 """Part of its time that a request may wait however long its prompt is."""
@@ -66,6 +69,12 @@
         None for plain services.
     exclude : frozenset of str
         Targets it has been sent to.
+    origin : NodeId
+        The router that sends it; empty for this router.
+    zone : ZoneId or None
+        Where that router stands; None for the pool's own zone.
+    give_up : float
+        Monotonic seconds at which it ends at the latest.
     held_by : TargetLoad or None
         The target it waits for.
     """
@@ -73,6 +82,9 @@
     call_id: int
     prompt: Prompt | None
     exclude: frozenset[str] = frozenset()
+    origin: NodeId = NodeId("")
+    zone: ZoneId | None = None
+    give_up: float = math.inf
     held_by: TargetLoad | None = None
 
 
@@ -212,8 +224,9 @@
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
             return place_plain(loads, wanted.call_id, self.zone, now)
+        zone = wanted.zone or self.zone
         placement = self._place_prompt(
-            loads, wanted.prompt, wanted.call_id, self.targets.model, self.zone, now
+            loads, wanted.prompt, wanted.call_id, self.targets.model, zone, now
         )
         if placement is None or engine_open(placement.load, self.targets.model, now, part):
             return placement
@@ -263,7 +276,8 @@
             placement.expected_s,
             placement.load.slowness,
         )
-        placement.load.sent(wanted.call_id, read)
+        call = OpenCall(item.team, item.hint, wanted.origin, wanted.give_up)
+        placement.load.sent(wanted.call_id, read, call)
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
             self.targets.note_read(placement.load.info.id, wanted.prompt.shared)
@@ -274,20 +288,51 @@
 
     def unbook(self, sent: Sent) -> None:
         """Take back a booking whose request is not sent."""
-        sent.placement.load.ended(sent.item.context.call_id)
-        self.ledger.settle(sent.item.team, sent.item.hint, 0.0)
+        self._end(sent.placement.load, sent.item.context.call_id, 0.0)
 
-    def settle(self, target: TargetId, call_id: int, outcome: Outcome, now: float) -> None:
-        """A send has ended."""
+    def settle(
+        self,
+        target: TargetId,
+        call_id: int,
+        outcome: Outcome,
+        now: float,
+        cost: float | None = None,
+    ) -> None:
+        """A send has ended.
+
+        Parameters
+        ----------
+        cost : float or None
+            What it took from the pool, in tokens read; None for what was charged.
+        """
         load = self.targets.loads.get(target)
-        if load is None:
+        if load is None or not self._end(load, call_id, cost):
             return
-        load.ended(call_id)
         if outcome is Outcome.NOT_REACHED:
             load.not_reached(now)
         elif outcome in (Outcome.DONE, Outcome.FAILED):
             load.answered(outcome is Outcome.DONE, now)
 
+    def _end(self, load: TargetLoad, call_id: int, cost: float | None) -> bool:
+        call = load.ended(call_id)
+        if call is not None and cost is not None:
+            self.ledger.settle(call.team, call.charged, cost)
+        return call is not None
+
+    def drop_lost_calls(self, alive: Collection[str], now: float) -> int:
+        """End the calls of routers that are gone, and those whose end was never told.
+
+        Their engines would count as busy with them for good.
+        """
+        lost = [
+            (load, call_id)
+            for load in self.targets.loads.values()
+            for call_id in load.lost_calls(alive, now)
+        ]
+        for load, call_id in lost:
+            load.ended(call_id)
+        return len(lost)
+
     def describe(self, now: float) -> dict[str, object]:
         """The pool's state, for operators."""
         return {
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -100,8 +100,10 @@
         Returns this router's :class:`RouterSummary`, or None when it can't be had in time.
     on_peer : callable
         Called with each :class:`PeerMessage`.
-    on_size : callable
-        Called with the number of live routers when it changes.
+    on_members : callable
+        Called with the entries of the live routers, this one's own included, now and then.
+    calls : str
+        ``tcp://host:port`` at which this router schedules requests of others.
     """
 
     def __init__(
@@ -114,16 +116,17 @@
         seeds: list[str],
         own_summary: Callable[[], RouterSummary | None],
         on_peer: Callable[[PeerMessage], None],
-        on_size: Callable[[int], None],
+        on_members: Callable[[tuple[MemberEntry, ...]], None],
+        calls: str = "",
     ) -> None:
         super().__init__()
-        self.entry = MemberEntry(node, zone, address, incarnation, 0)
+        self.entry = MemberEntry(node, zone, address, incarnation, 0, False, calls)
         self.admin = admin
         self.seeds = seeds
         self.table = MemberTable(node)
         self._own_summary = own_summary
         self._on_peer = on_peer
-        self._on_size = on_size
+        self._on_members = on_members
         self._size = 1
         self._ticks = 0
         self._leaving = False
@@ -160,6 +163,7 @@
         if not self._is_large() or self._ticks % 2 == 0:
             self._send_all(now)
         self._note_size(now)
+        self._tell_members(now)
 
     @on_receive.register
     def _(self, msg: _Received) -> None:
@@ -198,7 +202,13 @@
             return
         entry = self.entry
         self.entry = MemberEntry(
-            entry.node, entry.zone, entry.address, entry.incarnation, entry.beat + 1, self._leaving
+            entry.node,
+            entry.zone,
+            entry.address,
+            entry.incarnation,
+            entry.beat + 1,
+            self._leaving,
+            entry.calls,
         )
         known: list[MemberEntry] = []
         if self._is_large() or self.entry.beat % _KNOWN_EVERY == 0:
@@ -244,7 +254,11 @@
         if size != self._size:
             log_event("fleet_size", routers=size, before=self._size)
             self._size = size
-            self._on_size(size)
+            self._tell_members(now)
+
+    def _tell_members(self, now: float) -> None:
+        own = () if self._leaving else (self.entry,)
+        self._on_members((*own, *self.table.alive(now)))
 
     def _receive(self) -> None:
         while True:
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -17,6 +17,8 @@
         Grows by one with each message it sends.
     leaving : bool
         It is shutting down.
+    calls : str
+        ``tcp://host:port`` at which it schedules requests of other routers.
     """
 
     node: str
@@ -25,6 +27,7 @@
     incarnation: int
     beat: int
     leaving: bool = False
+    calls: str = ""
 
 
 class TargetWork(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -79,6 +79,7 @@
         admin=_address(node_file.listen.control),
         metrics=Address(node_file.ip, METRICS_PORT),
         peer=Address(node_file.ip, peer_port),
+        calls=Address(node_file.ip, peer_port + 1),
         # A seed names where a machine serves control; its peer link has the first internal port,
         # which is the same on all machines.
         seeds=tuple(Address(_address(seed).host, peer_port) for seed in node_file.seeds),
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -9,7 +9,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import AdmissionError, CallerGone, QueueTimeout, RepeatsUsedUp
-from turmerictray.core.ids import NodeId, ServiceName, TeamId, ZoneId
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.queue import Pending
@@ -20,12 +20,12 @@
     BrokerQuery,
     EnginesQuery,
     FirstEvent,
-    FleetSize,
     Granted,
     KeptHeard,
     KeptParts,
     KeptQuery,
     PeerHeard,
+    RoutersAlive,
     Settled,
     SummaryQuery,
     TargetLeaving,
@@ -76,6 +76,7 @@
         self.ledger = RecentService(node)
         self.pools: dict[ServiceName, ServicePool] = {}
         self.routers = 1
+        self.alive: frozenset[str] = frozenset({node})
         self.told = 0
         self.told_service: dict[TeamId, float] = {}
 
@@ -92,7 +93,7 @@
         pool = self._pool(msg.service)
         if not msg.retry:
             pool.budget.note_request(now)
-        wanted = Wanted(msg.call_id, msg.prompt, msg.exclude)
+        wanted = Wanted(msg.call_id, msg.prompt, msg.exclude, msg.origin, msg.zone, msg.give_up)
         item = Pending(msg.req_id, msg.team, msg.cost, msg.wait_until, msg.reply, wanted)
         try:
             if msg.repeat and not pool.budget.take(now):
@@ -120,8 +121,7 @@
     def _(self, msg: Settled) -> None:
         pool = self._pool(msg.service)
         now = time.monotonic()
-        pool.settle(msg.target, msg.call_id, msg.outcome, now)
-        self.ledger.settle(msg.team, msg.charged, msg.cost)
+        pool.settle(msg.target, msg.call_id, msg.outcome, now, msg.cost)
         self._pump(pool, now)
 
     def _pump(self, pool: ServicePool, now: float) -> None:
@@ -149,6 +149,7 @@
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
             self._give_up_reads(pool, msg.now)
+            pool.drop_lost_calls(self.alive, msg.now)
             for item in pool.expire(msg.now):
                 if item.reply.set_running_or_notify_cancel():
                     wait = pool.expected_wait_s(item)
@@ -217,6 +218,7 @@
     @on_receive.register
     def _(self, msg: TargetLeaving) -> None:
         self._pool(msg.service).targets.mark_leaving(msg.target)
+        self.in_force.leaving = self.in_force.leaving | {msg.target}
 
     def _take(self, info: TargetInfo) -> None:
         for other in self.pools.values():
@@ -229,9 +231,18 @@
             known.info.phase is TargetPhase.READY and info.phase is not TargetPhase.READY
         ):
             log_event("target", target=info.id, service=info.service, phase=info.phase.value)
+        self._note_leaving(info)
+
+    def _note_leaving(self, info: TargetInfo) -> None:
+        leaving = self.in_force.leaving
+        if info.phase is not TargetPhase.READY:
+            self.in_force.leaving = leaving | {info.id}
+        elif info.id in leaving and info.phase is TargetPhase.READY:
+            self.in_force.leaving = leaving - {info.id}
 
     def _drop(self, pool: ServicePool, target: str) -> None:
         pool.targets.drop(target)
+        self.in_force.leaving = self.in_force.leaving | {TargetId(target)}
         log_event("target", target=target, service=pool.name, phase=TargetPhase.GONE.value)
 
     def _pump_all(self) -> None:
@@ -283,8 +294,9 @@
             pool.budget.set_limits(msg.ratio, msg.floor, msg.window_s)
 
     @on_receive.register
-    def _(self, msg: FleetSize) -> None:
-        self.routers = msg.routers
+    def _(self, msg: RoutersAlive) -> None:
+        self.routers = len(msg.nodes)
+        self.alive = msg.nodes
         for pool in self.pools.values():
             self._set_fleet_size(pool)
 
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -1,11 +1,12 @@
 """Messages to the broker, the actor that owns the pools."""
 
+import math
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.config.routes import RoutingText
-from turmerictray.core.ids import RequestId, ServiceName, TargetId, TeamId
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Part, Prompt
@@ -32,6 +33,12 @@
         It has been granted a target before; it goes to the head of its team's queue.
     repeat : bool
         An earlier send reached a target, so this one spends from the budget of repeats.
+    origin : NodeId
+        The router that sends it; empty for this router.
+    zone : ZoneId or None
+        Where that router stands; None for this router's own.
+    give_up : float
+        Monotonic seconds at which it ends at the latest.
     reply : Future
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
@@ -47,6 +54,9 @@
     exclude: frozenset[str] = frozenset()
     retry: bool = False
     repeat: bool = False
+    origin: NodeId = NodeId("")
+    zone: ZoneId | None = None
+    give_up: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -60,12 +70,15 @@
         Seconds from now until its first event, as estimated.
     miss_tokens, ahead_tokens : int
         Tokens the target has to read for the request, and before it.
+    scheduler : str
+        The router that chose; empty for this one.
     """
 
     target: TargetInfo
     expected_s: float
     miss_tokens: int
     ahead_tokens: int
+    scheduler: str = ""
 
 
 @dataclass(frozen=True)
@@ -93,9 +106,7 @@
     call_id: int
     service: ServiceName
     target: TargetId
-    team: TeamId
     outcome: Outcome
-    charged: float
     cost: float
 
 
@@ -169,10 +180,10 @@
 
 
 @dataclass(frozen=True)
-class FleetSize:
-    """How many routers are believed alive, this one included."""
+class RoutersAlive:
+    """The routers that are believed alive, this one included."""
 
-    routers: int
+    nodes: frozenset[str]
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/turmerictray/router/desk.py
@@ -0,0 +1,319 @@
+"""Where requests ask for a target: at this router's own broker, or at the scheduler."""
+
+import threading
+import time
+from concurrent.futures import Future
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+import pykka
+
+from turmerictray.admission.pool import Outcome
+from turmerictray.core import errors
+from turmerictray.core.actor import VitalActor
+from turmerictray.core.errors import AdmissionError, CallerGone, NoTarget
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, ZoneId
+from turmerictray.core.logs import log_event
+from turmerictray.core.timer import Tick
+from turmerictray.membership.messages import MemberEntry
+from turmerictray.router.broker_messages import (
+    Ask,
+    FirstEvent,
+    Granted,
+    Settled,
+    TargetLeaving,
+    Withdraw,
+)
+from turmerictray.router.text_in_force import TextInForce
+from turmerictray.routing.load import TargetInfo
+from turmerictray.scheduling.choice import SchedulerChoice
+from turmerictray.scheduling.link import SchedulingLink
+from turmerictray.scheduling.messages import (
+    Ended,
+    FirstSeen,
+    LeavingSeen,
+    PlaceGranted,
+    PlaceRefused,
+    PlaceRequest,
+    PlaceWithdrawn,
+    StillWaiting,
+)
+
+SILENCE_S = 0.15
+"""A scheduler that has not said anything for this long while a request waits there is passed over.
+It says something every :data:`ALIVE_S`; the way there and back takes 3 ms between zones."""
+
+ALIVE_S = 0.05
+"""Rhythm of looking for silent schedulers, and of a scheduler's word to routers that wait."""
+
+_FORGOTTEN_S = 1.0
+"""How long after the request's last moment a call is still known."""
+
+
+@dataclass
+class _Call:
+    """A request that was put to the scheduler."""
+
+    ask: Ask
+    scheduler: MemberEntry
+    asked_at: float
+    granted: bool = False
+
+
+class Desk:
+    """Puts each request for an engine to the scheduler, and to this router's broker without one.
+
+    One router that knows all that is sent to the engines leaves no more with them than they need to
+    stay busy. Routers that each send by what they last heard of the others fill the same gap at
+    once, and callers wait in the engine, where nobody can order or refuse them in time. Whenever
+    the scheduler does not answer, this router decides by itself.
+
+    Parameters
+    ----------
+    node : NodeId
+    zone : ZoneId
+    broker : pykka.ActorRef
+    in_force : TextInForce
+    choice : SchedulerChoice
+    link : SchedulingLink
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        zone: ZoneId,
+        broker: pykka.ActorRef,
+        in_force: TextInForce,
+        choice: SchedulerChoice,
+        link: SchedulingLink,
+    ) -> None:
+        self._node = node
+        self._zone = zone
+        self._broker = broker
+        self._in_force = in_force
+        self._choice = choice
+        self._link = link
+        self._lock = threading.Lock()
+        self._calls: dict[int, _Call] = {}
+        self._heard_at: dict[str, float] = {}
+
+    # -- from this router's requests -----------------------------------------------------------
+
+    @singledispatchmethod
+    def tell(self, msg: object) -> None:
+        """Take a message of a request's try."""
+        self._broker.tell(msg)
+
+    @tell.register
+    def _(self, msg: Ask) -> None:
+        scheduler = self._choice.scheduler(msg.service) if msg.prompt is not None else None
+        if scheduler is None or not self._put(msg, scheduler):
+            self._broker.tell(msg)
+
+    @tell.register
+    def _(self, msg: Withdraw) -> None:
+        call = self._take_waiting(msg.call_id)
+        if call is None:
+            self._broker.tell(msg)
+            return
+        self._link.send(call.scheduler.calls, PlaceWithdrawn(msg.call_id, msg.service))
+        _fail(call.ask.reply, CallerGone("caller gone while waiting"))
+
+    @tell.register
+    def _(self, msg: FirstEvent) -> None:
+        call = self._calls.get(msg.call_id)
+        if call is None:
+            self._broker.tell(msg)
+            return
+        first = FirstSeen(msg.call_id, msg.service, msg.target, msg.took_s)
+        self._link.send(call.scheduler.calls, first)
+
+    @tell.register
+    def _(self, msg: Settled) -> None:
+        with self._lock:
+            call = self._calls.pop(msg.call_id, None)
+        if call is None:
+            self._broker.tell(msg)
+            return
+        self._end(call, msg.target, msg.outcome, msg.cost)
+
+    @tell.register
+    def _(self, msg: TargetLeaving) -> None:
+        self._broker.tell(msg)
+        scheduler = self._choice.scheduler(msg.service)
+        if scheduler is not None:
+            self._link.send(scheduler.calls, LeavingSeen(msg.service, msg.target))
+
+    def _put(self, ask: Ask, scheduler: MemberEntry) -> bool:
+        now = time.monotonic()
+        with self._lock:
+            self._calls[ask.call_id] = _Call(ask, scheduler, now)
+        redialled = not self._link.is_dialled(scheduler.calls)
+        prompt = ask.prompt
+        request = PlaceRequest(
+            ask.call_id,
+            self._node,
+            self._link.address,
+            redialled,
+            self._zone,
+            ask.req_id,
+            ask.team,
+            ask.service,
+            ask.cost,
+            [(part.part_id, part.tokens) for part in prompt.parts],
+            prompt.input_tokens,
+            prompt.output_tokens,
+            ask.wait_until - now,
+            ask.give_up - now,
+            sorted(ask.exclude),
+            ask.retry,
+            ask.repeat,
+        )
+        if self._link.send(scheduler.calls, request):
+            return True
+        with self._lock:
+            self._calls.pop(ask.call_id, None)
+        self._choice.note_silent(scheduler.node)
+        return False
+
+    def _end(self, call: _Call, target: str, outcome: Outcome, cost: float) -> None:
+        ask = call.ask
+        self._link.send(
+            call.scheduler.calls,
+            Ended(ask.call_id, ask.service, target, outcome.value, cost),
+        )
+
+    def _take_waiting(self, call_id: int) -> _Call | None:
+        with self._lock:
+            call = self._calls.get(call_id)
+            if call is None or call.granted:
+                return None
+            return self._calls.pop(call_id)
+
+    # -- from schedulers -----------------------------------------------------------------------
+
+    @singledispatchmethod
+    def hear(self, msg: object) -> bool:
+        """Take a scheduler's message; false when it is none."""
+        return False
+
+    @hear.register
+    def _(self, msg: StillWaiting) -> bool:
+        self._note_heard(msg.scheduler)
+        return True
+
+    @hear.register
+    def _(self, msg: PlaceGranted) -> bool:
+        self._note_heard(msg.scheduler)
+        with self._lock:
+            call = self._calls.get(msg.call_id)
+            if call is None or call.granted or call.scheduler.node != msg.scheduler:
+                call = None
+            else:
+                call.granted = True
+        if call is None:
+            # The request went another way meanwhile; the engine must not count as busy with it.
+            self._return(msg)
+        elif msg.target in self._in_force.leaving:
+            # This router knows from the store what the scheduler has not heard yet.
+            self._return(msg)
+            self._decide_here(call)
+        elif call.ask.reply.set_running_or_notify_cancel():
+            call.ask.reply.set_result(_granted(msg))
+        else:
+            self._return(msg)
+            self._forget(msg.call_id)
+        return True
+
+    @hear.register
+    def _(self, msg: PlaceRefused) -> bool:
+        self._note_heard(msg.scheduler)
+        call = self._take_waiting(msg.call_id)
+        if call is None:
+            return True
+        if msg.error == NoTarget.__name__:
+            # It may know fewer targets than this router: cut off from the store, or just started.
+            self._broker.tell(call.ask)
+        else:
+            _fail(call.ask.reply, _refusal(msg))
+        return True
+
+    def _return(self, msg: PlaceGranted) -> None:
+        outcome = Outcome.CALLER_GONE.value
+        ended = Ended(msg.call_id, msg.service, msg.target, outcome, 0.0)
+        self._link.send(msg.reply_to, ended)
+
+    def _note_heard(self, node: str) -> None:
+        self._heard_at[node] = time.monotonic()
+        self._choice.note_heard(node)
+
+    # -- silence -------------------------------------------------------------------------------
+
+    def look(self, now: float) -> None:
+        """Pass over schedulers that are silent while requests wait there."""
+        silent: dict[str, MemberEntry] = {}
+        with self._lock:
+            waiting = [call for call in self._calls.values() if not call.granted]
+        for call in waiting:
+            node = call.scheduler.node
+            if now - max(call.asked_at, self._heard_at.get(node, 0.0)) > SILENCE_S:
+                silent[node] = call.scheduler
+        for node, entry in silent.items():
+            log_event("scheduler_silent", level="WARNING", peer=node, waiting=len(waiting))
+            self._choice.note_silent(node)
+            self._link.redial(entry.calls)
+        for call in waiting:
+            if call.scheduler.node in silent:
+                self._decide_here(call)
+        self._forget_old(now)
+
+    def _decide_here(self, call: _Call) -> None:
+        self._forget(call.ask.call_id)
+        self._broker.tell(call.ask)
+
+    def _forget(self, call_id: int) -> None:
+        with self._lock:
+            self._calls.pop(call_id, None)
+
+    def _forget_old(self, now: float) -> None:
+        with self._lock:
+            old = [c for c in self._calls.values() if now > c.ask.give_up + _FORGOTTEN_S]
+            for call in old:
+                del self._calls[call.ask.call_id]
+
+
+class DeskWatch(VitalActor):
+    """Looks for silent schedulers at the timer's rhythm."""
+
+    def __init__(self, desk: Desk) -> None:
+        super().__init__()
+        self._desk = desk
+
+    def on_receive(self, message: Tick) -> None:
+        """Look, unless this router itself was held up: then no one else was silent."""
+        if not message.is_late():
+            self._desk.look(message.now)
+
+
+def _granted(msg: PlaceGranted) -> Granted:
+    info = TargetInfo(
+        TargetId(msg.target),
+        ServiceName(msg.service),
+        msg.address,
+        ZoneId(msg.zone),
+        msg.slots,
+        name=TargetName(msg.name),
+    )
+    return Granted(info, msg.expected_s, msg.miss_tokens, msg.ahead_tokens, msg.scheduler)
+
+
+def _refusal(msg: PlaceRefused) -> AdmissionError:
+    kind = getattr(errors, msg.error, None)
+    if not (isinstance(kind, type) and issubclass(kind, AdmissionError)):
+        kind = errors.TargetBusy
+    return kind(msg.reason, msg.retry_after_s)
+
+
+def _fail(reply: Future, exc: Exception) -> None:
+    if reply.set_running_or_notify_cancel():
+        reply.set_exception(exc)
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import secrets
 import threading
 
 from turmerictray.admission.patience import retry_after_s, time_bounds
@@ -23,6 +24,11 @@
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.hangup import Call, HangUpWatch
 
+_CALL_BITS = 32
+_PROCESS_BITS = 30
+"""Calls are numbered from a random start, so that those of all routers differ at the scheduler: two
+of 390 processes share a start once in 14,000 fleets."""
+
 _NO_TEXT_RETRY_S = 0.5
 _DRAINING_RETRY_S = 0.05
 """Another router serves the caller at once."""
@@ -73,7 +79,7 @@
         self._closing = False
         self._held = _Held()
         self._most_streams = int(threads * (1 - _SHORT_PART))
-        self._ids = itertools.count(1)
+        self._ids = itertools.count(secrets.randbits(_PROCESS_BITS) << _CALL_BITS)
         self._rng = random.Random()
 
     def refuse_new(self) -> None:
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -15,16 +15,17 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
 from turmerictray.membership.link import PERIOD_S, Leave, PeerLink
-from turmerictray.membership.messages import PeerMessage, RouterSummary
+from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.broker import Broker
 from turmerictray.router.broker_messages import (
     BrokerQuery,
-    FleetSize,
     KeptQuery,
     PeerHeard,
+    RoutersAlive,
     SummaryQuery,
 )
 from turmerictray.router.catch_up import CatchUp
+from turmerictray.router.desk import ALIVE_S, Desk, DeskWatch
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.flow import RequestFlow
 from turmerictray.router.gateway_settings import GatewaySettings
@@ -32,7 +33,11 @@
 from turmerictray.router.recall import RECALL_LOOK_S, ListKept, Recall
 from turmerictray.router.reload import LOOK_S, Reload, SettingsReloader
 from turmerictray.router.run import Parts
+from turmerictray.router.scheduler import Scheduler, SchedulerWatch
 from turmerictray.router.text_in_force import TextInForce
+from turmerictray.scheduling.choice import SchedulerChoice
+from turmerictray.scheduling.link import SchedulingLink
+from turmerictray.scheduling.messages import SchedulingMessage
 from turmerictray.transport.admin import AdminServer, Page
 from turmerictray.transport.hangup import HangUpWatch
 from turmerictray.transport.pool import ConnectionPool
@@ -136,6 +141,8 @@
         s = self.settings
         self._broker = Broker.start(s.node, s.zone, self.incarnation, self._in_force, s.repeats)
         self._timer.subscribe(self._broker, "expire", _EXPIRE_S)
+        choice = SchedulerChoice(s.node, s.zone)
+        self._start_scheduling(choice)
         catch_up = CatchUp.start(self._broker, self._in_force, self._peer_copy)
 
         recall = Recall.start(self._broker, s.node, self._list_kept)
@@ -147,6 +154,10 @@
             if recall.is_alive():
                 recall.tell(message)
 
+        def on_members(members: tuple[MemberEntry, ...]) -> None:
+            choice.take_members(members)
+            self._broker.tell(RoutersAlive(frozenset({s.node, *(m.node for m in members)})))
+
         self._link = PeerLink.start(
             s.node,
             s.zone,
@@ -156,7 +167,8 @@
             [f"tcp://{seed}" for seed in s.seeds],
             own_summary=self._own_summary,
             on_peer=on_peer,
-            on_size=lambda size: self._broker.tell(FleetSize(size)),
+            on_members=on_members,
+            calls=self._calls.address,
         )
         self._timer.subscribe(self._link, "peers", PERIOD_S)
         reloader = SettingsReloader.start(s, self._load_settings, self._broker, self._link)
@@ -166,6 +178,19 @@
         for source in self._sources:
             source.start()
 
+    def _start_scheduling(self, choice: SchedulerChoice) -> None:
+        s = self.settings
+        self._calls = SchedulingLink(f"tcp://{s.calls}", self._hear_call)
+        self._scheduler = Scheduler(s.node, self._broker, self._calls)
+        self._desk = Desk(s.node, s.zone, self._broker, self._in_force, choice, self._calls)
+        self._calls.start()
+        self._timer.subscribe(DeskWatch.start(self._desk), "silence", ALIVE_S)
+        self._timer.subscribe(SchedulerWatch.start(self._scheduler), "alive", ALIVE_S)
+
+    def _hear_call(self, message: SchedulingMessage) -> None:
+        if not self._desk.hear(message):
+            self._scheduler.hear(message)
+
     def _own_summary(self) -> RouterSummary | None:
         return ask_in_time(self._broker, SummaryQuery(), _ASK_S)
 
@@ -173,11 +198,12 @@
         for source in self._sources:
             source.stop()
         pykka.ActorRegistry.stop_all(timeout=1)
+        self._calls.stop()
         self._conns.close()
 
     def _start_servers(self) -> None:
         s = self.settings
-        parts = Parts(self._broker, self._dialect, self._conns)
+        parts = Parts(self._desk, self._dialect, self._conns)
         self._flow = RequestFlow(parts, self._in_force, self._watch, s.threads)
         self._front = FrontServer(s.front.host, s.front.port, self._flow.handle, s.threads)
         self._front.start()
--- a/turmerictray/router/gateway_settings.py
+++ b/turmerictray/router/gateway_settings.py
@@ -39,6 +39,8 @@
         Where ``/metrics`` is served.
     peer : Address
         The peer link.
+    calls : Address
+        Where other routers ask this one for engines while it is the scheduler.
     seeds : tuple of Address
         Peer links of routers to start with.
     grace_s : float
@@ -55,6 +57,7 @@
     admin: Address
     metrics: Address
     peer: Address
+    calls: Address
     seeds: tuple[Address, ...] = ()
     grace_s: float = 8.0
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -5,8 +5,6 @@
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
 
-import pykka
-
 from turmerictray.admission.pool import Outcome
 from turmerictray.core.errors import (
     AdmissionError,
@@ -27,6 +25,7 @@
     TargetLeaving,
     Withdraw,
 )
+from turmerictray.router.desk import Desk
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
@@ -54,7 +53,7 @@
 class Parts:
     """What the tries of all requests share."""
 
-    broker: pykka.ActorRef
+    desk: Desk
     dialect: Dialect
     pool: ConnectionPool
 
@@ -154,7 +153,7 @@
         return granted
 
     def _try_at(self, granted: Granted) -> None:
-        booking = _Booking(self._parts.broker, self._routed, granted)
+        booking = _Booking(self._parts.desk, self._routed, granted)
         try:
             conn = self._connect(granted, booking)
             self._send(conn, granted, booking)
@@ -179,12 +178,13 @@
             frozenset(progress.tried),
             retry=bool(progress.tried),
             repeat=progress.arrived > 0,
+            give_up=routed.bounds.give_up,
         )
-        broker = self._parts.broker
+        desk = self._parts.desk
         withdraw = Withdraw(routed.call_id, routed.service)
-        if not self._call.on_hang_up(lambda: broker.tell(withdraw)):
+        if not self._call.on_hang_up(lambda: desk.tell(withdraw)):
             raise CallerGone("caller gone before a target was asked for")
-        broker.tell(ask)
+        desk.tell(ask)
         try:
             return reply.result(max(0.0, wait_until - time.monotonic()) + _GRANT_SLACK_S)
         except FutureTimeout:
@@ -219,7 +219,7 @@
             self._progress.not_run(target.id)
             booking.settle(Outcome.NOT_RUN, 0.0)
             if relay.leaving:
-                self._parts.broker.tell(TargetLeaving(self._routed.service, target.id))
+                self._parts.desk.tell(TargetLeaving(self._routed.service, target.id))
             self._parts.pool.give_back(target.id, conn, head)
             raise
         except TargetFailed as exc:
@@ -280,7 +280,7 @@
         def note_first() -> None:
             self._trace.note_first()
             took = time.monotonic() - sent_at
-            self._parts.broker.tell(
+            self._parts.desk.tell(
                 FirstEvent(routed.call_id, routed.service, granted.target.id, took)
             )
 
@@ -290,8 +290,8 @@
 class _Booking:
     """A grant, which is settled exactly once."""
 
-    def __init__(self, broker: pykka.ActorRef, routed: Routed, granted: Granted) -> None:
-        self._broker = broker
+    def __init__(self, desk: Desk, routed: Routed, granted: Granted) -> None:
+        self._desk = desk
         self._routed = routed
         self._granted = granted
         self._open = True
@@ -302,14 +302,6 @@
             return
         self._open = False
         routed = self._routed
-        self._broker.tell(
-            Settled(
-                routed.call_id,
-                routed.service,
-                self._granted.target.id,
-                routed.ledger_team,
-                outcome,
-                routed.cost,
-                cost,
-            )
+        self._desk.tell(
+            Settled(routed.call_id, routed.service, self._granted.target.id, outcome, cost)
         )
--- a/turmerictray/router/text_in_force.py
+++ b/turmerictray/router/text_in_force.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from turmerictray.config.routes import RoutingText
+from turmerictray.core.ids import TargetId
 
 
 @dataclass(frozen=True)
@@ -24,7 +25,7 @@
 
 
 class TextInForce:
-    """Holds the routing text in force, and whether the targets are known.
+    """Holds the routing text in force, whether the targets are known, and which take no more work.
 
     Only the broker changes it. A text is immutable, so other threads see either the old or the
     new one whole.
@@ -33,6 +34,7 @@
     def __init__(self) -> None:
         self.current: RoutingText | None = None
         self.targets_listed = False
+        self.leaving: frozenset[TargetId] = frozenset()
 
     @property
     def version(self) -> int:
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -88,6 +88,7 @@
                 expected_ms=_ms(self.granted.expected_s),
                 miss_tokens=self.granted.miss_tokens,
                 ahead_tokens=self.granted.ahead_tokens,
+                scheduler=self.granted.scheduler or "self",
             )
         if self.first_at is not None:
             fields["first_ms"] = _ms(self.first_at - self.arrived)
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -4,10 +4,11 @@
 """
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, ZoneId
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, TeamId, ZoneId
 from turmerictray.routing.kept import KeptParts
 
 _SMOOTHING = 0.2
@@ -39,6 +40,9 @@
 there meanwhile could show otherwise. With one answer in fifty lost, 0.57 of the requests were in
 time with this limit and 0.29 without (six routers, nine engines, one run each in virtual time)."""
 
+_END_TOLD_S = 1.0
+"""How long after a request's last moment its end may still be told by the router that sent it."""
+
 _TELLING_S = 0.06
 """Answers expected sooner are ruled by the way there and back and say little about the target."""
 
@@ -119,12 +123,35 @@
     passed: bool = False
 
 
+@dataclass(frozen=True)
+class OpenCall:
+    """A request that was given to the target and has not ended.
+
+    Attributes
+    ----------
+    team : TeamId
+    charged : float
+        What its team was charged for it, in tokens read.
+    origin : NodeId
+        The router that sends it; empty for this router.
+    until : float
+        Monotonic seconds at which its router gives it up at the latest.
+    """
+
+    team: TeamId = TeamId("-")
+    charged: float = 0.0
+    origin: NodeId = NodeId("")
+    until: float = math.inf
+
+
 @dataclass
 class TargetLoad:
     """Beliefs on one target.
 
     Attributes
     ----------
+    calls : dict of int to OpenCall
+        Requests that run there by this router's choice.
     held : dict of int to int
         Requests of this router that wait for the target, and the tokens it would read for each.
     slowness : float
@@ -137,7 +164,7 @@
 
     info: TargetInfo
     kept: KeptParts
-    running: int = 0
+    calls: dict[int, OpenCall] = field(default_factory=dict)
     reads: dict[int, OpenRead] = field(default_factory=dict)
     held: dict[int, int] = field(default_factory=dict)
     peers: dict[NodeId, PeerLoad] = field(default_factory=dict)
@@ -148,9 +175,14 @@
     unreachable: int = 0
     avoid_until: float = 0.0
 
-    def sent(self, call_id: int, read: OpenRead) -> None:
+    @property
+    def running(self) -> int:
+        """How many requests run there by this router's choice."""
+        return len(self.calls)
+
+    def sent(self, call_id: int, read: OpenRead, call: OpenCall | None = None) -> None:
         """A request was given to the target."""
-        self.running += 1
+        self.calls[call_id] = call or OpenCall()
         self.reads[call_id] = read
 
     def first_event(self, call_id: int, took_s: float) -> OpenRead | None:
@@ -191,10 +223,18 @@
         low, high = _SLOWNESS_RANGE
         self.slowness = min(high, max(low, math.exp(self.log_lateness - usual_log_lateness)))
 
-    def ended(self, call_id: int) -> None:
-        """The request has ended, however."""
+    def ended(self, call_id: int) -> OpenCall | None:
+        """The request has ended, however; None when it is not known, or no longer."""
         self.reads.pop(call_id, None)
-        self.running = max(0, self.running - 1)
+        return self.calls.pop(call_id, None)
+
+    def lost_calls(self, alive: Collection[str], now: float) -> list[int]:
+        """Requests of routers that are gone, or whose end was never told."""
+        return [
+            call_id
+            for call_id, call in self.calls.items()
+            if now > call.until + _END_TOLD_S or (call.origin and call.origin not in alive)
+        ]
 
     def answered(self, ok: bool, now: float) -> None:
         """Count an answer as good or failed."""
