--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -115,8 +115,7 @@
         read = load.first_event(call_id, took_s)
         if read is not None and self.spec.engine is not None:
             load.read_up_to(read)
-            if not read.ahead_tokens:
-                self.model.learn(read.tokens, took_s)
+            self.model.learn(read.tokens + read.ahead_tokens, took_s / load.slowness)
         usual = statistics.median(each.log_lateness for each in self.loads.values())
         for each in self.loads.values():
             each.judge_slowness(usual)
