What waits in the router is not work in the engine

Cause: the tokens of requests that wait for an engine were added to what it had to read, in the estimate, in the log and in what the reading rate was learnt from. Change: they count in the cost of a place only; window 0.03 s.

--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -3,7 +3,7 @@
 from turmerictray.routing.load import TargetLoad
 from turmerictray.routing.model import PoolModel
 
-READ_AHEAD_S = 0.08
+READ_AHEAD_S = 0.03
 """Prompt reading that an engine may have before it, in seconds. Engines take requests in order of
 arrival and drop none, so work that waits there can't be reordered between teams or given up in
 time. It must last for a message between routers and the way to the engine. Several routers may
--- a/turmerictray/routing/model.py
+++ b/turmerictray/routing/model.py
@@ -8,7 +8,7 @@
 """Time to a first token beyond reading the prompt, before anything is known: one batch step and the
 way there and back."""
 
-_RATE_QUANTILE = 0.75
+_RATE_QUANTILE = 0.6
 """Which of the rates seen is taken for the engines' own. Work of peers that is not known yet makes
 answers late and never early, so the middle of what is seen is too slow."""
 
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -96,9 +96,8 @@
     best: tuple[float, Placement] | None = None
     for load in loads:
         miss = prompt.input_tokens - kept[load.info.id]
-        ahead = load.unread_tokens(now, model.read_per_s) + load.held_tokens(call_id)
         again = shared - kept[load.info.id]
-        cost, placement = _engine_cost(load, miss, again, ahead, model, zone, now)
+        cost, placement = _engine_cost(load, miss, again, call_id, model, zone, now)
         if first is not None and load.info.id != first:
             cost += _AWAY_S
         if best is None or cost < best[0]:
@@ -118,17 +117,20 @@
     load: TargetLoad,
     miss: int,
     again_tokens: int,
-    ahead: int,
+    call_id: int,
     model: PoolModel,
     zone: ZoneId,
     now: float,
 ) -> tuple[float, Placement]:
+    ahead = load.unread_tokens(now, model.read_per_s)
+    held = load.held_tokens(call_id)
     expected = model.first_event_s(ahead + miss) * load.slowness
-    busy = min(1.0, ahead / (_BUSY_S * model.read_per_s))
+    line_s = held / model.read_per_s * load.slowness
+    busy = min(1.0, (ahead + held) / (_BUSY_S * model.read_per_s))
     weight = _AGAIN_IDLE + (_AGAIN_BUSY - _AGAIN_IDLE) * busy
     again = weight * again_tokens / model.read_per_s
     fill = load.running_in_fleet(now) / max(load.info.slots, 1)
-    cost = expected + again + _BATCH_S * fill * load.slowness + _trouble(load, zone, now)
+    cost = expected + line_s + again + _BATCH_S * fill * load.slowness + _trouble(load, zone, now)
     return cost, Placement(load, miss, ahead, expected)
 
 
