--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -40,9 +40,6 @@
 there meanwhile could show otherwise. With one answer in fifty lost, 0.57 of the requests were in
 time with this limit and 0.29 without (six routers, nine engines, one run each in virtual time)."""
 
-_MOST_PROGRESS = 0.9
-"""Part of a prompt that is taken as read at most before its first event."""
-
 _END_TOLD_S = 1.0
 """How long after a request's last moment its end may still be told by the router that sent it."""
 
@@ -163,8 +160,6 @@
         Moving average of the logarithm of (time taken / time that the pool's model says).
     failure_rate : float
         Moving average of failed answers, 0 to 1.
-    answered_at : float
-        When the newest first event came.
     """
 
     info: TargetInfo
@@ -177,7 +172,6 @@
     log_lateness: float = 0.0
     failure_rate: float = 0.0
     judged_at: float = 0.0
-    answered_at: float = 0.0
     unreachable: int = 0
     avoid_until: float = 0.0
 
@@ -194,8 +188,6 @@
     def first_event(self, call_id: int, took_s: float) -> OpenRead | None:
         """The first event of an answer came; returns what was known when the request was sent."""
         read = self.reads.pop(call_id, None)
-        if read is not None:
-            self.answered_at = max(self.answered_at, read.sent_at + took_s)
         if read is None or read.expected_s < _TELLING_S:
             return read
         low, high = _SLOWNESS_STEP
@@ -278,7 +270,7 @@
         read_per_s : float
             Tokens that a target of the pool reads in a second.
         """
-        own = self.own_unread_tokens() - self._progress_tokens(now, read_per_s)
+        own = self.own_unread_tokens()
         heard = [load for load in self._heard(now) if load.unread_tokens]
         if not heard:
             return own
@@ -287,20 +279,6 @@
         left = max(0, told - int(read_per_s * since_s / self.slowness))
         return own + left
 
-    def _progress_tokens(self, now: float, read_per_s: float) -> int:
-        """What the engine has likely read of the prompt that is first in its line.
-
-        Without it the next prompt is sent only when the first event of a long one has come, and the
-        engine reads nothing on the way there and back. An event that is overdue shows that the
-        estimate is wrong, and counts as no progress.
-        """
-        first = min(self._open_reads(), key=lambda read: read.sent_at, default=None)
-        if first is None or now > first.sent_at + first.expected_s:
-            return 0
-        since_s = now - max(first.sent_at, self.answered_at)
-        read = int(since_s * read_per_s / self.slowness)
-        return max(0, min(read, int(_MOST_PROGRESS * first.tokens)))
-
     def held_tokens(self, call_id: int) -> int:
         """Tokens of the requests that wait here for the target, but for ``call_id`` itself."""
         return sum(tokens for held, tokens in self.held.items() if held != call_id)
