Three of four sends of a team take its shortest prompt

Hypothesis: under twice the load that engines can read, short prompts (a twentieth of a long one's reading) are refused behind long ones of their team. The fourth send takes the oldest, so that long ones are not passed over for ever.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -6,9 +6,11 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
+from heapq import nsmallest
 
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
@@ -40,6 +42,11 @@
 engine that keeps their prompt; counted, any small team would make all others seem ahead of it, and
 the differences between the large ones would be lost."""
 
+_OLDEST_EVERY = 4
+"""One of so many sends of a team takes its oldest request, the others the shortest. Under twice the
+load that engines can read, most callers with short prompts are answered in time by the time that a
+few long ones take; the oldest's turn keeps long ones from waiting for ever."""
+
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 24
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
@@ -75,6 +82,8 @@
         Where that router stands; None for the pool's own zone.
     give_up : float
         Monotonic seconds at which it ends at the latest.
+    reading_tokens : int
+        Tokens that an engine has to read for it at least, as known when it was offered.
     held_by : TargetLoad or None
         The target it waits for.
     """
@@ -85,6 +94,7 @@
     origin: NodeId = NodeId("")
     zone: ZoneId | None = None
     give_up: float = math.inf
+    reading_tokens: int = 0
     held_by: TargetLoad | None = None
 
 
@@ -127,6 +137,7 @@
         self.targets = PoolTargets(ServiceSpec(name))
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
+        self._turns: Counter[TeamId] = Counter()
         self._last_sent = 0.0
         self._mean_gap_s = 0.0
 
@@ -167,6 +178,7 @@
         if prompt is None:
             return item.deadline
         miss = min(prompt.input_tokens - load.kept.kept_tokens(prompt) for load in loads)
+        item.context.reading_tokens = miss
         reading = self.targets.model.first_event_s(miss) + READ_AHEAD_S / 2
         # A prompt that takes longer to read than its objective would never be let in.
         least = now + _LEAST_WAIT_PART * (item.deadline - now)
@@ -182,7 +194,13 @@
 
     def _ahead_of(self, item: Pending) -> int:
         # Teams take turns, so a request waits for its own team's queue and as many of each other.
-        own = self.queue.depth(item.team) + 1
+        depth = self.queue.depth(item.team)
+        shorter = sum(
+            _reading_tokens(other) <= _reading_tokens(item)
+            for other in self.queue.waiting(item.team, depth)
+        )
+        by_size = shorter * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
+        own = min(depth * _OLDEST_EVERY, by_size) + 1
         others = (self.queue.depth(team) for team in self.queue.backlogged() if team != item.team)
         return own - 1 + sum(min(depth, own) for depth in others)
 
@@ -202,7 +220,7 @@
         most = self.ledger.most() if backlogged else 0.0
         for team in self.queue.by_service():
             part = window_part(self._lead(team, backlogged, most))
-            for item in self.queue.waiting(team, _LOOK_BEHIND):
+            for item in self._next_of(team):
                 looked_at += 1
                 placement = self._place(item.context, part, now)
                 if placement is not None:
@@ -215,6 +233,13 @@
             self._last_sent = 0.0
         return None
 
+    def _next_of(self, team: TeamId) -> list[Pending]:
+        """The team's requests that come next: mostly the shortest, now and then the oldest."""
+        if self._turns[team] % _OLDEST_EVERY == 0:
+            return self.queue.waiting(team, _LOOK_BEHIND)
+        waiting = self.queue.waiting(team, self.queue.depth(team))
+        return nsmallest(_LOOK_BEHIND, waiting, key=_reading_tokens)
+
     def _lead(self, team: TeamId, backlogged: set[TeamId], most: float) -> float:
         lead = self.ledger.lead(team, backlogged)
         return lead if lead or team not in backlogged else -self.ledger.behind(team, most)
@@ -268,6 +293,7 @@
     def _book(self, item: Pending, placement: Placement, now: float) -> None:
         wanted: Wanted = item.context
         self.release(wanted)
+        self._turns[item.team] += 1
         self.ledger.charge(item.team, item.hint)
         read = OpenRead(
             now,
@@ -340,3 +366,7 @@
             "read_tokens_per_s": round(self.targets.model.read_per_s),
             "targets": self.targets.describe(now),
         }
+
+
+def _reading_tokens(item: Pending) -> int:
+    return item.context.reading_tokens
