Engines fetch kept parts from one another

The source is the engine that keeps most, unless it fails; the pace of the link comes from the text; short parts are read again.

--- a/turmerictray/config/routes.py
+++ b/turmerictray/config/routes.py
@@ -93,10 +93,13 @@
         Requests an engine runs at once.
     memory_tokens : int
         Tokens that running requests and kept prompt parts share.
+    fetch_per_s : float
+        Kept tokens that one engine can hand to another in a second; 0 where they can't.
     """
 
     slots: int
     memory_tokens: int
+    fetch_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -22,6 +22,7 @@
 from turmerictray.routing.load import TargetInfo, TargetPhase
 
 _MS = 1000.0
+_BYTES_PER_MBIT = 1e6 / 8
 
 _MOST_SLOTS = 100_000
 """Far above what any target runs at once; a larger figure would make one target take all work."""
@@ -52,6 +53,9 @@
 class _Engine(msgspec.Struct, frozen=True):
     slots: int
     kv_tokens: int
+    # Bytes of a kept token, and the pace of the link over which engines hand them on.
+    kv_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -162,7 +166,11 @@
 
 def _service(service: _Service) -> ServiceSpec:
     engine = service.engine
-    spec = None if engine is None else EngineSpec(engine.slots, engine.kv_tokens)
+    spec = None
+    if engine is not None:
+        bytes_per_s = engine.link_mbps * _BYTES_PER_MBIT
+        fetch_per_s = bytes_per_s / engine.kv_bytes if engine.kv_bytes else 0.0
+        spec = EngineSpec(engine.slots, engine.kv_tokens, fetch_per_s)
     return ServiceSpec(ServiceName(service.name), spec)
 
 
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -17,6 +17,7 @@
 _SIGNATURE = "X-Server-Seal"
 _TOKEN_COUNT = "X-Token-Count"
 _PROMPT = "X-Prompt-Prefix"
+_FETCH_FROM = "Kv-Fetch"
 
 _SET_HERE = frozenset(
     name.lower()
@@ -30,7 +31,7 @@
         "X-Pin-Ms",
         "X-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        _FETCH_FROM,
     )
 )
 """Headers that only the system may set for a target. Passed on as a caller sent them they would
@@ -66,6 +67,7 @@
         team: TeamId | None,
         left_s: float,
         resume_after: str | None,
+        fetch_from: str,
     ) -> list[Header]:
         """The headers of the request to a target."""
         headers = list(envelope.headers)
@@ -76,6 +78,8 @@
         headers.append((_INSTANCE, target.own_name))
         if team is not None:
             headers.append((_TEAM, team))
+        if fetch_from:
+            headers.append((_FETCH_FROM, fetch_from))
         return headers
 
     def signs(self, answer: AnswerHead, envelope: Envelope) -> AnswerSigns:
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -138,6 +138,7 @@
                     placement.expected_s,
                     placement.miss_tokens,
                     placement.ahead_tokens,
+                    fetch_from=placement.source.address if placement.source else "",
                 )
             )
             return
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -72,6 +72,8 @@
         Tokens the target has to read for the request, and before it.
     scheduler : str
         The router that chose; empty for this one.
+    fetch_from : str
+        ``host:port`` of the engine from which the target is to fetch kept parts; empty for none.
     """
 
     target: TargetInfo
@@ -79,6 +81,7 @@
     miss_tokens: int
     ahead_tokens: int
     scheduler: str = ""
+    fetch_from: str = ""
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/desk.py
+++ b/turmerictray/router/desk.py
@@ -304,7 +304,14 @@
         msg.slots,
         name=TargetName(msg.name),
     )
-    return Granted(info, msg.expected_s, msg.miss_tokens, msg.ahead_tokens, msg.scheduler)
+    return Granted(
+        info,
+        msg.expected_s,
+        msg.miss_tokens,
+        msg.ahead_tokens,
+        msg.scheduler,
+        msg.fetch_from,
+    )
 
 
 def _refusal(msg: PlaceRefused) -> AdmissionError:
--- a/turmerictray/router/dialect.py
+++ b/turmerictray/router/dialect.py
@@ -73,6 +73,7 @@
         team: TeamId | None,
         left_s: float,
         resume_after: str | None,
+        fetch_from: str,
     ) -> list[Header]:
         """The headers of the request to a target.
 
@@ -82,6 +83,8 @@
             How long the target may work, in seconds.
         resume_after : str or None
             Id of the last event that the caller has, when a broken stream goes on.
+        fetch_from : str
+            ``host:port`` of the engine that keeps parts which the target doesn't; empty for none.
         """
 
     def signs(self, answer: AnswerHead, envelope: Envelope) -> AnswerSigns:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -262,7 +262,7 @@
             raise NotSent("no time left before sending")
         resume_after = self._progress.last_event if self._progress.answering else None
         headers = self._parts.dialect.target_headers(
-            routed.envelope, granted.target, routed.team, left, resume_after
+            routed.envelope, granted.target, routed.team, left, resume_after, granted.fetch_from
         )
         conn.send(TargetRequest(routed.head.method, routed.head.target, headers, routed.body), left)
         return conn.read_head(routed.head.method, self._head_timeout(left, granted))
--- a/turmerictray/router/scheduler.py
+++ b/turmerictray/router/scheduler.py
@@ -125,6 +125,7 @@
                 granted.expected_s,
                 granted.miss_tokens,
                 granted.ahead_tokens,
+                granted.fetch_from,
             ),
         )
         if not sent:
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -89,6 +89,7 @@
                 miss_tokens=self.granted.miss_tokens,
                 ahead_tokens=self.granted.ahead_tokens,
                 scheduler=self.granted.scheduler or "self",
+                fetch_from=self.granted.fetch_from or "-",
             )
         if self.first_at is not None:
             fields["first_ms"] = _ms(self.first_at - self.arrived)
--- a/turmerictray/routing/model.py
+++ b/turmerictray/routing/model.py
@@ -37,11 +37,14 @@
     ----------
     read_per_s : float
         Starting value, in tokens a second and engine.
+    fetch_per_s : float
+        Kept tokens that one engine hands to another in a second; 0 where they can't.
     """
 
-    def __init__(self, read_per_s: float = _DEFAULT_READ_PER_S) -> None:
+    def __init__(self, read_per_s: float = _DEFAULT_READ_PER_S, fetch_per_s: float = 0.0) -> None:
         self.read_per_s = read_per_s
         self.first_s = _DEFAULT_FIRST_S
+        self.fetch_per_s = fetch_per_s
 
     def first_event_s(self, tokens: int) -> float:
         """Seconds to the first event of a request that waits for ``tokens`` to be read."""
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from turmerictray.core.ids import ZoneId
-from turmerictray.routing.load import TargetLoad, TargetPhase
+from turmerictray.routing.load import TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prompt import Prompt
 from turmerictray.routing.rendezvous import rank
@@ -35,6 +35,19 @@
 """On a well engine one first event in thirty comes later than estimated by this much, because peers
 sent work that is not known yet. A shorter grace sends prompts away from where they are kept."""
 
+_LEAST_FETCHED_TOKENS = 500
+"""Fewer tokens are read in less time than a transfer takes to begin."""
+
+_OTHER_ZONE_FETCH = 2.0
+"""A transfer between zones takes twice as long."""
+
+_FETCH_WEIGHT = 2.0
+"""What a transfer costs beyond the caller's own wait, as a multiple of its time: it holds up the
+transfers behind it on both links. Less than reading again, which holds up all requests."""
+
+_MOST_SOURCE_FAILURES = 0.3
+"""An engine that fails more of its requests is not fetched from: the transfer may hang as well."""
+
 PLAIN_WORK_S = 0.05
 """Time a plain service takes for a request; only its ratio to the other terms matters."""
 
@@ -52,12 +65,15 @@
         Tokens it would have to read before.
     expected_s : float
         Seconds until its first event.
+    source : TargetInfo or None
+        The engine from which the target is to fetch the parts that it doesn't keep.
     """
 
     load: TargetLoad
     miss_tokens: int
     ahead_tokens: int
     expected_s: float
+    source: TargetInfo | None = None
 
 
 PlacePrompt = Callable[[list[TargetLoad], Prompt, int, PoolModel, ZoneId, float], Placement | None]
@@ -77,6 +93,28 @@
     return reachable or ready
 
 
+@dataclass(frozen=True)
+class _Offer:
+    """What an engine would have to do for a prompt.
+
+    Attributes
+    ----------
+    miss_tokens : int
+        Tokens that it has to read.
+    again_tokens : int
+        Of these, tokens of shared parts.
+    source : TargetLoad or None
+        The engine from which it fetches what it doesn't keep itself.
+    fetch_s : float
+        Seconds that this takes.
+    """
+
+    miss_tokens: int
+    again_tokens: int
+    source: TargetLoad | None = None
+    fetch_s: float = 0.0
+
+
 def place_prompt(
     loads: list[TargetLoad],
     prompt: Prompt,
@@ -91,13 +129,12 @@
     for the one that keeps a popular part sends some of them to read it elsewhere.
     """
     kept = {load.info.id: load.kept.kept_tokens(prompt) for load in loads}
-    shared = sum(part.tokens for part in prompt.shared)
     first = _first_choice(loads, prompt, kept)
+    source = _source(loads, kept, now)
     best: tuple[float, Placement] | None = None
     for load in loads:
-        miss = prompt.input_tokens - kept[load.info.id]
-        again = shared - kept[load.info.id]
-        cost, placement = _engine_cost(load, miss, again, call_id, model, zone, now)
+        offer = _offer(load, prompt, kept, source, model)
+        cost, placement = _engine_cost(load, offer, call_id, model, zone, now)
         if first is not None and load.info.id != first:
             cost += _AWAY_S
         if best is None or cost < best[0]:
@@ -113,25 +150,53 @@
     return max(loads, key=lambda load: rank(key, load.info.id)).info.id
 
 
+def _source(loads: list[TargetLoad], kept: dict[str, int], now: float) -> TargetLoad | None:
+    """The engine that others may fetch a prompt's parts from: the one that keeps most of them."""
+    well = [load for load in loads if load.failures(now) < _MOST_SOURCE_FAILURES]
+    best = max(well, key=lambda load: kept[load.info.id], default=None)
+    return best if best is not None and kept[best.info.id] >= _LEAST_FETCHED_TOKENS else None
+
+
+def _offer(
+    load: TargetLoad,
+    prompt: Prompt,
+    kept: dict[str, int],
+    source: TargetLoad | None,
+    model: PoolModel,
+) -> _Offer:
+    own = kept[load.info.id]
+    shared = sum(part.tokens for part in prompt.shared)
+    if source is not None and model.fetch_per_s:
+        fetched = kept[source.info.id] - own
+        fetch_s = fetched / model.fetch_per_s
+        if source.info.zone != load.info.zone:
+            fetch_s *= _OTHER_ZONE_FETCH
+        if fetched >= _LEAST_FETCHED_TOKENS and fetch_s < fetched / model.read_per_s:
+            own += fetched
+            return _Offer(prompt.input_tokens - own, shared - own, source, fetch_s)
+    return _Offer(prompt.input_tokens - own, shared - own)
+
+
 def _engine_cost(
     load: TargetLoad,
-    miss: int,
-    again_tokens: int,
+    offer: _Offer,
     call_id: int,
     model: PoolModel,
     zone: ZoneId,
     now: float,
 ) -> tuple[float, Placement]:
+    miss = offer.miss_tokens
     ahead = load.unread_tokens(now, model.read_per_s)
     held = load.held_tokens(call_id)
-    expected = model.first_event_s(ahead + miss) * load.slowness
+    expected = model.first_event_s(ahead + miss) * load.slowness + offer.fetch_s
     line_s = held / model.read_per_s * load.slowness
     busy = min(1.0, (ahead + held) / (_BUSY_S * model.read_per_s))
     weight = _AGAIN_IDLE + (_AGAIN_BUSY - _AGAIN_IDLE) * busy
-    again = weight * again_tokens / model.read_per_s
+    again = weight * offer.again_tokens / model.read_per_s + _FETCH_WEIGHT * offer.fetch_s
     fill = load.running_in_fleet(now) / max(load.info.slots, 1)
     cost = expected + line_s + again + _BATCH_S * fill * load.slowness + _trouble(load, zone, now)
-    return cost, Placement(load, miss, ahead, expected)
+    source = offer.source.info if offer.source is not None else None
+    return cost, Placement(load, miss, ahead, expected, source)
 
 
 def _trouble(load: TargetLoad, zone: ZoneId, now: float) -> float:
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -70,6 +70,7 @@
             self.model = PoolModel(tokens_per_s / len(self.loads))
         self.spec = spec
         if spec.engine is not None:
+            self.model.fetch_per_s = spec.engine.fetch_per_s
             for load in self.loads.values():
                 load.kept.memory_tokens = int(spec.engine.memory_tokens * _KEPT_PART)
 
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -97,6 +97,7 @@
     expected_s: float
     miss_tokens: int
     ahead_tokens: int
+    fetch_from: str = ""
 
 
 class PlaceRefused(msgspec.Struct, frozen=True, array_like=True, tag=7):
