--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -43,9 +43,13 @@
 the differences between the large ones would be lost."""
 
 _OLDEST_EVERY = 4
-"""One of so many sends of a team takes its oldest request, the others the shortest. Under twice the
-load that engines can read, most callers with short prompts are answered in time by the time that a
-few long ones take; the oldest's turn keeps long ones from waiting for ever."""
+"""One of so many sends of a team takes its oldest request, the others the one that can wait least,
+and of those the shortest. Under twice the load that engines can read, most callers with short
+prompts are answered in time by the time that a few long ones take; the oldest's turn keeps long
+ones from waiting for ever."""
+
+_URGENCY_DIGITS = 1
+"""Objectives are told apart to a tenth of a second; what the way to the router took is not."""
 
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 24
@@ -82,6 +86,8 @@
         Where that router stands; None for the pool's own zone.
     give_up : float
         Monotonic seconds at which it ends at the latest.
+    urgency_s : float
+        Seconds that it could wait when it was offered, rounded.
     reading_tokens : int
         Tokens that an engine has to read for it at least, as known when it was offered.
     held_by : TargetLoad or None
@@ -94,6 +100,7 @@
     origin: NodeId = NodeId("")
     zone: ZoneId | None = None
     give_up: float = math.inf
+    urgency_s: float = 0.0
     reading_tokens: int = 0
     held_by: TargetLoad | None = None
 
@@ -179,6 +186,7 @@
             return item.deadline
         miss = min(prompt.input_tokens - load.kept.kept_tokens(prompt) for load in loads)
         item.context.reading_tokens = miss
+        item.context.urgency_s = round(item.deadline - now, _URGENCY_DIGITS)
         reading = self.targets.model.first_event_s(miss) + READ_AHEAD_S / 2
         # A prompt that takes longer to read than its objective would never be let in.
         least = now + _LEAST_WAIT_PART * (item.deadline - now)
@@ -195,12 +203,10 @@
     def _ahead_of(self, item: Pending) -> int:
         # Teams take turns, so a request waits for its own team's queue and as many of each other.
         depth = self.queue.depth(item.team)
-        shorter = sum(
-            _reading_tokens(other) <= _reading_tokens(item)
-            for other in self.queue.waiting(item.team, depth)
-        )
-        by_size = shorter * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
-        own = min(depth * _OLDEST_EVERY, by_size) + 1
+        turn = _turn(item)
+        before = sum(_turn(other) <= turn for other in self.queue.waiting(item.team, depth))
+        by_turn = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
+        own = min(depth * _OLDEST_EVERY, by_turn) + 1
         others = (self.queue.depth(team) for team in self.queue.backlogged() if team != item.team)
         return own - 1 + sum(min(depth, own) for depth in others)
 
@@ -234,11 +240,11 @@
         return None
 
     def _next_of(self, team: TeamId) -> list[Pending]:
-        """The team's requests that come next: mostly the shortest, now and then the oldest."""
+        """The team's requests that come next: mostly the most urgent, now and then the oldest."""
         if self._turns[team] % _OLDEST_EVERY == 0:
             return self.queue.waiting(team, _LOOK_BEHIND)
         waiting = self.queue.waiting(team, self.queue.depth(team))
-        return nsmallest(_LOOK_BEHIND, waiting, key=_reading_tokens)
+        return nsmallest(_LOOK_BEHIND, waiting, key=_turn)
 
     def _lead(self, team: TeamId, backlogged: set[TeamId], most: float) -> float:
         lead = self.ledger.lead(team, backlogged)
@@ -368,5 +374,6 @@
         }
 
 
-def _reading_tokens(item: Pending) -> int:
-    return item.context.reading_tokens
+def _turn(item: Pending) -> tuple[float, int]:
+    """Orders a team's requests: the most urgent first, the shortest of those."""
+    return item.context.urgency_s, item.context.reading_tokens
