--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -237,14 +237,13 @@
             known.info.phase is TargetPhase.READY and info.phase is not TargetPhase.READY
         ):
             log_event("target", target=info.id, service=info.service, phase=info.phase.value)
-        self._note_leaving(info)
-
-    def _note_leaving(self, info: TargetInfo) -> None:
-        leaving = self.in_force.leaving
-        if info.phase is not TargetPhase.READY:
-            self.in_force.leaving = leaving | {info.id}
-        elif info.id in leaving and info.phase is TargetPhase.READY:
-            self.in_force.leaving = leaving - {info.id}
+        self._note_phase(pool.targets.loads[info.id].info)
+
+    def _note_phase(self, info: TargetInfo) -> None:
+        if info.phase is TargetPhase.READY:
+            self.in_force.leaving = self.in_force.leaving - {info.id}
+        else:
+            self.in_force.leaving = self.in_force.leaving | {info.id}
 
     def _drop(self, pool: ServicePool, target: str) -> None:
         pool.targets.drop(target)
--- a/turmerictray/router/text_in_force.py
+++ b/turmerictray/router/text_in_force.py
@@ -27,8 +27,9 @@
 class TextInForce:
     """Holds the routing text in force, whether the targets are known, and which take no more work.
 
-    Only the broker changes it. A text is immutable, so other threads see either the old or the
-    new one whole.
+    ``leaving`` names the targets that take no more work: leaving, gone or with an entry that can't
+    be read. Only the broker changes it. A text is immutable, so other threads see either the old
+    or the new one whole.
     """
 
     def __init__(self) -> None:
