One decision looks at less

Waiting tokens of an engine were summed for each request and engine, and up to 24 requests were looked at although no engine had room. Change: nothing is looked at while no engine has room, twelve requests at most, sums are kept.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -13,7 +13,13 @@
 from heapq import nsmallest
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
+from turmerictray.admission.window import (
+    MOST_PART,
+    READ_AHEAD_S,
+    engine_open,
+    plain_open,
+    window_part,
+)
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
@@ -52,8 +58,9 @@
 """Objectives are told apart to a tenth of a second; what the way to the router took is not."""
 
 _LOOK_BEHIND = 8
-_MOST_LOOKED_AT = 24
-"""Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
+_MOST_LOOKED_AT = 12
+"""Waiting requests looked at for one send: bounds the time of a decision when the queue is long.
+One that schedules for a fleet under twice its load looks for each of 150 sends a second."""
 
 _RATE_SMOOTHING = 0.1
 
@@ -221,6 +228,8 @@
         Teams come in the order of the ledger. Behind a request whose best engine is full, the
         team's next ones are looked at too, or an engine would idle while work for it waits.
         """
+        if not self._has_room(now):
+            return None
         looked_at = 0
         backlogged = self.backlogged()
         most = self.ledger.most() if backlogged else 0.0
@@ -239,6 +248,17 @@
             self._last_sent = 0.0
         return None
 
+    def _has_room(self, now: float) -> bool:
+        """Whether anything waits, and any target is open to anyone."""
+        if not len(self.queue):
+            self._last_sent = 0.0
+            return False
+        loads = self.targets.loads.values()
+        if self.targets.spec.engine is None:
+            return any(plain_open(load, self.routers, now) for load in loads)
+        model = self.targets.model
+        return any(engine_open(load, model, now, MOST_PART) for load in loads)
+
     def _next_of(self, team: TeamId) -> list[Pending]:
         """The team's requests that come next: mostly the most urgent, now and then the oldest."""
         if self._turns[team] % _OLDEST_EVERY == 0:
@@ -270,13 +290,13 @@
         if wanted.held_by is not placement.load:
             self.release(wanted)
             wanted.held_by = placement.load
-        placement.load.held[wanted.call_id] = placement.miss_tokens
+        placement.load.hold(wanted.call_id, placement.miss_tokens)
 
     @staticmethod
     def release(wanted: Wanted) -> None:
         """The request waits for no target any more."""
         if wanted.held_by is not None:
-            wanted.held_by.held.pop(wanted.call_id, None)
+            wanted.held_by.release(wanted.call_id)
             wanted.held_by = None
 
     def withdraw(self, call_id: int) -> Pending | None:
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -32,6 +32,10 @@
 work that can't be reordered any more."""
 
 
+MOST_PART = _BEHIND_PART
+"""The largest part of a window that is open to anyone."""
+
+
 def window_part(lead_tokens: float) -> float:
     """Part of the engines' windows that is open to a team, by its lead over a backlogged one.
 
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -154,6 +154,8 @@
         Requests that run there by this router's choice.
     held : dict of int to int
         Requests of this router that wait for the target, and the tokens it would read for each.
+    held_sum : int
+        The sum of these tokens.
     slowness : float
         How many times longer its answers take than those of its pool.
     log_lateness : float
@@ -167,6 +169,7 @@
     calls: dict[int, OpenCall] = field(default_factory=dict)
     reads: dict[int, OpenRead] = field(default_factory=dict)
     held: dict[int, int] = field(default_factory=dict)
+    held_sum: int = 0
     peers: dict[NodeId, PeerLoad] = field(default_factory=dict)
     slowness: float = 1.0
     log_lateness: float = 0.0
@@ -281,7 +284,16 @@
 
     def held_tokens(self, call_id: int) -> int:
         """Tokens of the requests that wait here for the target, but for ``call_id`` itself."""
-        return sum(tokens for held, tokens in self.held.items() if held != call_id)
+        return self.held_sum - self.held.get(call_id, 0)
+
+    def hold(self, call_id: int, tokens: int) -> None:
+        """A request waits for the target, which would read ``tokens`` for it."""
+        self.held_sum += tokens - self.held.get(call_id, 0)
+        self.held[call_id] = tokens
+
+    def release(self, call_id: int) -> None:
+        """A request waits for the target no more."""
+        self.held_sum -= self.held.pop(call_id, 0)
 
     def own_unread_tokens(self) -> int:
         """Tokens that the target still has to read for this router."""
