--- a/tests/routing/test_place.py
+++ b/tests/routing/test_place.py
@@ -45,7 +45,8 @@
 def test_requests_that_wait_here_for_an_engine_count_as_its_line():
     loads = [make_load(f"e{n}") for n in range(4)]
     loads[2].kept.note_read(PROMPT)
-    loads[2].held.update({n: 40_000 for n in range(5)})
+    for number in range(5):
+        loads[2].hold(number, 40_000)
     assert place(loads) != "e2"
 
 
