A team that is behind may use four times the windows while routers decide by themselves

Cause: test_team_whose_callers_all_come_in_at_one_router failed (0.80 of the other team's service, 0.85 asked) since windows are 0.03 s instead of 0.08 s; the bound stands. The test of a late broker gives its gateway the parts that a summary now needs; its assertions are unchanged.

--- a/tests/router/test_late_broker.py
+++ b/tests/router/test_late_broker.py
@@ -5,11 +5,13 @@
 import pykka
 import pytest
 
-from turmerictray.core.ids import NodeId
+from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.timer import Tick
 from turmerictray.membership.link import PeerLink
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.router.gateway import Gateway
+from turmerictray.router.published import PublishedCopy
+from turmerictray.router.readers import StoreReaders
 
 
 class LateBroker(pykka.ThreadingActor):
@@ -38,6 +40,8 @@
     # by what it last knew of them.
     gateway = Gateway.__new__(Gateway)
     gateway._broker = LateBroker.start()
+    gateway._copy = PublishedCopy()
+    gateway._readers = StoreReaders(NodeId("r1"), ZoneId("z1"))
     ended = []
     monkeypatch.setattr("os._exit", ended.append)
     heard = []
--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -6,10 +6,9 @@
 READ_AHEAD_S = 0.03
 """Prompt reading that an engine may have before it, in seconds. Engines take requests in order of
 arrival and drop none, so work that waits there can't be reordered between teams or given up in
-time. It must last for a message between routers and the way to the engine. Several routers may
-fill the same gap at once, so windows add up: callers got 0.42 of the worth of their requests with
-0.25 s and 0.46 with 0.08 s (eight routers, nine engines, twice the load they can read, one run
-each)."""
+time. It must last for a message to the scheduler and the way to the engine, 10 ms. With 0.06 s the
+worth of three heavy days was 0.476 of what callers asked, with 0.03 s 0.513 (nine routers, five
+engines, one run a day)."""
 
 _PLAIN_AHEAD = 1.5
 """Requests given to a plain target, as a multiple of its slots: one in work and half a one queued
@@ -24,13 +23,12 @@
 _LARGE_LEAD_PART = 0.05
 _LARGE_LEAD = 4.0
 
-_BEHIND_PART = 2.0
-"""A team whose callers all come in at one router has that router's windows only, a team at six
-routers six times as much. With twice the windows for the first it got 0.94 and 0.93 of the other's
-service, and 0.67 and 0.71 without (eight routers, nine engines, twice what they can read, two
-seeds); 0.35 and 0.36 of all callers were in time. Five times the windows fills the engines with
-work that can't be reordered any more."""
-
+_BEHIND_PART = 4.0
+"""A team whose callers all come in at one router has that router's windows only while routers decide
+by themselves, a team at six routers six times as much. With four times the windows for the first it
+gets over 0.85 of the other's service in both loads played, and with twice 0.80 in one of them (eight
+routers, nine engines, twice what they can read). Far more would fill the engines with work that
+can't be reordered."""
 
 MOST_PART = _BEHIND_PART
 """The largest part of a window that is open to anyone."""
