--- a/turmerictray/admission/window.py
+++ b/turmerictray/admission/window.py
@@ -24,11 +24,11 @@
 _LARGE_LEAD = 4.0
 
 _BEHIND_PART = 4.0
-"""A team whose callers all come in at one router has that router's windows only while routers decide
-by themselves, a team at six routers six times as much. With four times the windows for the first it
-gets over 0.85 of the other's service in both loads played, and with twice 0.80 in one of them (eight
-routers, nine engines, twice what they can read). Far more would fill the engines with work that
-can't be reordered."""
+"""A team whose callers all come in at one router has that router's windows only while routers
+decide by themselves, a team at six routers six times as much. With four times the windows for the
+first it gets over 0.85 of the other's service in both loads played, and with twice 0.80 in one of
+them (eight routers, nine engines, twice what they can read). Far more would fill the engines with
+work that can't be reordered."""
 
 MOST_PART = _BEHIND_PART
 """The largest part of a window that is open to anyone."""
