A copy of the entries tells which have lapsed

Cause, found by reading: a target whose entry lapsed while the store was away is kept for 2.2 s by the router that reads; one that copied the list in that time was never told of the end, as nothing changes in the store then, and went on using a target that is gone. A list read whole without a known entry left the revision as it was, so peers saw nothing new either. Ruled out: leaving such entries out of the copy, which takes living targets from all routers that don't read. Change: entries in a copy say in how many seconds they lapse; a missing entry raises the revision. Tests: test_a_lapsed_target_goes_from_routers_that_do_not_read_as_well and the two after it. Before: the reader drops the target at 12.2 s, the other router lists it for good.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -11,6 +11,7 @@
 from turmerictray.platform.documents import decode_target
 from turmerictray.platform.entries import TargetEntries
 from turmerictray.platform.store import Item
+from turmerictray.router.published import PublishedDocs, PublishedEntry
 from turmerictray.routing.load import TargetPhase
 
 GOOD = {
@@ -84,7 +85,7 @@
     with pytest.raises(ConfigError):
         decode_target(NAME, value)
     entries = TargetEntries()
-    entries.take_all([item(1), item(2, "i-2")], 0.0, 0.0)
+    entries.take_all([item(1), item(2, "i-2")], 0.0, 0.0, 2)
     changes = entries.take([Item("servers/i-1", value, 3)], 1.0, 0.0)
     assert changes.gone == ["i-1@1000"]
     assert [info.id for info in entries.targets()] == ["i-2@1000"]
@@ -106,7 +107,7 @@
     # idle. An engine that was draining ends and starts again under its name; taken for the one
     # before, it counts as leaving, as keeping prompts and as running what was cut.
     entries = TargetEntries()
-    entries.take_all([item(1, state="draining")], 0.0, 0.0)
+    entries.take_all([item(1, state="draining")], 0.0, 0.0, 1)
     changes = entries.take([item(2, born=2000)], 1.0, 0.0)
     assert changes.gone == ["i-1@1000"]
     (info,) = changes.changed
@@ -115,13 +116,13 @@
 
 def test_a_clock_that_stepped_back_hides_no_restart():
     entries = TargetEntries()
-    entries.take_all([item(1, born=5000)], 0.0, 0.0)
+    entries.take_all([item(1, born=5000)], 0.0, 0.0, 1)
     assert entries.take([item(2, born=300)], 1.0, 0.0).gone == ["i-1@5000"]
 
 
 def test_late_words_bring_no_incarnation_back():
     entries = TargetEntries()
-    entries.take_all([item(1)], 0.0, 0.0)
+    entries.take_all([item(1)], 0.0, 0.0, 1)
     entries.take([item(5, born=2000)], 1.0, 0.0)
     assert not entries.take([item(3, state="draining")], 1.0, 0.0)
     assert not entries.take([removed(4)], 1.0, 0.0)
@@ -133,8 +134,8 @@
 
 def test_a_missing_entry_is_kept_until_it_may_not_come_back():
     entries = TargetEntries()
-    entries.take_all([item(1), item(2, "i-2")], 0.0, 0.0)
-    assert not entries.take_all([item(2, "i-2")], 10.0, 12.0)
+    entries.take_all([item(1), item(2, "i-2")], 0.0, 0.0, 2)
+    assert not entries.take_all([item(2, "i-2")], 10.0, 12.0, 9)
     assert entries.next_lapse_s(10.0) == 2.0
     assert not entries.lapse(11.9)
     assert entries.lapse(12.0).gone == ["i-1@1000"]
@@ -155,13 +156,50 @@
 @given(st.lists(st.tuples(st.sampled_from(["i-1", "i-2", ""]), foreign), max_size=8))
 def test_foreign_entries_never_touch_the_others(writes):
     entries = TargetEntries()
-    entries.take_all([item(1, "i-good")], 0.0, 0.0)
+    entries.take_all([item(1, "i-good")], 0.0, 0.0, 1)
     for revision, (name, value) in enumerate(writes, start=2):
         entries.take([Item(f"servers/{name}", value, revision)], 0.0, 0.0)
     entries.take_all(
-        [item(1, "i-good"), *(Item(f"servers/{n}", v, 99) for n, v in writes)], 0.0, 0.0
+        [item(1, "i-good"), *(Item(f"servers/{n}", v, 99) for n, v in writes)], 0.0, 0.0, 99
     )
     named = {info.own_name: info for info in entries.targets()}
     assert named[TargetName("i-good")].id == "i-good@1000"
     for info in named.values():
         assert info.slots >= 1 and info.address.rpartition(":")[2].isdigit()
+
+
+def copied(reader: TargetEntries, now: float) -> PublishedDocs:
+    """What a peer would take from a reader at that time."""
+    return PublishedDocs(targets=reader.published(now), targets_revision=reader.revision)
+
+
+def test_a_lapsed_target_goes_from_routers_that_do_not_read_as_well():
+    # A caller's request is sent to a target that is gone for good. The store comes back without its
+    # entry; the router that reads keeps the target for two seconds, in which another router copies
+    # the list. When the time is over nothing in the store changes, so the copy is never renewed.
+    reader, other = TargetEntries(), TargetEntries()
+    reader.take_all([item(1), item(2, "i-2")], 0.0, 0.0, 2)
+    other.take_copy(copied(reader, 0.0), 0.0)
+    reader.take_all([item(2, "i-2")], 10.0, 12.2, 9)
+    assert reader.revision > other.revision
+    other.take_copy(copied(reader, 10.5), 10.5)
+    assert [info.own_name for info in other.targets()] == ["i-1", "i-2"]
+    assert other.next_lapse_s(10.5) == pytest.approx(1.7)
+    assert other.lapse(12.3).gone == ["i-1@1000"]
+
+
+def test_a_copy_of_a_lapsing_target_does_not_bring_it_back():
+    reader, other = TargetEntries(), TargetEntries()
+    for entries in (reader, other):
+        entries.take_all([item(1), item(2, "i-2")], 0.0, 0.0, 2)
+    reader.take([removed(5)], 10.0, 12.2)
+    other.take([removed(5)], 10.0, 0.0)
+    assert not other.take_copy(copied(reader, 10.5), 10.5)
+    assert [info.own_name for info in other.targets()] == ["i-2"]
+
+
+def test_a_copied_entry_that_can_not_be_read_names_no_target():
+    entries = TargetEntries()
+    entries.take_all([item(1)], 0.0, 0.0, 1)
+    docs = PublishedDocs(targets={"i-1": PublishedEntry("%%%", 2)}, targets_revision=2)
+    assert entries.take_copy(docs, 1.0).gone == ["i-1@1000"]
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -11,6 +11,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.platform.documents import decode_target
 from turmerictray.platform.store import Item
+from turmerictray.router.published import PublishedDocs, PublishedEntry
 from turmerictray.routing.load import TargetInfo
 
 TARGETS_PREFIX = "servers/"
@@ -42,6 +43,9 @@
     refused: str = ""
     lapses_at: float | None = None
 
+    def lapses_in_s(self, now: float) -> float | None:
+        return None if self.lapses_at is None else max(0.0, self.lapses_at - now)
+
 
 class TargetEntries:
     """The entries by the name of their target, each as of its newest revision.
@@ -70,16 +74,18 @@
         """The targets that are listed now."""
         return [entry.info for entry in self._entries.values() if entry.info is not None]
 
-    def values(self) -> dict[TargetName, tuple[bytes, int]]:
-        """The entries as they were written, with their revisions."""
+    def published(self, now: float) -> dict[TargetName, PublishedEntry]:
+        """The entries as they were written, for peers."""
         return {
-            name: (entry.value, entry.revision)
+            name: PublishedEntry.encode(entry.value, entry.revision, entry.lapses_in_s(now))
             for name, entry in self._entries.items()
             if entry.value is not None
         }
 
-    def take_all(self, items: Iterable[Item], now: float, keep_until: float) -> EntryChanges:
-        """Take all entries; the ones that are missing have lapsed.
+    def take_all(
+        self, items: Iterable[Item], now: float, keep_until: float, revision: int
+    ) -> EntryChanges:
+        """Take all entries as of ``revision``; the ones that are missing have lapsed.
 
         Parameters
         ----------
@@ -88,24 +94,27 @@
         """
         items = list(items)
         changes = self.take(items, now, keep_until)
-        listed = {target_name(item) for item in items}
-        for name in set(self._entries) - listed:
-            self._note_missing(self._entries[name], now, keep_until)
+        self._note_unlisted({target_name(item) for item in items}, revision, now, keep_until)
         return _joined(changes, self.lapse(now))
 
-    def take_copy(self, items: Iterable[Item], revision: int, now: float) -> EntryChanges:
-        """Take a peer's list, which is complete up to ``revision``.
+    def take_copy(self, docs: PublishedDocs, now: float) -> EntryChanges:
+        """Take the entries that a peer has read, all as of their common revision.
 
-        The peer has kept lapsed entries for as long as they might come back; here they go at once.
+        What the peer keeps although its entry is missing is kept here for as long and no longer:
+        nothing changes in the store when its time is over, so no newer copy would tell.
         """
-        items = list(items)
-        changes = self.take(items, now, now)
-        listed = {target_name(item) for item in items}
-        for name, entry in self._entries.items():
-            if name not in listed and entry.revision <= revision:
-                entry.revision = revision
-                self._note_missing(entry, now, now)
-        self.revision = max(self.revision, revision)
+        changes = EntryChanges()
+        for name, published in docs.targets.items():
+            entry = self._entries.setdefault(TargetName(name), _Entry(revision=-1))
+            is_known = published.lapses_in_s is not None and entry.revision == published.revision
+            if published.revision < entry.revision or is_known:
+                continue
+            entry.revision = published.revision
+            self._write(TargetName(name), entry, _bytes_of(published, name), changes)
+            if published.lapses_in_s is not None:
+                self._note_missing(entry, now, now + published.lapses_in_s)
+        self._note_unlisted(set(docs.targets), docs.targets_revision, now, now)
+        self.revision = max(self.revision, docs.targets_revision)
         return _joined(changes, self.lapse(now))
 
     def take(self, items: Iterable[Item], now: float, keep_until: float) -> EntryChanges:
@@ -141,6 +150,18 @@
         times = [e.lapses_at for e in self._entries.values() if e.lapses_at is not None]
         return max(_SOON_S, min(times) - now) if times else None
 
+    def _note_unlisted(
+        self, listed: set[str], revision: int, now: float, keep_until: float
+    ) -> None:
+        for name, entry in self._entries.items():
+            if name in listed or entry.revision > revision:
+                continue
+            if entry.value is not None and entry.lapses_at is None:
+                # Peers see by the revision that there is something new to copy.
+                entry.revision = revision
+                self.revision = max(self.revision, revision)
+            self._note_missing(entry, now, keep_until)
+
     def _note_missing(self, entry: _Entry, now: float, keep_until: float) -> None:
         if entry.value is not None and entry.lapses_at is None:
             entry.lapses_at = max(now, keep_until)
@@ -178,5 +199,13 @@
     return TargetName(item.key.removeprefix(TARGETS_PREFIX))
 
 
+def _bytes_of(published: PublishedEntry, name: str) -> bytes:
+    try:
+        return published.decode()
+    except ValueError as exc:
+        log_event("copied_entry_unreadable", level="WARNING", target=name, reason=str(exc))
+        return b""
+
+
 def _joined(first: EntryChanges, second: EntryChanges) -> EntryChanges:
     return EntryChanges(first.changed + second.changed, first.gone + second.gone)
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -16,7 +16,7 @@
     TargetEntries,
     keep_missing_until,
 )
-from turmerictray.platform.store import Item, Snapshot, StoreClient
+from turmerictray.platform.store import Snapshot, StoreClient
 from turmerictray.router.broker_messages import TargetsChanged, TargetsListed, TextArrived
 from turmerictray.router.published import Position, PublishedCopy, PublishedDocs
 
@@ -229,22 +229,18 @@
         """Take the entries that a peer has read."""
         if not docs.targets_revision:
             return
-        items = []
-        for name, entry in docs.targets.items():
-            try:
-                items.append(Item(TARGETS_PREFIX + name, entry.decode(), entry.revision))
-            except ValueError as exc:
-                log_event("target_refused", level="ERROR", target=name, reason=str(exc)[:200])
         with self._lock:
             before = self._entries.revision
-            now = time.monotonic()
-            self._tell(self._entries.take_copy(items, docs.targets_revision, now))
+            self._tell(self._entries.take_copy(docs, time.monotonic()))
         log_event("targets_from_peer", peer=peer, revision=docs.targets_revision, before=before)
 
     def _take_all(self, snapshot: Snapshot) -> None:
         with self._lock:
             now = time.monotonic()
-            self._tell(self._entries.take_all(snapshot.items, now, self._keep_until()))
+            changes = self._entries.take_all(
+                snapshot.items, now, self._keep_until(), snapshot.revision
+            )
+            self._tell(changes)
 
     def _take_changes(self, snapshot: Snapshot) -> None:
         with self._lock:
@@ -269,4 +265,5 @@
             self._broker.tell(TargetsListed(self._entries.targets()))
         elif changes:
             self._broker.tell(TargetsChanged(changes.changed, changes.gone))
-        self._copy.put_targets(self._entries.values(), self._entries.revision)
+        published = self._entries.published(time.monotonic())
+        self._copy.put_targets(published, self._entries.revision)
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -2,7 +2,6 @@
 
 import base64
 import threading
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -15,10 +14,28 @@
 
 
 class PublishedEntry(msgspec.Struct, frozen=True, array_like=True):
-    """An entry of a target as published: base64, and its revision in the store."""
+    """An entry of a target as published.
+
+    Attributes
+    ----------
+    value : str
+        Base64.
+    revision : int
+        Of its newest change in the store.
+    lapses_in_s : float or None
+        The entry is missing, and its target is given up after that long; None where it is there.
+    """
 
     value: str
     revision: int
+    lapses_in_s: float | None = None
+
+    @classmethod
+    def encode(
+        cls, data: bytes, revision: int, lapses_in_s: float | None = None
+    ) -> "PublishedEntry":
+        """The entry whose bytes are ``data``."""
+        return cls(base64.b64encode(data).decode(), revision, lapses_in_s)
 
     def decode(self) -> bytes:
         """The entry's bytes; raises :class:`ValueError`."""
@@ -86,15 +103,11 @@
                     self._docs, text=base64.b64encode(data).decode(), text_version=version
                 )
 
-    def put_targets(self, entries: Mapping[TargetName, tuple[bytes, int]], revision: int) -> None:
-        """Keep the entries of all targets as published, each with its revision."""
-        encoded = {
-            name: PublishedEntry(base64.b64encode(data).decode(), at)
-            for name, (data, at) in entries.items()
-        }
+    def put_targets(self, entries: dict[TargetName, PublishedEntry], revision: int) -> None:
+        """Keep the entries of all targets as published."""
         with self._lock:
             self._docs = msgspec.structs.replace(
-                self._docs, targets=encoded, targets_revision=revision
+                self._docs, targets=entries, targets_revision=revision
             )
 
     def docs(self) -> PublishedDocs:
