A further try goes to a target that has not failed; a test of peers takes free ports

Cause: test_dead_targets failed twice beside load. With two of three engines down, a failed connect makes the router pass over an engine for half a second. Once both pauses were over, a request that tried one of them spent its last try on the other and was refused beside an idle third.

--- a/tests/router/test_late_broker.py
+++ b/tests/router/test_late_broker.py
@@ -1,5 +1,6 @@
 """A broker that answers late must not cost a router its peers."""
 
+import socket
 import time
 
 import pykka
@@ -28,6 +29,12 @@
         return RouterSummary("r1", 1, 3, [], {}, [])
 
 
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 @pytest.fixture
 def actors():
     yield
@@ -42,6 +49,7 @@
     gateway._broker = LateBroker.start()
     gateway._copy = PublishedCopy()
     gateway._readers = StoreReaders(NodeId("r1"), ZoneId("z1"))
+    first, second = free_port(), free_port()
     ended = []
     monkeypatch.setattr("os._exit", ended.append)
     heard = []
@@ -58,8 +66,8 @@
             on_members=lambda members: None,
         )
         for name, port, seed, summary, on_peer in (
-            ("r1", 17411, 17412, gateway._own_summary, lambda message: None),
-            ("r2", 17412, 17411, lambda: None, heard.append),
+            ("r1", first, second, gateway._own_summary, lambda message: None),
+            ("r2", second, first, lambda: None, heard.append),
         )
     ]
     until = time.monotonic() + 8
--- a/turmerictray/routing/choice.py
+++ b/turmerictray/routing/choice.py
@@ -23,7 +23,12 @@
     live = [tgt for tgt in targets if tgt.state is TargetState.LIVE]
     trusted = [tgt for tgt in live if tgt.suspect_until is None]
     untried = [tgt for tgt in live if tgt.id not in exclude]
-    return [tgt for tgt in trusted if tgt.id not in exclude] or trusted or untried or live
+    fresh = [tgt for tgt in trusted if tgt.id not in exclude]
+    if exclude:
+        # With two engines down whose pauses are over, a request that has tried one of them would
+        # spend its last try on the other and be refused beside an idle third.
+        fresh = [tgt for tgt in fresh if not tgt.failures] or fresh
+    return fresh or trusted or untried or live
 
 
 def choose_target(
