--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -20,6 +20,7 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
+from turmerictray.core.receive import receive_all
 from turmerictray.core.timer import Tick
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.membership.table import MemberTable
@@ -269,15 +270,8 @@
         self._on_members((*own, *self.table.alive(now)))
 
     def _receive(self) -> None:
-        while True:
-            try:
-                data = self._pull.recv()
-            except pynng.Closed:
-                return
-            except pynng.NNGException as exc:
-                log_event("peer_receive_failed", level="WARNING", exc=exc)
-                time.sleep(PERIOD_S)
-                continue
-            metrics.count_control("peers", 0, len(data))
-            if self.actor_ref.is_alive():
-                self.actor_ref.tell(_Received(data))
+        receive_all(self._pull, "peers", "peer_receive_failed", self._hand_on)
+
+    def _hand_on(self, data: bytes) -> None:
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(_Received(data))
--- a/turmerictray/scheduling/link.py
+++ b/turmerictray/scheduling/link.py
@@ -6,7 +6,6 @@
 """
 
 import threading
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -15,6 +14,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event
+from turmerictray.core.receive import receive_all
 from turmerictray.scheduling.messages import SchedulingMessage
 
 _SEND_BUFFER = 64
@@ -23,8 +23,6 @@
 _RECV_BUFFER = 1024
 """Messages that wait to be handled: three for each of 300 requests that come within a pause."""
 
-_AFTER_ERROR_S = 0.1
-
 _DECODER = msgspec.msgpack.Decoder(SchedulingMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -99,19 +97,12 @@
             return outlet
 
     def _receive(self) -> None:
-        while True:
-            try:
-                data = self._pull.recv()
-            except pynng.Closed:
-                return
-            except pynng.NNGException as exc:
-                log_event("scheduling_receive_failed", level="WARNING", exc=exc)
-                time.sleep(_AFTER_ERROR_S)
-                continue
-            metrics.count_control("scheduling", 0, len(data))
-            try:
-                message = _DECODER.decode(data)
-            except msgspec.DecodeError as exc:
-                log_event("scheduling_message_refused", level="WARNING", reason=str(exc)[:200])
-                continue
-            self._on_message(message)
+        receive_all(self._pull, "scheduling", "scheduling_receive_failed", self._take)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            message = _DECODER.decode(data)
+        except msgspec.DecodeError as exc:
+            log_event("scheduling_message_refused", level="WARNING", reason=str(exc)[:200])
+            return
+        self._on_message(message)
