--- a/tests/router/test_desk.py
+++ b/tests/router/test_desk.py
@@ -43,6 +43,7 @@
         self.to = None
         self.is_cut = False
         self.refuses = False
+        self.on_redial = lambda: None
 
     def send(self, address: str, message) -> bool:
         if self.refuses:
@@ -57,6 +58,7 @@
 
     def redial(self, address: str) -> None:
         self.sent.clear()
+        self.on_redial()
 
 
 class Pair:
@@ -230,3 +232,23 @@
     assert request.redialled
     pair.ask(8)
     assert not pair.out.sent[-1].redialled
+
+
+def test_a_grant_that_comes_while_the_scheduler_is_passed_over_is_the_only_answer(pair):
+    # Callers see resets and 5xx from one router, on all they had in progress there. Its scheduler
+    # was slow; the grant came on the link's thread while the desk, on another thread, was putting
+    # the requests that waited there to its own broker. The broker granted the same request again,
+    # the second answer to a future raised an error in the actor, and the process ended.
+    ask = pair.ask()
+    pair.out.on_redial = pair.grant
+    pair.silence()
+    assert ask.reply.result(0).target == ENGINE
+    assert pair.broker.asks() == []
+
+
+def test_a_caller_that_leaves_while_the_scheduler_is_passed_over_is_not_asked_for_again(pair):
+    ask = pair.ask()
+    pair.out.on_redial = lambda: pair.desk.tell(Withdraw(7, LLM))
+    pair.silence()
+    assert isinstance(ask.reply.exception(0), CallerGone)
+    assert pair.broker.asks() == []
