A reply is answered once; whoever is too late is told so

Callers saw resets and 5xx from one router on all that it had in progress: its process ended with 71. Cause: while the desk passed over a slow scheduler, the scheduler's grant came on another thread; the desk still put the request to the router's own broker, whose grant was the second answer to the same future. The future raised, the broker's actor died of it and took its process along. Ruled out: the broker itself granting twice (a request is taken out of the queue by its grant). Change: a call at the desk is claimed by one thread, whichever comes first (grant, refusal, hang-up, silence); a reply takes its first answer and tells the second that it was too late, so that it gives back what it would have handed over. The same at every place that answers one: broker, desk, dispatcher (which answered without asking whether the caller still waits), homes of orders.

--- a/tests/router/test_desk.py
+++ b/tests/router/test_desk.py
@@ -1,13 +1,13 @@
 """A router asks the scheduler for engines, and goes on by itself when it gets no answer."""
 
 import time
-from concurrent.futures import Future
 
 import pytest
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.core.errors import CallerGone, NoTarget, QueueFull
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.reply import Reply
 from turmerictray.membership.messages import MemberEntry
 from turmerictray.router.broker_messages import Ask, FirstEvent, Granted, Settled, Withdraw
 from turmerictray.router.desk import SILENCE_S, Desk
@@ -90,7 +90,7 @@
             1020.0,
             prompt,
             now + 1,
-            Future(),
+            Reply(),
             give_up=now + 5,
         )
         self.desk.tell(ask)
--- a/turmerictray/orders/ask.py
+++ b/turmerictray/orders/ask.py
@@ -1,10 +1,10 @@
 """Messages between the guard, this router's own home and the links to its peers' homes."""
 
-from concurrent.futures import Future
 from dataclasses import dataclass, field
 
 import msgspec
 
+from turmerictray.core.reply import Reply
 from turmerictray.orders.wire import Records, Release, Take
 
 
@@ -13,7 +13,7 @@
     """Put ``question`` to a home; ``reply`` gets its :class:`~turmerictray.orders.vote.Vote`."""
 
     question: Take | Release
-    reply: Future = field(default_factory=Future)
+    reply: Reply = field(default_factory=Reply)
 
 
 @dataclass(frozen=True)
--- a/turmerictray/orders/home.py
+++ b/turmerictray/orders/home.py
@@ -81,8 +81,7 @@
     @on_receive.register
     def _(self, msg: AskHome) -> None:
         vote = self.on_receive(msg.question).vote
-        if msg.reply.set_running_or_notify_cancel():
-            msg.reply.set_result(vote)
+        msg.reply.give(vote)
 
     @on_receive.register
     def _(self, msg: Take) -> Voted:
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -74,8 +74,7 @@
         answer = None
         if time.monotonic() >= self.silent_until:
             answer = self._exchange(msg.question)
-        if msg.reply.set_running_or_notify_cancel():
-            msg.reply.set_result(answer.vote if isinstance(answer, Voted) else Vote.UNREACHABLE)
+        msg.reply.give(answer.vote if isinstance(answer, Voted) else Vote.UNREACHABLE)
 
     @on_receive.register
     def _(self, _msg: Tick) -> None:
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -105,16 +105,15 @@
                 raise RepeatsUsedUp("repeats_used_up", _BUSY_RETRY_S)
             pool.offer(item, now, msg.retry)
         except AdmissionError as exc:
-            if msg.reply.set_running_or_notify_cancel():
-                msg.reply.set_exception(exc)
+            msg.reply.refuse(exc)
             return
         self._pump(pool, now)
 
     @on_receive.register
     def _(self, msg: Withdraw) -> None:
         item = self._pool(msg.service).withdraw(msg.call_id)
-        if item is not None and item.reply.set_running_or_notify_cancel():
-            item.reply.set_exception(CallerGone("caller gone while waiting"))
+        if item is not None:
+            item.reply.refuse(CallerGone("caller gone while waiting"))
 
     @on_receive.register
     def _(self, msg: FirstEvent) -> None:
@@ -136,20 +135,17 @@
 
     def _grant(self, pool: ServicePool, sent: Sent, now: float) -> None:
         item, placement = sent.item, sent.placement
-        if item.reply.set_running_or_notify_cancel():
-            item.reply.set_result(
-                Granted(
-                    placement.load.info,
-                    placement.expected_s,
-                    placement.miss_tokens,
-                    placement.ahead_tokens,
-                    fetch_from=placement.source.address if placement.source else "",
-                )
-            )
-            return
-        # The caller's thread stopped waiting at this very moment; a booking that nobody settles
-        # would make the target look busy for good.
-        pool.unbook(sent)
+        granted = Granted(
+            placement.load.info,
+            placement.expected_s,
+            placement.miss_tokens,
+            placement.ahead_tokens,
+            fetch_from=placement.source.address if placement.source else "",
+        )
+        if not item.reply.give(granted):
+            # The caller's thread stopped waiting at this very moment; a booking that nobody
+            # settles would make the target look busy for good.
+            pool.unbook(sent)
 
     @on_receive.register
     def _(self, msg: Tick) -> None:
@@ -157,10 +153,8 @@
             self._give_up_reads(pool, msg.now)
             pool.drop_lost_calls(self.alive, msg.now)
             for item in pool.expire(msg.now):
-                if item.reply.set_running_or_notify_cancel():
-                    wait = pool.expected_wait_s(item)
-                    reason = f"queue_timeout: {len(pool.queue)} others wait"
-                    item.reply.set_exception(QueueTimeout(reason, wait))
+                reason = f"queue_timeout: {len(pool.queue)} others wait"
+                item.reply.refuse(QueueTimeout(reason, pool.expected_wait_s(item)))
             if len(pool.queue):
                 self._pump(pool, msg.now)
         if not msg.is_late():
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -2,12 +2,12 @@
 
 import math
 from collections.abc import Callable
-from concurrent.futures import Future
 from dataclasses import dataclass, field
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.config.routes import RoutingText
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.reply import Reply
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Part, Prompt
@@ -40,7 +40,7 @@
         Where that router stands; None for this router's own.
     give_up : float
         Monotonic seconds at which it ends at the latest.
-    reply : Future
+    reply : Reply
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
 
@@ -51,7 +51,7 @@
     cost: float
     prompt: Prompt | None
     wait_until: float
-    reply: Future
+    reply: Reply
     exclude: frozenset[str] = frozenset()
     retry: bool = False
     repeat: bool = False
--- a/turmerictray/router/desk.py
+++ b/turmerictray/router/desk.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from concurrent.futures import Future
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -108,12 +107,12 @@
 
     @tell.register
     def _(self, msg: Withdraw) -> None:
-        call = self._take_waiting(msg.call_id)
-        if call is None:
+        call = self._calls.get(msg.call_id)
+        if call is None or not self._claim(call):
             self._broker.tell(msg)
             return
         self._link.send(call.scheduler.calls, PlaceWithdrawn(msg.call_id, msg.service))
-        _fail(call.ask.reply, CallerGone("caller gone while waiting"))
+        call.ask.reply.refuse(CallerGone("caller gone while waiting"))
 
     @tell.register
     def _(self, msg: FirstEvent) -> None:
@@ -179,12 +178,18 @@
             Ended(ask.call_id, ask.service, target, outcome.value, cost),
         )
 
-    def _take_waiting(self, call_id: int) -> _Call | None:
+    def _claim(self, call: _Call) -> bool:
+        """Take a waiting call for this thread to answer; false when another one has it.
+
+        A grant, a refusal, the caller's hang-up and the scheduler's silence come on different
+        threads. Of two that act on the same call, one would put a request to the broker that has
+        its answer.
+        """
         with self._lock:
-            call = self._calls.get(call_id)
-            if call is None or call.granted:
-                return None
-            return self._calls.pop(call_id)
+            if call.granted or self._calls.get(call.ask.call_id) is not call:
+                return False
+            del self._calls[call.ask.call_id]
+            return True
 
     # -- from schedulers -----------------------------------------------------------------------
 
@@ -213,10 +218,9 @@
         elif msg.target in self._in_force.leaving:
             # This router knows from the store what the scheduler has not heard yet.
             self._return(msg)
-            self._decide_here(call)
-        elif call.ask.reply.set_running_or_notify_cancel():
-            call.ask.reply.set_result(_granted(msg))
-        else:
+            self._forget(msg.call_id)
+            self._broker.tell(call.ask)
+        elif not call.ask.reply.give(_granted(msg)):
             self._return(msg)
             self._forget(msg.call_id)
         return True
@@ -224,14 +228,14 @@
     @hear.register
     def _(self, msg: PlaceRefused) -> bool:
         self._note_heard(msg.scheduler)
-        call = self._take_waiting(msg.call_id)
-        if call is None:
+        call = self._calls.get(msg.call_id)
+        if call is None or not self._claim(call):
             return True
         if msg.error == NoTarget.__name__:
             # It may know fewer targets than this router: cut off from the store, or just started.
             self._broker.tell(call.ask)
         else:
-            _fail(call.ask.reply, _refusal(msg))
+            call.ask.reply.refuse(_refusal(msg))
         return True
 
     def _return(self, msg: PlaceGranted) -> None:
@@ -261,14 +265,10 @@
             self._choice.note_silent(node)
             self._link.redial(entry.calls)
         for call in waiting:
-            if call.scheduler.node in silent:
-                self._decide_here(call)
+            if call.scheduler.node in silent and self._claim(call):
+                self._broker.tell(call.ask)
         self._forget_old(now)
 
-    def _decide_here(self, call: _Call) -> None:
-        self._forget(call.ask.call_id)
-        self._broker.tell(call.ask)
-
     def _forget(self, call_id: int) -> None:
         with self._lock:
             self._calls.pop(call_id, None)
@@ -304,8 +304,3 @@
     if not (isinstance(kind, type) and issubclass(kind, AdmissionError)):
         kind = errors.TargetBusy
     return kind(msg.reason, msg.retry_after_s)
-
-
-def _fail(reply: Future, exc: Exception) -> None:
-    if reply.set_running_or_notify_cancel():
-        reply.set_exception(exc)
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -123,15 +123,15 @@
         cfg = self.config.current
         if self.draining and not msg.retry:
             retry = cfg.limits.retry_after_s if cfg else 1.0
-            msg.reply.set_exception(Draining("draining", retry))
+            msg.reply.refuse(Draining("draining", retry))
             return
         if cfg is not None and not self.ready:
             # A router back from a restart may hold an older text than its peers (the service
             # can be stale); serving before it has heard them would undo an accepted change.
-            msg.reply.set_exception(Starting("starting", 1.0))
+            msg.reply.refuse(Starting("starting", 1.0))
             return
         if cfg is None or not self.table.of_service(msg.placement.service):
-            msg.reply.set_exception(NoTarget("no_target", cfg.limits.retry_after_s if cfg else 1))
+            msg.reply.refuse(NoTarget("no_target", cfg.limits.retry_after_s if cfg else 1))
             return
         pending = Pending(
             msg.req_id,
@@ -147,7 +147,7 @@
             self._check_hold(msg, cfg)
             queue.push(pending, front=msg.retry)
         except QueueFull as exc:
-            msg.reply.set_exception(exc)
+            msg.reply.refuse(exc)
             return
         self.hold.take(msg.team)
         if idle:
@@ -311,22 +311,20 @@
     def _grant(self, item: Pending, view: TargetView) -> None:
         # A caller's thread that stopped waiting has cancelled its reply. Granting it would
         # take a slot that nobody gives back, and the target would look busy for good.
-        if not item.reply.set_running_or_notify_cancel():
+        if not item.reply.give(Grant(view.id, view.url, self.incarnation)):
             self.hold.drop(item.team)
             return
         view.set_inflight(view.inflight + 1)
         view.dispatched += 1
         self.ledger.charge(item.team, item.hint)
-        item.reply.set_result(Grant(view.id, view.url, self.incarnation))
 
     def _expire(self, now: float) -> None:
         cfg = self.config.current
         for queue in self.queues.values():
             for item in queue.expire(now):
                 self.hold.drop(item.team)
-                if not item.reply.set_running_or_notify_cancel():
+                if not item.reply.refuse(QueueTimeout("queue_timeout", cfg.limits.retry_after_s)):
                     continue
-                item.reply.set_exception(QueueTimeout("queue_timeout", cfg.limits.retry_after_s))
                 log_event("given_up", req=item.req_id, team=item.team, reason="queue_timeout")
         if self.draining and cfg is not None:
             self._pump()
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -1,10 +1,10 @@
 """Typed messages between the router's actors."""
 
-from concurrent.futures import Future
 from dataclasses import dataclass, field
 
 from turmerictray.config.schema import Config
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
+from turmerictray.core.reply import Reply
 from turmerictray.fairness.ledger import PeerCounters
 from turmerictray.routing.target import TargetState
 
@@ -50,7 +50,7 @@
     team: TeamId
     hint: float
     placement: Placement
-    reply: Future = field(default_factory=Future)
+    reply: Reply = field(default_factory=Reply)
     retry: bool = False
 
 
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -6,7 +6,6 @@
 
 import time
 from collections.abc import Iterable, Iterator
-from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
 
@@ -25,6 +24,7 @@
     UpstreamRefused,
 )
 from turmerictray.core.logs import log_event
+from turmerictray.core.reply import Reply
 from turmerictray.orders.guard import Claim, OrderGuard
 from turmerictray.orders.keys import claim_key
 from turmerictray.router.messages import Admit, Finished, Grant, LoadReport, Placement
@@ -223,7 +223,7 @@
         self, req: CallerRequest, cfg: Config, exclude: frozenset[str], retry: bool
     ) -> Grant:
         placement = Placement(req.service, req.prefix_key, exclude)
-        reply: Future = Future()
+        reply = Reply()
         start = time.monotonic()
         self.dispatcher.tell(Admit(req.req_id, req.team, req.hint, placement, reply, retry))
         try:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -1,7 +1,6 @@
 """The tries of one request: ask for a target, send, relay, settle."""
 
 import time
-from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
 
@@ -17,6 +16,7 @@
     TurmerictrayError,
 )
 from turmerictray.core.logs import log_request
+from turmerictray.core.reply import Reply
 from turmerictray.router.broker_messages import (
     Ask,
     FirstEvent,
@@ -163,7 +163,7 @@
 
     def _ask(self) -> Granted:
         routed, progress = self._routed, self._progress
-        reply: Future = Future()
+        reply = Reply()
         # A later try has already waited its turn; it may use what time is left.
         wait_until = routed.bounds.give_up if progress.tried else routed.bounds.wait_until
         ask = Ask(
--- a/turmerictray/router/scheduler.py
+++ b/turmerictray/router/scheduler.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from concurrent.futures import Future
 from functools import partial, singledispatchmethod
 
 import pykka
@@ -10,6 +9,7 @@
 from turmerictray.admission.pool import Outcome
 from turmerictray.core.errors import AdmissionError
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.reply import Reply
 from turmerictray.router.broker_messages import (
     Ask,
     FirstEvent,
@@ -57,7 +57,7 @@
     def _(self, msg: PlaceRequest) -> None:
         if msg.redialled:
             self._link.redial(msg.reply_to)
-        reply: Future = Future()
+        reply = Reply()
         with self._lock:
             self._waiting[msg.call_id] = msg.reply_to
         reply.add_done_callback(partial(self._answer, msg))
@@ -95,7 +95,7 @@
         for address in addresses:
             self._link.send(address, StillWaiting(self._node))
 
-    def _answer(self, msg: PlaceRequest, reply: Future) -> None:
+    def _answer(self, msg: PlaceRequest, reply: Reply) -> None:
         with self._lock:
             self._waiting.pop(msg.call_id, None)
         exc = reply.exception()
@@ -138,7 +138,7 @@
             )
 
 
-def _ask(msg: PlaceRequest, reply: Future) -> Ask:
+def _ask(msg: PlaceRequest, reply: Reply) -> Ask:
     now = time.monotonic()
     parts = tuple(Part(PartId(part_id), tokens) for part_id, tokens in msg.parts)
     return Ask(
