A waiting request is looked at when that may change something; grants are made in rounds

Callers of a large fleet found no connection at some routers, waited, and failed by the hundred a second; on a small site a team at one router got far less than its share when the scheduler was busy. Cause: each message (a request, a first event, an end) made the scheduler look at a dozen waiting requests at every engine, nearly always for nothing. With 45 engines and 816 prompts a second that takes 14 cores, so the scheduling router used all of its machine without a break; messages came too late, the others decided by themselves, and their brokers did the same sums. Ruled out: the order of teams (in virtual time, where decisions cost nothing, shares are right); engines (what they did in five seconds was the same with and without refusals); memory (39 MB). Change: a request that waits for an engine is looked at again when that engine has room, when one has that nobody waits for, and else after 0.1 s. What a target has to do is worked out once a moment.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -24,8 +24,8 @@
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.fairness.queue import FairQueue, Pending
-from turmerictray.fairness.recent import RecentService
-from turmerictray.routing.load import OpenCall, OpenRead, TargetLoad
+from turmerictray.fairness.recent import Leads, RecentService
+from turmerictray.routing.load import OpenCall, OpenRead, TargetLoad, TargetPhase
 from turmerictray.routing.place import (
     Placement,
     PlacePrompt,
@@ -57,6 +57,12 @@
 _URGENCY_DIGITS = 1
 """Objectives are told apart to a tenth of a second; what the way to the router took is not."""
 
+_LOOK_AGAIN_S = 0.1
+"""A request that waits for an engine is looked at again when that engine has room, when one has
+room that nobody waits for, and else after this time: by then what engines have to do has changed
+by a few prompts. With a look for each message a request was looked at 25 times, and the scheduler
+of 45 engines needed more processor time than a machine has."""
+
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 12
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long.
@@ -99,6 +105,8 @@
         Tokens that an engine has to read for it at least, as known when it was offered.
     held_by : TargetLoad or None
         The target it waits for.
+    looked_at : float
+        Monotonic seconds at which the target was chosen.
     """
 
     call_id: int
@@ -110,6 +118,7 @@
     urgency_s: float = 0.0
     reading_tokens: int = 0
     held_by: TargetLoad | None = None
+    looked_at: float = -math.inf
 
 
 @dataclass(frozen=True)
@@ -152,6 +161,8 @@
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
         self._turns: Counter[TeamId] = Counter()
+        self._next: dict[TeamId, list[Pending]] = {}
+        self._opened_at: dict[TargetId, float] = {}
         self._last_sent = 0.0
         self._mean_gap_s = 0.0
 
@@ -176,6 +187,7 @@
         wait = self.expected_wait_s(item)
         if not retry and now + wait > item.deadline:
             raise WontBeServed(self._wait_reason(item), wait)
+        self._next.pop(item.team, None)
         try:
             self.queue.push(item, front=retry)
         except QueueFull as exc:
@@ -231,35 +243,58 @@
         if not len(self.queue):
             self._last_sent = 0.0
             return None
-        loads = list(self.targets.loads.values())
-        for load in loads:
-            load.freeze(now, self.targets.model.read_per_s)
-        try:
-            return self._look(now) if self._has_room(loads, now) else None
-        finally:
-            for load in loads:
-                load.thaw()
+        return self._look(now) if self._has_room(now) else None
 
     def _look(self, now: float) -> Sent | None:
         looked_at = 0
         backlogged = self.backlogged()
+        leads = self.ledger.leads(backlogged)
         most = self.ledger.most() if backlogged else 0.0
+        unclaimed_at = self._unclaimed_at(now)
         for team in self.queue.by_service():
-            part = window_part(self._lead(team, backlogged, most))
+            part = window_part(self._lead(team, leads, backlogged, most))
             for item in self._next_of(team):
+                if not self._worth_a_look(item.context, part, unclaimed_at, now):
+                    continue
                 looked_at += 1
                 placement = self._place(item.context, part, now)
                 if placement is not None:
                     self.queue.discard(item)
-                    placement.load.thaw()
                     self._book(item, placement, now)
                     return Sent(item, placement)
             if looked_at >= _MOST_LOOKED_AT:
                 break
         return None
 
-    def _has_room(self, loads: list[TargetLoad], now: float) -> bool:
+    def _worth_a_look(self, wanted: Wanted, part: float, unclaimed_at: float, now: float) -> bool:
+        """Whether a request may be sent elsewhere, or sooner, than when it was looked at."""
+        load = wanted.held_by
+        if load is None or wanted.looked_at < unclaimed_at:
+            return True
+        if now - wanted.looked_at >= _LOOK_AGAIN_S or load.info.phase is not TargetPhase.READY:
+            return True
+        if self.targets.loads.get(load.info.id) is not load or load.avoided(now):
+            return True
+        return engine_open(load, self.targets.model, now, part)
+
+    def _unclaimed_at(self, now: float) -> float:
+        """When an engine that nobody waits for got room last; requests may be better off there."""
+        if self.targets.spec.engine is None:
+            return math.inf
+        newest = -math.inf
+        model = self.targets.model
+        for target, load in self.targets.loads.items():
+            if load.info.phase is not TargetPhase.READY or not engine_open(load, model, now):
+                self._opened_at.pop(target, None)
+                continue
+            opened_at = self._opened_at.setdefault(target, now)
+            if not load.held:
+                newest = max(newest, opened_at)
+        return newest
+
+    def _has_room(self, now: float) -> bool:
         """Whether any target is open to anyone."""
+        loads = self.targets.loads.values()
         if self.targets.spec.engine is None:
             return any(plain_open(load, self.routers, now) for load in loads)
         model = self.targets.model
@@ -267,13 +302,19 @@
 
     def _next_of(self, team: TeamId) -> list[Pending]:
         """The team's requests that come next: mostly the most urgent, now and then the oldest."""
+        chosen = self._next.get(team)
+        if chosen is None:
+            chosen = self._next[team] = self._choose_next(team)
+        return chosen
+
+    def _choose_next(self, team: TeamId) -> list[Pending]:
         if self._turns[team] % _OLDEST_EVERY == 0:
             return self.queue.waiting(team, _LOOK_BEHIND)
         waiting = self.queue.waiting(team, self.queue.depth(team))
         return nsmallest(_LOOK_BEHIND, waiting, key=_turn)
 
-    def _lead(self, team: TeamId, backlogged: set[TeamId], most: float) -> float:
-        lead = self.ledger.lead(team, backlogged)
+    def _lead(self, team: TeamId, leads: Leads, backlogged: set[TeamId], most: float) -> float:
+        lead = leads.of(team)
         return lead if lead or team not in backlogged else -self.ledger.behind(team, most)
 
     def _place(self, wanted: Wanted, part: float, now: float) -> Placement | None:
@@ -290,6 +331,7 @@
         # Waiting for the engine that keeps the prompt is worth it: reading the prompt elsewhere
         # takes time from the requests there. The line before the engine counts in its cost.
         self._hold(wanted, placement)
+        wanted.looked_at = now
         return None
 
     def _hold(self, wanted: Wanted, placement: Placement) -> None:
@@ -311,6 +353,7 @@
             for item in self.queue.waiting(team, self.queue.depth(team)):
                 if item.context.call_id == call_id:
                     self.queue.discard(item)
+                    self._next.pop(item.team, None)
                     self.release(item.context)
                     return item
         return None
@@ -319,12 +362,14 @@
         """Take out the requests that have waited their time."""
         expired = self.queue.expire(now)
         for item in expired:
+            self._next.pop(item.team, None)
             self.release(item.context)
         return expired
 
     def _book(self, item: Pending, placement: Placement, now: float) -> None:
         wanted: Wanted = item.context
         self.release(wanted)
+        self._next.pop(item.team, None)
         self._turns[item.team] += 1
         self.ledger.charge(item.team, item.hint)
         read = OpenRead(
--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -8,6 +8,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from heapq import nsmallest
 
 from turmerictray.core.ids import NodeId, TeamId
 
@@ -27,6 +28,34 @@
 """Half-lives after which weights are brought back to one, well before they overflow."""
 
 
+class Leads:
+    """How far teams are ahead of the least served other one that waits.
+
+    With one comparison of all teams for each of them, a decision took the square of their number.
+
+    Parameters
+    ----------
+    service : RecentService
+    least : list of TeamId
+        The two least served teams that wait, or as many as there are.
+    scale : float
+        What a token counts now.
+    """
+
+    def __init__(self, service: "RecentService", least: list[TeamId], scale: float) -> None:
+        self._service = service
+        self._least = least
+        self._scale = scale
+
+    def of(self, team: TeamId) -> float:
+        """Tokens per weight that ``team`` is ahead; 0 where no other team waits."""
+        other = next((each for each in self._least if each != team), None)
+        if other is None:
+            return 0.0
+        ahead = self._service.normalised(team) - self._service.normalised(other)
+        return max(0.0, ahead) / self._scale
+
+
 class RecentService:
     """Decayed service per team, of this router and its peers.
 
@@ -117,12 +146,13 @@
         backlogged : set of TeamId
             Teams that wait here; the ones that wait at peers are known.
         """
-        others = (backlogged | self._waiting_elsewhere()) - {team}
-        if not others:
-            return 0.0
+        return self.leads(backlogged).of(team)
+
+    def leads(self, backlogged: set[TeamId]) -> "Leads":
+        """The leads of all teams at this moment; see :meth:`lead`."""
+        waiting = backlogged | self._waiting_elsewhere()
         scale = self._scale()
-        least = min(self.normalised(other) for other in others)
-        return max(0.0, self.normalised(team) - least) / scale
+        return Leads(self, nsmallest(2, waiting, key=self.normalised), scale)
 
     def most(self) -> float:
         """What the best served team had, in the unit of :meth:`normalised`."""
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -36,6 +36,7 @@
     TextArrived,
     Withdraw,
 )
+from turmerictray.router.rounds import GrantRounds
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import Part, PartId
@@ -84,15 +85,22 @@
         # need no thread of their own: each would wake up twenty times a second on every router.
         self.on_tick: tuple[Callable[[float], None], ...] = ()
         self.told_service: dict[TeamId, float] = {}
+        self._rounds = GrantRounds(self._grant_all, self.actor_inbox.empty)
 
-    @singledispatchmethod
     def on_receive(self, message: object) -> object:
+        result = self.handle(message)
+        self._rounds.run_due()
+        return result
+
+    @singledispatchmethod
+    def handle(self, message: object) -> object:
+        """Take a message; what it makes possible is granted in the next round."""
         log_unknown_message(message)
         return None
 
     # -- requests --------------------------------------------------------------------------
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Ask) -> None:
         now = time.monotonic()
         pool = self._pool(msg.service)
@@ -107,28 +115,28 @@
         except AdmissionError as exc:
             msg.reply.refuse(exc)
             return
-        self._pump(pool, now)
+        self._rounds.want(pool, now)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Withdraw) -> None:
         item = self._pool(msg.service).withdraw(msg.call_id)
         if item is not None:
             item.reply.refuse(CallerGone("caller gone while waiting"))
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: FirstEvent) -> None:
         pool = self._pool(msg.service)
         pool.targets.first_event(msg.target, msg.call_id, msg.took_s)
-        self._pump(pool, time.monotonic())
+        self._rounds.want(pool, time.monotonic())
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Settled) -> None:
         pool = self._pool(msg.service)
         now = time.monotonic()
         pool.settle(msg.target, msg.call_id, msg.outcome, now, msg.cost)
-        self._pump(pool, now)
+        self._rounds.want(pool, now)
 
-    def _pump(self, pool: ServicePool, now: float) -> None:
+    def _grant_all(self, pool: ServicePool, now: float) -> None:
         while (sent := pool.next_sent(now)) is not None:
             self._grant(pool, sent, now)
         metrics.QUEUED.set(sum(len(each.queue) for each in self.pools.values()))
@@ -147,7 +155,7 @@
             # settles would make the target look busy for good.
             pool.unbook(sent)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
             self._give_up_reads(pool, msg.now)
@@ -156,7 +164,7 @@
                 reason = f"queue_timeout: {len(pool.queue)} others wait"
                 item.reply.refuse(QueueTimeout(reason, pool.expected_wait_s(item)))
             if len(pool.queue):
-                self._pump(pool, msg.now)
+                self._rounds.want(pool, msg.now)
         if not msg.is_late():
             for hook in self.on_tick:
                 hook(msg.now)
@@ -174,7 +182,7 @@
 
     # -- the text and the targets ------------------------------------------------------------
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: TextArrived) -> None:
         if not self.in_force.offer(msg.text):
             return
@@ -194,7 +202,7 @@
             self._pool(spec.name).targets.set_spec(spec, text.tokens_per_s)
         metrics.CONFIG_VERSION.set(text.version)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: TargetsListed) -> None:
         listed = {info.id for info in msg.targets}
         for pool in self.pools.values():
@@ -203,9 +211,9 @@
         for info in msg.targets:
             self._take(info)
         self.in_force.targets_listed = True
-        self._pump_all()
+        self._want_all()
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: TargetsChanged) -> None:
         for target in msg.gone:
             for pool in self.pools.values():
@@ -213,9 +221,9 @@
                     self._drop(pool, target)
         for info in msg.changed:
             self._take(info)
-        self._pump_all()
+        self._want_all()
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: TargetLeaving) -> None:
         self._pool(msg.service).targets.mark_leaving(msg.target)
         self.in_force.leaving = self.in_force.leaving | {msg.target}
@@ -244,14 +252,14 @@
         self.in_force.leaving = self.in_force.leaving | {TargetId(target)}
         log_event("target", target=target, service=pool.name, phase=TargetPhase.GONE.value)
 
-    def _pump_all(self) -> None:
+    def _want_all(self) -> None:
         now = time.monotonic()
         for pool in self.pools.values():
-            self._pump(pool, now)
+            self._rounds.want(pool, now)
 
     # -- peers -------------------------------------------------------------------------------
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: PeerHeard) -> None:
         summary, now = msg.summary, time.monotonic()
         node = NodeId(summary.node)
@@ -262,16 +270,16 @@
                 pool.targets.note_peer_read(read.target, [Part(PartId(read.part), read.tokens)])
         self.ledger.merge(summary.node, summary.incarnation, summary.service)
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
-        self._pump_all()
+        self._want_all()
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: KeptHeard) -> None:
         for pool in self._engine_pools():
             for target, parts in msg.kept.items():
                 pool.targets.note_listed(target, parts, msg.tell_peers)
-        self._pump_all()
+        self._want_all()
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: KeptQuery) -> KeptParts:
         return {
             target: load.kept.parts()
@@ -279,20 +287,20 @@
             for target, load in pool.targets.loads.items()
         }
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: EnginesQuery) -> list[TargetInfo]:
         return [load.info for pool in self._engine_pools() for load in pool.targets.loads.values()]
 
     def _engine_pools(self) -> list[ServicePool]:
         return [pool for pool in self.pools.values() if pool.targets.spec.engine is not None]
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: RepeatLimits) -> None:
         self.repeats = msg
         for pool in self.pools.values():
             pool.budget.set_limits(msg.ratio, msg.floor, msg.window_s)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: RoutersAlive) -> None:
         self.routers = len(msg.nodes)
         self.alive = msg.nodes
@@ -305,11 +313,11 @@
         # on and spend theirs.
         pool.budget.routers = max(pool.budget.routers, self.routers)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: OnTick) -> None:
         self.on_tick = msg.hooks
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: SummaryQuery) -> RouterSummary:
         return RouterSummary(
             node=self.node,
@@ -345,7 +353,7 @@
             if load.running
         ]
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: BrokerQuery) -> dict[str, object]:
         now = time.monotonic()
         return {
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -197,7 +197,8 @@
     judged_at: float = 0.0
     unreachable: int = 0
     avoid_until: float = 0.0
-    _frozen: Standing | None = None
+    _standing: Standing | None = None
+    _standing_at: float = 0.0
 
     @property
     def running(self) -> int:
@@ -208,10 +209,12 @@
         """A request was given to the target."""
         self.calls[call_id] = call or OpenCall()
         self.reads[call_id] = read
+        self.note_changed()
 
     def first_event(self, call_id: int, took_s: float) -> OpenRead | None:
         """The first event of an answer came; returns what was known when the request was sent."""
         read = self.reads.pop(call_id, None)
+        self.note_changed()
         if read is None or read.expected_s < _TELLING_S:
             return read
         low, high = _SLOWNESS_STEP
@@ -227,6 +230,7 @@
         for read in self.reads.values():
             if read.sent_at < answered.sent_at:
                 read.passed = True
+        self.note_changed()
 
     def give_up_reads(self, now: float) -> list[OpenRead]:
         """Take first events that are long overdue for lost, and count them as failed answers."""
@@ -246,9 +250,11 @@
         """
         low, high = _SLOWNESS_RANGE
         self.slowness = min(high, max(low, math.exp(self.log_lateness - usual_log_lateness)))
+        self.note_changed()
 
     def ended(self, call_id: int) -> OpenCall | None:
         """The request has ended, however; None when it is not known, or no longer."""
+        self.note_changed()
         self.reads.pop(call_id, None)
         return self.calls.pop(call_id, None)
 
@@ -262,6 +268,7 @@
 
     def answered(self, ok: bool, now: float) -> None:
         """Count an answer as good or failed."""
+        self.note_changed()
         rate = self.failures(now)
         self.failure_rate = rate + _SMOOTHING * ((0.0 if ok else 1.0) - rate)
         self.judged_at = now
@@ -294,35 +301,45 @@
         read_per_s : float
             Tokens that a target of the pool reads in a second.
         """
-        own = self.own_unread_tokens()
-        heard = [load for load in self._heard(now) if load.unread_tokens]
-        if not heard:
-            return own
-        told = sum(load.unread_tokens for load in heard)
-        since_s = now - min(load.heard_at for load in heard)
-        left = max(0, told - int(read_per_s * since_s / self.slowness))
-        return own + left
+        return self.own_unread_tokens() + self._peers_unread(self._heard(now), now, read_per_s)
 
-    def standing(self, now: float, read_per_s: float) -> Standing:
-        """What the target has to do now."""
-        return self._frozen or Standing(
-            self.unread_tokens(now, read_per_s),
-            self.running_in_fleet(now),
-            self.failures(now),
-            self.overdue_s(now),
-        )
+    def _peers_unread(self, heard: list[PeerLoad], now: float, read_per_s: float) -> int:
+        busy = [load for load in heard if load.unread_tokens]
+        if not busy:
+            return 0
+        told = sum(load.unread_tokens for load in busy)
+        since_s = now - min(load.heard_at for load in busy)
+        return max(0, told - int(read_per_s * since_s / self.slowness))
 
-    def freeze(self, now: float, read_per_s: float) -> None:
-        """Work the standing out once for many looks at the same moment; see :meth:`thaw`.
+    def standing(self, now: float, read_per_s: float) -> Standing:
+        """What the target has to do now.
 
-        With ten engines and a queue under twice the load, the looks for one send took 7.5 ms of
-        processor time, which one router that schedules for a fleet does not have.
+        It is worked out once for the many looks of one moment, as it sums up all that is open there
+        and all that peers said.
         """
-        self._frozen = self.standing(now, read_per_s)
-
-    def thaw(self) -> None:
-        """Something has changed, or time goes on."""
-        self._frozen = None
+        if self._standing is None or self._standing_at != now:
+            self._standing_at = now
+            heard = self._heard(now)
+            reads = self._open_reads()
+            self._standing = Standing(
+                sum(read.tokens for read in reads) + self._peers_unread(heard, now, read_per_s),
+                self.running + sum(load.running for load in heard),
+                self.failures(now),
+                max((now - read.sent_at - read.expected_s for read in reads), default=0.0),
+            )
+        return self._standing
+
+    def hear_peer(self, node: NodeId, load: PeerLoad | None) -> None:
+        """Take a peer's word on its own work here; None when it has none."""
+        if load is not None:
+            self.peers[node] = load
+        else:
+            self.peers.pop(node, None)
+        self.note_changed()
+
+    def note_changed(self) -> None:
+        """What was worked out for this moment is out of date."""
+        self._standing = None
 
     def held_tokens(self, call_id: int) -> int:
         """Tokens of the requests that wait here for the target, but for ``call_id`` itself."""
@@ -358,5 +375,7 @@
         return [read for read in self.reads.values() if not read.passed]
 
     def _heard(self, now: float) -> list[PeerLoad]:
+        if not self.peers:
+            return []
         horizon = now - _PEER_LOAD_TTL_S
         return [load for load in self.peers.values() if load.heard_at > horizon]
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from turmerictray.core.ids import ZoneId
 from turmerictray.routing.load import Standing, TargetInfo, TargetLoad, TargetPhase
@@ -96,8 +97,7 @@
     return reachable or ready
 
 
-@dataclass(frozen=True)
-class _Offer:
+class _Offer(NamedTuple):
     """What an engine would have to do for a prompt.
 
     Attributes
@@ -135,15 +135,23 @@
     shared = sum(part.tokens for part in prompt.shared)
     first = _first_choice(loads, prompt, kept)
     source = _source(loads, kept, model, now)
-    best: tuple[float, Placement] | None = None
+    best: tuple[float, float, TargetLoad, _Offer] | None = None
     for load in loads:
         offer = _offer(load, prompt.input_tokens, shared, kept, source, model)
-        cost, placement = _engine_cost(load, offer, call_id, model, zone, now)
+        cost, expected = _engine_cost(load, offer, call_id, model, zone, now)
         if first is not None and load.info.id != first:
             cost += _AWAY_S
         if best is None or cost < best[0]:
-            best = (cost, placement)
-    return best[1] if best else None
+            best = (cost, expected, load, offer)
+    return _placement(*best[1:], model, now) if best else None
+
+
+def _placement(
+    expected_s: float, load: TargetLoad, offer: _Offer, model: PoolModel, now: float
+) -> Placement:
+    ahead = load.standing(now, model.read_per_s).unread_tokens
+    source = offer.source.info if offer.source is not None else None
+    return Placement(load, offer.miss_tokens, ahead, expected_s, source)
 
 
 def _first_choice(loads: list[TargetLoad], prompt: Prompt, kept: dict[str, int]) -> str | None:
@@ -192,7 +200,8 @@
     model: PoolModel,
     zone: ZoneId,
     now: float,
-) -> tuple[float, Placement]:
+) -> tuple[float, float]:
+    """What the request costs at an engine, and the seconds to its first event there."""
     miss = offer.miss_tokens
     standing = load.standing(now, model.read_per_s)
     ahead = standing.unread_tokens
@@ -204,9 +213,7 @@
     again = weight * offer.again_tokens / model.read_per_s + _FETCH_WEIGHT * offer.fetch_s
     fill = standing.running / max(load.info.slots, 1)
     cost = expected + line_s + again + _BATCH_S * fill * load.slowness
-    cost += _trouble(load, standing, zone)
-    source = offer.source.info if offer.source is not None else None
-    return cost, Placement(load, miss, ahead, expected, source)
+    return cost + _trouble(load, standing, zone), expected
 
 
 def _trouble(load: TargetLoad, standing: Standing, zone: ZoneId) -> float:
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -82,10 +82,7 @@
     def hear_peer(self, node: NodeId, work: dict[TargetId, PeerLoad]) -> None:
         """Take a peer's word on its own work; it has none on targets that it does not name."""
         for target, load in self.loads.items():
-            if target in work:
-                load.peers[node] = work[target]
-            else:
-                load.peers.pop(node, None)
+            load.hear_peer(node, work.get(target))
 
     def note_read(self, target: TargetId, parts: tuple[Part, ...]) -> None:
         """This router has sent ``parts`` to a target; peers are to be told."""
