A front that takes no connections says that it is not ready

Callers of one router connected and waited while the balancer sent more there: 5,116 connections in 7.7 s, none accepted, and the router said ready. Ruled out: the limit on connections (1,900 of 4,100), memory (77 MB). Change: connections that wait for a second without one being accepted make a router not ready, until one is accepted. What is open is served on.

--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -1,12 +1,15 @@
 """The HTTP server that hands each request to a handler as a :class:`ClientExchange`."""
 
+import select
 import threading
+import time
 from collections.abc import Callable
 
 from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
+from turmerictray.transport.accepting import AcceptWatch
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.heads import HeadDeadlines, StrictServerMixin
 from turmerictray.transport.threads import GrowingThreadPool
@@ -39,6 +42,7 @@
         self.handler = handler
         self.heads = HeadDeadlines()
         self.draining = False
+        self.accepting = AcceptWatch()
         self.server_name = "turmerictray"
         self.request_queue_size = _BACKLOG
         self.shutdown_timeout = 1
@@ -53,6 +57,7 @@
         Handed to a thread at once, a caller that connects and sends nothing would hold that
         thread.
         """
+        self.accepting.note_accepted()
         self._connections.put(conn)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
@@ -98,6 +103,15 @@
         self._server.stop()
         self._thread.join(timeout=2)
 
+    def is_stalled(self) -> bool:
+        """Whether connections wait and none is accepted; to be asked ten times a second."""
+        now = time.monotonic()
+        poller = select.poll()
+        poller.register(self._server.socket, select.POLLIN)
+        waiting = bool(poller.poll(0))
+        self._server.accepting.look(waiting, now)
+        return self._server.accepting.is_stalled(now)
+
     def close_slow_heads(self) -> None:
         """End connections whose request head takes longer than the limit allows."""
         self._server.heads.close_overdue(self._server.front_limits.header_timeout_s)
