--- a/tests/router/test_desk.py
+++ b/tests/router/test_desk.py
@@ -2,10 +2,11 @@
 
 import time
 
+import pykka
 import pytest
 
 from turmerictray.admission.pool import Outcome
-from turmerictray.core.errors import CallerGone, NoTarget, QueueFull
+from turmerictray.core.errors import CallerGone, Draining, NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.reply import Reply
 from turmerictray.membership.messages import MemberEntry
@@ -17,6 +18,7 @@
 from turmerictray.routing.prompt import Part, PartId, Prompt
 from turmerictray.scheduling.choice import SchedulerChoice
 from turmerictray.scheduling.messages import Ended, PlaceGranted, PlaceRefused, PlaceRequest
+from turmerictray.scheduling.shards import WHOLE, ShardMap
 
 LLM = ServiceName("llm")
 ENGINE = TargetInfo(TargetId("e1"), LLM, "10.0.0.1:80", ZoneId("z"), 64)
@@ -252,3 +254,58 @@
     pair.silence()
     assert isinstance(ask.reply.exception(0), CallerGone)
     assert pair.broker.asks() == []
+
+
+@pytest.fixture
+def divided(pair):
+    pair.in_force.shards = {LLM: ShardMap(TargetId(f"e{n}") for n in range(45))}
+    return pair
+
+
+def test_a_shard_that_is_full_is_not_the_last_word(divided):
+    # A caller is refused while a third of the engines has room: the shard that its prompt belongs
+    # to is asked for more than its engines can read, and its scheduler knows of no others.
+    ask = divided.ask()
+    divided.refuse(WontBeServed("wait_too_long", 0.4))
+    first, second = divided.remote.asks()
+    assert first.shard != second.shard
+    assert not ask.reply.done()
+    divided.grant()
+    assert ask.reply.result(0).target == ENGINE
+
+
+def test_a_request_that_no_shard_has_room_for_is_refused(divided):
+    ask = divided.ask()
+    divided.refuse(WontBeServed("wait_too_long", 0.4))
+    divided.refuse(WontBeServed("wait_too_long", 0.3))
+    assert isinstance(ask.reply.exception(0), WontBeServed)
+
+
+def test_a_slow_scheduler_is_passed_over_like_a_dead_one(divided):
+    # The scheduler still takes messages, seconds late; nothing on the connection tells. Its late
+    # grant must neither be the second answer nor keep an engine busy.
+    divided.out.is_cut = True
+    ask = divided.ask()
+    late = next(msg for msg in divided.out.sent if isinstance(msg, PlaceRequest))
+    divided.silence()
+    assert divided.broker.asks()[0].shard == WHOLE
+    divided.broker.asks()[0].reply.give(Granted(ENGINE, 0.1, 100, 0))
+    divided.out.is_cut = False
+    divided.scheduler.hear(late)
+    divided.grant()
+    assert ask.reply.result(0).scheduler == ""
+    assert divided.remote.told[-1] == Settled(7, LLM, ENGINE.id, Outcome.CALLER_GONE, 0.0)
+
+
+class DeadBroker:
+    def tell(self, msg) -> None:
+        raise pykka.ActorDeadError("gone")
+
+
+def test_requests_of_a_router_whose_broker_is_gone_may_be_sent_to_another(pair):
+    # The process ends and is started again within a second. Callers who come meanwhile had a 500,
+    # which says nothing of whether their orders had run.
+    pair.desk._broker = DeadBroker()
+    ask = pair.ask(prompt=None)
+    assert isinstance(ask.reply.exception(0), Draining)
+    pair.desk.tell(Settled(7, LLM, ENGINE.id, Outcome.DONE, 1020.0))
--- /dev/null
+++ b/tests/router/test_shard_pools.py
@@ -0,0 +1,109 @@
+"""The broker of a router that schedules one shard of a service's engines."""
+
+import time
+
+import pytest
+
+from turmerictray.admission.pool import Outcome
+from turmerictray.config.routes import EngineSpec, ServiceSpec
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.reply import Reply
+from turmerictray.core.timer import Tick
+from turmerictray.router.broker import Broker
+from turmerictray.router.broker_messages import (
+    Ask,
+    OnTick,
+    ServiceHeard,
+    Settled,
+    TargetsChanged,
+    TargetsListed,
+    Withdraw,
+)
+from turmerictray.router.text_in_force import RepeatLimits, TextInForce
+from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.prompt import Part, PartId, Prompt
+from turmerictray.scheduling.messages import ServiceGiven
+from turmerictray.scheduling.shards import ShardId, shard_index
+
+LLM = ServiceName("llm")
+TEAM = TeamId("t")
+INFOS = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZoneId("z"), 1) for n in range(45)]
+SHARD = ShardId(1, 4)
+
+
+@pytest.fixture
+def broker():
+    broker = Broker(NodeId("r1"), ZoneId("z"), 1, TextInForce(), RepeatLimits())
+    broker._pool(LLM).targets.set_spec(ServiceSpec(LLM, EngineSpec(1, 600_000)))
+    broker.on_receive(TargetsListed(INFOS))
+    return broker
+
+
+def ask(broker: Broker, call_id: int, shard: ShardId, wait_s: float = 5.0) -> Reply:
+    reply, now = Reply(), time.monotonic()
+    prompt = Prompt((Part(PartId("s"), 900), Part(PartId(f"o{call_id}"), 100)), 1000, 10)
+    broker.on_receive(
+        Ask(
+            call_id,
+            RequestId(str(call_id)),
+            TEAM,
+            LLM,
+            1020.0,
+            prompt,
+            now + wait_s,
+            reply,
+            give_up=now + 9,
+            shard=shard,
+        )
+    )
+    return reply
+
+
+def test_the_engines_are_divided_as_soon_as_they_are_listed(broker):
+    assert broker.in_force.shards[LLM].count == 4
+    broker.on_receive(TargetsChanged(gone=[info.id for info in INFOS[9:]]))
+    assert broker.in_force.shards[LLM].count == 1
+
+
+def test_a_shard_gets_only_its_own_engines_and_shares_what_is_known_of_them(broker):
+    members = {info.id for info in INFOS if shard_index(info.id, 4) == 1}
+    replies = [ask(broker, n, SHARD) for n in range(len(members) + 3)]
+    granted = [reply.result(0).target.id for reply in replies if reply.done()]
+    assert set(granted) == members
+    assert all(broker.pools[LLM].targets.loads[target].running == 1 for target in members)
+    broker.on_receive(Settled(0, LLM, granted[0], Outcome.DONE, 1020.0))
+    assert sum(reply.done() for reply in replies) == len(members) + 1
+
+
+def test_a_caller_that_leaves_is_withdrawn_from_its_shard(broker):
+    members = sum(shard_index(info.id, 4) == 1 for info in INFOS)
+    replies = [ask(broker, n, SHARD) for n in range(members + 1)]
+    broker.on_receive(Withdraw(members, LLM))
+    assert replies[-1].done()
+
+
+def test_what_waits_ends_though_the_division_has_changed(broker):
+    members = sum(shard_index(info.id, 4) == 1 for info in INFOS)
+    replies = [ask(broker, n, SHARD) for n in range(members + 1)]
+    broker.on_receive(TargetsChanged(gone=[INFOS[0].id]))
+    for info in INFOS[1:30]:
+        broker.on_receive(TargetsChanged(gone=[info.id]))
+    broker.on_receive(Tick("expire", time.monotonic() + 6))
+    assert all(reply.done() for reply in replies)
+
+
+def test_schedulers_of_other_shards_are_told_what_teams_were_given(broker):
+    # A team whose prompts belong to one shard gets its share there, and as much again at each of
+    # the others, while teams that are spread get theirs once.
+    told = []
+    broker.on_receive(OnTick((), lambda *args: told.append(args)))
+    ask(broker, 1, SHARD)
+    broker.on_receive(Tick("expire", time.monotonic()))
+    assert told == [(LLM, 4, ServiceGiven("r1", 1, {TEAM: 1020}, []))]
+
+
+def test_what_another_scheduler_gave_counts(broker):
+    broker.on_receive(ServiceHeard(ServiceGiven("r2", 1, {}, [])))
+    broker.on_receive(ServiceHeard(ServiceGiven("r2", 1, {TEAM: 5000}, ["u"])))
+    assert broker.ledger.normalised(TEAM) > 4000
+    assert broker.ledger.lead(TEAM, set()) > 4000
--- /dev/null
+++ b/tests/scheduling/test_shards.py
@@ -0,0 +1,107 @@
+"""How a service's engines are divided among schedulers, and where prompts go."""
+
+from collections import Counter
+
+import pytest
+
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
+from turmerictray.membership.messages import MemberEntry
+from turmerictray.scheduling.backlogs import Backlogs
+from turmerictray.scheduling.choice import SchedulerChoice
+from turmerictray.scheduling.shards import WHOLE, ShardId, ShardMap, shard_count, shard_index
+
+LLM = ServiceName("llm")
+MOST_ENGINES = 24
+
+
+def engines(count: int, prefix: str = "e") -> list[TargetId]:
+    return [TargetId(f"{prefix}{n}") for n in range(count)]
+
+
+def entry(number: int, cores: float = 1.0) -> MemberEntry:
+    node = f"r{number}"
+    return MemberEntry(node, "z", f"tcp://{node}:1", 1, 20, False, f"tcp://{node}:2", cores)
+
+
+def choice_of(members) -> SchedulerChoice:
+    choice = SchedulerChoice(NodeId("asker"), ZoneId("z"))
+    choice.take_members(members)
+    return choice
+
+
+@pytest.mark.parametrize("count", [1, 9, 16])
+def test_a_small_service_has_one_scheduler(count):
+    shards = ShardMap(engines(count))
+    assert shards.count == 1
+    assert shards.for_key("part") == (WHOLE,)
+    assert ShardMap().for_key("part") == (WHOLE,)
+
+
+@pytest.mark.parametrize("count", [17, 30, 45, 64, 200, 600])
+def test_no_scheduler_has_more_engines_than_one_processor_can_schedule(count):
+    # Callers of a large fleet wait for an answer of the scheduler that comes too late, or find no
+    # connection at it: one router places the prompts of the whole fleet, and its share of a core is
+    # used up whatever a decision costs. Evidence: as in admission/test_decision_cost.py, for which
+    # the scheduler of 45 engines still needed two cores after decisions had become seven times
+    # cheaper. What one has to do must not grow with the fleet.
+    sizes = Counter(shard_index(target, shard_count(count)) for target in engines(count))
+    assert max(sizes.values()) <= MOST_ENGINES
+    assert len(sizes) == shard_count(count)
+
+
+def test_shards_are_served_by_different_routers():
+    choice = choice_of([entry(n) for n in range(77)])
+    shards = ShardMap(engines(45)).shards()
+    found = {choice.scheduler(LLM, shard).node for shard in shards}
+    assert len(found) >= 3
+
+
+def test_a_router_with_more_processor_is_the_scheduler_more_often():
+    # The busiest machines of a fleet are the smallest ones: callers come to all alike.
+    members = [entry(n, 2.0 if n < 10 else 0.5) for n in range(70)]
+    services = [ServiceName(f"s{n}") for n in range(100)]
+    choice = choice_of(members)
+    large = sum(int(choice.scheduler(service).node[1:]) < 10 for service in services)
+    assert large > 50
+
+
+def test_prompts_come_to_a_shard_by_its_engines():
+    shards = ShardMap(engines(45))
+    sizes = Counter(shards.of_target(target) for target in engines(45))
+    got = Counter(shards.for_key(f"part{n}")[0] for n in range(4000))
+    assert all(abs(got[shard] / 4000 - size / 45) < 0.04 for shard, size in sizes.items())
+
+
+def test_one_engine_more_moves_few_prompts():
+    before, after = ShardMap(engines(45)), ShardMap(engines(46))
+    moved = sum(before.for_key(f"p{n}")[0] != after.for_key(f"p{n}")[0] for n in range(1000))
+    assert moved < 60
+
+
+def test_twice_the_shards_split_each_in_two():
+    for target in engines(200):
+        assert shard_index(target, 8) // 2 == shard_index(target, 4)
+
+
+class Asked:
+    def __init__(self, shard: ShardId) -> None:
+        self.service = LLM
+        self.shard = shard
+
+
+def test_the_second_shard_is_taken_while_the_first_has_a_long_line():
+    first, second = ShardId(0, 4), ShardId(1, 4)
+    backlogs = Backlogs()
+    assert backlogs.order(LLM, (first, second), 1.0) == (first, second)
+    backlogs.note(Asked(first), 0.4, 1.0)
+    assert backlogs.order(LLM, (first, second), 1.1) == (second, first)
+    backlogs.note(Asked(second), 0.35, 1.1)
+    assert backlogs.order(LLM, (first, second), 1.2) == (first, second)
+
+
+def test_an_old_word_on_a_line_does_not_count():
+    first, second = ShardId(0, 4), ShardId(1, 4)
+    backlogs = Backlogs()
+    backlogs.note(Asked(first), 0.4, 1.0)
+    assert backlogs.order(LLM, (first, second), 2.0) == (first, second)
+    assert backlogs.order(LLM, (WHOLE,), 1.1) == (WHOLE,)
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -33,7 +33,7 @@
     place_plain,
     place_prompt,
 )
-from turmerictray.routing.pool_targets import PoolTargets
+from turmerictray.routing.pool_targets import PoolTargets, ShardTargets
 from turmerictray.routing.prompt import Prompt
 
 _QUEUE_PER_TEAM = 256
@@ -142,6 +142,8 @@
     budget : RetryBudget
     place : callable
         The way of choosing an engine.
+    targets : PoolTargets or ShardTargets or None
+        The targets; None for a new set of a whole service's.
     """
 
     def __init__(
@@ -151,13 +153,14 @@
         ledger: RecentService,
         budget: RetryBudget,
         place: PlacePrompt = place_prompt,
+        targets: PoolTargets | ShardTargets | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
         self.ledger = ledger
         self.budget = budget
         self._place_prompt = place
-        self.targets = PoolTargets(ServiceSpec(name))
+        self.targets = PoolTargets(ServiceSpec(name)) if targets is None else targets
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
         self._turns: Counter[TeamId] = Counter()
@@ -215,6 +218,10 @@
         """Seconds until the request's turn, by the queue before it and the pace of sends."""
         return self._mean_gap_s * self._ahead_of(item)
 
+    def backlog_s(self) -> float:
+        """Seconds until all that waits has been sent, by the pace of sends."""
+        return self._mean_gap_s * len(self.queue)
+
     def _wait_reason(self, item: Pending) -> str:
         gap_ms = round(self._mean_gap_s * 1000)
         return f"wait_too_long: {self._ahead_of(item)} before it, {gap_ms} ms between sends"
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -111,6 +111,8 @@
         Called with the entries of the live routers, this one's own included, now and then.
     calls : str
         ``tcp://host:port`` at which this router schedules requests of others.
+    cores : float
+        What this router's processor can do, in cores.
     """
 
     def __init__(
@@ -125,9 +127,10 @@
         on_peer: Callable[[PeerMessage], None],
         on_members: Callable[[tuple[MemberEntry, ...]], None],
         calls: str = "",
+        cores: float = 1.0,
     ) -> None:
         super().__init__()
-        self.entry = MemberEntry(node, zone, address, incarnation, 0, False, calls)
+        self.entry = MemberEntry(node, zone, address, incarnation, 0, False, calls, cores)
         self.admin = admin
         self.seeds = seeds
         self.table = MemberTable(node)
@@ -207,16 +210,8 @@
             # Nothing is sent rather than a message without work: peers would take the targets
             # that this router uses for free.
             return
-        entry = self.entry
-        self.entry = MemberEntry(
-            entry.node,
-            entry.zone,
-            entry.address,
-            entry.incarnation,
-            entry.beat + 1,
-            self._leaving,
-            entry.calls,
-        )
+        beat = self.entry.beat + 1
+        self.entry = msgspec.structs.replace(self.entry, beat=beat, leaving=self._leaving)
         known: list[MemberEntry] = []
         if self._is_large() or self.entry.beat % _KNOWN_EVERY == 0:
             most = _KNOWN_ENTRIES_LARGE if self._is_large() else _KNOWN_ENTRIES
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -19,6 +19,8 @@
         It is shutting down.
     calls : str
         ``tcp://host:port`` at which it schedules requests of other routers.
+    cores : float
+        What its processor can do, in cores.
     """
 
     node: str
@@ -28,6 +30,7 @@
     beat: int
     leaving: bool = False
     calls: str = ""
+    cores: float = 1.0
 
 
 class TargetWork(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -32,6 +32,12 @@
     budget_min_retries: float = 50.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # A share of one core that is "cores" times as fast as usual, not of so many cores.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct, frozen=True):
     address: str
 
@@ -47,6 +53,7 @@
     platform: _Store
     seeds: list[str] = []
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def load_node_file(path: str | None = None) -> NodeFile:
@@ -87,6 +94,7 @@
         repeats=RepeatLimits(
             bounds.retry_budget_ratio, bounds.budget_min_retries, bounds.budget_window_s
         ),
+        cores=node_file.limits.cpu_share * node_file.limits.cores,
     )
 
 
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -13,6 +13,7 @@
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
+from turmerictray.fairness.changed import ChangedService
 from turmerictray.fairness.queue import Pending
 from turmerictray.fairness.recent import RecentService
 from turmerictray.membership.messages import PartRead, RouterSummary, TargetWork
@@ -28,6 +29,7 @@
     OnTick,
     PeerHeard,
     RoutersAlive,
+    ServiceHeard,
     Settled,
     SummaryQuery,
     TargetLeaving,
@@ -39,10 +41,10 @@
 from turmerictray.router.rounds import GrantRounds
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
+from turmerictray.routing.pool_targets import ShardTargets
 from turmerictray.routing.prompt import Part, PartId
-
-_ALL_TEAMS_EVERY = 8
-"""Every so many messages tell of all teams, for peers that missed some."""
+from turmerictray.scheduling.messages import ServiceGiven
+from turmerictray.scheduling.shards import WHOLE, ShardId, ShardMap, shard_index
 
 _BUSY_RETRY_S = 0.5
 
@@ -78,13 +80,15 @@
         self.repeats = repeats
         self.ledger = RecentService(node)
         self.pools: dict[ServiceName, ServicePool] = {}
+        self.shards: dict[ServiceName, dict[ShardId, ServicePool]] = {}
+        self.tell_given: Callable[[ServiceName, int, ServiceGiven], None] | None = None
+        self.given = ChangedService()
         self.routers = 1
         self.alive: frozenset[str] = frozenset({node})
-        self.told = 0
         # Called with each tick that is not late. Parts that look after requests at the same rhythm
         # need no thread of their own: each would wake up twenty times a second on every router.
         self.on_tick: tuple[Callable[[float], None], ...] = ()
-        self.told_service: dict[TeamId, float] = {}
+        self.summarised = ChangedService()
         self._rounds = GrantRounds(self._grant_all, self.actor_inbox.empty)
 
     def on_receive(self, message: object) -> object:
@@ -103,7 +107,7 @@
     @handle.register
     def _(self, msg: Ask) -> None:
         now = time.monotonic()
-        pool = self._pool(msg.service)
+        pool = self._pool_of(msg.service, msg.shard)
         if not msg.retry:
             pool.budget.note_request(now)
         wanted = Wanted(msg.call_id, msg.prompt, msg.exclude, msg.origin, msg.zone, msg.give_up)
@@ -119,27 +123,34 @@
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
-        item = self._pool(msg.service).withdraw(msg.call_id)
-        if item is not None:
-            item.reply.refuse(CallerGone("caller gone while waiting"))
+        for pool in self._pools_of(msg.service):
+            item = pool.withdraw(msg.call_id)
+            if item is not None:
+                item.reply.refuse(CallerGone("caller gone while waiting"))
+                return
 
     @handle.register
     def _(self, msg: FirstEvent) -> None:
         pool = self._pool(msg.service)
         pool.targets.first_event(msg.target, msg.call_id, msg.took_s)
-        self._rounds.want(pool, time.monotonic())
+        self._want(msg.service, time.monotonic())
 
     @handle.register
     def _(self, msg: Settled) -> None:
         pool = self._pool(msg.service)
         now = time.monotonic()
         pool.settle(msg.target, msg.call_id, msg.outcome, now, msg.cost)
-        self._rounds.want(pool, now)
+        self._want(msg.service, now)
+
+    def _want(self, service: ServiceName, now: float) -> None:
+        for pool in self._pools_of(service):
+            if len(pool.queue):
+                self._rounds.want(pool, now)
 
     def _grant_all(self, pool: ServicePool, now: float) -> None:
         while (sent := pool.next_sent(now)) is not None:
             self._grant(pool, sent, now)
-        metrics.QUEUED.set(sum(len(each.queue) for each in self.pools.values()))
+        metrics.QUEUED.set(sum(len(each.queue) for each in self._all_pools()))
 
     def _grant(self, pool: ServicePool, sent: Sent, now: float) -> None:
         item, placement = sent.item, sent.placement
@@ -149,6 +160,7 @@
             placement.miss_tokens,
             placement.ahead_tokens,
             fetch_from=placement.source.address if placement.source else "",
+            backlog_s=pool.backlog_s(),
         )
         if not item.reply.give(granted):
             # The caller's thread stopped waiting at this very moment; a booking that nobody
@@ -158,8 +170,10 @@
     @handle.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.values():
+            pool.targets.judge_slowness()
             self._give_up_reads(pool, msg.now)
             pool.drop_lost_calls(self.alive, msg.now)
+        for pool in self._all_pools():
             for item in pool.expire(msg.now):
                 reason = f"queue_timeout: {len(pool.queue)} others wait"
                 item.reply.refuse(QueueTimeout(reason, pool.expected_wait_s(item)))
@@ -168,6 +182,25 @@
         if not msg.is_late():
             for hook in self.on_tick:
                 hook(msg.now)
+            self._tell_given(msg.now)
+
+    def _tell_given(self, now: float) -> None:
+        """Tell the schedulers of other shards what teams were given and which wait here.
+
+        Messages among all routers bring that too late in a large fleet: a team that is served by
+        one shard would have its turn at each of the others as well.
+        """
+        if self.tell_given is None or not self.given.is_due(now):
+            return
+        for service, pools in self.shards.items():
+            if not pools:
+                continue
+            waiting = sorted(set().union(*(pool.backlogged() for pool in pools.values())))
+            changed = self.given.take(self.ledger.told())
+            count = max(shard.count for shard in pools)
+            self.tell_given(
+                service, count, ServiceGiven(self.node, self.incarnation, changed, waiting)
+            )
 
     def _give_up_reads(self, pool: ServicePool, now: float) -> None:
         for target, read in pool.targets.give_up_reads(now):
@@ -200,6 +233,7 @@
         self.ledger.weights = {team.name: team.weight for team in text.teams}
         for spec in text.services.values():
             self._pool(spec.name).targets.set_spec(spec, text.tokens_per_s)
+        self._divide()
         metrics.CONFIG_VERSION.set(text.version)
 
     @handle.register
@@ -211,6 +245,7 @@
         for info in msg.targets:
             self._take(info)
         self.in_force.targets_listed = True
+        self._divide()
         self._want_all()
 
     @handle.register
@@ -221,6 +256,7 @@
                     self._drop(pool, target)
         for info in msg.changed:
             self._take(info)
+        self._divide()
         self._want_all()
 
     @handle.register
@@ -241,6 +277,25 @@
             log_event("target", target=info.id, service=info.service, phase=info.phase.value)
         self._note_phase(pool.targets.loads[info.id].info)
 
+    def _divide(self) -> None:
+        """Divide each service's engines into shards by the ones that take requests now."""
+        self.in_force.shards = {
+            pool.name: ShardMap(
+                target
+                for target, load in pool.targets.loads.items()
+                if load.info.phase is TargetPhase.READY
+            )
+            for pool in self._engine_pools()
+        }
+        for service, pools in self.shards.items():
+            count = self.in_force.shards[service].count
+            # What waits in a division of before goes on until it is sent or given up.
+            self.shards[service] = {
+                shard: pool
+                for shard, pool in pools.items()
+                if shard.count == count or len(pool.queue)
+            }
+
     def _note_phase(self, info: TargetInfo) -> None:
         if info.phase is TargetPhase.READY:
             self.in_force.leaving = self.in_force.leaving - {info.id}
@@ -254,8 +309,9 @@
 
     def _want_all(self) -> None:
         now = time.monotonic()
-        for pool in self.pools.values():
-            self._rounds.want(pool, now)
+        for pool in self._all_pools():
+            if len(pool.queue):
+                self._rounds.want(pool, now)
 
     # -- peers -------------------------------------------------------------------------------
 
@@ -272,6 +328,13 @@
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
         self._want_all()
 
+    @handle.register
+    def _(self, msg: ServiceHeard) -> None:
+        given = msg.given
+        service = {TeamId(team): tokens for team, tokens in given.service.items()}
+        self.ledger.merge(given.scheduler, given.incarnation, service)
+        self.ledger.note_waiting(given.scheduler, map(TeamId, given.waiting))
+
     @handle.register
     def _(self, msg: KeptHeard) -> None:
         for pool in self._engine_pools():
@@ -316,6 +379,7 @@
     @handle.register
     def _(self, msg: OnTick) -> None:
         self.on_tick = msg.hooks
+        self.tell_given = msg.tell_given
 
     @handle.register
     def _(self, msg: SummaryQuery) -> RouterSummary:
@@ -324,20 +388,11 @@
             incarnation=self.incarnation,
             text_version=self.in_force.version,
             work=self._own_work(),
-            service=self._service_to_tell(),
-            waiting=sorted({team for pool in self.pools.values() for team in pool.backlogged()}),
+            service=self.summarised.take(self.ledger.told()),
+            waiting=sorted({team for pool in self._all_pools() for team in pool.backlogged()}),
             reads=self._take_reads(),
         )
 
-    def _service_to_tell(self) -> dict[str, float]:
-        """Service of the teams that had some since the last message; now and then of all."""
-        charged = self.ledger.told()
-        self.told += 1
-        if self.told % _ALL_TEAMS_EVERY:
-            charged = {t: v for t, v in charged.items() if v > self.told_service.get(t, 0.0)}
-        self.told_service.update(charged)
-        return {team: round(value) for team, value in charged.items()}
-
     def _take_reads(self) -> list[PartRead]:
         reads = {}
         for pool in self.pools.values():
@@ -375,3 +430,24 @@
             if text is not None and service in text.services:
                 pool.targets.set_spec(text.services[service], text.tokens_per_s)
         return pool
+
+    def _pool_of(self, service: ServiceName, shard: ShardId) -> ServicePool:
+        whole = self._pool(service)
+        if shard == WHOLE:
+            return whole
+        pools = self.shards.setdefault(service, {})
+        pool = pools.get(shard)
+        if pool is None:
+            targets = ShardTargets(
+                whole.targets, lambda target: shard_index(target, shard.count) == shard.index
+            )
+            pool = ServicePool(service, self.zone, self.ledger, whole.budget, targets=targets)
+            pools[shard] = pool
+        return pool
+
+    def _pools_of(self, service: ServiceName) -> list[ServicePool]:
+        return [self._pool(service), *self.shards.get(service, {}).values()]
+
+    def _all_pools(self) -> list[ServicePool]:
+        shards = [pool for pools in self.shards.values() for pool in pools.values()]
+        return [*self.pools.values(), *shards]
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -11,6 +11,8 @@
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Part, Prompt
+from turmerictray.scheduling.messages import ServiceGiven
+from turmerictray.scheduling.shards import WHOLE, ShardId
 
 KeptParts = dict[TargetId, list[Part]]
 """Parts of prompts that engines keep, by engine, least recently used first."""
@@ -40,6 +42,8 @@
         Where that router stands; None for this router's own.
     give_up : float
         Monotonic seconds at which it ends at the latest.
+    shard : ShardId
+        The engines that it may be sent to.
     reply : Reply
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
@@ -58,6 +62,7 @@
     origin: NodeId = NodeId("")
     zone: ZoneId | None = None
     give_up: float = math.inf
+    shard: ShardId = WHOLE
 
 
 @dataclass(frozen=True)
@@ -75,6 +80,8 @@
         The router that chose; empty for this one.
     fetch_from : str
         ``host:port`` of the engine from which the target is to fetch kept parts; empty for none.
+    backlog_s : float
+        Seconds until all that waits there has been sent.
     """
 
     target: TargetInfo
@@ -83,6 +90,7 @@
     ahead_tokens: int
     scheduler: str = ""
     fetch_from: str = ""
+    backlog_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -158,6 +166,13 @@
     summary: RouterSummary
 
 
+@dataclass(frozen=True)
+class ServiceHeard:
+    """What teams were given, and which wait, at the scheduler of another shard."""
+
+    given: ServiceGiven
+
+
 @dataclass(frozen=True)
 class KeptHeard:
     """What engines keep, as they or a peer say; peers don't know of it if ``tell_peers``."""
@@ -185,9 +200,10 @@
 
 @dataclass(frozen=True)
 class OnTick:
-    """Functions to call with each tick, given its time."""
+    """Functions to call with each tick, given its time, and who hears what shards were given."""
 
     hooks: tuple[Callable[[float], None], ...]
+    tell_given: Callable[[ServiceName, int, ServiceGiven], None] | None = None
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/desk.py
+++ b/turmerictray/router/desk.py
@@ -2,14 +2,21 @@
 
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 import pykka
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.core import errors
-from turmerictray.core.errors import AdmissionError, CallerGone, NoTarget
+from turmerictray.core.errors import (
+    AdmissionError,
+    CallerGone,
+    Draining,
+    NoTarget,
+    QueueFull,
+    WontBeServed,
+)
 from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, ZoneId
 from turmerictray.core.logs import log_event
 from turmerictray.membership.messages import MemberEntry
@@ -23,6 +30,7 @@
 )
 from turmerictray.router.text_in_force import TextInForce
 from turmerictray.routing.load import TargetInfo
+from turmerictray.scheduling.backlogs import Backlogs
 from turmerictray.scheduling.choice import SchedulerChoice
 from turmerictray.scheduling.link import SchedulingLink
 from turmerictray.scheduling.messages import (
@@ -33,25 +41,35 @@
     PlaceRefused,
     PlaceRequest,
     PlaceWithdrawn,
+    ServiceGiven,
     StillWaiting,
 )
+from turmerictray.scheduling.shards import WHOLE, ShardId, ShardMap
 
 SILENCE_S = 0.15
 """A scheduler that has not said anything for this long while a request waits there is passed over.
 It says something every 0.05 s, with the broker's ticks; the way there and back takes 3 ms between
 zones."""
 
+_FULL_THERE = frozenset({QueueFull.__name__, WontBeServed.__name__})
+
+_ELSEWHERE_S = 0.05
+"""Another router serves the caller at once."""
+
+_UNDIVIDED = ShardMap()
+
 _FORGOTTEN_S = 1.0
 """How long after the request's last moment a call is still known."""
 
 
 @dataclass
 class _Call:
-    """A request that was put to the scheduler."""
+    """A request that was put to the scheduler; ``others`` are shards it may still be put to."""
 
     ask: Ask
     scheduler: MemberEntry
     asked_at: float
+    others: tuple[ShardId, ...] = ()
     granted: bool = False
 
 
@@ -90,26 +108,57 @@
         self._link = link
         self._lock = threading.Lock()
         self._calls: dict[int, _Call] = {}
+        self._backlogs = Backlogs()
         self._heard_at: dict[str, float] = {}
 
+    def _to_broker(self, msg: object) -> None:
+        """Tell this router's broker; a request that it can't take any more is refused."""
+        try:
+            self._broker.tell(msg)
+        except pykka.ActorDeadError:
+            # The process is about to end. Until then its front takes requests, and callers would
+            # get a 500 for what has not run and may be sent to another router.
+            if isinstance(msg, Ask):
+                msg.reply.refuse(Draining("broker_gone", _ELSEWHERE_S))
+
     # -- from this router's requests -----------------------------------------------------------
 
     @singledispatchmethod
     def tell(self, msg: object) -> None:
         """Take a message of a request's try."""
-        self._broker.tell(msg)
+        self._to_broker(msg)
 
     @tell.register
     def _(self, msg: Ask) -> None:
-        scheduler = self._choice.scheduler(msg.service) if msg.prompt is not None else None
-        if scheduler is None or not self._put(msg, scheduler):
-            self._broker.tell(msg)
+        if msg.prompt is None:
+            self._to_broker(msg)
+            return
+        shards = self._shards(msg.service).for_key(msg.prompt.home_key or str(msg.call_id))
+        self._offer(msg, self._backlogs.order(msg.service, shards, time.monotonic()))
+
+    def _offer(self, ask: Ask, shards: tuple[ShardId, ...]) -> None:
+        """Put a request to the scheduler of the first shard; the others are for a refusal."""
+        shard, others = shards[0], shards[1:]
+        ask = replace(ask, shard=shard)
+        if self._choice.is_scheduler(ask.service, shard):
+            self._to_broker(ask)
+            return
+        scheduler = self._choice.scheduler(ask.service, shard)
+        if scheduler is None or not self._put(ask, scheduler, others):
+            self._decide_alone(ask)
+
+    def _decide_alone(self, ask: Ask) -> None:
+        """Let this router's own broker choose, among all engines."""
+        self._to_broker(replace(ask, shard=WHOLE))
+
+    def _shards(self, service: ServiceName) -> ShardMap:
+        return self._in_force.shards.get(service, _UNDIVIDED)
 
     @tell.register
     def _(self, msg: Withdraw) -> None:
         call = self._calls.get(msg.call_id)
         if call is None or not self._claim(call):
-            self._broker.tell(msg)
+            self._to_broker(msg)
             return
         self._link.send(call.scheduler.calls, PlaceWithdrawn(msg.call_id, msg.service))
         call.ask.reply.refuse(CallerGone("caller gone while waiting"))
@@ -118,7 +167,7 @@
     def _(self, msg: FirstEvent) -> None:
         call = self._calls.get(msg.call_id)
         if call is None:
-            self._broker.tell(msg)
+            self._to_broker(msg)
             return
         first = FirstSeen(msg.call_id, msg.service, msg.target, msg.took_s)
         self._link.send(call.scheduler.calls, first)
@@ -128,21 +177,29 @@
         with self._lock:
             call = self._calls.pop(msg.call_id, None)
         if call is None:
-            self._broker.tell(msg)
+            self._to_broker(msg)
             return
         self._end(call, msg.target, msg.outcome, msg.cost)
 
     @tell.register
     def _(self, msg: TargetLeaving) -> None:
-        self._broker.tell(msg)
-        scheduler = self._choice.scheduler(msg.service)
+        self._to_broker(msg)
+        shard = self._shards(msg.service).of_target(msg.target)
+        scheduler = self._choice.scheduler(msg.service, shard)
         if scheduler is not None:
             self._link.send(scheduler.calls, LeavingSeen(msg.service, msg.target))
 
-    def _put(self, ask: Ask, scheduler: MemberEntry) -> bool:
+    def tell_schedulers(self, service: ServiceName, count: int, given: ServiceGiven) -> None:
+        """Tell the schedulers of a service's other shards what this one gave to teams."""
+        shards = (ShardId(index, count) for index in range(count))
+        found = (self._choice.scheduler(service, shard) for shard in shards)
+        for address in {entry.calls for entry in found if entry is not None}:
+            self._link.send(address, given)
+
+    def _put(self, ask: Ask, scheduler: MemberEntry, others: tuple[ShardId, ...]) -> bool:
         now = time.monotonic()
         with self._lock:
-            self._calls[ask.call_id] = _Call(ask, scheduler, now)
+            self._calls[ask.call_id] = _Call(ask, scheduler, now, others)
         redialled = not self._link.is_dialled(scheduler.calls)
         prompt = ask.prompt
         request = PlaceRequest(
@@ -163,6 +220,8 @@
             sorted(ask.exclude),
             ask.retry,
             ask.repeat,
+            ask.shard.index,
+            ask.shard.count,
         )
         if self._link.send(scheduler.calls, request):
             return True
@@ -212,6 +271,8 @@
                 call = None
             else:
                 call.granted = True
+        if call is not None:
+            self._backlogs.note(call.ask, msg.backlog_s, time.monotonic())
         if call is None:
             # The request went another way meanwhile; the engine must not count as busy with it.
             self._return(msg)
@@ -219,7 +280,7 @@
             # This router knows from the store what the scheduler has not heard yet.
             self._return(msg)
             self._forget(msg.call_id)
-            self._broker.tell(call.ask)
+            self._decide_alone(call.ask)
         elif not call.ask.reply.give(_granted(msg)):
             self._return(msg)
             self._forget(msg.call_id)
@@ -233,7 +294,13 @@
             return True
         if msg.error == NoTarget.__name__:
             # It may know fewer targets than this router: cut off from the store, or just started.
-            self._broker.tell(call.ask)
+            self._decide_alone(call.ask)
+            return True
+        if msg.error in _FULL_THERE:
+            self._backlogs.note(call.ask, msg.retry_after_s, time.monotonic())
+        if call.others and msg.error in _FULL_THERE:
+            # Another shard may have room while this one is full.
+            self._offer(call.ask, call.others)
         else:
             call.ask.reply.refuse(_refusal(msg))
         return True
@@ -266,7 +333,7 @@
             self._link.redial(entry.calls)
         for call in waiting:
             if call.scheduler.node in silent and self._claim(call):
-                self._broker.tell(call.ask)
+                self._decide_alone(call.ask)
         self._forget_old(now)
 
     def _forget(self, call_id: int) -> None:
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -175,6 +175,7 @@
             on_peer=on_peer,
             on_members=on_members,
             calls=self._calls.address,
+            cores=s.cores,
         )
         self._timer.subscribe(self._link, "peers", PERIOD_S)
         reloader = SettingsReloader.start(s, self._load_settings, self._broker, self._link)
@@ -189,7 +190,8 @@
         self._scheduler = Scheduler(s.node, self._broker, self._calls)
         self._desk = Desk(s.node, s.zone, self._broker, self._in_force, choice, self._calls)
         self._calls.start()
-        self._broker.tell(OnTick((self._desk.look, self._scheduler.say_alive)))
+        hooks = (self._desk.look, self._scheduler.say_alive)
+        self._broker.tell(OnTick(hooks, self._desk.tell_schedulers))
 
     def _hear_call(self, message: SchedulingMessage) -> None:
         if not self._desk.hear(message):
--- a/turmerictray/router/gateway_settings.py
+++ b/turmerictray/router/gateway_settings.py
@@ -47,6 +47,8 @@
         Time from SIGTERM until the process is killed, in seconds.
     threads : int
         Requests in hand at once; see :data:`THREADS`.
+    cores : float
+        What the processor can do, in cores.
     """
 
     node: NodeId
@@ -62,3 +64,4 @@
     grace_s: float = 8.0
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
     threads: int = THREADS
+    cores: float = 1.0
--- a/turmerictray/router/scheduler.py
+++ b/turmerictray/router/scheduler.py
@@ -14,6 +14,7 @@
     Ask,
     FirstEvent,
     Granted,
+    ServiceHeard,
     Settled,
     TargetLeaving,
     Withdraw,
@@ -28,8 +29,10 @@
     PlaceRefused,
     PlaceRequest,
     PlaceWithdrawn,
+    ServiceGiven,
     StillWaiting,
 )
+from turmerictray.scheduling.shards import ShardId
 
 
 class Scheduler:
@@ -88,6 +91,10 @@
     def _(self, msg: LeavingSeen) -> None:
         self._broker.tell(TargetLeaving(ServiceName(msg.service), TargetId(msg.target)))
 
+    @hear.register
+    def _(self, msg: ServiceGiven) -> None:
+        self._broker.tell(ServiceHeard(msg))
+
     def say_alive(self, _now: float) -> None:
         """Tell the routers whose requests wait here that they are not forgotten."""
         with self._lock:
@@ -124,6 +131,7 @@
                 granted.miss_tokens,
                 granted.ahead_tokens,
                 granted.fetch_from,
+                granted.backlog_s,
             ),
         )
         if not sent:
@@ -156,4 +164,5 @@
         NodeId(msg.origin),
         ZoneId(msg.zone),
         now + msg.give_up_s,
+        ShardId(msg.shard, msg.shards),
     )
--- a/turmerictray/router/text_in_force.py
+++ b/turmerictray/router/text_in_force.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from turmerictray.config.routes import RoutingText
-from turmerictray.core.ids import TargetId
+from turmerictray.core.ids import ServiceName, TargetId
+from turmerictray.scheduling.shards import ShardMap
 
 
 @dataclass(frozen=True)
@@ -28,14 +29,15 @@
     """Holds the routing text in force, whether the targets are known, and which take no more work.
 
     ``leaving`` names the targets that take no more work: leaving, gone or with an entry that can't
-    be read. Only the broker changes it. A text is immutable, so other threads see either the old
-    or the new one whole.
+    be read. ``shards`` divides the engines of each service. Only the broker changes them. A text is
+    immutable, so other threads see either the old or the new one whole.
     """
 
     def __init__(self) -> None:
         self.current: RoutingText | None = None
         self.targets_listed = False
         self.leaving: frozenset[TargetId] = frozenset()
+        self.shards: dict[ServiceName, ShardMap] = {}
 
     @property
     def version(self) -> int:
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -2,6 +2,7 @@
 
 import statistics
 from collections import deque
+from collections.abc import Callable
 from dataclasses import replace
 
 from turmerictray.config.routes import ServiceSpec
@@ -30,12 +31,15 @@
     ----------
     loads : dict of TargetId to TargetLoad
     model : PoolModel
+    revision : int
+        Grows when a target comes or goes.
     """
 
     def __init__(self, spec: ServiceSpec) -> None:
         self.spec = spec
         self.model = PoolModel()
         self.loads: dict[TargetId, TargetLoad] = {}
+        self.revision = 0
         self._reads: deque[tuple[TargetId, tuple[Part, ...]]] = deque(maxlen=_READS_TOLD)
         self._listed: list[tuple[TargetId, tuple[Part, ...]]] = []
 
@@ -45,12 +49,14 @@
         if load is None:
             memory = self.spec.engine.memory_tokens if self.spec.engine else 0
             self.loads[info.id] = TargetLoad(info, KeptParts(int(memory * _KEPT_PART)))
+            self.revision += 1
         elif load.info.phase is not TargetPhase.LEAVING or info.phase is not TargetPhase.READY:
             load.info = info
 
     def drop(self, target: TargetId) -> None:
         """Forget a target that is gone; requests in progress there end by themselves."""
         self.loads.pop(target, None)
+        self.revision += 1
 
     def mark_leaving(self, target: TargetId) -> None:
         """A target's own answer says that it is leaving, before the list does."""
@@ -114,6 +120,14 @@
         if read is not None and self.spec.engine is not None:
             load.read_up_to(read)
             self.model.learn(read.tokens + read.ahead_tokens, took_s / load.slowness)
+
+    def judge_slowness(self) -> None:
+        """Compare each target's lateness with what is usual; to be done now and then.
+
+        Done at each first event, it costs a scheduler the product of its engines and their answers.
+        """
+        if not self.loads:
+            return
         usual = statistics.median(each.log_lateness for each in self.loads.values())
         for each in self.loads.values():
             each.judge_slowness(usual)
@@ -127,6 +141,46 @@
         return {target: _describe(load, self.model, now) for target, load in self.loads.items()}
 
 
+class ShardTargets:
+    """The targets of one shard of a service; what is believed of each is shared with the whole.
+
+    Parameters
+    ----------
+    whole : PoolTargets
+    is_member : callable
+        Whether a target belongs to the shard.
+    """
+
+    def __init__(self, whole: PoolTargets, is_member: Callable[[TargetId], bool]) -> None:
+        self._whole = whole
+        self._is_member = is_member
+        self._loads: dict[TargetId, TargetLoad] = {}
+        self._revision = -1
+
+    @property
+    def spec(self) -> ServiceSpec:
+        """The service's specification."""
+        return self._whole.spec
+
+    @property
+    def model(self) -> PoolModel:
+        """The model of the whole service's speed."""
+        return self._whole.model
+
+    @property
+    def loads(self) -> dict[TargetId, TargetLoad]:
+        """The shard's targets by id."""
+        if self._revision != self._whole.revision:
+            self._revision = self._whole.revision
+            loads = self._whole.loads.items()
+            self._loads = {target: load for target, load in loads if self._is_member(target)}
+        return self._loads
+
+    def note_read(self, target: TargetId, parts: tuple[Part, ...]) -> None:
+        """This router has sent ``parts`` to a target; peers are to be told."""
+        self._whole.note_read(target, parts)
+
+
 def _describe(load: TargetLoad, model: PoolModel, now: float) -> dict[str, object]:
     return {
         "phase": load.info.phase.value,
--- a/turmerictray/routing/rendezvous.py
+++ b/turmerictray/routing/rendezvous.py
@@ -3,6 +3,7 @@
 from hashlib import blake2b
 
 _DIGEST_BYTES = 8
+_RANKS = 2.0 ** (8 * _DIGEST_BYTES)
 
 
 def rank(key: str, target: str) -> int:
@@ -16,3 +17,12 @@
     """
     digest = blake2b(f"{key}\0{target}".encode(), digest_size=_DIGEST_BYTES).digest()
     return int.from_bytes(digest)
+
+
+def weighted_rank(key: str, target: str, weight: float) -> float:
+    """Like :func:`rank`, from 0 to 1, where a target is first choice of ``weight`` times the keys.
+
+    Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): the draw to the power of one by
+    the weight.
+    """
+    return ((rank(key, target) + 0.5) / _RANKS) ** (1.0 / weight)
--- a/turmerictray/scheduling/choice.py
+++ b/turmerictray/scheduling/choice.py
@@ -1,4 +1,4 @@
-"""Which router is the scheduler of a service's engines.
+"""Which router is the scheduler of a service's engines, or of one shard of them.
 
 Every router works it out for itself from the members that it believes alive, so there is nothing to
 elect. Two that differ for a moment, as after a cut, have two schedulers, each of which hears of the
@@ -11,7 +11,8 @@
 
 from turmerictray.core.ids import NodeId, ServiceName, ZoneId
 from turmerictray.membership.messages import MemberEntry
-from turmerictray.routing.rendezvous import rank
+from turmerictray.routing.rendezvous import weighted_rank
+from turmerictray.scheduling.shards import WHOLE, ShardId
 
 _GROWN_BEATS = 12
 """Messages that a router has sent before it may be the scheduler: three seconds in a small fleet,
@@ -26,12 +27,16 @@
 """Silent routers of other zones from which on the zone is taken to be cut off. Trying the others
 one by one would cost each 0.15 s: in a fleet of 79 routers, 60 of them elsewhere, nine seconds."""
 
+_SPARE_POWER = 2
+"""Callers come to all routers alike, so one with twice the processor has far more than twice of it
+to spare for scheduling."""
+
 _LOOK_S = 0.1
 """How long a choice is kept; ranking 79 routers takes 0.1 ms, too much for each request."""
 
 
 class SchedulerChoice:
-    """Chooses by rendezvous hashing among the members that answer.
+    """Chooses by rendezvous hashing among the members that answer, by what their processors can do.
 
     Parameters
     ----------
@@ -50,7 +55,7 @@
         self._clock = clock
         self._members: tuple[MemberEntry, ...] = ()
         self._silent: dict[str, tuple[int, float]] = {}
-        self._chosen: dict[ServiceName, tuple[float, MemberEntry | None]] = {}
+        self._chosen: dict[str, tuple[float, MemberEntry | None]] = {}
 
     def take_members(self, members: Iterable[MemberEntry]) -> None:
         """Take the members that are believed alive, this router included."""
@@ -71,29 +76,45 @@
             self._silent = {n: kept for n, kept in self._silent.items() if n != node}
             self._chosen = {}
 
-    def scheduler(self, service: ServiceName) -> MemberEntry | None:
-        """The scheduler of a service's engines; None where it is this router itself."""
+    def scheduler(self, service: ServiceName, shard: ShardId = WHOLE) -> MemberEntry | None:
+        """The scheduler of a shard's engines; None where this router decides by itself."""
+        chosen = self._current(service, shard)
+        return None if chosen is None or chosen.node == self.node else chosen
+
+    def is_scheduler(self, service: ServiceName, shard: ShardId) -> bool:
+        """Whether this router is the scheduler of a shard."""
+        chosen = self._current(service, shard)
+        return chosen is not None and chosen.node == self.node
+
+    def _current(self, service: ServiceName, shard: ShardId) -> MemberEntry | None:
+        key = _key(service, shard)
         now = self._clock()
-        until, chosen = self._chosen.get(service, (0.0, None))
+        until, chosen = self._chosen.get(key, (0.0, None))
         if now >= until:
-            chosen = self._choose(service, now)
-            self._chosen[service] = (now + _LOOK_S, chosen)
+            chosen = self._choose(key, now)
+            self._chosen[key] = (now + _LOOK_S, chosen)
         return chosen
 
-    def ranked(self, service: ServiceName) -> list[MemberEntry]:
+    def ranked(self, key: str) -> list[MemberEntry]:
         """The members that may be the scheduler, the first choice first; this router included."""
         grown = [entry for entry in self._members if entry.beat >= _GROWN_BEATS]
         return sorted(
-            grown or self._members, key=lambda entry: rank(service, entry.node), reverse=True
+            grown or self._members,
+            key=lambda entry: weighted_rank(key, entry.node, entry.cores**_SPARE_POWER),
+            reverse=True,
         )
 
-    def _choose(self, service: ServiceName, now: float) -> MemberEntry | None:
+    def _choose(self, key: str, now: float) -> MemberEntry | None:
         silent = {node for node, (_, until) in self._silent.items() if until > now}
         foreign = [e for e in self._members if e.node in silent and e.zone != self.zone]
         is_cut_off = len(foreign) >= _FOREIGN_SILENT
-        for entry in self.ranked(service):
+        for entry in self.ranked(key):
             if entry.node == self.node:
-                return None
+                return entry
             if entry.node not in silent and (entry.zone == self.zone or not is_cut_off):
                 return entry
         return None
+
+
+def _key(service: ServiceName, shard: ShardId) -> str:
+    return service if shard == WHOLE else f"{service}/{shard.index}/{shard.count}"
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -22,6 +22,8 @@
         Targets that it has been sent to.
     retry, repeat : bool
         See :class:`turmerictray.router.broker_messages.Ask`.
+    shard, shards : int
+        The shard of the service's engines that the request is for, of so many.
     """
 
     call_id: int
@@ -41,6 +43,8 @@
     exclude: list[str]
     retry: bool
     repeat: bool
+    shard: int = 0
+    shards: int = 1
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -83,6 +87,8 @@
     ----------
     scheduler, reply_to : str
         The router that grants, and where it is told how the request went.
+    backlog_s : float
+        Seconds until all that waits there has been sent.
     """
 
     call_id: int
@@ -98,6 +104,7 @@
     miss_tokens: int
     ahead_tokens: int
     fetch_from: str = ""
+    backlog_s: float = 0.0
 
 
 class PlaceRefused(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -116,6 +123,23 @@
     scheduler: str
 
 
+class ServiceGiven(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """What teams were given by a scheduler of one shard, for those of the others.
+
+    Attributes
+    ----------
+    service : dict of str to float
+        Tokens per team since the process started; only what has changed.
+    waiting : list of str
+        Teams that wait for room.
+    """
+
+    scheduler: str
+    incarnation: int
+    service: dict[str, float]
+    waiting: list[str]
+
+
 SchedulingMessage = (
     PlaceRequest
     | PlaceWithdrawn
@@ -125,4 +149,5 @@
     | PlaceGranted
     | PlaceRefused
     | StillWaiting
+    | ServiceGiven
 )
--- /dev/null
+++ b/turmerictray/scheduling/shards.py
@@ -0,0 +1,86 @@
+"""A service's engines, divided among several schedulers.
+
+What a scheduler has to do grows with its engines and their requests, and it has one processor. So a
+service with many engines has several schedulers, each with the engines of one shard and a queue of
+its own. All routers work out the same division from the engines that the platform lists.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from functools import lru_cache
+from typing import NamedTuple
+
+from turmerictray.core.ids import TargetId
+from turmerictray.routing.rendezvous import weighted_rank
+
+_MOST_ENGINES = 16
+"""Engines of a shard on average, at most. A scheduler of 16 engines that are asked for twice what
+they can do uses about a tenth of a core for its decisions."""
+
+_HASHED_FOR = "shard"
+
+
+class ShardId(NamedTuple):
+    """One of ``count`` shards of a service's engines."""
+
+    index: int = 0
+    count: int = 1
+
+
+WHOLE = ShardId()
+"""All engines of a service."""
+
+
+def shard_count(engines: int) -> int:
+    """Into how many shards so many engines are divided: a power of two.
+
+    Routers that count one engine more or less for a moment nearly always agree on it, and where it
+    doubles each shard falls into two.
+    """
+    return 2 ** max(0, math.ceil(math.log2(max(engines, 1) / _MOST_ENGINES)))
+
+
+@lru_cache(maxsize=4096)
+def shard_index(target: TargetId, count: int) -> int:
+    """The shard that an engine belongs to."""
+    return int(weighted_rank(_HASHED_FOR, target, 1.0) * count) if count > 1 else 0
+
+
+class ShardMap:
+    """The shards of a service at one moment; immutable.
+
+    Parameters
+    ----------
+    engines : iterable of TargetId
+        The engines that take requests.
+    """
+
+    def __init__(self, engines: Iterable[TargetId] = ()) -> None:
+        listed = list(engines)
+        self.count = shard_count(len(listed))
+        sizes = Counter(shard_index(target, self.count) for target in listed)
+        self._sizes = {ShardId(index, self.count): size for index, size in sorted(sizes.items())}
+
+    def shards(self) -> list[ShardId]:
+        """All shards that have engines."""
+        return list(self._sizes)
+
+    def of_target(self, target: TargetId) -> ShardId:
+        """The shard of an engine."""
+        return ShardId(shard_index(target, self.count), self.count)
+
+    def for_key(self, key: str) -> tuple[ShardId, ...]:
+        """The two shards in which a prompt is best placed, the first choice first.
+
+        By the key of its shared parts, so that prompts that share them meet on the same engines;
+        each shard gets as many as it has engines for.
+        """
+        if self.count == 1:
+            return (WHOLE,)
+        ranked = sorted(
+            self._sizes,
+            key=lambda shard: weighted_rank(key, str(shard.index), self._sizes[shard]),
+            reverse=True,
+        )
+        return tuple(ranked[:2])
--- a/turmerictray/simulation/fleet.py
+++ b/turmerictray/simulation/fleet.py
@@ -204,6 +204,7 @@
 
     def _expire(self) -> None:
         for pool in self.pools:
+            pool.targets.judge_slowness()
             pool.targets.give_up_reads(self.now)
             for item in pool.expire(self.now):
                 self._refuse(item.caller, pool.expected_wait_s(item))
