--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -6,13 +6,13 @@
 """
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
-from heapq import nsmallest
 
 from turmerictray.admission.budget import RetryBudget
+from turmerictray.admission.turns import TeamTurns, turn_of
 from turmerictray.admission.window import (
     MOST_PART,
     READ_AHEAD_S,
@@ -164,7 +164,7 @@
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
         self._turns: Counter[TeamId] = Counter()
-        self._next: dict[TeamId, list[Pending]] = {}
+        self._waiting: dict[TeamId, TeamTurns] = defaultdict(TeamTurns)
         self._opened_at: dict[TargetId, float] = {}
         self._last_sent = 0.0
         self._mean_gap_s = 0.0
@@ -190,11 +190,11 @@
         wait = self.expected_wait_s(item)
         if not retry and now + wait > item.deadline:
             raise WontBeServed(self._wait_reason(item), wait)
-        self._next.pop(item.team, None)
         try:
             self.queue.push(item, front=retry)
         except QueueFull as exc:
             raise QueueFull(exc.reason, wait) from exc
+        self._waiting[item.team].add(item, first=retry)
 
     def _wait_until(self, item: Pending, loads: list[TargetLoad], now: float) -> float:
         """Until when a request may wait and still be answered in time.
@@ -229,8 +229,7 @@
     def _ahead_of(self, item: Pending) -> int:
         # Teams take turns, so a request waits for its own team's queue and as many of each other.
         depth = self.queue.depth(item.team)
-        turn = _turn(item)
-        before = sum(_turn(other) <= turn for other in self.queue.waiting(item.team, depth))
+        before = self._waiting[item.team].up_to(turn_of(item))
         by_turn = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
         own = min(depth * _OLDEST_EVERY, by_turn) + 1
         others = (self.queue.depth(team) for team in self.queue.backlogged() if team != item.team)
@@ -266,7 +265,7 @@
                 looked_at += 1
                 placement = self._place(item.context, part, now)
                 if placement is not None:
-                    self.queue.discard(item)
+                    self._remove(item)
                     self._book(item, placement, now)
                     return Sent(item, placement)
             if looked_at >= _MOST_LOOKED_AT:
@@ -309,16 +308,9 @@
 
     def _next_of(self, team: TeamId) -> list[Pending]:
         """The team's requests that come next: mostly the most urgent, now and then the oldest."""
-        chosen = self._next.get(team)
-        if chosen is None:
-            chosen = self._next[team] = self._choose_next(team)
-        return chosen
-
-    def _choose_next(self, team: TeamId) -> list[Pending]:
         if self._turns[team] % _OLDEST_EVERY == 0:
             return self.queue.waiting(team, _LOOK_BEHIND)
-        waiting = self.queue.waiting(team, self.queue.depth(team))
-        return nsmallest(_LOOK_BEHIND, waiting, key=_turn)
+        return self._waiting[team].next(_LOOK_BEHIND)
 
     def _lead(self, team: TeamId, leads: Leads, backlogged: set[TeamId], most: float) -> float:
         lead = leads.of(team)
@@ -359,24 +351,26 @@
         for team in self.queue.backlogged():
             for item in self.queue.waiting(team, self.queue.depth(team)):
                 if item.context.call_id == call_id:
-                    self.queue.discard(item)
-                    self._next.pop(item.team, None)
+                    self._remove(item)
                     self.release(item.context)
                     return item
         return None
 
+    def _remove(self, item: Pending) -> None:
+        self.queue.discard(item)
+        self._waiting[item.team].remove(item)
+
     def expire(self, now: float) -> list[Pending]:
         """Take out the requests that have waited their time."""
         expired = self.queue.expire(now)
         for item in expired:
-            self._next.pop(item.team, None)
+            self._waiting[item.team].remove(item)
             self.release(item.context)
         return expired
 
     def _book(self, item: Pending, placement: Placement, now: float) -> None:
         wanted: Wanted = item.context
         self.release(wanted)
-        self._next.pop(item.team, None)
         self._turns[item.team] += 1
         self.ledger.charge(item.team, item.hint)
         read = OpenRead(
@@ -450,8 +444,3 @@
             "read_tokens_per_s": round(self.targets.model.read_per_s),
             "targets": self.targets.describe(now),
         }
-
-
-def _turn(item: Pending) -> tuple[float, int]:
-    """Orders a team's requests: the most urgent first, the shortest of those."""
-    return item.context.urgency_s, item.context.reading_tokens
