--- a/turmerictray/scheduling/backlogs.py
+++ b/turmerictray/scheduling/backlogs.py
@@ -8,9 +8,9 @@
 _TELLING_S = 0.5
 """A scheduler's word on its backlog counts this long; half of all that waits is gone by then."""
 
-_WORTH_S = 0.1
+_WORTH_S = 0.25
 """How much longer the wait for the first choice must be for the second to be taken: there a
-prompt's shared parts are read again, or fetched, which takes an engine about as long."""
+prompt's shared parts are read again, as its scheduler does not know who keeps them elsewhere."""
 
 
 class _Asked(Protocol):
--- a/turmerictray/scheduling/shards.py
+++ b/turmerictray/scheduling/shards.py
@@ -14,9 +14,9 @@
 from turmerictray.core.ids import TargetId
 from turmerictray.routing.rendezvous import weighted_rank
 
-_MOST_ENGINES = 16
-"""Engines of a shard on average, at most. A scheduler of 16 engines that are asked for twice what
-they can do uses about a tenth of a core for its decisions."""
+_MOST_ENGINES = 32
+"""Engines of a shard on average, at most. A scheduler of 45 engines that are asked for twice what
+they can do uses less than half a core for its decisions."""
 
 _HASHED_FOR = "shard"
 
