--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -61,3 +61,9 @@
 def test_missing_file_is_refused():
     with pytest.raises(SettingsError):
         load_node_file("/nowhere/node.toml")
+
+
+def test_a_processor_is_a_share_of_a_core_that_may_be_faster(tmp_path):
+    assert gateway_settings(load(tmp_path, GOOD)).cores == 1.0
+    limits = "[limits]\ncpu_share = 0.537\ncores = 2\n"
+    assert gateway_settings(load(tmp_path, GOOD + limits)).cores == pytest.approx(1.074)
