--- a/tests/transport/test_stalled_front.py
+++ b/tests/transport/test_stalled_front.py
@@ -100,3 +100,15 @@
     pool.put(conn := object())
     assert pool.get() is conn
     assert 0 < pool.read_delay.mean_s(time.monotonic()) < 0.1
+
+
+def test_a_front_that_is_not_bound_or_is_closed_is_not_overloaded():
+    # Callers who hang up are not noticed, and targets go on working for them: the thread that looks
+    # for hang-ups asks the front ten times a second whether it is overloaded, also before its port
+    # is bound and while it stops, and ended with the error that it got.
+    front = FrontServer("127.0.0.1", 0, lambda exchange: None, 2)
+    assert not front.is_overloaded()
+    front._server.prepare()
+    assert not front.is_overloaded()
+    front._server.stop()
+    assert not front.is_overloaded()
--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -43,6 +43,7 @@
         self.heads = HeadDeadlines()
         self.draining = False
         self.accepting = AcceptWatch()
+        self.socket = None
         self.server_name = "turmerictray"
         self.request_queue_size = _BACKLOG
         self.shutdown_timeout = 1
@@ -114,12 +115,21 @@
     def _is_stalled(self) -> bool:
         """Whether connections wait and none is accepted."""
         now = time.monotonic()
-        poller = select.poll()
-        poller.register(self._server.socket, select.POLLIN)
-        waiting = bool(poller.poll(0))
+        waiting = self._connection_waits()
         self._server.accepting.look(waiting, now)
         return self._server.accepting.is_stalled(now)
 
+    def _connection_waits(self) -> bool:
+        # The watch that asks runs before the port is bound and after it is closed; an error there
+        # would end it, and nobody would notice callers' hang-ups any more.
+        sock = self._server.socket
+        fd = sock.fileno() if sock is not None else -1
+        if fd < 0:
+            return False
+        poller = select.poll()
+        poller.register(fd, select.POLLIN)
+        return bool(poller.poll(0))
+
     def close_slow_heads(self) -> None:
         """End connections whose request head takes longer than the limit allows."""
         self._server.heads.close_overdue(self._server.front_limits.header_timeout_s)
