A router judges its scheduler's silence by a word to itself

Callers of a flooded router had no answer within their time. Cause: without processor time for itself it heard late what schedulers said in time, took them for silent (27 times in fifteen seconds, with up to 682 requests waiting) and put all that waited there to its own broker, which made it later still. Ruled out: schedulers that were late (the routers beside it had their answers). Change: silence is looked for when a word that the router sends to itself comes back, behind all that had arrived before it. Two tests in tests/router/test_desk.py, which failed first (there was no such word).

--- a/tests/router/test_desk.py
+++ b/tests/router/test_desk.py
@@ -17,7 +17,14 @@
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Part, PartId, Prompt
 from turmerictray.scheduling.choice import SchedulerChoice
-from turmerictray.scheduling.messages import Ended, PlaceGranted, PlaceRefused, PlaceRequest
+from turmerictray.scheduling.messages import (
+    Ended,
+    LookNow,
+    PlaceGranted,
+    PlaceRefused,
+    PlaceRequest,
+    StillWaiting,
+)
 from turmerictray.scheduling.shards import WHOLE, ShardMap
 
 LLM = ServiceName("llm")
@@ -51,6 +58,8 @@
         if self.refuses:
             return False
         self.sent.append(message)
+        if address == self.address:
+            return True
         if self.to is not None and not self.is_cut:
             self.to(message)
         return True
@@ -109,7 +118,10 @@
         reply.set_exception(exc)
 
     def silence(self) -> None:
-        self.desk.look(time.monotonic() + SILENCE_S + 0.1)
+        """A tick comes, and the router's word to itself comes back to it."""
+        now = time.monotonic() + SILENCE_S + 0.1
+        self.desk.ask_to_look(now)
+        self.desk.hear(LookNow(now))
 
 
 @pytest.fixture
@@ -161,7 +173,9 @@
 def test_a_scheduler_that_speaks_is_waited_for(pair):
     ask = pair.ask()
     pair.scheduler.say_alive(0.0)
-    pair.desk.look(time.monotonic() + SILENCE_S / 2)
+    now = time.monotonic() + SILENCE_S / 2
+    pair.desk.ask_to_look(now)
+    pair.desk.hear(LookNow(now))
     assert pair.broker.asks() == []
     assert not ask.reply.done()
 
@@ -309,3 +323,30 @@
     ask = pair.ask(prompt=None)
     assert isinstance(ask.reply.exception(0), Draining)
     pair.desk.tell(Settled(7, LLM, ENGINE.id, Outcome.DONE, 1020.0))
+
+
+def test_a_router_that_is_late_itself_does_not_blame_the_scheduler(pair):
+    # Callers of a flooded router get no answer within their time. Its own threads wait for the
+    # processor, so it does not hear what the scheduler says, takes it for silent, and puts hundreds
+    # of requests that wait there to its own broker, which makes it later still.
+    # Evidence: 27 times in fifteen seconds a router with up to 682 waiting requests called its
+    # schedulers silent, while the routers beside it had their answers from them.
+    asked = pair.ask()
+    now = time.monotonic()
+    pair.desk.ask_to_look(now)
+    late = [msg for msg in pair.out.sent if isinstance(msg, LookNow)]
+    pair.desk.ask_to_look(now + 0.4)
+    assert pair.broker.asks() == []
+    pair.desk.hear(StillWaiting("scheduler"))
+    pair.desk.hear(late[0])
+    assert pair.broker.asks() == []
+    assert not asked.reply.done()
+
+
+def test_a_word_to_itself_that_was_lost_is_sent_again(pair):
+    pair.ask()
+    now = time.monotonic()
+    pair.desk.ask_to_look(now)
+    pair.desk.ask_to_look(now + 0.05)
+    pair.desk.ask_to_look(now + 2.0)
+    assert [m.sent_at for m in pair.out.sent if isinstance(m, LookNow)] == [now, now + 2.0]
--- a/turmerictray/router/desk.py
+++ b/turmerictray/router/desk.py
@@ -1,5 +1,6 @@
 """Where requests ask for a target: at this router's own broker, or at the scheduler."""
 
+import math
 import threading
 import time
 from dataclasses import dataclass, replace
@@ -37,6 +38,7 @@
     Ended,
     FirstSeen,
     LeavingSeen,
+    LookNow,
     PlaceGranted,
     PlaceRefused,
     PlaceRequest,
@@ -58,6 +60,9 @@
 
 _UNDIVIDED = ShardMap()
 
+_LOOK_LOST_S = 1.0
+"""The router's own word is sent again when it has not come back for this long."""
+
 _FORGOTTEN_S = 1.0
 """How long after the request's last moment a call is still known."""
 
@@ -109,6 +114,7 @@
         self._lock = threading.Lock()
         self._calls: dict[int, _Call] = {}
         self._backlogs = Backlogs()
+        self._asked_to_look_at = -math.inf
         self._heard_at: dict[str, float] = {}
 
     def _to_broker(self, msg: object) -> None:
@@ -316,10 +322,25 @@
 
     # -- silence -------------------------------------------------------------------------------
 
-    def look(self, now: float) -> None:
-        """Pass over schedulers that are silent while requests wait there."""
-        if not self._calls:
-            return
+    def ask_to_look(self, now: float) -> None:
+        """Send this router a word that brings it to look for schedulers that are silent.
+
+        A router without processor time hears late what schedulers said in time. It would take them
+        for silent and decide for all that waits there, which makes it later still. Its own word
+        waits in the same queue, so when it comes, what was there before it has been heard.
+        """
+        if self._calls and now - self._asked_to_look_at > _LOOK_LOST_S:
+            self._asked_to_look_at = now
+            self._link.send(self._link.address, LookNow(now))
+
+    @hear.register
+    def _(self, msg: LookNow) -> bool:
+        self._asked_to_look_at = -math.inf
+        self._look(msg.sent_at)
+        return True
+
+    def _look(self, now: float) -> None:
+        """Pass over schedulers that had said nothing for too long at ``now``."""
         silent: dict[str, MemberEntry] = {}
         with self._lock:
             waiting = [call for call in self._calls.values() if not call.granted]
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -190,7 +190,7 @@
         self._scheduler = Scheduler(s.node, self._broker, self._calls)
         self._desk = Desk(s.node, s.zone, self._broker, self._in_force, choice, self._calls)
         self._calls.start()
-        hooks = (self._desk.look, self._scheduler.say_alive)
+        hooks = (self._desk.ask_to_look, self._scheduler.say_alive)
         self._broker.tell(OnTick(hooks, self._desk.tell_schedulers))
 
     def _hear_call(self, message: SchedulingMessage) -> None:
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -140,6 +140,12 @@
     waiting: list[str]
 
 
+class LookNow(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """A router's word to itself, which comes after all that has arrived before it was sent."""
+
+    sent_at: float
+
+
 SchedulingMessage = (
     PlaceRequest
     | PlaceWithdrawn
@@ -150,4 +156,5 @@
     | PlaceRefused
     | StillWaiting
     | ServiceGiven
+    | LookNow
 )
