Routers that start together don't all watch the store

Cause: a router that has just started knows a few others of its zone, finds itself among the first two of them and holds two watches, each of which returns with every entry that is registered meanwhile. Ruled out: readers in steady state (16 calls a second, eight routers). Change: until a router has sent six messages it takes itself for a reader only if it is a seed, or knows no other; what it misses it reads once, or hears from peers. tests/router/test_readers.py failed first.

--- a/tests/router/test_readers.py
+++ b/tests/router/test_readers.py
@@ -94,3 +94,21 @@
     readers = StoreReaders(NodeId("r1"), ZoneId("z1"), clock)
     readers.take_members([MemberEntry("r1", "z1", "tcp://r1", 1, 1)])
     assert readers.should_read(KNOWS)
+
+
+def test_routers_that_start_together_do_not_all_read(clock):
+    # The store answers hundreds of calls a second in the first seconds of a large fleet, and after
+    # each restart of all. Each router knows a few others of its zone, not all, and takes itself for
+    # one of the two that read. Until it has heard of nearly all, only seeds read for others; what
+    # they read reaches every router with the messages that make the members known.
+    # Evidence: of 2,738 calls in a day of a minute 1,967 were made in the first five seconds.
+    few = [MemberEntry(f"r{n}", "z1", f"tcp://r{n}", 1, 2) for n in range(2)]
+    young = StoreReaders(NodeId("r0"), ZoneId("z1"), clock)
+    seed = StoreReaders(NodeId("r1"), ZoneId("z1"), clock, is_seed=True)
+    for readers in (young, seed):
+        readers.note_peer(0.5)
+        readers.take_members(few)
+    assert not young.should_read(KNOWS)
+    assert seed.should_read(KNOWS)
+    young.take_members([MemberEntry(e.node, e.zone, e.address, 1, 6) for e in few])
+    assert young.should_read(KNOWS)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -146,7 +146,7 @@
         self._timer.subscribe(self._broker, "expire", _EXPIRE_S)
         choice = SchedulerChoice(s.node, s.zone)
         self._start_scheduling(choice)
-        self._readers = StoreReaders(s.node, s.zone)
+        self._readers = StoreReaders(s.node, s.zone, is_seed=s.peer in s.seeds)
         self._sources = self._make_sources(self._readers, self._broker, self._copy)
         catch_up = CatchUp.start(self._copy.position, self._readers, self._take_copy)
 
--- a/turmerictray/router/readers.py
+++ b/turmerictray/router/readers.py
@@ -27,6 +27,12 @@
 """Age of what a router knows from which on it reads for itself. A reader hears from the store at
 least every 2.5 s, and word of that reaches 79 routers within two."""
 
+_SETTLED_BEATS = 6
+"""Messages that a router has sent before it takes itself for a reader among others: three seconds
+in a large fleet, in which it has heard of nearly all. Of 77 routers that start at once each knew a
+few others for four seconds, was one of the first two of its zone by that, and held two watches:
+two thousand calls, three times those of the forty seconds that followed."""
+
 _KEY = "store-reader"
 
 
@@ -39,13 +45,20 @@
     zone : ZoneId
     clock : callable
         Monotonic seconds.
+    is_seed : bool
+        Routers that start look for this one; it reads for them from the beginning.
     """
 
     def __init__(
-        self, node: NodeId, zone: ZoneId, clock: Callable[[], float] = time.monotonic
+        self,
+        node: NodeId,
+        zone: ZoneId,
+        clock: Callable[[], float] = time.monotonic,
+        is_seed: bool = False,
     ) -> None:
         self.node = node
         self.zone = zone
+        self._is_seed = is_seed
         self._clock = clock
         self._started_at = clock()
         self._is_chosen = True
@@ -55,10 +68,18 @@
 
     def take_members(self, members: Iterable[MemberEntry]) -> None:
         """Take the routers that are believed alive, this one included."""
+        members = list(members)
+        if not self._is_settled(members):
+            self._is_chosen = self._is_seed
+            return
         here = [entry.node for entry in members if entry.zone == self.zone]
         here.sort(key=lambda node: rank(_KEY, node), reverse=True)
         self._is_chosen = self.node in here[:READERS_PER_ZONE] or self.node not in here
 
+    def _is_settled(self, members: list[MemberEntry]) -> bool:
+        own = next((entry for entry in members if entry.node == self.node), None)
+        return own is None or len(members) == 1 or own.beat >= _SETTLED_BEATS
+
     def should_read(self, position: Position) -> bool:
         """Whether to ask the store now.
 
