A request that is given up without a word is taken back where it waits

Callers of a flooded router were refused 0.3 s past their time; their requests stayed with the scheduler and in the router's list of open calls for up to ten seconds (1,876 counted, three times what its threads hold), each tick looked at them, and grants for them had to be given back. Cause: the thread that stopped waiting told nobody. Ruled out: the scheduler's expiry (its refusals were sent, and heard late). Change: it withdraws its request. tests/router/test_no_word.py failed first.

--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -191,6 +191,9 @@
             # The broker's own expiry should have come first. A grant that comes at the same
             # moment wins over the cancel and is used.
             if reply.cancel():
+                # Its word was lost or is late; left in the queue, the request would be looked at
+                # for seconds, and granted to nobody.
+                desk.tell(withdraw)
                 raise QueueTimeout("queue_timeout", _GRANT_SLACK_S) from None
             return reply.result()
         finally:
