A router asks its own front how long callers wait there

Cause: what was measured, the time from readable to read and connections that nobody accepts, leaves out the queue of new connections and the server's own loop, where most of the wait is. Change: the router connects to its own front twice a second and takes the time to an answer; above 0.5 s it is not ready until it is below 0.2 s.

--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -43,6 +43,7 @@
 from turmerictray.transport.admin import AdminServer, Page
 from turmerictray.transport.hangup import HangUpWatch
 from turmerictray.transport.pool import ConnectionPool
+from turmerictray.transport.probe import FrontProbe
 from turmerictray.transport.server import FrontServer
 
 _EXPIRE_S = 0.05
@@ -124,6 +125,7 @@
         self._watch = HangUpWatch(self._on_scan)
         self._flow: RequestFlow | None = None
         self._front: FrontServer | None = None
+        self._probe = FrontProbe(settings.front.host, settings.front.port)
         self._limits = None
         self._tidy_at = 0.0
         self._broker: pykka.ActorRef | None = None
@@ -224,6 +226,7 @@
         self._flow = RequestFlow(parts, self._in_force, self._watch, s.threads)
         self._front = FrontServer(s.front.host, s.front.port, self._flow.handle, s.threads)
         self._front.start()
+        self._probe.start()
         operators = {
             "/status": self._status_page,
             "/published": self._published_page,
@@ -237,6 +240,7 @@
             self._admins.append(server)
 
     def _stop_servers(self) -> None:
+        self._probe.stop()
         self._front.stop()
         for server in self._admins:
             server.stop()
@@ -290,7 +294,7 @@
             self._limits = text.limits
             self._front.apply_limits(text.limits)
         self._front.close_slow_heads()
-        self._note_overloaded(self._front.is_overloaded())
+        self._note_overloaded(self._probe.is_late())
         now = time.monotonic()
         if now >= self._tidy_at:
             self._tidy_at = now + _TIDY_S
@@ -303,7 +307,7 @@
         log_event(
             "front_overloaded" if is_overloaded else "front_well",
             level="WARNING" if is_overloaded else "INFO",
-            read_delay_ms=round(self._front.read_delay_s() * 1000),
+            delay_ms=round(self._probe.delay_s() * 1000),
             in_progress=len(self._watch),
         )
 
--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -1,15 +1,12 @@
 """The HTTP server that hands each request to a handler as a :class:`ClientExchange`."""
 
-import select
 import threading
-import time
 from collections.abc import Callable
 
 from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
-from turmerictray.transport.accepting import AcceptWatch
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.heads import HeadDeadlines, StrictServerMixin
 from turmerictray.transport.threads import GrowingThreadPool
@@ -42,8 +39,6 @@
         self.handler = handler
         self.heads = HeadDeadlines()
         self.draining = False
-        self.accepting = AcceptWatch()
-        self.socket = None
         self.server_name = "turmerictray"
         self.request_queue_size = _BACKLOG
         self.shutdown_timeout = 1
@@ -58,7 +53,6 @@
         Handed to a thread at once, a caller that connects and sends nothing would hold that
         thread.
         """
-        self.accepting.note_accepted()
         self._connections.put(conn)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
@@ -104,32 +98,6 @@
         self._server.stop()
         self._thread.join(timeout=2)
 
-    def is_overloaded(self) -> bool:
-        """Whether callers had better go elsewhere; to be asked ten times a second."""
-        return self._is_stalled() or self._server.requests.read_delay.is_late(time.monotonic())
-
-    def read_delay_s(self) -> float:
-        """How long requests lie unread, as a moving average."""
-        return self._server.requests.read_delay.mean_s(time.monotonic())
-
-    def _is_stalled(self) -> bool:
-        """Whether connections wait and none is accepted."""
-        now = time.monotonic()
-        waiting = self._connection_waits()
-        self._server.accepting.look(waiting, now)
-        return self._server.accepting.is_stalled(now)
-
-    def _connection_waits(self) -> bool:
-        # The watch that asks runs before the port is bound and after it is closed; an error there
-        # would end it, and nobody would notice callers' hang-ups any more.
-        sock = self._server.socket
-        fd = sock.fileno() if sock is not None else -1
-        if fd < 0:
-            return False
-        poller = select.poll()
-        poller.register(fd, select.POLLIN)
-        return bool(poller.poll(0))
-
     def close_slow_heads(self) -> None:
         """End connections whose request head takes longer than the limit allows."""
         self._server.heads.close_overdue(self._server.front_limits.header_timeout_s)
--- a/turmerictray/transport/threads.py
+++ b/turmerictray/transport/threads.py
@@ -1,12 +1,9 @@
 """A pool of threads that has as many as were needed at once so far."""
 
-import time
-
 from cheroot.server import HTTPConnection
 from cheroot.workers.threadpool import ThreadPool
 
 from turmerictray.core.logs import log_event
-from turmerictray.transport.read_delay import ReadDelay
 
 _FIRST = 32
 """Threads at the start; a router under everyday load has fewer requests in hand."""
@@ -31,23 +28,9 @@
 
     def __init__(self, server, most: int) -> None:
         super().__init__(server, min=min(_FIRST, most), max=most)
-        self.read_delay = ReadDelay()
-        self._readable_at: dict[HTTPConnection, float] = {}
-        self._take = self.get
-        self.get = self._get_timed
-
-    def _get_timed(self) -> HTTPConnection:
-        """The next connection for a thread, whose wait is noted."""
-        conn = self._take()
-        readable_at = self._readable_at.pop(conn, None)
-        if readable_at is not None:
-            now = time.monotonic()
-            self.read_delay.note(now - readable_at, now)
-        return conn
 
     def put(self, obj: HTTPConnection) -> None:
         """Hand a connection that has something to read to the next free thread."""
-        self._readable_at[obj] = time.monotonic()
         super().put(obj)
         if self.idle < self.qsize:
             self.grow(_STEP)
