Pools of shards have a module; a service that loses its engines does not end the router

Found on the way: a text that makes a plain service of one whose shards are scheduled here raised a KeyError in the broker, which ends the process (the case of the new test in tests/router/test_shard_pools.py, run on the code before: KeyError). Times at which engines got room, and of the last rounds, are kept only for what is there.

--- a/tests/router/test_answer_lost.py
+++ b/tests/router/test_answer_lost.py
@@ -17,7 +17,7 @@
 @pytest.fixture
 def broker():
     broker = Broker(NodeId("r1"), ZoneId("z"), 1, TextInForce(), RepeatLimits())
-    targets = broker._pool(LLM).targets
+    targets = broker.pools.whole(LLM).targets
     targets.set_spec(ServiceSpec(LLM, EngineSpec(64, 100_000)))
     targets.take(TargetInfo(ENGINE, LLM, "h:1", ZoneId("z"), 64))
     return broker
@@ -31,7 +31,7 @@
         "turmerictray.router.broker.log_event",
         lambda event, **fields: lines.append((event, fields)),
     )
-    load = broker._pool(LLM).targets.loads[ENGINE]
+    load = broker.pools.whole(LLM).targets.loads[ENGINE]
     now = time.monotonic()
     load.sent(7, OpenRead(now - 3.0, 4000, 1500, 0.2))
     broker.on_receive(Tick("queues", now))
--- a/tests/router/test_rounds.py
+++ b/tests/router/test_rounds.py
@@ -5,6 +5,16 @@
 from turmerictray.router.rounds import MOST_PART, GrantRounds
 
 
+class Pool:
+    """A pool by name."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+
+ENGINES, ORDERS = Pool("engines"), Pool("orders")
+
+
 class Player:
     """Messages that come while rounds take their time, on a clock of its own."""
 
@@ -20,14 +30,14 @@
 
     def grant_all(self, pool, _now: float) -> None:
         self.rounds.append((pool, self.now))
-        took = self.round_s if pool == "engines" else 0.0
+        took = self.round_s if pool is ENGINES else 0.0
         self.now += took
         self.round_time += took
 
     def sleep(self, seconds: float) -> None:
         self.now += seconds
 
-    def message(self, pool: str = "engines", took_s: float = 0.0) -> None:
+    def message(self, pool: Pool = ENGINES, took_s: float = 0.0) -> None:
         self.now += took_s
         self.grants.want(pool, self.now)
         self.grants.run_due()
@@ -36,7 +46,7 @@
 def test_a_lone_message_is_granted_at_once():
     player = Player(round_s=0.001)
     player.message()
-    assert player.rounds == [("engines", 0.0)]
+    assert player.rounds == [(ENGINES, 0.0)]
 
 
 def test_messages_that_are_there_already_share_a_round():
@@ -64,10 +74,10 @@
 
 def test_a_long_round_of_one_service_does_not_hold_up_another():
     player = Player(round_s=0.1)
-    player.message("engines")
+    player.message(ENGINES)
     at = player.now
-    player.message("orders")
-    assert player.rounds[-1] == ("orders", at)
+    player.message(ORDERS)
+    assert player.rounds[-1] == (ORDERS, at)
 
 
 def test_what_is_wanted_during_a_pause_is_granted_after_it():
--- a/tests/router/test_shard_pools.py
+++ b/tests/router/test_shard_pools.py
@@ -34,7 +34,7 @@
 @pytest.fixture
 def broker():
     broker = Broker(NodeId("r1"), ZoneId("z"), 1, TextInForce(), RepeatLimits())
-    broker._pool(LLM).targets.set_spec(ServiceSpec(LLM, EngineSpec(1, 600_000)))
+    broker.pools.whole(LLM).targets.set_spec(ServiceSpec(LLM, EngineSpec(1, 600_000)))
     broker.on_receive(TargetsListed(INFOS))
     return broker
 
@@ -70,7 +70,7 @@
     replies = [ask(broker, n, SHARD) for n in range(len(members) + 3)]
     granted = [reply.result(0).target.id for reply in replies if reply.done()]
     assert set(granted) == members
-    assert all(broker.pools[LLM].targets.loads[target].running == 1 for target in members)
+    assert all(broker.pools.whole(LLM).targets.loads[target].running == 1 for target in members)
     broker.on_receive(Settled(0, LLM, granted[0], Outcome.DONE, 1020.0))
     assert sum(reply.done() for reply in replies) == len(members) + 1
 
@@ -107,3 +107,11 @@
     broker.on_receive(ServiceHeard(ServiceGiven("r2", 1, {TEAM: 5000}, ["u"])))
     assert broker.ledger.normalised(TEAM) > 4000
     assert broker.ledger.lead(TEAM, set()) > 4000
+
+
+def test_a_service_that_has_no_engines_any_more_does_not_end_the_router(broker):
+    # The operators' text makes a plain service of one whose prompts wait here, in a shard.
+    ask(broker, 1, SHARD)
+    broker.pools.whole(LLM).targets.set_spec(ServiceSpec(LLM))
+    broker.on_receive(TargetsChanged(gone=[INFOS[0].id]))
+    assert LLM not in broker.in_force.shards
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -289,11 +289,11 @@
             return math.inf
         newest = -math.inf
         model = self.targets.model
+        opened_before, self._opened_at = self._opened_at, {}
         for target, load in self.targets.loads.items():
             if load.info.phase is not TargetPhase.READY or not engine_open(load, model, now):
-                self._opened_at.pop(target, None)
                 continue
-            opened_at = self._opened_at.setdefault(target, now)
+            opened_at = self._opened_at[target] = opened_before.get(target, now)
             if not load.held:
                 newest = max(newest, opened_at)
         return newest
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -39,12 +39,11 @@
     Withdraw,
 )
 from turmerictray.router.rounds import GrantRounds
+from turmerictray.router.service_pools import ServicePools
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
-from turmerictray.routing.pool_targets import ShardTargets
 from turmerictray.routing.prompt import Part, PartId
 from turmerictray.scheduling.messages import ServiceGiven
-from turmerictray.scheduling.shards import WHOLE, ShardId, ShardMap, shard_index
 
 _BUSY_RETRY_S = 0.5
 
@@ -79,8 +78,7 @@
         self.in_force = in_force
         self.repeats = repeats
         self.ledger = RecentService(node)
-        self.pools: dict[ServiceName, ServicePool] = {}
-        self.shards: dict[ServiceName, dict[ShardId, ServicePool]] = {}
+        self.pools = ServicePools(self._make_pool)
         self.tell_given: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.given = ChangedService()
         self.routers = 1
@@ -107,7 +105,7 @@
     @handle.register
     def _(self, msg: Ask) -> None:
         now = time.monotonic()
-        pool = self._pool_of(msg.service, msg.shard)
+        pool = self.pools.of(msg.service, msg.shard)
         if not msg.retry:
             pool.budget.note_request(now)
         wanted = Wanted(msg.call_id, msg.prompt, msg.exclude, msg.origin, msg.zone, msg.give_up)
@@ -123,7 +121,7 @@
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
-        for pool in self._pools_of(msg.service):
+        for pool in self.pools.of_service(msg.service):
             item = pool.withdraw(msg.call_id)
             if item is not None:
                 item.reply.refuse(CallerGone("caller gone while waiting"))
@@ -131,26 +129,26 @@
 
     @handle.register
     def _(self, msg: FirstEvent) -> None:
-        pool = self._pool(msg.service)
+        pool = self.pools.whole(msg.service)
         pool.targets.first_event(msg.target, msg.call_id, msg.took_s)
         self._want(msg.service, time.monotonic())
 
     @handle.register
     def _(self, msg: Settled) -> None:
-        pool = self._pool(msg.service)
+        pool = self.pools.whole(msg.service)
         now = time.monotonic()
         pool.settle(msg.target, msg.call_id, msg.outcome, now, msg.cost)
         self._want(msg.service, now)
 
     def _want(self, service: ServiceName, now: float) -> None:
-        for pool in self._pools_of(service):
+        for pool in self.pools.of_service(service):
             if len(pool.queue):
                 self._rounds.want(pool, now)
 
     def _grant_all(self, pool: ServicePool, now: float) -> None:
         while (sent := pool.next_sent(now)) is not None:
             self._grant(pool, sent, now)
-        metrics.QUEUED.set(sum(len(each.queue) for each in self._all_pools()))
+        metrics.QUEUED.set(sum(len(each.queue) for each in self.pools.all()))
 
     def _grant(self, pool: ServicePool, sent: Sent, now: float) -> None:
         item, placement = sent.item, sent.placement
@@ -169,11 +167,11 @@
 
     @handle.register
     def _(self, msg: Tick) -> None:
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             pool.targets.judge_slowness()
             self._give_up_reads(pool, msg.now)
             pool.drop_lost_calls(self.alive, msg.now)
-        for pool in self._all_pools():
+        for pool in self.pools.all():
             for item in pool.expire(msg.now):
                 reason = f"queue_timeout: {len(pool.queue)} others wait"
                 item.reply.refuse(QueueTimeout(reason, pool.expected_wait_s(item)))
@@ -192,9 +190,7 @@
         """
         if self.tell_given is None or not self.given.is_due(now):
             return
-        for service, pools in self.shards.items():
-            if not pools:
-                continue
+        for service, pools in self.pools.scheduled().items():
             waiting = sorted(set().union(*(pool.backlogged() for pool in pools.values())))
             changed = self.given.take(self.ledger.told())
             count = max(shard.count for shard in pools)
@@ -232,43 +228,43 @@
     def _apply(self, text: RoutingText) -> None:
         self.ledger.weights = {team.name: team.weight for team in text.teams}
         for spec in text.services.values():
-            self._pool(spec.name).targets.set_spec(spec, text.tokens_per_s)
-        self._divide()
+            self.pools.whole(spec.name).targets.set_spec(spec, text.tokens_per_s)
+        self.in_force.shards = self.pools.divide()
         metrics.CONFIG_VERSION.set(text.version)
 
     @handle.register
     def _(self, msg: TargetsListed) -> None:
         listed = {info.id for info in msg.targets}
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             for target in set(pool.targets.loads) - listed:
                 self._drop(pool, target)
         for info in msg.targets:
             self._take(info)
         self.in_force.targets_listed = True
-        self._divide()
+        self.in_force.shards = self.pools.divide()
         self._want_all()
 
     @handle.register
     def _(self, msg: TargetsChanged) -> None:
         for target in msg.gone:
-            for pool in self.pools.values():
+            for pool in self.pools.wholes():
                 if target in pool.targets.loads:
                     self._drop(pool, target)
         for info in msg.changed:
             self._take(info)
-        self._divide()
+        self.in_force.shards = self.pools.divide()
         self._want_all()
 
     @handle.register
     def _(self, msg: TargetLeaving) -> None:
-        self._pool(msg.service).targets.mark_leaving(msg.target)
+        self.pools.whole(msg.service).targets.mark_leaving(msg.target)
         self.in_force.leaving = self.in_force.leaving | {msg.target}
 
     def _take(self, info: TargetInfo) -> None:
-        for other in self.pools.values():
+        for other in self.pools.wholes():
             if other.name != info.service and info.id in other.targets.loads:
                 self._drop(other, info.id)
-        pool = self._pool(info.service)
+        pool = self.pools.whole(info.service)
         known = pool.targets.loads.get(info.id)
         pool.targets.take(info)
         if known is None or (
@@ -277,25 +273,6 @@
             log_event("target", target=info.id, service=info.service, phase=info.phase.value)
         self._note_phase(pool.targets.loads[info.id].info)
 
-    def _divide(self) -> None:
-        """Divide each service's engines into shards by the ones that take requests now."""
-        self.in_force.shards = {
-            pool.name: ShardMap(
-                target
-                for target, load in pool.targets.loads.items()
-                if load.info.phase is TargetPhase.READY
-            )
-            for pool in self._engine_pools()
-        }
-        for service, pools in self.shards.items():
-            count = self.in_force.shards[service].count
-            # What waits in a division of before goes on until it is sent or given up.
-            self.shards[service] = {
-                shard: pool
-                for shard, pool in pools.items()
-                if shard.count == count or len(pool.queue)
-            }
-
     def _note_phase(self, info: TargetInfo) -> None:
         if info.phase is TargetPhase.READY:
             self.in_force.leaving = self.in_force.leaving - {info.id}
@@ -309,7 +286,7 @@
 
     def _want_all(self) -> None:
         now = time.monotonic()
-        for pool in self._all_pools():
+        for pool in self.pools.all():
             if len(pool.queue):
                 self._rounds.want(pool, now)
 
@@ -320,7 +297,7 @@
         summary, now = msg.summary, time.monotonic()
         node = NodeId(summary.node)
         work = {w.target: PeerLoad(w.running, w.unread_tokens, now) for w in summary.work}
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             pool.targets.hear_peer(node, work)
             for read in summary.reads:
                 pool.targets.note_peer_read(read.target, [Part(PartId(read.part), read.tokens)])
@@ -337,7 +314,7 @@
 
     @handle.register
     def _(self, msg: KeptHeard) -> None:
-        for pool in self._engine_pools():
+        for pool in self.pools.engines():
             for target, parts in msg.kept.items():
                 pool.targets.note_listed(target, parts, msg.tell_peers)
         self._want_all()
@@ -346,28 +323,25 @@
     def _(self, msg: KeptQuery) -> KeptParts:
         return {
             target: load.kept.parts()
-            for pool in self._engine_pools()
+            for pool in self.pools.engines()
             for target, load in pool.targets.loads.items()
         }
 
     @handle.register
     def _(self, msg: EnginesQuery) -> list[TargetInfo]:
-        return [load.info for pool in self._engine_pools() for load in pool.targets.loads.values()]
-
-    def _engine_pools(self) -> list[ServicePool]:
-        return [pool for pool in self.pools.values() if pool.targets.spec.engine is not None]
+        return [load.info for pool in self.pools.engines() for load in pool.targets.loads.values()]
 
     @handle.register
     def _(self, msg: RepeatLimits) -> None:
         self.repeats = msg
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             pool.budget.set_limits(msg.ratio, msg.floor, msg.window_s)
 
     @handle.register
     def _(self, msg: RoutersAlive) -> None:
         self.routers = len(msg.nodes)
         self.alive = msg.nodes
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             self._set_fleet_size(pool)
 
     def _set_fleet_size(self, pool: ServicePool) -> None:
@@ -389,13 +363,13 @@
             text_version=self.in_force.version,
             work=self._own_work(),
             service=self.summarised.take(self.ledger.told()),
-            waiting=sorted({team for pool in self._all_pools() for team in pool.backlogged()}),
+            waiting=sorted({team for pool in self.pools.all() for team in pool.backlogged()}),
             reads=self._take_reads(),
         )
 
     def _take_reads(self) -> list[PartRead]:
         reads = {}
-        for pool in self.pools.values():
+        for pool in self.pools.wholes():
             for target, parts in pool.targets.take_reads():
                 reads.update({(target, part.part_id): part.tokens for part in parts})
         return [PartRead(target, part, tokens) for (target, part), tokens in reads.items()]
@@ -403,7 +377,7 @@
     def _own_work(self) -> list[TargetWork]:
         return [
             TargetWork(load.info.id, load.running, load.own_unread_tokens())
-            for pool in self.pools.values()
+            for pool in self.pools.wholes()
             for load in pool.targets.loads.values()
             if load.running
         ]
@@ -415,39 +389,15 @@
             "node": self.node,
             "text_version": self.in_force.version,
             "routers": self.routers,
-            "services": {name: pool.describe(now) for name, pool in self.pools.items()},
+            "services": {pool.name: pool.describe(now) for pool in self.pools.wholes()},
         }
 
-    def _pool(self, service: ServiceName) -> ServicePool:
-        pool = self.pools.get(service)
-        if pool is None:
-            limits = self.repeats
-            budget = RetryBudget(limits.ratio, limits.floor, limits.window_s)
-            pool = ServicePool(service, self.zone, self.ledger, budget)
-            self.pools[service] = pool
-            self._set_fleet_size(pool)
-            text = self.in_force.current
-            if text is not None and service in text.services:
-                pool.targets.set_spec(text.services[service], text.tokens_per_s)
-        return pool
-
-    def _pool_of(self, service: ServiceName, shard: ShardId) -> ServicePool:
-        whole = self._pool(service)
-        if shard == WHOLE:
-            return whole
-        pools = self.shards.setdefault(service, {})
-        pool = pools.get(shard)
-        if pool is None:
-            targets = ShardTargets(
-                whole.targets, lambda target: shard_index(target, shard.count) == shard.index
-            )
-            pool = ServicePool(service, self.zone, self.ledger, whole.budget, targets=targets)
-            pools[shard] = pool
+    def _make_pool(self, service: ServiceName) -> ServicePool:
+        limits = self.repeats
+        budget = RetryBudget(limits.ratio, limits.floor, limits.window_s)
+        pool = ServicePool(service, self.zone, self.ledger, budget)
+        self._set_fleet_size(pool)
+        text = self.in_force.current
+        if text is not None and service in text.services:
+            pool.targets.set_spec(text.services[service], text.tokens_per_s)
         return pool
-
-    def _pools_of(self, service: ServiceName) -> list[ServicePool]:
-        return [self._pool(service), *self.shards.get(service, {}).values()]
-
-    def _all_pools(self) -> list[ServicePool]:
-        shards = [pool for pools in self.shards.values() for pool in pools.values()]
-        return [*self.pools.values(), *shards]
--- a/turmerictray/router/rounds.py
+++ b/turmerictray/router/rounds.py
@@ -1,7 +1,8 @@
 """When the broker grants what its messages have made possible."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, MutableMapping
+from weakref import WeakKeyDictionary
 
 from turmerictray.admission.pool import ServicePool
 
@@ -45,7 +46,7 @@
         self._clock = clock
         self._sleep = sleep
         self._wanted: dict[ServicePool, float] = {}
-        self._not_before: dict[ServicePool, float] = {}
+        self._not_before: MutableMapping[ServicePool, float] = WeakKeyDictionary()
 
     def want(self, pool: ServicePool, now: float) -> None:
         """Something has changed in a pool that may let a request be sent."""
