--- a/tests/admission/fleet_sim.py
+++ b/tests/admission/fleet_sim.py
@@ -56,10 +56,11 @@
     subjects: int = 100,
     team=lambda rng: TeamId(f"t{rng.randrange(8)}"),
     router=None,
+    since: float = 0.0,
 ) -> None:
     """Schedule requests at random times, each on one of ``subjects`` shared parts."""
     rng = random.Random(seed)
-    when = 0.0
+    when = since
     while (when := when + rng.expovariate(per_s)) < seconds:
         subject = rng.randrange(subjects)
         shared = Part(PartId(f"s{subject}"), 8_000 + 100 * (subject % 90))
--- a/tests/fairness/test_recent.py
+++ b/tests/fairness/test_recent.py
@@ -140,3 +140,15 @@
     service.charge(A, 10_000)
     clock.now += 0.2 * HALF_LIFE_S
     assert service.lead(A, {A, B}) < 10_000
+
+
+def test_a_team_that_begins_to_wait_starts_level_with_the_one_served_last():
+    service, _ = make()
+    for _ in range(5):
+        service.charge(A, 100_000)
+    service.join(B)
+    assert service.normalised(B) == 400_000
+    service.charge(B, 100_000)
+    assert service.normalised(A) == service.normalised(B)
+    service.join(A)
+    assert service.normalised(A) == 500_000
