A team that begins to wait starts level with the one that was served last

Cause: teams were ordered by what they had lately, whoever had wanted it. A team that had had most of the engines, because the others asked for little, counted nine times the next one's service when a burst of all came, and was sent nothing until they had had as much (virtual time: 0 sends in three of the four seconds after it, 50 to 150 of its requests waiting). Change: start-time fair queueing. A team that begins to wait is level with the team served last, so that nobody owes what nobody else wanted; among teams that wait nothing changes.

--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -81,11 +81,13 @@
         self._recent: dict[TeamId, float] = defaultdict(float)
         self._own: dict[TeamId, float] = defaultdict(float)
         self._heard: dict[tuple[str, int], dict[TeamId, float]] = {}
+        self._level = 0.0
         self._most = 0.0
         self._most_until = 0.0
 
     def charge(self, team: TeamId, tokens: float) -> None:
         """Count a request's cost when it is sent."""
+        self._level = self.normalised(team)
         self._own[team] += tokens
         self._add(team, tokens)
 
@@ -133,7 +135,14 @@
         return self._recent.get(team, 0.0) / self.weights.get(team, 1.0)
 
     def join(self, team: TeamId) -> None:
-        """A team that begins to wait has no credit to be given: what it did not use has decayed."""
+        """A team begins to wait: it starts level with the team that was served last.
+
+        What the others took while it did not wait was at nobody's cost. Counted as their debt, a team
+        that had the engines nearly alone got nothing for four seconds when a burst of the others
+        came, until they had had as much (start-time fair queueing, Goyal et al., 1996).
+        """
+        if self.normalised(team) < self._level:
+            self._recent[team] = self._level * self.weights.get(team, 1.0)
 
     def leave(self, team: TeamId) -> None:
         """Nothing is kept for a team that ceases to wait."""
@@ -181,6 +190,7 @@
             for team in self._recent:
                 self._recent[team] *= shrink
             self._most *= shrink
+            self._level *= shrink
             self._begun = self._clock()
             return 1.0
         return 2.0**half_lives
