The level of teams that begin to wait is never lowered by a cheap call

Plain services' calls and prompts are counted by one ledger. Change: the level only rises. The test in tests/fairness/test_recent.py failed first.

--- a/tests/fairness/test_recent.py
+++ b/tests/fairness/test_recent.py
@@ -152,3 +152,14 @@
     assert service.normalised(A) == service.normalised(B)
     service.join(A)
     assert service.normalised(A) == 500_000
+
+
+def test_a_call_that_costs_next_to_nothing_does_not_bring_back_a_debt():
+    # One ledger counts prompts and calls of plain services. A team that makes a plain call has had
+    # next to nothing; taken for the level, it would make a debt of what another had alone.
+    service, _ = make()
+    for _ in range(5):
+        service.charge(A, 100_000)
+    service.charge(B, 1)
+    service.join(TeamId("c"))
+    assert service.normalised(TeamId("c")) == 400_000
--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -1,8 +1,8 @@
 """Service that teams have had lately, over the whole fleet.
 
 Teams are compared by what they had in the last seconds, each token counting half after a half-life.
-A team that had much an hour, or ten seconds, ago is not made to pay for it while it waits, and a
-team back from idle gets ahead by a few seconds' worth at most.
+A team that had much an hour, or ten seconds, ago is not made to pay for it while it waits, nor for
+what it had while no other team wanted it: one that begins to wait starts level with the others.
 """
 
 import time
@@ -87,7 +87,8 @@
 
     def charge(self, team: TeamId, tokens: float) -> None:
         """Count a request's cost when it is sent."""
-        self._level = self.normalised(team)
+        # Never lower: calls of a plain service cost next to nothing and are counted here as well.
+        self._level = max(self._level, self.normalised(team))
         self._own[team] += tokens
         self._add(team, tokens)
 
@@ -137,9 +138,9 @@
     def join(self, team: TeamId) -> None:
         """A team begins to wait: it starts level with the team that was served last.
 
-        What the others took while it did not wait was at nobody's cost. Counted as their debt, a team
-        that had the engines nearly alone got nothing for four seconds when a burst of the others
-        came, until they had had as much (start-time fair queueing, Goyal et al., 1996).
+        What the others took while it did not wait was at nobody's cost. Counted as their debt, a
+        team that had the engines nearly alone got nothing for four seconds when a burst of the
+        others came, until they had had as much (start-time fair queueing, Goyal et al., 1996).
         """
         if self.normalised(team) < self._level:
             self._recent[team] = self._level * self.weights.get(team, 1.0)
