--- a/turmerictray/fairness/recent.py
+++ b/turmerictray/fairness/recent.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from heapq import nsmallest
 
@@ -81,6 +81,7 @@
         self._recent: dict[TeamId, float] = defaultdict(float)
         self._own: dict[TeamId, float] = defaultdict(float)
         self._heard: dict[tuple[str, int], dict[TeamId, float]] = {}
+        self._waiting_here: Counter[TeamId] = Counter()
         self._level = 0.0
         self._most = 0.0
         self._most_until = 0.0
@@ -136,17 +137,23 @@
         return self._recent.get(team, 0.0) / self.weights.get(team, 1.0)
 
     def join(self, team: TeamId) -> None:
-        """A team begins to wait: it starts level with the team that was served last.
+        """A team begins to wait: it starts level with those that wait, or were served last.
 
         What the others took while it did not wait was at nobody's cost. Counted as their debt, a
         team that had the engines nearly alone got nothing for four seconds when a burst of the
         others came, until they had had as much (start-time fair queueing, Goyal et al., 1996).
         """
-        if self.normalised(team) < self._level:
-            self._recent[team] = self._level * self.weights.get(team, 1.0)
+        others = [self.normalised(other) for other in self._waiting_here if other != team]
+        level = min(others, default=self._level)
+        if self.normalised(team) < level:
+            self._recent[team] = level * self.weights.get(team, 1.0)
+        self._waiting_here[team] += 1
 
     def leave(self, team: TeamId) -> None:
-        """Nothing is kept for a team that ceases to wait."""
+        """A team ceases to wait."""
+        self._waiting_here[team] -= 1
+        if self._waiting_here[team] <= 0:
+            del self._waiting_here[team]
 
     def lead(self, team: TeamId, backlogged: set[TeamId]) -> float:
         """Tokens per weight that ``team`` lately had more than the least served other team.
