A request whose caller has left unread goes no further

Cause: callers give up after a second unread; the look at all connections, ten times a second, comes late where the processor is used up. Ruled out: the targets' side (the request was sent on after the hang-up had reached the router).

--- a/tests/router/test_room_in_front.py
+++ b/tests/router/test_room_in_front.py
@@ -144,3 +144,16 @@
     again = FakeExchange("/late-stream")
     flow.handle(again)
     assert again.status == 200
+
+
+def test_a_request_that_is_read_after_its_caller_left_goes_no_further(flow):
+    # Targets work for callers who are gone, and a flooded router is flooded by what nobody waits
+    # for. Its callers give up after a second unread; read at last, their requests were put to the
+    # scheduler and sent on, as the look at all connections comes late there as well.
+    # Evidence: a request reached a target 1.8 s after it was sent to the router, 0.8 s after its
+    # caller had left; 5,207 of 17,600 requests there ended so or with their deadline.
+    late = FakeExchange("/plain")
+    late.abort = lambda: None
+    late._other.close()
+    flow.handle(late)
+    assert not late.started
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -114,6 +114,10 @@
     def _serve(
         self, exchange: ClientExchange, body: bytes, call: Call, trace: RequestTrace
     ) -> None:
+        # The look at all connections comes late on a router without processor time, where callers
+        # leave unread; what nobody waits for would be scheduled and sent on.
+        if call.look():
+            raise CallerGone("caller gone before its request was read")
         if self._closing:
             raise Draining("draining", _DRAINING_RETRY_S)
         text = self._in_force.current
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -209,7 +209,7 @@
             raise
 
     def _send(self, conn: TargetConnection, granted: Granted, booking: "_Booking") -> None:
-        if not self._call.on_hang_up(conn.abort):
+        if self._call.look() or not self._call.on_hang_up(conn.abort):
             conn.close()
             booking.settle(Outcome.CALLER_GONE, 0.0)
             raise CallerGone("caller gone before the request was sent")
--- a/turmerictray/transport/hangup.py
+++ b/turmerictray/transport/hangup.py
@@ -40,6 +40,14 @@
         if abort is not None:
             abort()
 
+    def look(self) -> bool:
+        """Look at the caller's connection now; true when the caller has left."""
+        poller = select.poll()
+        poller.register(self.fd, select.POLLRDHUP)
+        if any(mask & _HUNG_UP for _, mask in poller.poll(0)):
+            self.hang_up()
+        return self.gone
+
     def on_hang_up(self, abort: Callable[[], None] | None) -> bool:
         """Set what a hang-up aborts (None: nothing); false when the caller is already gone."""
         with self._lock:
