--- a/turmerictray/router/readers.py
+++ b/turmerictray/router/readers.py
@@ -29,9 +29,8 @@
 
 _SETTLED_BEATS = 6
 """Messages that a router has sent before it takes itself for a reader among others: three seconds
-in a large fleet, in which it has heard of nearly all. Of 77 routers that start at once each knew a
-few others for four seconds, was one of the first two of its zone by that, and held two watches:
-two thousand calls, three times those of the forty seconds that followed."""
+in a large fleet, in which it has heard of nearly all. Before, it knows a few others and is one of
+the first two of its zone by that, and so are all routers that start at once."""
 
 _KEY = "store-reader"
 
--- a/turmerictray/scheduling/shards.py
+++ b/turmerictray/scheduling/shards.py
@@ -15,8 +15,8 @@
 from turmerictray.routing.rendezvous import weighted_rank
 
 _MOST_ENGINES = 32
-"""Engines of a shard on average, at most. A scheduler of 45 engines that are asked for twice what
-they can do uses less than half a core for its decisions."""
+"""Engines of a shard on average, at most: what one scheduler on a small machine can place on while
+twice what they can do is asked."""
 
 _HASHED_FOR = "shard"
 
