Prompt tokens by team and outcome; a request that timed out tells what it waited for

Counts of requests could not tell a team's share of tokens, and the line of a queue_timeout did not say whether the request waited for an engine that is silent. turmerictray_prompt_tokens_total counts the prompts of each team with and without an answer, early refusals included; the reason of queue_timeout names the engine that the request waited for and how long it is overdue.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -104,6 +104,8 @@
         Tokens that an engine has to read for it at least, as known when it was offered.
     held_by : TargetLoad or None
         The target it waits for.
+    waited_for : TargetLoad or None
+        The target it waited for last, also when it waits no more.
     looked_at : float
         Monotonic seconds at which the target was chosen.
     """
@@ -117,6 +119,7 @@
     urgency_s: float = 0.0
     reading_tokens: int = 0
     held_by: TargetLoad | None = None
+    waited_for: TargetLoad | None = None
     looked_at: float = -math.inf
 
 
@@ -335,7 +338,7 @@
     def _hold(self, wanted: Wanted, placement: Placement) -> None:
         if wanted.held_by is not placement.load:
             self.release(wanted)
-            wanted.held_by = placement.load
+            wanted.held_by = wanted.waited_for = placement.load
         placement.load.hold(wanted.call_id, placement.miss_tokens)
 
     @staticmethod
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -10,6 +10,12 @@
 TOKENS = Counter(
     "turmerictray_tokens_total", "Tokens of finished requests.", ["team"], registry=REGISTRY
 )
+PROMPT_TOKENS = Counter(
+    "turmerictray_prompt_tokens_total",
+    "Prompt tokens asked for, by team and by whether an answer began.",
+    ["team", "begun"],
+    registry=REGISTRY,
+)
 QUEUED = Gauge("turmerictray_queued", "Requests waiting for a slot.", registry=REGISTRY)
 INFLIGHT = Gauge("turmerictray_inflight", "Requests sent and not ended.", registry=REGISTRY)
 CONTROL_BYTES = Counter(
@@ -52,6 +58,11 @@
 )
 
 
+def count_prompt(team: str, tokens: int, begun: bool) -> None:
+    """Count a request's prompt, in tokens, when it has its final answer."""
+    PROMPT_TOKENS.labels(team, "yes" if begun else "no").inc(tokens)
+
+
 def count_control(channel: str, sent: int, received: int) -> None:
     """Add control bytes of one exchange, in bytes."""
     if sent:
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -173,7 +173,7 @@
             pool.drop_lost_calls(self.alive, msg.now)
         for pool in self.pools.all():
             for item in pool.expire(msg.now):
-                reason = f"queue_timeout: {len(pool.queue)} others wait"
+                reason = _timeout_reason(item, pool, msg.now)
                 item.reply.refuse(QueueTimeout(reason, pool.expected_wait_s(item)))
             if len(pool.queue):
                 self._rounds.want(pool, msg.now)
@@ -401,3 +401,15 @@
         if text is not None and service in text.services:
             pool.targets.set_spec(text.services[service], text.tokens_per_s)
         return pool
+
+
+def _timeout_reason(item: Pending, pool: ServicePool, now: float) -> str:
+    """Why a request was not granted in time, for the log."""
+    waited_for = item.context.waited_for
+    if waited_for is None:
+        return f"queue_timeout: {len(pool.queue)} others wait"
+    overdue_ms = round(waited_for.overdue_s(now) * 1000)
+    return (
+        f"queue_timeout: {len(pool.queue)} others wait, "
+        f"for {waited_for.info.id} overdue {overdue_ms} ms"
+    )
--- a/turmerictray/router/early.py
+++ b/turmerictray/router/early.py
@@ -92,6 +92,7 @@
     ) -> bytes:
         with self._lock:
             self._refused[key, exc.reason].append(envelope.request_id)
+        metrics.count_prompt(key.team, envelope.prompt.input_tokens, begun=False)
         left_s = route.timeout_s if envelope.caller_left_s is None else envelope.caller_left_s
         wait = retry_after_s(exc.retry_after, left_s, self._rng)
         answer = error_answer(exc)
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -57,6 +57,9 @@
     def _count(self, outcome: str) -> None:
         team = self.routed.ledger_team if self.routed is not None else "-"
         metrics.REQUESTS.labels(team, outcome).inc()
+        prompt = self.routed.envelope.prompt if self.routed is not None else None
+        if prompt is not None:
+            metrics.count_prompt(team, prompt.input_tokens, self.first_at is not None)
         metrics.REQUEST_TIME.labels(outcome).observe(time.monotonic() - self.arrived)
         if self.granted_at is not None:
             metrics.QUEUE_WAIT.observe(self.granted_at - self.arrived)
