Requests are refused at once by the work before them, not by their number

What callers saw: with two of five engines left, 200 prompts a second were refused as wait_too_long with 6 requests before them and 11 a second served, while both engines read as many tokens as ever. Whichever team's prompts are short got next to nothing for seconds.

Cause: the wait of a request was estimated as (requests before it) x (mean time between sends). Long prompts set that time to 80 ms; short ones with an objective of 0.4 s were then refused behind five others, and only long ones let in: what was granted decides what is let in. Class: an average over unlike things.

Ruled out: engines that idle (both read 40 k tokens a second throughout), the router without processor time (0.2 to 0.4 of its core), the order of teams (by tokens and second by second 0.8 of the best served team or more).

Change: work is counted, in tokens to be read, and the pace is work a second over the time in which something waits. test_refusal_by_work failed before.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -12,7 +12,8 @@
 from enum import Enum
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.turns import TeamTurns, turn_of
+from turmerictray.admission.pace import Pace
+from turmerictray.admission.turns import TeamTurns, turn_of, work_of
 from turmerictray.admission.window import (
     MOST_PART,
     READ_AHEAD_S,
@@ -67,8 +68,6 @@
 _MOST_LOOKED_AT = 12
 """Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
 
-_RATE_SMOOTHING = 0.1
-
 
 class Outcome(Enum):
     """How a send to a target ended."""
@@ -168,8 +167,7 @@
         self._turns: Counter[TeamId] = Counter()
         self._waiting: dict[TeamId, TeamTurns] = defaultdict(TeamTurns)
         self._opened_at: dict[TargetId, float] = {}
-        self._last_sent = 0.0
-        self._mean_gap_s = 0.0
+        self._pace = Pace()
 
     def offer(self, item: Pending, now: float, retry: bool = False) -> None:
         """Queue a request.
@@ -217,25 +215,30 @@
         return max(least, item.deadline - reading)
 
     def expected_wait_s(self, item: Pending) -> float:
-        """Seconds until the request's turn, by the queue before it and the pace of sends."""
-        return self._mean_gap_s * self._ahead_of(item)
+        """Seconds until the request's turn, by the work before it and the pace of sends."""
+        return self._pace.seconds_for(self._work_ahead_of(item))
 
     def backlog_s(self) -> float:
         """Seconds until all that waits has been sent, by the pace of sends."""
-        return self._mean_gap_s * len(self.queue)
+        teams = self.queue.backlogged()
+        work = sum(self._waiting[team].work_of(self.queue.depth(team)) for team in teams)
+        return self._pace.seconds_for(work)
 
     def _wait_reason(self, item: Pending) -> str:
-        gap_ms = round(self._mean_gap_s * 1000)
-        return f"wait_too_long: {self._ahead_of(item)} before it, {gap_ms} ms between sends"
+        work, wait = self._work_ahead_of(item), self.expected_wait_s(item)
+        return f"wait_too_long: {round(work)} to be read before it, {round(wait * 1000)} ms"
 
-    def _ahead_of(self, item: Pending) -> int:
-        # Teams take turns, so a request waits for its own team's queue and as many of each other.
-        depth = self.queue.depth(item.team)
+    def _work_ahead_of(self, item: Pending) -> float:
+        """Work that is sent before a request.
+
+        Teams take turns, so it waits for those of its own team that come before it, and for as many
+        of each other team.
+        """
         before = self._waiting[item.team].up_to(turn_of(item))
-        by_turn = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
-        own = min(depth * _OLDEST_EVERY, by_turn) + 1
-        others = (self.queue.depth(team) for team in self.queue.backlogged() if team != item.team)
-        return own - 1 + sum(min(depth, own) for depth in others)
+        own = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
+        others = (team for team in self.queue.backlogged() if team != item.team)
+        work = sum(self._waiting[team].work_of(own + 1) for team in others)
+        return work + self._waiting[item.team].work_of(own)
 
     def backlogged(self) -> set[TeamId]:
         """Teams that wait for room."""
@@ -249,7 +252,7 @@
         team's next ones are looked at too, or an engine would idle while work for it waits.
         """
         if not len(self.queue):
-            self._last_sent = 0.0
+            self._pace.note_idle()
             return None
         return self._look(now) if self._has_room(now) else None
 
@@ -387,10 +390,7 @@
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
             self.targets.note_read(placement.load.info.id, wanted.prompt.shared)
-        if self._last_sent:
-            gap = now - self._last_sent
-            self._mean_gap_s += _RATE_SMOOTHING * (gap - self._mean_gap_s)
-        self._last_sent = now
+        self._pace.note_sent(work_of(item), now)
 
     def unbook(self, sent: Sent) -> None:
         """Take back a booking whose request is not sent."""
--- a/turmerictray/admission/turns.py
+++ b/turmerictray/admission/turns.py
@@ -4,6 +4,9 @@
 
 from turmerictray.fairness.queue import Pending
 
+_LEAST_WORK = 200
+"""Tokens that an engine reads in the time that a request takes whose whole prompt is kept."""
+
 Turn = tuple[float, int]
 """Seconds that a request could wait when it came, and the tokens to be read for it."""
 
@@ -13,6 +16,12 @@
     return item.context.urgency_s, item.context.reading_tokens
 
 
+def work_of(item: Pending) -> float:
+    """What sending a request takes from the targets: tokens to be read, or 1 for a plain call."""
+    wanted = item.context
+    return 1.0 if wanted.prompt is None else wanted.reading_tokens + _LEAST_WORK
+
+
 class TeamTurns:
     """Keeps requests sorted by their turn, those of one turn in the order in which they came.
 
@@ -46,3 +55,7 @@
     def up_to(self, turn: Turn) -> int:
         """How many come before a new request of this turn."""
         return bisect_right(self._sorted, turn, key=lambda entry: entry[0])
+
+    def work_of(self, first: int) -> float:
+        """Work of the first so many requests, in the unit of :func:`work_of`."""
+        return sum(work_of(item) for _, _, item in self._sorted[:first])
