--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -11,6 +11,9 @@
 
 from turmerictray.platform.standins.http import BackgroundServer, QuietHandler
 
+DEADLY = b"deadly"
+"""A request whose body holds this ends each worker that begins to run it."""
+
 _HANG_S = 30.0
 _CLOSE_LOOK_S = 0.02
 
@@ -95,6 +98,7 @@
         self.read_tokens = 0
         self.listed = 0
         self.closing = threading.Event()
+        self.crashed = threading.Event()
         self._kept: OrderedDict[str, int] = OrderedDict()
         self._engine = threading.Lock()
         self._server = BackgroundServer(_Handler, self, host, port)
@@ -128,6 +132,12 @@
         self.closing.set()
         self._server.stop()
 
+    def crash(self) -> None:
+        """End at once: all connections are reset and new ones are refused."""
+        if not self.crashed.is_set():
+            self.crashed.set()
+            self._server.abort()
+
     def runs(self) -> list[Seen]:
         """Requests that ran."""
         return [seen for seen in self.seen if seen.ran]
@@ -198,7 +208,9 @@
             self._answer(503, b"full", [("X-Not-Executed", "1")], signed=False)
             return
         seen.ran = True
-        if fault is WorkerFault.HANG:
+        if DEADLY in seen.body:
+            self.worker.crash()
+        elif fault is WorkerFault.HANG:
             seen.left_early = self._wait_for_close(_HANG_S)
             self.close_connection = True
         elif fault is WorkerFault.RESET_AFTER_RUN:
