A request that ends its targets is stopped by all routers after the third

Cause: nothing remembered a request beyond its own attempt. progress counts the tries of one attempt, budget the repeats of a service, and a caller that comes again is new, with a new id. Class: state kept per attempt, for a fault that belongs to the request.

Change: endings are counted by distinct target and by a digest of what the caller repeats, merged among routers as sets with the membership's messages; no further try after two, none at all after three, 503 with a true Retry-After.

Evidence at all of 9 routers after 0.25 s, of 300 after 1.25 s (virtual time).

--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -5,9 +5,10 @@
 import msgspec
 import pytest
 
-from turmerictray.core.ids import NodeId
+from turmerictray.admission.quarantine import HELD_AT, Quarantine
+from turmerictray.core.ids import NodeId, RequestDigest, TargetId
 from turmerictray.membership.gossip import Batch, Gossip
-from turmerictray.membership.messages import MemberEntry
+from turmerictray.membership.messages import CrashReport, MemberEntry
 from turmerictray.membership.table import MemberTable
 
 PERIOD_S = 0.25
@@ -22,12 +23,15 @@
         self.entry = MemberEntry(self.name, f"z{number % 5}", self.name, incarnation, 0)
         self.table = MemberTable(NodeId(self.name))
         self.gossip = Gossip(self.table, rng)
+        self.crashes = Quarantine()
+        self.reports: list[CrashReport] = []
         self.bytes = 0
 
     def period(self, now: float, fleet: "Fleet") -> None:
         size = self.table.size(now)
-        if not self.gossip.is_due(size):
+        if not self.gossip.is_due(size, self.crashes.has_news()):
             return
+        self.reports = self.crashes.take_reports(now)
         self.entry = msgspec.structs.replace(self.entry, beat=self.entry.beat + 1)
         for batch in self.gossip.batches(size, now):
             for contact in batch.contacts:
@@ -46,7 +50,8 @@
         self.now = 0.0
 
     def deliver(self, sender: Router, to: str, batch: Batch, knows: int, now: float) -> None:
-        sender.bytes += len(msgspec.msgpack.encode((sender.entry, batch.known, batch.pulses)))
+        message = (sender.entry, batch.known, batch.pulses, sender.reports)
+        sender.bytes += len(msgspec.msgpack.encode(message))
         receiver = self.routers.get(to)
         if receiver is None or receiver is sender:
             return
@@ -56,6 +61,7 @@
         for pulse in batch.pulses:
             receiver.table.learn_pulse(pulse, now)
         receiver.table.note_knows(sender.name, knows, now)
+        receiver.crashes.merge(sender.reports, now)
 
     def play(self, seconds: float) -> None:
         end = self.now + seconds
@@ -124,3 +130,46 @@
     for _ in range(16):
         fleet.play(1.0)
         assert min(fleet.sizes()) == 195
+
+
+def note_ended(router: Router, digest: str, target: str, now: float) -> None:
+    router.crashes.note_ended(RequestDigest(digest), TargetId(target), now)
+
+
+@pytest.mark.parametrize(("count", "seconds"), [(9, 0.25), (79, 1.0), (300, 1.25)])
+def test_all_know_of_a_request_that_ends_its_targets(count, seconds):
+    """Guards against evidence that spreads slower than callers come back at other routers."""
+    fleet = Fleet(count)
+    fleet.play(4.0)
+    for number in range(HELD_AT):
+        note_ended(fleet.routers[f"r{number}"], "deadly", f"e{number}", fleet.now)
+    fleet.play(seconds)
+    assert all(router.crashes.held() == 1 for router in fleet.routers.values())
+
+
+def test_evidence_meets_again_after_a_cut():
+    """Guards against counts that two sides of a cut keep to themselves."""
+    fleet = Fleet(12)
+    fleet.play(4.0)
+    left = {name: router for name, router in fleet.routers.items() if int(name[1:]) < 6}
+    right = {name: router for name, router in fleet.routers.items() if name not in left}
+    for side, ends in ((left, ("e0", "e1")), (right, ("e2",))):
+        fleet.routers = side
+        for target in ends:
+            note_ended(next(iter(side.values())), "deadly", target, fleet.now)
+        fleet.play(1.5)
+    fleet.routers = left | right
+    fleet.play(1.0)
+    assert all(router.crashes.held() == 1 for router in fleet.routers.values())
+
+
+def test_a_router_that_starts_again_is_reminded_of_what_is_held():
+    fleet = Fleet(79)
+    fleet.play(4.0)
+    for number in range(20):
+        for target in ("e0", "e1", "e2"):
+            note_ended(fleet.routers["r0"], f"d{number}", target, fleet.now)
+    fleet.play(8.0)
+    fleet.routers["r50"] = Router(50, fleet.rng, incarnation=2)
+    fleet.play(3.0)
+    assert fleet.routers["r50"].crashes.held() == 20
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -37,12 +37,15 @@
     "queue_full": "the team had too many requests waiting on this router",
     "unread": "requests waited too long to be read on this router",
     "wait_too_long": "by the pace of sends its turn would have come too late",
+    "another copy": "another copy of it ran, and targets have ended under it before",
+    "quarantined": "targets ended while they began to run it; it is sent to none any more",
     "queue_timeout": "it waited as long as it may and no target had room",
     "repeats_used_up": "the budget of repeats left none for another try",
     "draining": "the router was shutting down",
     "TargetBusy": "the targets that were tried did not run it",
     "TimedOut": "the route's or the caller's time was over",
     "OutcomeUnknown": "a try broke off after the request had been sent",
+    "ConnectionBroken": "a try broke off after the request had been sent",
     "caller gone": "the caller hung up",
 }
 
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -57,6 +57,8 @@
     """
 
     status = 503
+    cut_short = True
+    """A caller that will not wait for ``retry_after`` is told the longest time that it will."""
 
     def __init__(self, reason: str, retry_after: float) -> None:
         super().__init__(reason)
@@ -94,6 +96,12 @@
     """The router has as many requests in hand as it may; another router may have room."""
 
 
+class Quarantined(AdmissionError):
+    """The request has ended the targets that ran it, and is sent to no other."""
+
+    cut_short = False
+
+
 class Draining(AdmissionError):
     """The router is shutting down and takes no new requests."""
 
@@ -164,6 +172,10 @@
         self.retry_after = retry_after
 
 
+class ConnectionBroken(OutcomeUnknown):
+    """The target's side of the connection ended before the answer did."""
+
+
 class TimedOut(UpstreamError):
     """The route's or the caller's time is over; the request may have run."""
 
--- a/turmerictray/core/ids.py
+++ b/turmerictray/core/ids.py
@@ -12,6 +12,9 @@
 RequestId = NewType("RequestId", str)
 """A caller's request; the ``Idempotency-Key`` when the caller gives one."""
 
+RequestDigest = NewType("RequestDigest", str)
+"""Tells a request that comes again with another id; see :mod:`turmerictray.admission.digest`."""
+
 TargetId = NewType("TargetId", str)
 """One incarnation of a target: from a start of a model engine or service worker to its end."""
 
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -18,6 +18,11 @@
 )
 QUEUED = Gauge("turmerictray_queued", "Requests waiting for a slot.", registry=REGISTRY)
 INFLIGHT = Gauge("turmerictray_inflight", "Requests sent and not ended.", registry=REGISTRY)
+QUARANTINED = Gauge(
+    "turmerictray_quarantined",
+    "Requests that are sent to no target, as targets ended under them.",
+    registry=REGISTRY,
+)
 CONTROL_BYTES = Counter(
     "turmerictray_control_bytes_total",
     "Bytes of control traffic (peer link, claims, configuration, instance list, load reports).",
--- a/turmerictray/membership/gossip.py
+++ b/turmerictray/membership/gossip.py
@@ -66,15 +66,21 @@
         self._periods = 0
         self._rounds = 0
 
-    def is_due(self, size: int) -> bool:
+    def is_due(self, size: int, has_news: bool = False) -> bool:
         """Whether to send in this period.
 
         In a fleet that is larger than the fanout, routers hear of each other by the entries in
         every message; the messages are longer and come half as often, for the same bytes, unless
         there is news.
+
+        Parameters
+        ----------
+        has_news : bool
+            There is news beside that of the table.
         """
         self._periods += 1
-        return not _is_large(size) or self._periods % 2 == 0 or self._table.has_news()
+        has_news = has_news or self._table.has_news()
+        return has_news or not _is_large(size) or self._periods % 2 == 0
 
     def batches(self, size: int, now: float) -> list[Batch]:
         """The messages of this period: for routers that know few others, and for some peers."""
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from typing import Protocol
 
 import msgspec
 import pynng
@@ -23,7 +24,12 @@
 from turmerictray.core.receive import receive_all
 from turmerictray.core.timer import Tick
 from turmerictray.membership.gossip import FANOUT, Batch, Gossip
-from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
+from turmerictray.membership.messages import (
+    CrashReport,
+    MemberEntry,
+    PeerMessage,
+    RouterSummary,
+)
 from turmerictray.membership.table import MemberTable
 
 PERIOD_S = 0.25
@@ -75,6 +81,16 @@
         self._sock.close()
 
 
+class CrashReports(Protocol):
+    """Where reports of crashes come from."""
+
+    def has_news(self) -> bool:
+        """Whether there is something that peers should hear soon."""
+
+    def take_reports(self, now: float) -> list[CrashReport]:
+        """What the next message is to tell."""
+
+
 class PeerLink(VitalActor):
     """Sends this router's summary to its peers and hands on theirs.
 
@@ -99,6 +115,8 @@
         ``tcp://host:port`` at which this router schedules requests of others.
     cores : float
         What this router's processor can do, in cores.
+    crashes : CrashReports or None
+        Reports that travel with the messages.
     """
 
     def __init__(
@@ -114,6 +132,7 @@
         on_members: Callable[[tuple[MemberEntry, ...]], None],
         calls: str = "",
         cores: float = 1.0,
+        crashes: CrashReports | None = None,
     ) -> None:
         super().__init__()
         self.entry = MemberEntry(node, zone, address, incarnation, 0, False, calls, cores)
@@ -123,6 +142,7 @@
         self._own_summary = own_summary
         self._on_peer = on_peer
         self._on_members = on_members
+        self._crashes = crashes
         self._size = 1
         self._leaving = False
         self._outlets: dict[str, _Outlet] = {}
@@ -153,7 +173,8 @@
         if msg.is_late():
             return
         now = time.monotonic()
-        if self._gossip.is_due(self._size):
+        has_news = self._crashes is not None and self._crashes.has_news()
+        if self._gossip.is_due(self._size, has_news):
             self._send_all(now)
         self._note_size(now)
         self._tell_members(now)
@@ -196,18 +217,21 @@
         beat = self.entry.beat + 1
         self.entry = msgspec.structs.replace(self.entry, beat=beat, leaving=self._leaving)
         batches = self._gossip.batches(self._size, now)
+        crashes = [] if self._crashes is None else self._crashes.take_reports(now)
         used = set()
         for batch in batches:
-            used |= self._send(batch, summary, now)
+            used |= self._send(batch, summary, crashes, now)
         seeds = self._seeds_to_try(now, used)
         if seeds:
-            used |= self._send(Batch(seeds, batches[0].known), summary, now)
+            used |= self._send(Batch(seeds, batches[0].known), summary, crashes, now)
         self._close_unused(used)
 
-    def _send(self, batch: Batch, summary: RouterSummary, now: float) -> set[str]:
+    def _send(
+        self, batch: Batch, summary: RouterSummary, crashes: list[CrashReport], now: float
+    ) -> set[str]:
         """Send a message to a batch's routers; returns their addresses."""
         message = PeerMessage(
-            self.entry, summary, batch.known, self.admin, self._size, batch.pulses
+            self.entry, summary, batch.known, self.admin, self._size, batch.pulses, crashes
         )
         data = msgspec.msgpack.encode(message)
         for contact in batch.contacts:
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -91,6 +91,27 @@
     store_age_s: float = 1e9
 
 
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """Targets that ended while they began to run a request.
+
+    Attributes
+    ----------
+    digest : str
+        See :mod:`turmerictray.admission.digest`.
+    ended : list of str
+        All that ended under it.
+    cleared : list of str
+        Those of them that ended before the request had an answer elsewhere.
+    age_s : float
+        Time since the last sign of the request, in seconds.
+    """
+
+    digest: str
+    ended: list[str]
+    cleared: list[str]
+    age_s: float
+
+
 class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
     """One message of the peer link.
 
@@ -106,6 +127,7 @@
         How many routers the sender believes alive, itself included.
     pulses : list of Pulse
         Signs of life of some of them.
+    crashes : list of CrashReport
     """
 
     sender: MemberEntry
@@ -114,3 +136,4 @@
     admin: str
     knows: int = 0
     pulses: list[Pulse] = []
+    crashes: list[CrashReport] = []
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -23,6 +23,9 @@
 
 _STOP_S = 9.0
 
+_ENDS = 3
+_LATER_SENDS = 3
+
 
 def check_answers(record: Record, events: int) -> Iterator[Violation]:
     """Every answer that looks complete is its own request's, whole and a worker's."""
@@ -134,6 +137,49 @@
                 yield Violation(request_id, "leaving", f"{worker.id}, {late:.2f} s after")
 
 
+def check_deadly(record: Record, workers: list[Worker], routers: list[str]) -> Iterator[Violation]:
+    """A request under which three workers have ended soon reaches hardly any others.
+
+    What all routers have forgotten, each of them having been killed or stopped, counts anew.
+    """
+    for body in record.deadly:
+        arrivals = sorted(
+            (seen.at, seen.ran) for worker in workers for seen in worker.seen if seen.body == body
+        )
+        for span in _remembered(record, arrivals, routers):
+            ends = [at for at, ran in span if ran]
+            later = [at for at, _ in span if len(ends) >= _ENDS and at > ends[_ENDS - 1] + _CALM_S]
+            if len(later) > _LATER_SENDS:
+                detail = f"reached workers {len(later)} times more; {len(ends)} ended in all"
+                yield Violation(body.decode(), "deadly", detail)
+
+
+def _remembered(
+    record: Record, arrivals: list[tuple[float, bool]], routers: list[str]
+) -> list[list[tuple[float, bool]]]:
+    """The arrivals, parted where no router was left that knew of those before."""
+    spans: list[list[tuple[float, bool]]] = [[]]
+    for arrival in arrivals:
+        if spans[-1] and _all_forgot(record, spans[-1][0][0], arrival[0], routers):
+            spans.append([])
+        spans[-1].append(arrival)
+    return spans
+
+
+def _all_forgot(record: Record, since: float, until: float, routers: list[str]) -> bool:
+    """Whether at some moment each router had just been disturbed or stopped."""
+    moments = [each.begun for each in record.disturbances] + [at for _, at in record.stops]
+    return any(
+        all(
+            record.disturbed(at - _CALM_S, at, name)
+            or any(stopped == name and at - _STOP_S <= when <= at for stopped, when in record.stops)
+            for name in routers
+        )
+        for at in moments
+        if since <= at <= until
+    )
+
+
 def check_stops(record: Record) -> Iterator[Violation]:
     """A planned stop cuts no answer that was asked for before it, and the process exits with 0."""
     for ended in record.exits:
--- a/turmerictray/platform/soak/player.py
+++ b/turmerictray/platform/soak/player.py
@@ -11,6 +11,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.loadtool.agenda import Agenda
 from turmerictray.loadtool.relay import Way
+from turmerictray.platform.soak.deadly import DeadlySender
 from turmerictray.platform.soak.record import Disturbance, Exit, Flooded, Record, Retired
 from turmerictray.platform.soak.schedule import Fault, Planned
 from turmerictray.platform.standins.flood import Flood
@@ -24,6 +25,7 @@
 """A leaving worker serves on for this long, a little more than the time in which routers must have
 stopped sending to it."""
 
+_LAPSES_S = 1.0
 _FLOOD_PER_S = 150.0
 _JOINING = 12
 _MOST_WORKERS = 40
@@ -71,7 +73,7 @@
         self._version = 1
         self._new_workers = itertools.count(1)
         self._busy: set[str] = set()
-        self._floods: list[threading.Thread] = []
+        self._senders: list[threading.Thread] = []
         self._agenda = Agenda()
         for planned in schedule:
             self._agenda.at(planned.at_s, lambda planned=planned: self._play(planned))
@@ -84,7 +86,7 @@
         """Wait for the end of the schedule, with every fault undone."""
         self._agenda.finish()
         self.deployment.network.heal()
-        for thread in self._floods:
+        for thread in self._senders:
             thread.join()
         self.deployment.store.store.trouble = StoreTrouble.NONE
 
@@ -255,18 +257,36 @@
     def _flood(self, planned: Planned) -> None:
         routers = self.deployment.routers
         router = routers[planned.pick % len(routers)]
-        name = f"flood{len(self._floods)}x"
+        name = f"flood{len(self._senders)}x"
         flood = Flood(self.deployment.front(router), _FLOOD_PER_S, planned.for_s, name)
         flooded = Flooded(router.name, time.monotonic(), math.inf, flood.outcome_of)
         self.record.floods.append(flooded)
         thread = threading.Thread(target=self._play_flood, args=(flood, flooded), daemon=True)
-        self._floods.append(thread)
+        self._senders.append(thread)
         thread.start()
 
     def _play_flood(self, flood: Flood, flooded: Flooded) -> None:
         flood.play()
         flooded.ended = time.monotonic()
 
+    def _send_deadly(self, planned: Planned) -> None:
+        sender = DeadlySender(self.deployment, self.record, planned, self._retire_crashed)
+        thread = threading.Thread(target=sender.run, daemon=True)
+        self._senders.append(thread)
+        thread.start()
+
+    def _retire_crashed(self) -> None:
+        """Replace workers that have ended; the store drops their entries a moment later."""
+        for worker in list(self.deployment.workers):
+            if worker.crashed.is_set() and worker.id not in self.record.retired:
+                now = time.monotonic()
+                self.record.retired[worker.id] = Retired(worker.id, now, crashed=True)
+                self.record.disturbances.append(Disturbance("worker", now, now))
+                self._replace(worker)
+                self._agenda.after(
+                    _LAPSES_S, lambda worker=worker: self.deployment.withdraw(worker)
+                )
+
     def _end(self, worker: Worker) -> None:
         worker.stop()
         self.deployment.withdraw(worker)
@@ -315,4 +335,5 @@
     Fault.PUBLISH_BROKEN: FaultPlayer._publish_broken,
     Fault.FLOOD: FaultPlayer._flood,
     Fault.WORKERS_JOIN: FaultPlayer._join,
+    Fault.DEADLY: FaultPlayer._send_deadly,
 }
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -105,6 +105,7 @@
     exits: list[Exit] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     floods: list[Flooded] = field(default_factory=list)
+    deadly: set[bytes] = field(default_factory=set)
 
     def disturbed(self, since: float, until: float, *what: str) -> bool:
         """Whether any of ``what`` was disturbed in a span; of anything when none is named."""
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -15,7 +15,7 @@
 from turmerictray.platform.soak.callers import SoakCaller
 from turmerictray.platform.soak.player import FaultPlayer
 from turmerictray.platform.soak.record import Record
-from turmerictray.platform.soak.schedule import draw_overlay, draw_schedule
+from turmerictray.platform.soak.schedule import draw_deadly, draw_overlay, draw_schedule
 from turmerictray.platform.standins.local import LocalDeployment
 
 _EVENTS = 8
@@ -28,7 +28,15 @@
 
 @dataclass(frozen=True)
 class SoakSize:
-    """How large a run is; ``overlay`` adds floods and workers that join in masses."""
+    """How large a run is.
+
+    Attributes
+    ----------
+    overlay : bool
+        Floods, and workers that join in masses.
+    deadly : bool
+        Requests that end each worker that begins to run them.
+    """
 
     seconds: float = 20.0
     routers: int = 3
@@ -36,6 +44,7 @@
     apps: int = 3
     callers: int = 12
     overlay: bool = True
+    deadly: bool = True
 
 
 @dataclass
@@ -91,6 +100,8 @@
     schedule = draw_schedule(seed, size.seconds)
     if size.overlay:
         schedule += draw_overlay(seed, size.seconds)
+    if size.deadly:
+        schedule += draw_deadly(seed, size.seconds)
     player = FaultPlayer(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(size.callers)
@@ -128,6 +139,7 @@
         *checks.check_gone(record, workers),
         *checks.check_leaving(record, workers),
         *checks.check_stops(record),
+        *checks.check_deadly(record, workers, [router.name for router in deployment.routers]),
         *check_config_logs(logs),
     ]
 
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -43,14 +43,16 @@
     PUBLISH_BROKEN = "publish_broken"
     FLOOD = "flood"
     WORKERS_JOIN = "workers_join"
+    DEADLY = "deadly"
 
 
 _OVERLAID = (Fault.FLOOD, Fault.WORKERS_JOIN)
 """Faults with a schedule of their own, beside that of the others, so that the seeds of runs without
 them keep their meaning."""
 
-_BASE = tuple(fault for fault in Fault if fault not in _OVERLAID)
+_BASE = tuple(fault for fault in Fault if fault not in (*_OVERLAID, Fault.DEADLY))
 _OVERLAY_GAP_S = (2.0, 6.0)
+_DEADLY_GAP_S = (0.5, 3.0)
 
 
 @dataclass(frozen=True)
@@ -83,6 +85,18 @@
     return planned
 
 
+def draw_deadly(seed: int, seconds: float) -> list[Planned]:
+    """Times at which requests come that end each worker that begins to run them, for a seed."""
+    rng = random.Random(f"deadly {seed}")
+    planned: list[Planned] = []
+    at = rng.uniform(*_DEADLY_GAP_S)
+    while at < seconds:
+        length = min(rng.uniform(*_LENGTH_S), seconds - at)
+        planned.append(Planned(at, length, Fault.DEADLY, rng.randrange(1000)))
+        at += length + rng.uniform(*_DEADLY_GAP_S)
+    return planned
+
+
 def draw_schedule(seed: int, seconds: float) -> list[Planned]:
     """The schedule of a seed, in order of time; the same for the same arguments."""
     rng = random.Random(seed)
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -1,6 +1,7 @@
 """The life of a request, from its first byte to its final answer."""
 
 import itertools
+import math
 import random
 import secrets
 import threading
@@ -167,7 +168,8 @@
         answer = error_answer(exc)
         headers = [("Content-Type", "application/json")]
         if isinstance(exc, AdmissionError):
-            wait = retry_after_s(exc.retry_after, trace.caller_left_s, self._rng)
+            left_s = trace.caller_left_s if exc.cut_short else math.inf
+            wait = retry_after_s(exc.retry_after, left_s, self._rng)
             headers.append(self._parts.dialect.retry_after(wait))
         try:
             exchange.answer(answer.status, headers, answer.body)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -9,6 +9,7 @@
 import pykka
 from prometheus_client import generate_latest
 
+from turmerictray.admission.quarantine import Quarantine
 from turmerictray.core import metrics
 from turmerictray.core.actor import ask_in_time
 from turmerictray.core.app import Application
@@ -26,6 +27,7 @@
     SummaryQuery,
 )
 from turmerictray.router.catch_up import CatchUp
+from turmerictray.router.crash_evidence import CrashEvidence
 from turmerictray.router.desk import Desk
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.early import EarlyRefusals
@@ -123,6 +125,7 @@
         self._sources: list[Source] = []
         self._timer = TimerService()
         self._conns = ConnectionPool()
+        self._quarantine = Quarantine()
         self._watch = HangUpWatch(self._on_scan)
         self._flow: RequestFlow | None = None
         self._early: EarlyRefusals | None = None
@@ -159,6 +162,7 @@
 
         def on_peer(message: PeerMessage) -> None:
             self._broker.tell(PeerHeard(message.summary))
+            self._quarantine.merge(message.crashes, time.monotonic())
             catch_up.tell(message)
             if recall.is_alive():
                 recall.tell(message)
@@ -183,6 +187,7 @@
             on_members=on_members,
             calls=self._calls.address,
             cores=s.cores,
+            crashes=self._quarantine,
         )
         self._timer.subscribe(self._link, "peers", PERIOD_S)
         reloader = SettingsReloader.start(s, self._load_settings, self._broker, self._link)
@@ -227,7 +232,8 @@
 
     def _start_servers(self) -> None:
         s = self.settings
-        parts = Parts(self._desk, self._dialect, self._conns)
+        crashes = CrashEvidence(self._quarantine, leaving=lambda: self._in_force.leaving)
+        parts = Parts(self._desk, self._dialect, self._conns, crashes=crashes)
         self._flow = RequestFlow(parts, self._in_force, self._watch, s.threads)
         self._early = EarlyRefusals(parts, self._in_force)
         self._front = FrontServer(
@@ -288,7 +294,11 @@
         state = ask_in_time(self._broker, BrokerQuery(), _ASK_S)
         if state is None:
             return _BUSY
-        state |= {"in_progress": len(self._watch), "draining": self._is_draining}
+        state |= {
+            "in_progress": len(self._watch),
+            "draining": self._is_draining,
+            "quarantined": self._quarantine.held(),
+        }
         return Page(200, msgspec.json.encode(state))
 
     def _published_page(self) -> Page:
@@ -308,6 +318,8 @@
         if now >= self._tidy_at:
             self._tidy_at = now + _TIDY_S
             self._conns.close_expired()
+            self._quarantine.sweep(now)
+            metrics.QUARANTINED.set(self._quarantine.held())
 
     def _note_overloaded(self, is_overloaded: bool) -> None:
         if is_overloaded == self._is_overloaded:
--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -42,6 +42,8 @@
         Between two events.
     last_event_at : float or None
         Monotonic seconds.
+    began_at : float or None
+        When the first event of the present try came, in monotonic seconds.
     """
 
     route: Route
@@ -53,6 +55,15 @@
     answering: bool = False
     longest_pause_s: float = 0.0
     last_event_at: float | None = None
+    began_at: float | None = None
+
+    def begin_try(self) -> None:
+        """The request is sent to another target."""
+        self.began_at = None
+
+    def ran_s(self, now: float) -> float:
+        """Seconds since the first event of the present try; 0 before it."""
+        return 0.0 if self.began_at is None else now - self.began_at
 
     def failed_before_send(self, target: str) -> None:
         """No byte reached ``target``."""
@@ -75,6 +86,8 @@
         if self.last_event_at is not None:
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
         self.last_event_at = now
+        if self.began_at is None:
+            self.began_at = now
         self.events += len(events)
         for event in events:
             if event.event_id is not None:
--- a/turmerictray/router/routed.py
+++ b/turmerictray/router/routed.py
@@ -1,12 +1,14 @@
 """A request that has been read and matched to its route."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from turmerictray.admission.backlog import TeamRoute
+from turmerictray.admission.digest import request_digest
 from turmerictray.admission.patience import TimeBounds
 from turmerictray.config.routes import Route, RoutingText
 from turmerictray.core.errors import CallerError
-from turmerictray.core.ids import ServiceName, TeamId
+from turmerictray.core.ids import RequestDigest, ServiceName, TeamId
 from turmerictray.router.dialect import Envelope
 from turmerictray.transport.exchange import RequestHead
 
@@ -67,6 +69,12 @@
         """The requests that it waits among."""
         return TeamRoute(self.ledger_team, self.route.name)
 
+    @cached_property
+    def digest(self) -> RequestDigest:
+        """Tells it when it comes again with another id."""
+        head = self.head
+        return request_digest(head.method, head.host, head.target, self.envelope.key, self.body)
+
     @property
     def cost(self) -> float:
         """What it takes from the pool, in tokens read."""
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -13,6 +13,7 @@
     CallerGone,
     NotSent,
     OutcomeUnknown,
+    Quarantined,
     QueueFull,
     QueueTimeout,
     TargetBusy,
@@ -30,6 +31,7 @@
     TargetLeaving,
     Withdraw,
 )
+from turmerictray.router.crash_evidence import CrashEvidence
 from turmerictray.router.desk import Desk
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
@@ -62,6 +64,7 @@
     dialect: Dialect
     pool: ConnectionPool
     backlog: TeamBacklog = field(default_factory=TeamBacklog)
+    crashes: CrashEvidence = field(default_factory=CrashEvidence)
 
 
 class RequestRun:
@@ -104,6 +107,7 @@
         while (granted := self._ask_or_give_up()) is not None:
             try:
                 self._try_at(granted)
+                self._parts.crashes.quarantine.note_answered(self._routed.digest)
                 return
             except (NotSent, OutcomeUnknown, TargetBusy, TargetFailed) as exc:
                 if self._end_here(exc):
@@ -113,8 +117,10 @@
         """Whether a held-back failure has gone to the caller; raises if there is none."""
         if self._call.gone:
             raise CallerGone("caller gone during a try") from exc
-        left = self._routed.bounds.give_up - time.monotonic()
-        again = self._progress.may_try_again(left)
+        now = time.monotonic()
+        left = self._routed.bounds.give_up - now
+        unsuspected = self._is_unsuspected(exc, now)
+        again = unsuspected and self._progress.may_try_again(left)
         self._log_try(exc, left, again)
         if again:
             return False
@@ -122,6 +128,12 @@
             return True
         raise self._progress.failure(exc, timed_out=left <= 0) from exc
 
+    def _is_unsuspected(self, exc: TurmerictrayError, now: float) -> bool:
+        """Take a failed try for evidence; whether the request may go to another target at once."""
+        digest, crashes = self._routed.digest, self._parts.crashes
+        crashes.note_failed(digest, self._trace.granted.target, exc, self._progress.ran_s(now), now)
+        return crashes.quarantine.may_try_again(digest, time.monotonic())
+
     def _relay_held_failure(self) -> bool:
         """Give the caller the failed answer that was held back; false if there is none to give.
 
@@ -150,6 +162,7 @@
     def _ask_or_give_up(self) -> Granted | None:
         """A target to try; None when a held-back failure has gone to the caller instead."""
         try:
+            self._parts.crashes.quarantine.check(self._routed.digest, time.monotonic())
             granted = self._ask()
         except AdmissionError as exc:
             if not self._call.gone and self._relay_held_failure():
@@ -161,8 +174,12 @@
     def _try_at(self, granted: Granted) -> None:
         booking = _Booking(self._parts.desk, self._routed, granted)
         try:
-            conn = self._connect(granted, booking)
-            self._send(conn, granted, booking)
+            with self._parts.crashes.running(self._routed.digest, time.monotonic()):
+                conn = self._connect(granted, booking)
+                self._send(conn, granted, booking)
+        except Quarantined as exc:
+            booking.settle(Outcome.NOT_RUN, 0.0)
+            raise self._progress.failure(exc, timed_out=False) from exc
         finally:
             # Whatever went wrong, the slot must be given back or it is lost to this router.
             booking.settle(Outcome.FAILED, self._routed.cost)
@@ -246,6 +263,7 @@
             booking.settle(Outcome.CALLER_GONE, 0.0)
             raise CallerGone("caller gone before the request was sent")
         target = granted.target
+        self._progress.begin_try()
         relay = self._relay(granted)
         try:
             head = self._exchange_heads(conn, granted)
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -8,7 +8,7 @@
 
 from urllib3.util.connection import create_connection
 
-from turmerictray.core.errors import NotSent, OutcomeUnknown
+from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
 from turmerictray.transport.exchange import Header
 
 _PIECE_BYTES = 65536
@@ -102,7 +102,7 @@
             self._sock.settimeout(timeout_s)
             self._sock.sendall(_encode(req))
         except OSError as exc:
-            raise OutcomeUnknown(f"{self.address}: send: {exc}") from exc
+            raise _failure(exc, f"{self.address}: send: {exc}") from exc
 
     def read_head(self, method: str, timeout_s: float) -> "AnswerHead":
         """Wait for the head of the answer.
@@ -117,7 +117,7 @@
             self._sock.settimeout(timeout_s)
             self._resp.begin()
         except (OSError, http.client.HTTPException, ValueError) as exc:
-            raise OutcomeUnknown(f"{self.address}: head: {exc!r}") from exc
+            raise _failure(exc, f"{self.address}: head: {exc!r}") from exc
         headers = [(name.title(), val) for name, val in self._resp.getheaders()]
         return AnswerHead(self._resp.status, headers)
 
@@ -143,7 +143,7 @@
             self._sock.settimeout(left)
             return self._read_some()
         except (OSError, http.client.HTTPException, ValueError) as exc:
-            raise OutcomeUnknown(f"{self.address}: body: {exc!r}") from exc
+            raise _failure(exc, f"{self.address}: body: {exc!r}") from exc
 
     def _read_some(self) -> bytes:
         resp = self._resp
@@ -212,6 +212,12 @@
         self._sock.close()
 
 
+def _failure(exc: Exception, reason: str) -> OutcomeUnknown:
+    """The error for a call that failed; silence and nonsense say less than a broken connection."""
+    is_broken = isinstance(exc, http.client.IncompleteRead | ConnectionError)
+    return ConnectionBroken(reason) if is_broken else OutcomeUnknown(reason)
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Status and headers of a target's answer; names in title case."""
