Stand-ins: a store that comes back from a copy, at once and without delays

Store.restore() and lose_last() drop the newest changes, give their revisions out again, answer 410 to a watch from one that is not there and raise Store-Era in all answers. Its answers no longer wait 40 ms for an acknowledgement, a server stops within 0.05 s, and a worker that starts again under its name elsewhere has an entrance of its own in the relay.

--- a/turmerictray/platform/standins/http.py
+++ b/turmerictray/platform/standins/http.py
@@ -5,6 +5,8 @@
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+_STOP_LOOK_S = 0.05
+
 
 class QuietHandler(BaseHTTPRequestHandler):
     """A handler for which a caller that hangs up is no error."""
@@ -74,7 +76,9 @@
         self._server = _Server((host, port), handler)
         self._address = "{}:{}".format(*self._server.server_address)
         self._server.owner = owner
-        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, args=(_STOP_LOOK_S,), daemon=True
+        )
 
     @property
     def address(self) -> str:
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -216,7 +216,7 @@
         network: Network | None = None,
     ) -> None:
         self.network = network
-        self._entrances: dict[str, str] = {}
+        self._entrances: dict[tuple[str, str, str], str] = {}
         self.store = StoreServer().start()
         self.workers = [Worker(f"app-{n}", "app").start() for n in range(apps)]
         self.workers += [Worker(f"llm-{n}", "llm").start() for n in range(engines)]
@@ -265,7 +265,7 @@
         """The address at which ``source`` reaches ``target``."""
         if self.network is None:
             return address
-        entrance = f"{source}>{target}"
+        entrance = (source, target, address)
         if entrance not in self._entrances:
             host, _, port = address.rpartition(":")
             relayed = self.network.add(source, target, int(port), host)
--- a/turmerictray/platform/standins/store.py
+++ b/turmerictray/platform/standins/store.py
@@ -38,7 +38,9 @@
     def __init__(self) -> None:
         self._trouble = StoreTrouble.NONE
         self.calls = 0
+        self.era = 1
         self.revision = 1
+        self._log: list[tuple[float, _Change]] = []
         self._items: dict[str, _Change] = {}
         self._history: list[_Change] = []
         self._oldest = 0
@@ -73,17 +75,44 @@
             self._history.clear()
             self._oldest = self.revision
 
+    def restore(self, age_s: float) -> None:
+        """Come back from a copy that is ``age_s`` seconds old; what was written since is lost."""
+        copied_at = time.monotonic() - age_s
+        self.lose_last(sum(at > copied_at for at, _ in self._log))
+
+    def lose_last(self, count: int) -> None:
+        """Come back from a copy without the last ``count`` changes, in a new era."""
+        with self._changed:
+            self._log = self._log[: len(self._log) - count]
+            self._items.clear()
+            for _, change in self._log:
+                self._apply(change)
+            self.revision = self._log[-1][1].revision if self._log else 1
+            self._history.clear()
+            self._oldest = self.revision
+            self.era += 1
+            self._changed.notify_all()
+
+    def _apply(self, change: _Change) -> None:
+        self._items.pop(change.key, None)
+        if change.value is not None:
+            self._items[change.key] = change
+
     def _write(self, key: str, value: bytes | None) -> int:
         with self._changed:
             self.revision += 1
             change = _Change(key, self.revision, value)
-            self._items.pop(key, None)
-            if value is not None:
-                self._items[key] = change
+            self._apply(change)
+            self._log.append((time.monotonic(), change))
             self._history.append(change)
             self._changed.notify_all()
             return self.revision
 
+    def keys(self, prefix: str) -> list[str]:
+        """Names of the items under a prefix, without it."""
+        with self._changed:
+            return [key.removeprefix(prefix) for key in self._items if key.startswith(prefix)]
+
     def page(self, prefix: str, after: str) -> dict:
         """One page of items."""
         with self._changed:
@@ -97,7 +126,7 @@
         until = time.monotonic() + wait_s
         with self._changed:
             while True:
-                if after < self._oldest:
+                if after < self._oldest or after > self.revision:
                     return None
                 found = [
                     change
@@ -119,6 +148,8 @@
 
 
 class _Handler(QuietHandler):
+    disable_nagle_algorithm = True
+
     def do_GET(self) -> None:  # noqa: N802 - the standard library's name
         store: Store = self.server.owner.store
         store.calls += 1
@@ -154,6 +185,7 @@
         body = msgspec.json.encode(doc)
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
+        self.send_header("Store-Era", str(self.server.owner.store.era))
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
