A store that comes back from a copy: positions are ordered by era first

What callers would see: after a return, workers that started again under their names were unknown until the new revisions had passed the old ones, and requests went to addresses where nothing listens any more; also a watch whose revision had been passed meanwhile went on as if nothing had happened.

Cause: revisions were compared bare, at every place that orders what is known: a watch, entries, a router's copy, its summary to peers. Class: a version number taken for unique after the source had been set back.

Change: one typed position of era and revision, in the store's client, entries, copies, summaries and catch-up; another era in any answer is a new list; what a copy misses is kept as lapsed entries are; targets that were gone are not believed because a copy lists them. Texts are ordered by version as before.

--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -4,14 +4,14 @@
 
 from turmerictray.platform.sources import PrefixWatch
 from turmerictray.platform.store import Snapshot
-from turmerictray.router.published import PublishedCopy
+from turmerictray.router.published import PublishedCopy, StorePosition
 
 
 class OneAnswer:
     """A store that answers once."""
 
     def read_all(self, prefix: str) -> Snapshot:
-        return Snapshot([], 7)
+        return Snapshot([], StorePosition(1, 7))
 
 
 class ReadAlways:
--- a/tests/router/test_catch_up.py
+++ b/tests/router/test_catch_up.py
@@ -1,13 +1,15 @@
 """When a router that missed a text asks a peer for it."""
 
 from turmerictray.router.catch_up import Lag
-from turmerictray.router.published import Position
+from turmerictray.router.published import Position, StorePosition
 
 
 def should_ask(lag: Lag, peer: int, own: int, listed: bool, now: float, reads=True) -> bool:
     """Ask with versions of the text; a peer always knows the targets, this router if ``listed``."""
-    own_position = Position(own, 1 if listed else 0)
-    return lag.should_ask(Position(peer, 1 if peer else 0), own_position, reads, now)
+    own_position = Position(own, StorePosition(0, 1 if listed else 0))
+    return lag.should_ask(
+        Position(peer, StorePosition(0, 1 if peer else 0)), own_position, reads, now
+    )
 
 
 def test_peers_that_are_behind_as_well_do_not_put_it_off():
@@ -52,5 +54,9 @@
 
 def test_a_router_behind_on_targets_only_asks():
     lag = Lag()
-    assert lag.should_ask(Position(3, 8), Position(3, 7), False, 0.0)
-    assert not lag.should_ask(Position(3, 8), Position(3, 8), False, 1.0)
+    assert lag.should_ask(
+        Position(3, StorePosition(0, 8)), Position(3, StorePosition(0, 7)), False, 0.0
+    )
+    assert not lag.should_ask(
+        Position(3, StorePosition(0, 8)), Position(3, StorePosition(0, 8)), False, 1.0
+    )
--- a/tests/router/test_readers.py
+++ b/tests/router/test_readers.py
@@ -6,10 +6,10 @@
 
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.membership.messages import MemberEntry
-from turmerictray.router.published import Position
+from turmerictray.router.published import Position, StorePosition
 from turmerictray.router.readers import READERS_PER_ZONE, StoreReaders
 
-KNOWS = Position(3, 7)
+KNOWS = Position(3, StorePosition(0, 7))
 
 
 class Clock:
@@ -96,11 +96,11 @@
         if not (r.take_members(entries) or r.is_chosen())
     )
     assert not ordinary.should_read(Position())
-    assert not ordinary.should_read(Position(3, 0))
+    assert not ordinary.should_read(Position(3, StorePosition(0, 0)))
     clock.now += 2.9
-    assert not ordinary.should_read(Position(3, 0))
+    assert not ordinary.should_read(Position(3, StorePosition(0, 0)))
     clock.now += 10.2
-    assert ordinary.should_read(Position(3, 0))
+    assert ordinary.should_read(Position(3, StorePosition(0, 0)))
 
 
 def test_routers_wait_together_for_what_is_not_published_yet(clock):
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -78,6 +78,8 @@
         Revision of the newest change of a target's entry that it knows; 0 for none.
     store_age_s : float
         Age of what it knows of the platform's store, however it learnt it.
+    targets_era : int
+        Era of ``targets_revision``; see :class:`turmerictray.router.published.StorePosition`.
     """
 
     node: str
@@ -89,6 +91,7 @@
     reads: list[PartRead] = []
     targets_revision: int = 0
     store_age_s: float = 1e9
+    targets_era: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -18,7 +18,7 @@
 )
 from turmerictray.platform.store import Snapshot, StoreClient
 from turmerictray.router.broker_messages import TargetsChanged, TargetsListed, TextArrived
-from turmerictray.router.published import Position, PublishedCopy, PublishedDocs
+from turmerictray.router.published import Position, PublishedCopy, PublishedDocs, StorePosition
 
 _TEXT_KEY = "op/config"
 
@@ -92,7 +92,8 @@
         self._on_all = on_all
         self._on_changes = on_changes
         self._on_idle = on_idle
-        self._revision: int | None = None
+        self._since: StorePosition | None = None
+        self._era: int | None = None
         self._lost = False
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"watch-{prefix}", daemon=True)
@@ -115,8 +116,8 @@
                 self._step()
                 pause = _FIRST_PAUSE_S
             except HistoryGone:
-                log_event("store_history_gone", prefix=self._prefix, revision=self._revision)
-                self._revision = None
+                log_event("store_history_gone", prefix=self._prefix, since=self._since)
+                self._since = None
             except pykka.ActorDeadError:
                 # The router is stopping, and an answer of the store came after its broker's end.
                 log_event("store_watch_ended", level="DEBUG", prefix=self._prefix)
@@ -128,22 +129,25 @@
 
     def _rest(self) -> None:
         # What changes meanwhile comes from peers; a later watch could not tell from where on.
-        self._revision = None
+        self._since = None
         wait = self._on_idle()
         self._stop.wait(_REST_S if wait is None else min(wait, _REST_S))
 
     def _step(self) -> None:
-        if self._revision is None:
+        if self._since is None:
             snapshot = self._client.read_all(self._prefix)
-            self._revision = snapshot.revision
+            if self._era is not None and snapshot.position.era < self._era:
+                raise StoreUnavailable(f"an answer of era {snapshot.position.era}")
+            self._since = snapshot.position
             self._note_answer()
+            self._note_era(snapshot.position)
             self._on_all(snapshot)
             return
         wait = self._on_idle()
         longest = _WATCH_LOST_S if self._lost else _WATCH_S
         wait = longest if wait is None else min(wait, longest)
-        snapshot = self._client.watch(self._prefix, self._revision, wait)
-        self._revision = max(self._revision, snapshot.revision)
+        snapshot = self._client.watch(self._prefix, self._since, wait)
+        self._since = max(self._since, snapshot.position)
         self._note_answer()
         if snapshot.items:
             self._on_changes(snapshot)
@@ -161,7 +165,22 @@
         if self._lost:
             self._lost = False
             self.back_at = time.monotonic()
-            log_event("store_back", prefix=self._prefix, revision=self._revision)
+            log_event("store_back", prefix=self._prefix, since=self._since)
+
+    def _note_era(self, position: StorePosition) -> None:
+        # What was written last is missing from the copy, and is written again as entries are that
+        # have lapsed: the store counts as back now also where it was never seen away.
+        if self._era is not None and position.era > self._era:
+            self.back_at = time.monotonic()
+            log_event(
+                "store_era",
+                level="WARNING",
+                prefix=self._prefix,
+                era=position.era,
+                before=self._era,
+                revision=position.revision,
+            )
+        self._era = position.era
 
 
 class TextSource:
@@ -244,15 +263,21 @@
         if not docs.targets_revision:
             return
         with self._lock:
-            before = self._entries.revision
+            before = self._entries.position
             self._tell(self._entries.take_copy(docs, time.monotonic()))
-        log_event("targets_from_peer", peer=peer, revision=docs.targets_revision, before=before)
+        log_event(
+            "targets_from_peer",
+            peer=peer,
+            era=docs.targets_era,
+            revision=docs.targets_revision,
+            before=before.revision,
+        )
 
     def _take_all(self, snapshot: Snapshot) -> None:
         with self._lock:
             now = time.monotonic()
             changes = self._entries.take_all(
-                snapshot.items, now, self._keep_until(), snapshot.revision
+                snapshot.items, now, self._keep_until(), snapshot.position
             )
             self._tell(changes)
 
@@ -280,4 +305,4 @@
         elif changes:
             self._broker.tell(TargetsChanged(changes.changed, changes.gone))
         published = self._entries.published(time.monotonic())
-        self._copy.put_targets(published, self._entries.revision)
+        self._copy.put_targets(published, self._entries.position)
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -11,6 +11,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import HistoryGone, StoreUnavailable
 from turmerictray.core.logs import log_event
+from turmerictray.router.published import StorePosition
 
 _READ_S = 1.0
 """Time limit of a read: the store answers in milliseconds, and one that is slow by a factor of
@@ -20,6 +21,9 @@
 
 _GONE = 410
 
+_ERA = "Store-Era"
+"""Header of each answer; rises each time the store comes back from a copy."""
+
 _KEEPALIVE = [
     *urllib3.connection.HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -37,15 +41,15 @@
 
     key: str
     value: bytes | None
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True)
 class Snapshot:
-    """Items under a prefix, and the revision from which to watch for changes."""
+    """Items under a prefix, and the position from which to watch for changes."""
 
     items: list[Item]
-    revision: int
+    position: StorePosition
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -54,8 +58,9 @@
     value: str = ""
     tombstone: bool = False
 
-    def decode(self) -> Item:
-        return Item(self.key, None if self.tombstone else _bytes_of(self.value), self.revision)
+    def decode(self, era: int) -> Item:
+        value = None if self.tombstone else _bytes_of(self.value)
+        return Item(self.key, value, StorePosition(era, self.revision))
 
 
 def _bytes_of(value: str) -> bytes:
@@ -78,6 +83,11 @@
     store_revision: int
 
 
+def _era_of(resp: urllib3.BaseHTTPResponse) -> int:
+    text = resp.headers.get(_ERA, "")
+    return int(text) if text.isdecimal() else 0
+
+
 class StoreClient:
     """Reads from the store at ``address`` (``host:port``); safe to use from one thread."""
 
@@ -95,43 +105,57 @@
 
         Raises
         ------
+        HistoryGone
+            The store has come back from a copy between two pages.
         StoreUnavailable
         """
         items: list[Item] = []
-        revision = 0
+        start: StorePosition | None = None
         query = {"path_prefix": prefix}
         while True:
-            page = self._get("/api/kv-range", query, _Range, _READ_S)
-            items += [item.decode() for item in page.items]
-            revision = revision or page.store_revision
+            page, era = self._get("/api/kv-range", query, _Range, _READ_S)
+            start = start or StorePosition(era, page.store_revision)
+            self._check_era(era, start)
+            items += [item.decode(era) for item in page.items]
             if not page.has_more or not page.items:
-                return Snapshot(items, revision)
+                return Snapshot(items, start)
             # Although its name says revision, in this call it holds the key after which the next
             # page begins.
             query["after_revision"] = page.items[-1].key
 
-    def watch(self, prefix: str, revision: int, wait_s: float) -> Snapshot:
-        """Changes under ``prefix`` after ``revision``; waits up to ``wait_s`` seconds for one.
+    def watch(self, prefix: str, since: StorePosition, wait_s: float) -> Snapshot:
+        """Changes under ``prefix`` after ``since``; waits up to ``wait_s`` seconds for one.
 
         Raises
         ------
         HistoryGone
-            The store no longer has the changes since ``revision``; read all items again.
+            The store no longer has the changes since then, or has come back from a copy; read all
+            items again.
         StoreUnavailable
         """
         query = {
             "path_prefix": prefix,
-            "after_revision": revision,
+            "after_revision": since.revision,
             "wait_ms": int(wait_s * 1000),
         }
-        page = self._get("/api/kv-watch", query, _Events, wait_s + _WATCH_SLACK_S)
-        return Snapshot([item.decode() for item in page.events], page.store_revision)
+        page, era = self._get("/api/kv-watch", query, _Events, wait_s + _WATCH_SLACK_S)
+        self._check_era(era, since)
+        position = StorePosition(era, page.store_revision)
+        return Snapshot([item.decode(era) for item in page.events], position)
+
+    @staticmethod
+    def _check_era(era: int, since: StorePosition) -> None:
+        # Revisions are given out again in the new era. The store may have passed ``since`` by now,
+        # and would answer as if nothing had happened.
+        if era != since.era:
+            raise HistoryGone(f"era {era} after {since.era}")
 
     def close(self) -> None:
         """Close the connection."""
         self._http.close()
 
-    def _get(self, path: str, query: dict, kind: type, timeout_s: float):
+    def _get(self, path: str, query: dict, kind: type, timeout_s: float) -> tuple:
+        """The answer, decoded as ``kind``, and the store's era."""
         try:
             resp = self._http.request(
                 "GET",
@@ -146,6 +170,6 @@
         if resp.status != 200:
             raise StoreUnavailable(f"{path}: status {resp.status}")
         try:
-            return msgspec.json.decode(resp.data, type=kind)
+            return msgspec.json.decode(resp.data, type=kind), _era_of(resp)
         except msgspec.DecodeError as exc:
             raise StoreUnavailable(f"{path}: {exc}") from exc
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -7,7 +7,7 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event
 from turmerictray.membership.messages import PeerMessage, RouterSummary
-from turmerictray.router.published import PeerDocs, Position, PublishedDocs
+from turmerictray.router.published import PeerDocs, Position, PublishedDocs, StorePosition
 from turmerictray.router.readers import StoreReaders
 
 _OWN_READ_S = 0.4
@@ -51,7 +51,7 @@
             self._newest = Position()
         self._newest = Position(
             max(self._newest.text_version, peer.text_version),
-            max(self._newest.targets_revision, peer.targets_revision),
+            max(self._newest.targets, peer.targets),
         )
         grace = _OWN_READ_S if reads else 0.0
         if now - self._behind_since < grace or now < self._next_at:
@@ -105,4 +105,5 @@
 
 def position_of(summary: RouterSummary) -> Position:
     """How far a peer has read."""
-    return Position(summary.text_version, summary.targets_revision)
+    targets = StorePosition(summary.targets_era, summary.targets_revision)
+    return Position(summary.text_version, targets)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -213,9 +213,11 @@
         summary = ask_in_time(self._broker, SummaryQuery(), _ASK_S)
         if summary is None:
             return None
+        targets = self._copy.position().targets
         return msgspec.structs.replace(
             summary,
-            targets_revision=self._copy.position().targets_revision,
+            targets_revision=targets.revision,
+            targets_era=targets.era,
             store_age_s=round(self._readers.age_s(), 2),
         )
 
@@ -294,7 +296,10 @@
         state = ask_in_time(self._broker, BrokerQuery(), _ASK_S)
         if state is None:
             return _BUSY
+        targets = self._copy.position().targets
         state |= {
+            "store_era": targets.era,
+            "targets_revision": targets.revision,
             "in_progress": len(self._watch),
             "draining": self._is_draining,
             "quarantined": self._quarantine.held(),
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -3,6 +3,7 @@
 import base64
 import threading
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 import urllib3
@@ -13,6 +14,16 @@
 _TIMEOUT_S = 1.0
 
 
+class StorePosition(NamedTuple):
+    """A point in the store's history, ordered by era first.
+
+    A store that has come back from a copy gives revisions out again, in a higher era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 class PublishedEntry(msgspec.Struct, frozen=True, array_like=True):
     """An entry of a target as published.
 
@@ -24,18 +35,27 @@
         Of its newest change in the store.
     lapses_in_s : float or None
         The entry is missing, and its target is given up after that long; None where it is there.
+    era : int
+        Of the revision.
     """
 
     value: str
     revision: int
     lapses_in_s: float | None = None
+    era: int = 0
 
     @classmethod
     def encode(
-        cls, data: bytes, revision: int, lapses_in_s: float | None = None
+        cls, data: bytes, position: StorePosition, lapses_in_s: float | None = None
     ) -> "PublishedEntry":
         """The entry whose bytes are ``data``."""
-        return cls(base64.b64encode(data).decode(), revision, lapses_in_s)
+        value = base64.b64encode(data).decode()
+        return cls(value, position.revision, lapses_in_s, position.era)
+
+    @property
+    def position(self) -> StorePosition:
+        """Its newest change in the store."""
+        return StorePosition(self.era, self.revision)
 
     def decode(self) -> bytes:
         """The entry's bytes; raises :class:`ValueError`."""
@@ -54,12 +74,20 @@
         By the target's name; a target that is not named is gone.
     targets_revision : int
         Revision of the newest change of an entry, a removal included; 0 for none.
+    targets_era : int
+        Of that revision.
     """
 
     text: str | None = None
     text_version: int = 0
     targets: dict[str, PublishedEntry] = {}
     targets_revision: int = 0
+    targets_era: int = 0
+
+    @property
+    def targets_position(self) -> StorePosition:
+        """The newest change of an entry."""
+        return StorePosition(self.targets_era, self.targets_revision)
 
     def text_bytes(self) -> bytes | None:
         """The routing text; raises :class:`ValueError`."""
@@ -73,19 +101,17 @@
     Attributes
     ----------
     text_version : int
-        0 for no text.
-    targets_revision : int
-        0 for no list of targets.
+        0 for no text. Operators never give a version twice, so it needs no era.
+    targets : StorePosition
+        Revision 0 for no list of targets.
     """
 
     text_version: int = 0
-    targets_revision: int = 0
+    targets: StorePosition = StorePosition()
 
     def is_behind(self, other: "Position") -> bool:
         """Whether ``other`` knows something newer."""
-        return (
-            self.text_version < other.text_version or self.targets_revision < other.targets_revision
-        )
+        return self.text_version < other.text_version or self.targets < other.targets
 
 
 class PublishedCopy:
@@ -103,11 +129,16 @@
                     self._docs, text=base64.b64encode(data).decode(), text_version=version
                 )
 
-    def put_targets(self, entries: dict[TargetName, PublishedEntry], revision: int) -> None:
+    def put_targets(
+        self, entries: dict[TargetName, PublishedEntry], position: StorePosition
+    ) -> None:
         """Keep the entries of all targets as published."""
         with self._lock:
             self._docs = msgspec.structs.replace(
-                self._docs, targets=entries, targets_revision=revision
+                self._docs,
+                targets=entries,
+                targets_revision=position.revision,
+                targets_era=position.era,
             )
 
     def docs(self) -> PublishedDocs:
@@ -118,7 +149,7 @@
     def position(self) -> Position:
         """How far the documents held now go."""
         docs = self.docs()
-        return Position(docs.text_version, docs.targets_revision)
+        return Position(docs.text_version, docs.targets_position)
 
 
 class PeerDocs:
--- a/turmerictray/router/readers.py
+++ b/turmerictray/router/readers.py
@@ -105,7 +105,7 @@
         """
         if self._is_chosen:
             return True
-        has_read = position.text_version and position.targets_revision
+        has_read = position.text_version and position.targets.revision
         longest = _STALE_S if has_read else _START_S
         known_s = min(self.age_s(), self._clock() - self._started_at)
         return known_s > longest + self._steps * _STEP_S
