Soak: a store that returns from copies; routers' targets are compared with the store's

The schedule of this and of deadly requests is drawn beside the others, so that older seeds keep their meaning; the seeds that failed once are played without both, as they were.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from turmerictray.platform.soak.run import SoakSize, format_soak, run_soak
-from turmerictray.platform.soak.schedule import Fault, draw_overlay, draw_schedule
+from turmerictray.platform.soak.schedule import Fault, draw_later, draw_overlay, draw_schedule
 
 SEED = 3
 
@@ -25,10 +25,11 @@
 def test_same_seed_draws_the_same_faults_and_many_seeds_draw_all():
     assert draw_schedule(5, 30) == draw_schedule(5, 30)
     assert draw_overlay(5, 30) == draw_overlay(5, 30)
+    assert draw_later(5, 30) == draw_later(5, 30)
     drawn = {
         planned.fault
         for seed in range(20)
-        for draw in (draw_schedule, draw_overlay)
+        for draw in (draw_schedule, draw_overlay, draw_later)
         for planned in draw(seed, 30)
     }
     assert drawn == set(Fault)
@@ -36,7 +37,7 @@
 
 @pytest.mark.parametrize("seed", FAILED)
 def test_seeds_that_failed_once(tmp_path, seed):
-    report = run_soak(seed, SoakSize(seconds=12.0, overlay=False), tmp_path)
+    report = run_soak(seed, SoakSize(seconds=12.0, overlay=False, later=False), tmp_path)
     assert not report.violations, format_soak(report)
 
 
--- a/turmerictray/platform/soak/player.py
+++ b/turmerictray/platform/soak/player.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from turmerictray.core.logs import log_event
 from turmerictray.loadtool.agenda import Agenda
@@ -26,6 +27,8 @@
 stopped sending to it."""
 
 _LAPSES_S = 1.0
+_AWAY_S = 0.2
+_WRITTEN_AGAIN_S = 1.5
 _FLOOD_PER_S = 150.0
 _JOINING = 12
 _MOST_WORKERS = 40
@@ -71,6 +74,7 @@
         self.deployment = deployment
         self.record = record
         self._version = 1
+        self._config = default_config(1)
         self._new_workers = itertools.count(1)
         self._busy: set[str] = set()
         self._senders: list[threading.Thread] = []
@@ -191,11 +195,30 @@
         self._disturb("store", planned)
         self._agenda.after(planned.for_s, lambda: network.mend({name}, {"store"}))
 
+    def _return_store(self, planned: Planned) -> None:
+        store = self.deployment.store.store
+        store.trouble = StoreTrouble.RESET
+        store.restore(planned.for_s)
+        self._disturb("store", replace(planned, for_s=planned.for_s + _WRITTEN_AGAIN_S))
+        self._agenda.after(_AWAY_S, lambda: setattr(store, "trouble", StoreTrouble.NONE))
+        self._agenda.after(_WRITTEN_AGAIN_S, self._write_again)
+
+    def _write_again(self) -> None:
+        """Operators and workers write what a copy may lack; entries of those that ended lapse."""
+        self.deployment.store.store.put("op/config", self._config)
+        for worker in list(self.deployment.workers):
+            if worker.closing.is_set() or worker.crashed.is_set():
+                self.deployment.withdraw(worker)
+            else:
+                is_leaving = worker.id in self.record.retired
+                self.deployment.publish(worker, "draining" if is_leaving else "ready")
+
     def _publish(self, planned: Planned) -> None:
         self._version += 1 + planned.pick % 3
         config = default_config(self._version)
         if planned.pick % 2:
             config["routes"] = [route for route in config["routes"] if route["name"] != "open"]
+        self._config = config
         self.deployment.store.store.put("op/config", config)
 
     def _publish_broken(self, planned: Planned) -> None:
@@ -336,4 +359,5 @@
     Fault.FLOOD: FaultPlayer._flood,
     Fault.WORKERS_JOIN: FaultPlayer._join,
     Fault.DEADLY: FaultPlayer._send_deadly,
+    Fault.STORE_RETURNS: FaultPlayer._return_store,
 }
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -15,7 +15,7 @@
 from turmerictray.platform.soak.callers import SoakCaller
 from turmerictray.platform.soak.player import FaultPlayer
 from turmerictray.platform.soak.record import Record
-from turmerictray.platform.soak.schedule import draw_deadly, draw_overlay, draw_schedule
+from turmerictray.platform.soak.schedule import draw_later, draw_overlay, draw_schedule
 from turmerictray.platform.standins.local import LocalDeployment
 
 _EVENTS = 8
@@ -34,8 +34,9 @@
     ----------
     overlay : bool
         Floods, and workers that join in masses.
-    deadly : bool
-        Requests that end each worker that begins to run them.
+    later : bool
+        Requests that end each worker that begins to run them, and a store that comes back from a
+        copy.
     """
 
     seconds: float = 20.0
@@ -44,7 +45,7 @@
     apps: int = 3
     callers: int = 12
     overlay: bool = True
-    deadly: bool = True
+    later: bool = True
 
 
 @dataclass
@@ -100,8 +101,8 @@
     schedule = draw_schedule(seed, size.seconds)
     if size.overlay:
         schedule += draw_overlay(seed, size.seconds)
-    if size.deadly:
-        schedule += draw_deadly(seed, size.seconds)
+    if size.later:
+        schedule += draw_later(seed, size.seconds)
     player = FaultPlayer(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(size.callers)
@@ -121,10 +122,16 @@
         if not router.is_ready():
             bad.append(Violation(router.name, "recover", "not ready after all faults"))
             continue
+        listed = set(deployment.store.store.keys("servers/"))
         status = urllib3.request("GET", f"{router.admin}/status", timeout=3, retries=False).json()
         if status["text_version"] != version:
             found = status["text_version"]
             bad.append(Violation(router.name, "in-force", f"{found} instead of {version}"))
+        pools = status["services"].values()
+        believed = {name.partition("@")[0] for pool in pools for name in pool["targets"]}
+        if believed != listed:
+            differ = sorted(believed ^ listed)
+            bad.append(Violation(router.name, "targets", f"differ from the store's: {differ}"))
     return bad
 
 
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -44,15 +44,19 @@
     FLOOD = "flood"
     WORKERS_JOIN = "workers_join"
     DEADLY = "deadly"
+    STORE_RETURNS = "store_returns"
 
 
 _OVERLAID = (Fault.FLOOD, Fault.WORKERS_JOIN)
 """Faults with a schedule of their own, beside that of the others, so that the seeds of runs without
 them keep their meaning."""
 
-_BASE = tuple(fault for fault in Fault if fault not in (*_OVERLAID, Fault.DEADLY))
+_LATER = (Fault.DEADLY, Fault.STORE_RETURNS)
+"""The same, in a schedule of their own beside both."""
+
+_BASE = tuple(fault for fault in Fault if fault not in (*_OVERLAID, *_LATER))
 _OVERLAY_GAP_S = (2.0, 6.0)
-_DEADLY_GAP_S = (0.5, 3.0)
+_LATER_GAP_S = (0.5, 4.0)
 
 
 @dataclass(frozen=True)
@@ -85,15 +89,15 @@
     return planned
 
 
-def draw_deadly(seed: int, seconds: float) -> list[Planned]:
-    """Times at which requests come that end each worker that begins to run them, for a seed."""
-    rng = random.Random(f"deadly {seed}")
+def draw_later(seed: int, seconds: float) -> list[Planned]:
+    """Requests that end each worker that runs them, and a store that returns, for a seed."""
+    rng = random.Random(f"later {seed}")
     planned: list[Planned] = []
-    at = rng.uniform(*_DEADLY_GAP_S)
+    at = rng.uniform(*_LATER_GAP_S)
     while at < seconds:
         length = min(rng.uniform(*_LENGTH_S), seconds - at)
-        planned.append(Planned(at, length, Fault.DEADLY, rng.randrange(1000)))
-        at += length + rng.uniform(*_DEADLY_GAP_S)
+        planned.append(Planned(at, length, rng.choice(_LATER), rng.randrange(1000)))
+        at += rng.uniform(*_LATER_GAP_S)
     return planned
 
 
