A request that was read before a router had caught up is not admitted after it

Cause: the front reads a request by the text that it holds, and the dispatcher refuses it while the router has not caught up with its peers. A request that was read by version 1 and reached the dispatcher just after version 2 had come into force was admitted, and answered as version 1 says. Class: a check that is made later than what it protects was read.

--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -80,24 +80,28 @@
 def draw_overlay(seed: int, seconds: float) -> list[Planned]:
     """Floods of one team at one router and workers that join in masses, for a seed."""
     rng = random.Random(f"overlay {seed}")
-    planned: list[Planned] = []
-    at = rng.uniform(*_GAP_S)
-    while at < seconds:
-        length = min(rng.uniform(*_LENGTH_S), seconds - at)
-        planned.append(Planned(at, length, rng.choice(_OVERLAID), rng.randrange(1000)))
-        at += rng.uniform(*_OVERLAY_GAP_S)
-    return planned
+    return _draw_beside(rng, seconds, rng.uniform(*_GAP_S), _OVERLAID, _OVERLAY_GAP_S)
 
 
 def draw_later(seed: int, seconds: float) -> list[Planned]:
     """Requests that end each worker that runs them, and a store that returns, for a seed."""
     rng = random.Random(f"later {seed}")
+    return _draw_beside(rng, seconds, rng.uniform(*_LATER_GAP_S), _LATER, _LATER_GAP_S)
+
+
+def _draw_beside(
+    rng: random.Random,
+    seconds: float,
+    first_at: float,
+    faults: tuple[Fault, ...],
+    gap_s: tuple[float, float],
+) -> list[Planned]:
     planned: list[Planned] = []
-    at = rng.uniform(*_LATER_GAP_S)
+    at = first_at
     while at < seconds:
         length = min(rng.uniform(*_LENGTH_S), seconds - at)
-        planned.append(Planned(at, length, rng.choice(_LATER), rng.randrange(1000)))
-        at += rng.uniform(*_LATER_GAP_S)
+        planned.append(Planned(at, length, rng.choice(faults), rng.randrange(1000)))
+        at += rng.uniform(*gap_s)
     return planned
 
 
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -98,6 +98,7 @@
         self.gone_peers: set[str] = set()
         self.peer_versions: dict[str, int] = {}
         self.ready = False
+        self.ready_version = 0
 
     def on_receive(self, message: object) -> object:
         result = self.handle(message)
@@ -125,9 +126,7 @@
             retry = cfg.limits.retry_after_s if cfg else 1.0
             msg.reply.refuse(Draining("draining", retry))
             return
-        if cfg is not None and not self.ready:
-            # A router back from a restart may hold an older text than its peers (the service
-            # can be stale); serving before it has heard them would undo an accepted change.
+        if cfg is not None and not self._has_caught_up(msg):
             msg.reply.refuse(Starting("starting", 1.0))
             return
         if cfg is None or not self.table.of_service(msg.placement.service):
@@ -156,6 +155,14 @@
             self._claim_slots(msg.placement.service)
         self._pump()
 
+    def _has_caught_up(self, msg: Admit) -> bool:
+        """Whether a request was read by a text at least as new as that of the peers at the start.
+
+        A router back from a restart may hold an older one (the service can be stale); by serving
+        before it has heard them, or what it has read until then, it would undo an accepted change.
+        """
+        return self.ready and not 0 < msg.config_version < self.ready_version
+
     @handle.register
     def _(self, msg: Finished) -> None:
         view = self.table.targets.get(msg.target)
@@ -337,6 +344,7 @@
         timed_out = now - self.started_at > self.startup_s
         if (heard_all and caught_up) or timed_out:
             self.ready = True
+            self.ready_version = self.config.version
             log_event(
                 "ready",
                 version=self.config.version,
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -43,7 +43,8 @@
 
     A caller's thread that gives up waiting cancels ``reply``; the dispatcher then drops the
     request instead of granting it. A ``retry`` of a request accepted before goes to the head of
-    its team's queue and is taken also while the router drains.
+    its team's queue and is taken also while the router drains. ``config_version`` is that of the
+    configuration by which it was read; 0 where it is not told.
     """
 
     req_id: RequestId
@@ -52,6 +53,7 @@
     placement: Placement
     reply: Reply = field(default_factory=Reply)
     retry: bool = False
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -225,7 +225,10 @@
         placement = Placement(req.service, req.prefix_key, exclude)
         reply = Reply()
         start = time.monotonic()
-        self.dispatcher.tell(Admit(req.req_id, req.team, req.hint, placement, reply, retry))
+        version = req.config_version
+        self.dispatcher.tell(
+            Admit(req.req_id, req.team, req.hint, placement, reply, retry, version)
+        )
         try:
             grant = reply.result(timeout=cfg.limits.queue_timeout_s + _GRANT_MARGIN_S)
         except FutureTimeout:
