A deadline that is no time is refused with 400

A caller that sends nan, inf or a time below zero was answered 503 and told to come back, as if the deadline had passed: float() takes all three. Four of the tests' seven cases failed before.

--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,26 @@
+"""Callers' heads that no target could be given as they are."""
+
+import pytest
+
+from turmerictray.core.errors import CallerError
+from turmerictray.platform.headers import PlatformDialect
+from turmerictray.transport.exchange import RequestHead
+
+PROPER = {"Host": "shop.example", "X-Request-Id": "a1", "X-Deadline-Ms": "500"}
+
+
+def read(**changes: str):
+    headers = PROPER | {name.replace("_", "-"): value for name, value in changes.items()}
+    return PlatformDialect().read(RequestHead("GET", "/ping/1", headers))
+
+
+@pytest.mark.parametrize("text", ["soon", "nan", "inf", "-1", "-0.5", "", "500, 500"])
+def test_a_deadline_that_is_no_time_is_refused(text):
+    """Guards against a request that is held to be late because its deadline can't be read."""
+    with pytest.raises(CallerError):
+        read(X_Deadline_Ms=text)
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("0", 0.0), ("500", 0.5), ("62.5", 0.0625)])
+def test_a_deadline_is_read_in_seconds(text, seconds):
+    assert read(X_Deadline_Ms=text).caller_left_s == seconds
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -1,5 +1,7 @@
 """The platform's request and answer headers, as a dialect of the router."""
 
+import math
+
 from turmerictray.core.errors import CallerError
 from turmerictray.core.ids import RequestId, TeamId
 from turmerictray.router.dialect import AnswerSigns, Envelope
@@ -116,9 +118,12 @@
     if text is None:
         return None
     try:
-        return max(0.0, float(text) / 1000)
+        milliseconds = float(text)
     except ValueError:
         raise CallerError(f"{_TIME_LEFT} is not a number") from None
+    if not (math.isfinite(milliseconds) and milliseconds >= 0):
+        raise CallerError(f"{_TIME_LEFT} is not a time")
+    return milliseconds / 1000
 
 
 def _prompt(count: str | None, parts: str | None) -> Prompt | None:
