--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -24,3 +24,9 @@
 @pytest.mark.parametrize(("text", "seconds"), [("0", 0.0), ("500", 0.5), ("62.5", 0.0625)])
 def test_a_deadline_is_read_in_seconds(text, seconds):
     assert read(X_Deadline_Ms=text).caller_left_s == seconds
+
+
+def test_two_ids_are_refused():
+    """Guards against an answer that is matched with either of two ids."""
+    with pytest.raises(CallerError):
+        read(X_Request_Id="a1, b2")
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -51,6 +51,9 @@
         request_id = head.headers.get(_REQUEST_ID, "")
         if not request_id:
             raise CallerError(f"{_REQUEST_ID} is missing")
+        if "," in request_id:
+            # Headers that repeat are joined by commas.
+            raise CallerError(f"{_REQUEST_ID} is given twice")
         passed = [
             (name, val) for name, val in head.end_to_end_headers() if name.lower() not in _SET_HERE
         ]
