A Connection header that names what the target needs is refused with 400

X-Request-Id named there was stripped as a header of the connection, the target answered without the id, and the caller got 502; failed before (four cases).

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -30,3 +30,11 @@
     """Guards against an answer that is matched with either of two ids."""
     with pytest.raises(CallerError):
         read(X_Request_Id="a1, b2")
+
+
+@pytest.mark.parametrize("name", ["X-Request-Id", "x-token-count", "X-Model", "Last-Event-Id"])
+def test_headers_that_the_target_needs_may_not_concern_the_connection_only(name):
+    """Guards against a request that reaches its target without what it is known by."""
+    with pytest.raises(CallerError):
+        read(Connection=f"keep-alive, {name}")
+    assert read(Connection="keep-alive, X-Other").request_id == "a1"
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -18,6 +18,7 @@
 _NOT_RUN = "X-Not-Executed"
 _SIGNATURE = "X-Server-Seal"
 _TOKEN_COUNT = "X-Token-Count"
+_MODEL = "X-Model"
 _PROMPT = "X-Prompt-Prefix"
 _FETCH_FROM = "Kv-Fetch"
 
@@ -39,6 +40,11 @@
 """Headers that only the system may set for a target. Passed on as a caller sent them they would
 reserve an engine's memory, or make a request go on from another one's."""
 
+_NEEDED = frozenset(
+    name.lower() for name in (_REQUEST_ID, _RESUME_AFTER, _TOKEN_COUNT, _PROMPT, _MODEL)
+)
+"""Headers without which a target would run another request than the caller's."""
+
 _WRONG_INSTANCE = 421
 _BEARER = "bearer "
 
@@ -54,6 +60,7 @@
         if "," in request_id:
             # Headers that repeat are joined by commas.
             raise CallerError(f"{_REQUEST_ID} is given twice")
+        _check_connection(head.headers.get("Connection", ""))
         passed = [
             (name, val) for name, val in head.end_to_end_headers() if name.lower() not in _SET_HERE
         ]
@@ -111,6 +118,13 @@
         return ("Retry-After", f"{seconds:.2f}")
 
 
+def _check_connection(connection: str) -> None:
+    """Check that no header which the target needs is named as one of this connection only."""
+    for name in connection.split(","):
+        if name.strip().lower() in _NEEDED:
+            raise CallerError(f"Connection names {name.strip()}")
+
+
 def _key(authorization: str) -> str | None:
     if authorization[: len(_BEARER)].lower() != _BEARER:
         return None
