An expectation that is not known is refused with 417

Answered as if it were not there, it left its caller to believe that it is met (RFC 9110, 10.1.1); the connection is closed, as a body may follow.

--- a/tests/router/test_front_framing.py
+++ b/tests/router/test_front_framing.py
@@ -86,3 +86,10 @@
     begun = time.monotonic()
     answers(sock, 5.5)
     assert time.monotonic() - begun < 5.0
+
+
+def test_an_expectation_that_is_not_known_is_refused(connect):
+    """Guards against a caller that is left to wait for what the router does not do."""
+    sock = connect()
+    sock.sendall(head("Expect: teapot", f"Content-Length: {len(BODY)}") + BODY)
+    assert answers(sock) == [417]
--- a/turmerictray/transport/framing.py
+++ b/turmerictray/transport/framing.py
@@ -18,6 +18,7 @@
 """Bytes; extensions are rare and short. A longer line is refused before it is read whole."""
 
 _ABSENT = b""
+_CONTINUE = b"100-continue"
 _FRAMING = (b"Content-Length", b"Transfer-Encoding", b"Host")
 
 
@@ -136,11 +137,14 @@
         if self.response_protocol == "HTTP/1.1" and b"Host" not in self.inheaders:
             self._refuse("Host is missing")
             return
+        if self.inheaders.get(b"Expect", _CONTINUE).lower() != _CONTINUE:
+            self._refuse("Expect is not 100-continue", "417 Expectation Failed")
+            return
         connection = self.inheaders.get(b"Connection", _ABSENT).lower()
         if b"close" in [token.strip() for token in connection.split(b",")]:
             self.close_connection = True
 
-    def _refuse(self, reason: str) -> None:
+    def _refuse(self, reason: str, status: str = "400 Bad Request") -> None:
         self.ready = False
         self.close_connection = True
-        self.simple_response("400 Bad Request", reason)
+        self.simple_response(status, reason)
