--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -5,6 +5,7 @@
 from tests.platform.conftest import *  # noqa: F403 - the deployment's fixtures and steps
 from tests.platform.conftest import wait_for
 from turmerictray.cli.explain import explain
+from turmerictray.cli.main import explain as explain_command
 
 scenarios("features/explain.feature")
 
@@ -32,3 +33,11 @@
         return cause.strip() in "\n".join(explain(req_id, logs))
 
     assert wait_for(told), "\n".join(explain(req_id, logs))
+
+
+def test_a_request_that_no_log_knows_is_an_error(tmp_path, capsys):
+    """Guards against scripts that take an unknown id for an explained one."""
+    log = tmp_path / "r1.log"
+    log.write_text("ts=2026-12-03T10:00:00.000000Z node=r1 zone=z1 seq=1 event=starting\n")
+    assert explain_command("b2", [log]) == 1
+    assert "no line mentions b2" in capsys.readouterr().out
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -100,6 +100,11 @@
     yield f"cause: {_cause(own[-1])}"
 
 
+def is_mentioned(request_id: str, paths: Iterable[str | Path]) -> bool:
+    """Whether any line of the logs is about a request."""
+    return any(request_id in _requests_of(parse_line(text)) for text in merge_logs(paths))
+
+
 def _requests_of(line: Line) -> list[str]:
     """The requests that a line is about; those refused by their heads alone share lines."""
     return [line.fields.get("req", ""), *line.fields.get("reqs", "").split(",")]
--- a/turmerictray/cli/main.py
+++ b/turmerictray/cli/main.py
@@ -164,16 +164,19 @@
         The id that its caller sent.
     logs
         Log files of the routers that may have seen it.
+
+    Exits 1 when no line mentions it.
     """
     from turmerictray.cli.explain import explain as tell
+    from turmerictray.cli.explain import is_mentioned
 
     try:
         for line in tell(request_id, logs):
             print(line)
+        return 0 if is_mentioned(request_id, logs) else 1
     except OSError as exc:
         print(f"error: {exc.filename}: {exc.strerror}", file=sys.stderr)
         return 1
-    return 0
 
 
 @app.command
