--- a/turmerictray/admission/turns.py
+++ b/turmerictray/admission/turns.py
@@ -31,12 +31,14 @@
 
     def __init__(self) -> None:
         self._sorted: list[tuple[Turn, int, Pending]] = []
+        self._work = 0.0
 
     def __len__(self) -> int:
         return len(self._sorted)
 
     def add(self, item: Pending, first: bool) -> None:
         """A request waits; ``first`` puts it before others of its turn."""
+        self._work += work_of(item)
         insort(self._sorted, (turn_of(item), -item.seq if first else item.seq, item))
 
     def remove(self, item: Pending) -> None:
@@ -46,6 +48,7 @@
             index = bisect_left(self._sorted, (turn, seq))
             if index < len(self._sorted) and self._sorted[index][2] is item:
                 del self._sorted[index]
+                self._work -= work_of(item)
                 return
 
     def next(self, most: int) -> list[Pending]:
@@ -58,4 +61,6 @@
 
     def work_of(self, first: int) -> float:
         """Work of the first so many requests, in the unit of :func:`work_of`."""
+        if first >= len(self._sorted):
+            return self._work
         return sum(work_of(item) for _, _, item in self._sorted[:first])
