--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -64,6 +64,17 @@
     assert quarantine.begin(DEADLY, 0.0)
 
 
+def test_a_run_that_outlives_the_memory_of_its_request_is_not_counted_twice():
+    """Guards against a suspect that counts as running for ever after it was forgotten."""
+    quarantine = Quarantine()
+    end(quarantine, 1)
+    assert quarantine.begin(DEADLY, 0.0)
+    quarantine.sweep(HELD_S)
+    end(quarantine, 2, HELD_S)
+    quarantine.end(DEADLY)
+    assert quarantine.begin(DEADLY, HELD_S)
+
+
 def test_an_answer_clears_a_request():
     """Guards against a request that comes often and is held for the ends of its neighbours."""
     quarantine = Quarantine()
--- a/turmerictray/admission/quarantine.py
+++ b/turmerictray/admission/quarantine.py
@@ -60,6 +60,8 @@
         Monotonic seconds of the last sign of it.
     running : int
         Copies that run by this router.
+    told : int
+        Messages that have told of its newest change.
     """
 
     seen_at: float
@@ -119,7 +121,7 @@
             suspect = self._known(digest, now)
             if suspect is None:
                 return False
-            if suspect.running and suspect.count >= _LAST_TRY_AT:
+            if suspect.running > 0 and suspect.count >= _LAST_TRY_AT:
                 raise Quarantined(f"quarantined: another copy of {digest} runs", _ONE_AT_A_TIME_S)
             suspect.running += 1
             return True
@@ -128,7 +130,7 @@
         """A run that :meth:`begin` has counted is over."""
         with self._lock:
             suspect = self._suspects.get(digest)
-            if suspect is not None:
+            if suspect is not None and suspect.running > 0:
                 suspect.running -= 1
 
     def may_try_again(self, digest: RequestDigest, now: float) -> bool:
