A stopping router ends what is still in progress at once, within its grace period

Cause: at the end of the drain the server joined its threads one by one, and each that relayed a stream ended only when the look for hang-ups came to the connection that the join had just shut down: 0.2 s a stream, one after the other. The operators' servers then waited half a second each. Class: clean-up in series that grows with the load.

Change: all calls in progress are aborted together, and the servers are stopped side by side.

--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 
 import msgspec
@@ -257,9 +258,12 @@
 
     def _stop_servers(self) -> None:
         self._probe.stop()
-        self._front.stop()
-        for server in self._admins:
-            server.stop()
+        ended = self._watch.end_all()
+        if ended:
+            log_event("stopped_in_progress", level="WARNING", requests=ended)
+        # Each waits for its own threads; one after the other they would use up the grace period.
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(lambda server: server.stop(), [self._front, *self._admins]))
 
     def drain_and_stop(self) -> None:
         """Say not ready, serve what still comes and what is in progress, then stop."""
--- a/turmerictray/transport/hangup.py
+++ b/turmerictray/transport/hangup.py
@@ -90,6 +90,18 @@
         with self._lock:
             self._calls.pop(call.fd, None)
 
+    def end_all(self) -> int:
+        """Abort all calls in progress, as if their callers had hung up; returns how many.
+
+        The server waits for its threads one by one. Ended only as it comes to each, streams would
+        take far longer together than a process has that is told to stop.
+        """
+        with self._lock:
+            calls = list(self._calls.values())
+        for call in calls:
+            call.hang_up()
+        return len(calls)
+
     def __len__(self) -> int:
         return len(self._calls)
 
