--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -226,7 +226,7 @@
 
     def _wait_reason(self, item: Pending) -> str:
         work, wait = self._work_ahead_of(item), self.expected_wait_s(item)
-        return f"wait_too_long: {round(work)} to be read before it, {round(wait * 1000)} ms"
+        return f"wait_too_long: {round(work)} before it, {round(wait * 1000)} ms"
 
     def _work_ahead_of(self, item: Pending) -> float:
         """Work that is sent before a request.
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -119,8 +119,8 @@
             raise CallerGone("caller gone during a try") from exc
         now = time.monotonic()
         left = self._routed.bounds.give_up - now
-        unsuspected = self._is_unsuspected(exc, now)
-        again = unsuspected and self._progress.may_try_again(left)
+        self._note_evidence(exc, now)
+        again = self._progress.may_try_again(left) and self._is_unsuspected()
         self._log_try(exc, left, again)
         if again:
             return False
@@ -128,11 +128,14 @@
             return True
         raise self._progress.failure(exc, timed_out=left <= 0) from exc
 
-    def _is_unsuspected(self, exc: TurmerictrayError, now: float) -> bool:
-        """Take a failed try for evidence; whether the request may go to another target at once."""
-        digest, crashes = self._routed.digest, self._parts.crashes
-        crashes.note_failed(digest, self._trace.granted.target, exc, self._progress.ran_s(now), now)
-        return crashes.quarantine.may_try_again(digest, time.monotonic())
+    def _note_evidence(self, exc: TurmerictrayError, now: float) -> None:
+        """Take a failed try for evidence against the request, if it is any."""
+        target, ran_s = self._trace.granted.target, self._progress.ran_s(now)
+        self._parts.crashes.note_failed(self._routed.digest, target, exc, ran_s, now)
+
+    def _is_unsuspected(self) -> bool:
+        quarantine = self._parts.crashes.quarantine
+        return quarantine.may_try_again(self._routed.digest, time.monotonic())
 
     def _relay_held_failure(self) -> bool:
         """Give the caller the failed answer that was held back; false if there is none to give.
