--- a/tests/platform/test_query_of_death.py
+++ b/tests/platform/test_query_of_death.py
@@ -1,13 +1,15 @@
 """A request that ends every worker that begins to run it, at several routers."""
 
 import itertools
+import signal
 import threading
 import time
 
 import pytest
 
+from turmerictray.loadtool.relay import Network
 from turmerictray.platform.standins.caller import PROMPT, RawCaller
-from turmerictray.platform.standins.worker import DEADLY, Worker
+from turmerictray.platform.standins.worker import DEADLY, Worker, WorkerFault
 
 ENGINES = 12
 ENDINGS = 3
@@ -118,3 +120,53 @@
     for thread in threads:
         thread.join()
     assert sorted(answers) == list(range(30))
+
+
+def ended_under(deployment, body: bytes) -> int:
+    return sum(any(seen.body == body for seen in worker.runs()) for worker in deployment.workers)
+
+
+@pytest.mark.process
+def test_many_of_them_at_once_are_stopped_one_by_one(start_deployment):
+    """Guards against a storm through one router while the others are restarted in turn."""
+    deployment = start_deployment(routers=3, engines=18)
+    bodies = [DEADLY + b" %d" % number for number in range(4)]
+
+    def press(body: bytes) -> None:
+        for _ in range(10):
+            ask(deployment.routers[0], "/plan/1", body)
+            withdraw_crashed(deployment)
+            time.sleep(0.2)
+
+    threads = [threading.Thread(target=press, args=(body,)) for body in bodies]
+    for thread in threads:
+        thread.start()
+    for router in deployment.routers[1:]:
+        router.signal(signal.SIGTERM)
+        router.wait()
+        router.start()
+        router.wait_ready()
+    for thread in threads:
+        thread.join()
+    assert [ended_under(deployment, body) for body in bodies] == [ENDINGS] * len(bodies)
+    for router in deployment.routers:
+        assert ask(router, "/plan/1", bodies[0]).status == 503
+        assert ask(router, "/plan/1", b"harmless").status == 200
+
+
+@pytest.mark.process
+def test_broken_answers_and_links_are_no_evidence(start_deployment):
+    """Guards against requests that are held back for faults of engines that live on."""
+    deployment = start_deployment(routers=2, engines=4, network=Network())
+    faults = [WorkerFault.RESET_AFTER_RUN, WorkerFault.BROKEN_STREAM, WorkerFault.TRUNCATED]
+    for worker in deployment.of_service("llm"):
+        worker.plan.faults.extend(faults * 4)
+    for _ in range(6):
+        for router in deployment.routers:
+            ask(router, "/plan/1", b"same")
+        deployment.network.reset({"routers"}, {w.id for w in deployment.of_service("llm")})
+    for worker in deployment.of_service("llm"):
+        worker.plan.faults.clear()
+    logs = "".join(router.log_path.read_text() for router in deployment.routers)
+    assert "event=request_suspected" not in logs
+    assert ask(deployment.routers[0], "/plan/1", b"same").status == 200
