--- a/tests/admission/test_pool_order.py
+++ b/tests/admission/test_pool_order.py
@@ -49,8 +49,7 @@
 
 
 def test_short_prompts_go_before_long_ones_of_their_team(pool):
-    # Callers with short questions wait behind a dossier of the same team that takes an engine
-    # twenty times as long to read; under load that lasts, most of them are refused for it.
+    """Guards against short questions that wait behind a long prompt of their team."""
     for call_id in range(4):
         offer(pool, call_id, LONG)
     for call_id in range(4, 12):
@@ -73,8 +72,7 @@
 
 
 def test_calls_of_a_router_that_is_gone_do_not_stay_open(pool, ledger):
-    # An engine counts as full although it idles. A router is killed with requests in progress; the
-    # engine drops them with their connections, and nobody tells of their end.
+    """Guards against an engine that counts as full by the calls of a dead router."""
     offer(pool, 1, SHORT, origin="r2")
     offer(pool, 2, SHORT, origin="r3")
     send_all(pool)
--- a/tests/fairness/test_recent.py
+++ b/tests/fairness/test_recent.py
@@ -33,8 +33,7 @@
 
 
 def test_team_served_at_a_peer_is_not_served_first_here():
-    # All callers of one team come in elsewhere. Counted only here it would look unserved, and a
-    # team whose callers come in here would be held back for nothing.
+    """Guards against a team that looks unserved because it is served elsewhere."""
     service, _ = make()
     service.merge("r2", 1, {A: 0.0})
     service.merge("r2", 1, {A: 5000.0})
@@ -71,8 +70,7 @@
 
 
 def test_team_that_waited_at_a_dead_peer_holds_nobody_back():
-    # A router is killed while a team waits there. Its last word is that the team waits; taken for
-    # ever, the team would look unserved and all others would get a part of the engines only.
+    """Guards against the last word of a dead router that a team waits there."""
     service, clock = make()
     service.note_waiting("r2", {B})
     service.charge(A, 500_000)
@@ -122,8 +120,7 @@
 
 
 def test_what_the_best_served_team_had_is_rescaled_with_the_rest():
-    # Counts are brought back to one after forty half-lives. The looked-up value, if left as it was,
-    # would be 2**40 times too large: every team would seem far behind for a quarter of a second.
+    """Guards against a looked-up value that is not rescaled with the counts."""
     service, clock = make()
     service.charge(A, 10_000)
     clock.now += 41 * HALF_LIFE_S - 0.1
@@ -155,8 +152,7 @@
 
 
 def test_a_call_that_costs_next_to_nothing_does_not_bring_back_a_debt():
-    # One ledger counts prompts and calls of plain services. A team that makes a plain call has had
-    # next to nothing; taken for the level, it would make a debt of what another had alone.
+    """Guards against a level that a cheap call of a plain service lowers."""
     service, _ = make()
     for _ in range(5):
         service.charge(A, 100_000)
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -84,9 +84,7 @@
 
 @pytest.mark.parametrize("value", BAD_VALUES)
 def test_an_entry_by_another_writer_names_no_target(value):
-    # The caller of a request sees it sent to an address where something else listens, or where
-    # nothing does. First an entry that no target wrote appears in the store; the router that
-    # fills in what is missing, or keeps the entry before it, goes on using a target by it.
+    """Guards against requests to an address that no target has written."""
     with pytest.raises(ConfigError):
         decode_target(NAME, value)
     entries = TargetEntries()
@@ -108,9 +106,7 @@
 
 
 def test_a_restart_under_the_same_name_is_another_target():
-    # The caller waits for an engine that is believed to keep its prompt, or gets none while one is
-    # idle. An engine that was draining ends and starts again under its name; taken for the one
-    # before, it counts as leaving, as keeping prompts and as running what was cut.
+    """Guards against a new engine that is taken for the one that has ended."""
     entries = TargetEntries()
     entries.take_all([item(1, state="draining")], 0.0, 0.0, at(1))
     changes = entries.take([item(2, born=2000)], 1.0, 0.0)
@@ -184,9 +180,7 @@
 
 
 def test_a_lapsed_target_goes_from_routers_that_do_not_read_as_well():
-    # A caller's request is sent to a target that is gone for good. The store comes back without its
-    # entry; the router that reads keeps the target for two seconds, in which another router copies
-    # the list. When the time is over nothing in the store changes, so the copy is never renewed.
+    """Guards against a copied target whose time is over where nothing tells so."""
     reader, other = TargetEntries(), TargetEntries()
     reader.take_all([item(1), item(2, "i-2")], 0.0, 0.0, at(2))
     other.take_copy(copied(reader, 0.0), 0.0)
