A target that wrote again before the new era's list was read is believed at once

Cause: the store was busy while workers wrote again after the first return, so a reader dropped them after 2.2 s. The second return's list held what they had written since, and the reader took all of it for the copy's: known as gone in an older era. It believed them by time, 5 s later, but a router that had copied its list meanwhile was as far by position and never copied again.

Change: an item of the copy has the revision that it always had; a target that was gone is doubted only at a revision at which it was written before.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -41,6 +41,12 @@
     assert not report.violations, format_soak(report)
 
 
+def test_targets_are_those_of_the_store_after_two_returns(tmp_path):
+    """Guards against targets that wrote again before a new era's list and were not believed."""
+    report = run_soak(416, SoakSize(seconds=12.0), tmp_path)
+    assert not report.violations, format_soak(report)
+
+
 def test_no_promise_is_broken_under_faults(tmp_path):
     # Routers are stopped, killed all at once and told to read their settings again, the store is
     # silent, resets and is cut off from one router, workers leave, crash and answer wrongly, and
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -268,3 +268,15 @@
     assert entries.targets() == []
     assert entries.next_lapse_s(2.0) == pytest.approx(5.0)
     assert [info.id for info in entries.lapse(7.0).changed] == ["i-1@1000"]
+
+
+def test_a_target_that_wrote_again_before_the_list_was_read_is_believed():
+    """Guards against a living target that a router drops for seconds, and its copiers for good."""
+    reader, other = TargetEntries(), TargetEntries()
+    reader.take_all([item_of(1, 50)], 0.0, 0.0, at(50, 1))
+    reader.take_all([], 1.0, 3.2, at(40, 2))
+    assert reader.lapse(3.2).gone == ["i-1@1000"]
+    reader.take_all([item_of(3, 44)], 5.0, 7.2, at(45, 3))
+    assert [info.id for info in reader.targets()] == ["i-1@1000"]
+    other.take_copy(copied(reader, 5.0), 5.0)
+    assert [info.id for info in other.targets()] == ["i-1@1000"]
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.ids import TargetId, TargetName
@@ -58,6 +59,8 @@
         What a copy lists although it was known to be gone.
     believed_at : float
         When that is taken for true, if it is still listed.
+    revisions : frozenset of int
+        Those at which the present incarnation was written.
     """
 
     position: StorePosition = _NOWHERE
@@ -67,11 +70,19 @@
     lapses_at: float | None = None
     doubted: bytes | None = None
     believed_at: float = 0.0
+    revisions: frozenset[int] = frozenset()
 
     def lapses_in_s(self, now: float) -> float | None:
         return None if self.lapses_at is None else max(0.0, self.lapses_at - now)
 
 
+class _Gone(NamedTuple):
+    """An incarnation that has gone: in which era, and at which revisions it was written."""
+
+    era: int
+    revisions: frozenset[int]
+
+
 class TargetEntries:
     """The entries by the name of their target, each as of its newest revision.
 
@@ -87,7 +98,7 @@
     targets write of their start, as their clocks may step: a page or an event that comes late never
     brings an incarnation back. A store that has come back from a copy orders its items anew, in a
     higher era; its list may hold incarnations that have gone since, which are not believed until
-    they write again.
+    they write again. An item that is as old as the copy has the revision that it always had.
 
     An entry that can't be read names no target, and the one that it replaced is gone at once: its
     address may by now be another's.
@@ -96,7 +107,7 @@
     def __init__(self) -> None:
         self.position = StorePosition()
         self._entries: dict[TargetName, _Entry] = {}
-        self._gone: dict[TargetId, int] = {}
+        self._gone: dict[TargetId, _Gone] = {}
 
     def targets(self) -> list[TargetInfo]:
         """The targets that are listed now."""
@@ -184,7 +195,10 @@
         if item.value is None or item.position.era <= entry.position.era or not self._gone:
             return False
         info = self._decode(name, _Entry(refused=entry.refused), item.value)
-        return info is not None and self._gone.get(info.id, item.position.era) < item.position.era
+        gone = None if info is None else self._gone.get(info.id)
+        if gone is None or gone.era >= item.position.era:
+            return False
+        return item.position.revision in gone.revisions
 
     def _doubt(self, entry: _Entry, item: Item, now: float) -> None:
         if entry.doubted is None:
@@ -216,8 +230,8 @@
         changes.gone.append(entry.info.id)
         if len(self._gone) >= _MOST_GONE:
             del self._gone[next(iter(self._gone))]
-        self._gone[entry.info.id] = entry.position.era
-        entry.info = None
+        self._gone[entry.info.id] = _Gone(entry.position.era, entry.revisions)
+        entry.info, entry.revisions = None, frozenset()
 
     def _note_unlisted(
         self, listed: set[str], position: StorePosition, now: float, keep_until: float
@@ -243,6 +257,7 @@
         if before is not None and (info is None or info.id != before.id):
             self._drop(entry, changes)
         entry.info = info
+        entry.revisions |= {entry.position.revision}
         if info is not None and info != before:
             self._gone.pop(info.id, None)
             changes.changed.append(info)
