Revert "A path with dot segments is refused with 400"

test_request_is_passed_on_byte_for_byte sends such a path and asks for it unchanged, as the platform's page does (method, path and body are forwarded unchanged). Which of the two holds for dot segments is a question to the users.

--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -139,9 +139,6 @@
     def _route(self, exchange: ClientExchange, body: bytes, text: RoutingText) -> Routed:
         head = exchange.head
         envelope = self._parts.dialect.read(head)
-        if head.has_dot_segments:
-            # Routed by what it begins with, it may be read by its target as another route's path.
-            raise CallerError("the path has dot segments")
         route = text.match(head.host, head.path)
         if route is None:
             raise CallerError("no route", 404)
--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
-from urllib.parse import unquote
 
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HTTPRequest
@@ -56,13 +55,6 @@
         """The raw path of the target, without its query."""
         return self.target.partition("?")[0]
 
-    @property
-    def has_dot_segments(self) -> bool:
-        """Whether the path, decoded, names itself or its parent on the way (RFC 3986, 5.2.4)."""
-        if "." not in self.path and "%" not in self.path:
-            return False
-        return not {".", ".."}.isdisjoint(unquote(self.path).split("/"))
-
     @property
     def host(self) -> str:
         """The host, in lower case and without a port."""
