A router that starts serves callers only once it has caught up with its peers

What callers saw: after a restart, a router whose store answered with what it knew before served a dropped route, admitted a withdrawn key and sent requests to a target that had left, for half a second or more, until a peer's text came.

Cause: the first text a router read was taken for the one in force. The flow served by any text, the ready page asked for a text and a list of targets, and a router that reads the store waited 0.4 s for its own read before it asked a peer that was ahead.

Change: router.start_check decides when a start is over: not behind any peer heard, in text or targets, and one of them had caught up itself. Bounds without such a peer: 1 s alone, 3 s with members that stay silent, 10 s behind something that can't be had. A starting router that reads the store asks a peer that is ahead at once. The broker sets the flag by a message, after the texts and targets that were told to it before.

Ruled out as a cure: waiting for all members, which would take seconds in a large fleet and with members that are down.

--- a/tests/router/test_room_in_front.py
+++ b/tests/router/test_room_in_front.py
@@ -117,7 +117,7 @@
     dialect = SimpleNamespace(read=read, retry_after=lambda wait_s: ("Retry-After", "1"))
     monkeypatch.setattr("turmerictray.router.flow.RequestRun", FakeRun)
     FakeRun.ended.clear()
-    in_force = SimpleNamespace(current=text)
+    in_force = SimpleNamespace(current=text, caught_up=True)
     parts = Parts(desk=None, dialect=dialect, pool=None)
     return RequestFlow(parts, in_force, HangUpWatch(), threads=20)
 
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -80,6 +80,8 @@
         Age of what it knows of the platform's store, however it learnt it.
     targets_era : int
         Era of ``targets_revision``; see :class:`turmerictray.router.published.StorePosition`.
+    caught_up : bool
+        False from its start until it knows as much as its peers.
     """
 
     node: str
@@ -92,6 +94,7 @@
     targets_revision: int = 0
     store_age_s: float = 1e9
     targets_era: int = 0
+    caught_up: bool = True
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -224,8 +224,10 @@
         except ConfigError as exc:
             log_event("text_refused", level="ERROR", source=source, reason=exc.reason[:200])
             return
-        self._copy.put_text(data, text.version)
         self._broker.tell(TextArrived(text, source))
+        # Afterwards: whoever sees the copy's version knows that the broker hears of the text before
+        # all that is told to it from then on.
+        self._copy.put_text(data, text.version)
 
 
 class TargetSource:
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -108,6 +108,7 @@
         self.ip = f"{network}.{number}"
         self.log_path = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.toml"
+        self._store = store
         self._settings.write_text(self._node_file(network, zone, store, repeats))
         self._process: subprocess.Popen | None = None
 
@@ -126,6 +127,12 @@
         """The process's id."""
         return self._process.pid
 
+    def use_store(self, address: str) -> None:
+        """Name another store in the settings, which a process reads at its start."""
+        settings = self._settings.read_text().replace(self._store, address)
+        self._settings.write_text(settings)
+        self._store = address
+
     def start(self) -> None:
         """Start the process."""
         env = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -20,6 +20,7 @@
 from turmerictray.router.broker_messages import (
     Ask,
     BrokerQuery,
+    CaughtUp,
     EnginesQuery,
     FirstEvent,
     Granted,
@@ -232,6 +233,10 @@
         self.in_force.shards = self.pools.divide()
         metrics.CONFIG_VERSION.set(text.version)
 
+    @handle.register
+    def _(self, msg: CaughtUp) -> None:
+        self.in_force.caught_up = True
+
     @handle.register
     def _(self, msg: TargetsListed) -> None:
         listed = {info.id for info in msg.targets}
@@ -365,6 +370,7 @@
             service=self.summarised.take(self.ledger.told()),
             waiting=sorted({team for pool in self.pools.all() for team in pool.backlogged()}),
             reads=self._take_reads(),
+            caught_up=self.in_force.caught_up,
         )
 
     def _take_reads(self) -> list[PartRead]:
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -198,6 +198,11 @@
     nodes: frozenset[str]
 
 
+@dataclass(frozen=True)
+class CaughtUp:
+    """This router knows as much as its peers; sent after what it has learnt from them."""
+
+
 @dataclass(frozen=True)
 class OnTick:
     """Functions to call with each tick, given its time, and who hears what shards were given."""
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -16,6 +16,7 @@
     Draining,
     NoConfig,
     RouterFull,
+    Starting,
     TurmerictrayError,
 )
 from turmerictray.router.answers import error_answer
@@ -124,6 +125,8 @@
         text = self._in_force.current
         if text is None:
             raise NoConfig("no_config", _NO_TEXT_RETRY_S)
+        if not self._in_force.caught_up:
+            raise Starting("starting", _NO_TEXT_RETRY_S)
         trace.routed = self._route(exchange, body, text)
         if trace.routed.envelope.prompt is not None:
             self._check_room(trace.routed)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -21,13 +21,14 @@
 from turmerictray.router.broker import Broker
 from turmerictray.router.broker_messages import (
     BrokerQuery,
+    CaughtUp,
     KeptQuery,
     OnTick,
     PeerHeard,
     RoutersAlive,
     SummaryQuery,
 )
-from turmerictray.router.catch_up import CatchUp
+from turmerictray.router.catch_up import CatchUp, LookAtStart
 from turmerictray.router.crash_evidence import CrashEvidence
 from turmerictray.router.desk import Desk
 from turmerictray.router.dialect import Dialect
@@ -40,6 +41,7 @@
 from turmerictray.router.reload import LOOK_S, Reload, SettingsReloader
 from turmerictray.router.run import Parts
 from turmerictray.router.scheduler import Scheduler
+from turmerictray.router.start_check import StartCheck
 from turmerictray.router.text_in_force import TextInForce
 from turmerictray.scheduling.choice import SchedulerChoice
 from turmerictray.scheduling.link import SchedulingLink
@@ -135,6 +137,7 @@
         self._limits = None
         self._tidy_at = 0.0
         self._broker: pykka.ActorRef | None = None
+        self._catch_up: pykka.ActorRef | None = None
         self._link: pykka.ActorRef | None = None
         self._admins: list[AdminServer] = []
         for part in (self._timer, _Part(self._start_actors, self._stop_actors), self._watch):
@@ -153,10 +156,16 @@
         self._broker = Broker.start(s.node, s.zone, self.incarnation, self._in_force, s.repeats)
         self._timer.subscribe(self._broker, "expire", _EXPIRE_S)
         choice = SchedulerChoice(s.node, s.zone)
-        self._start_scheduling(choice)
         self._readers = StoreReaders(s.node, s.zone, is_seed=s.peer in s.seeds)
         self._sources = self._make_sources(self._readers, self._broker, self._copy)
-        catch_up = CatchUp.start(self._copy.position, self._readers, self._take_copy)
+        self._catch_up = CatchUp.start(
+            self._copy.position,
+            self._readers,
+            self._take_copy,
+            StartCheck(s.node, time.monotonic()),
+            lambda: self._broker.tell(CaughtUp()),
+        )
+        self._start_scheduling(choice)
 
         recall = Recall.start(self._broker, s.node, self._list_kept)
         self._timer.subscribe(recall, "recall", RECALL_LOOK_S)
@@ -164,7 +173,7 @@
         def on_peer(message: PeerMessage) -> None:
             self._broker.tell(PeerHeard(message.summary))
             self._quarantine.merge(message.crashes, time.monotonic())
-            catch_up.tell(message)
+            self._catch_up.tell(message)
             if recall.is_alive():
                 recall.tell(message)
 
@@ -173,6 +182,7 @@
             self._readers.take_members(members)
             alive = RoutersAlive(frozenset({s.node, *(m.node for m in members)}))
             self._broker.tell(alive)
+            self._catch_up.tell(alive)
             if recall.is_alive():
                 recall.tell(alive)
 
@@ -203,9 +213,13 @@
         self._scheduler = Scheduler(s.node, self._broker, self._calls)
         self._desk = Desk(s.node, s.zone, self._broker, self._in_force, choice, self._calls)
         self._calls.start()
-        hooks = (self._desk.ask_to_look, self._scheduler.say_alive)
+        hooks = (self._desk.ask_to_look, self._scheduler.say_alive, self._look_at_start)
         self._broker.tell(OnTick(hooks, self._desk.tell_schedulers))
 
+    def _look_at_start(self, _now: float) -> None:
+        if not self._in_force.caught_up:
+            self._catch_up.tell(LookAtStart())
+
     def _hear_call(self, message: SchedulingMessage) -> None:
         if not self._desk.hear(message):
             self._scheduler.hear(message)
@@ -287,7 +301,8 @@
     # -- pages ---------------------------------------------------------------------------------
 
     def _ready_page(self) -> Page:
-        ready = self._in_force.current is not None and self._in_force.targets_listed
+        in_force = self._in_force
+        ready = in_force.current is not None and in_force.targets_listed and in_force.caught_up
         ready = ready and not self._is_draining and not self._is_overloaded
         body = msgspec.json.encode({"ready": ready, "text_version": self._in_force.version})
         return Page(200 if ready else 503, body)
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -113,6 +113,12 @@
         """Whether ``other`` knows something newer."""
         return self.text_version < other.text_version or self.targets < other.targets
 
+    def merge(self, other: "Position") -> "Position":
+        """The newest of both."""
+        return Position(
+            max(self.text_version, other.text_version), max(self.targets, other.targets)
+        )
+
 
 class PublishedCopy:
     """Holds the newest documents; shared between the reading threads and the admin server."""
--- a/turmerictray/router/text_in_force.py
+++ b/turmerictray/router/text_in_force.py
@@ -28,14 +28,16 @@
 class TextInForce:
     """Holds the routing text in force, whether the targets are known, and which take no more work.
 
-    ``leaving`` names the targets that take no more work: leaving, gone or with an entry that can't
-    be read. ``shards`` divides the engines of each service. Only the broker changes them. A text is
-    immutable, so other threads see either the old or the new one whole.
+    ``caught_up`` is false from the start until this router knows as much as its peers; no caller is
+    served before. ``leaving`` names the targets that take no more work: leaving, gone or with an
+    entry that can't be read. ``shards`` divides the engines of each service. Only the broker
+    changes them. A text is immutable, so other threads see either the old or the new one whole.
     """
 
     def __init__(self) -> None:
         self.current: RoutingText | None = None
         self.targets_listed = False
+        self.caught_up = False
         self.leaving: frozenset[TargetId] = frozenset()
         self.shards: dict[ServiceName, ShardMap] = {}
 
