Pools of engines tell their pace and their idle engines second by second

To tell apart why engines begin a third of what they can under lasting overload, the log needs what no line said: the pace by which waits are estimated, the engines with nothing to read, what was sent and what was refused, by service and shard. They are log lines (event=pool), gauges (turmerictray_pool_pace, turmerictray_engines_idle) and a table of `turmerictray analyse`, also in its JSON.

--- a/tests/analysis/test_analysis.py
+++ b/tests/analysis/test_analysis.py
@@ -149,6 +149,19 @@
     assert plot.stat().st_size > 1000
 
 
+def test_pools_are_summed_up_second_by_second(log):
+    pool = {"service": "llm", "waiting": 3, "ready": 9, "pace_per_s": 4000, "refused": 7}
+    lines = [line("pool", at, shard="0/2", idle=4, sent=900, **pool) for at in (1.1, 2.1)]
+    lines.append(line("pool", 2.2, shard="1/2", idle=1, sent=100, **pool))
+    log.write_text("".join(lines))
+    analysis = read(log)
+    second = analysis.pool_seconds()[1]
+    assert second[:2] == ("llm", 1)
+    assert (second[2].sent, second[2].idle, second[2].ready) == (1000, 5, 18)
+    assert "llm, 1 s" in format_analysis(analysis, most=5)
+    assert json.loads(analysis_json(analysis))["pools"][1]["refused"] == 14
+
+
 def test_the_command_names_a_log_that_is_missing(tmp_path, capsys):
     assert analyse([tmp_path / "none.log"]) == 2
     assert "none.log" in capsys.readouterr().err
--- a/turmerictray/admission/pace.py
+++ b/turmerictray/admission/pace.py
@@ -37,8 +37,12 @@
         """Nothing waits; the time until the next send says nothing about the pace."""
         self._last_at = None
 
+    @property
+    def per_s(self) -> float:
+        """Work sent a second; 0 where it is not known yet."""
+        return self._work / self._seconds if self._seconds >= _LEAST_SEEN_S else 0.0
+
     def seconds_for(self, work: float) -> float:
         """Seconds until so much work has been sent; 0 where no pace is known yet."""
-        if self._seconds < _LEAST_SEEN_S or not self._work:
-            return 0.0
-        return work * self._seconds / self._work
+        per_s = self.per_s
+        return work / per_s if per_s else 0.0
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -130,6 +130,32 @@
     placement: Placement
 
 
+@dataclass(frozen=True)
+class PoolState:
+    """What a pool does, for operators.
+
+    Attributes
+    ----------
+    waiting : int
+    pace_per_s : float
+        Work a second by which waits are estimated, in the unit of
+        :func:`~turmerictray.admission.turns.work_of`.
+    ready, idle : int
+        Targets that take requests; of these, the ones with nothing to read.
+    sent : float
+        Work sent so far.
+    refused : int
+        Requests refused so far because their turn would have come too late.
+    """
+
+    waiting: int
+    pace_per_s: float
+    ready: int
+    idle: int
+    sent: float
+    refused: int
+
+
 class ServicePool:
     """The targets of one service and the requests that wait for them.
 
@@ -168,6 +194,8 @@
         self._waiting: dict[TeamId, TeamTurns] = defaultdict(TeamTurns)
         self._opened_at: dict[TargetId, float] = {}
         self._pace = Pace()
+        self._sent = 0.0
+        self._refused = 0
 
     def offer(self, item: Pending, now: float, retry: bool = False) -> None:
         """Queue a request.
@@ -189,6 +217,7 @@
             item.deadline = self._wait_until(item, loads, now)
         wait = self.expected_wait_s(item)
         if not retry and now + wait > item.deadline:
+            self._refused += 1
             raise WontBeServed(self._wait_reason(item), wait)
         try:
             self.queue.push(item, front=retry)
@@ -390,6 +419,7 @@
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
             self.targets.note_read(placement.load.info.id, wanted.prompt.shared)
+        self._sent += work_of(item)
         self._pace.note_sent(work_of(item), now)
 
     def unbook(self, sent: Sent) -> None:
@@ -439,6 +469,23 @@
             load.ended(call_id)
         return len(lost)
 
+    def state(self, now: float) -> PoolState:
+        """What the pool does now."""
+        read_per_s = self.targets.model.read_per_s
+        ready = [
+            load.standing(now, read_per_s)
+            for load in self.targets.loads.values()
+            if load.info.phase is TargetPhase.READY
+        ]
+        return PoolState(
+            waiting=len(self.queue),
+            pace_per_s=self._pace.per_s,
+            ready=len(ready),
+            idle=sum(not standing.unread_tokens for standing in ready),
+            sent=self._sent,
+            refused=self._refused,
+        )
+
     def describe(self, now: float) -> dict[str, object]:
         """The pool's state, for operators."""
         return {
--- a/turmerictray/analysis/records.py
+++ b/turmerictray/analysis/records.py
@@ -11,6 +11,7 @@
 _END_OF_REQUEST = " event=request "
 _REFUSED_EARLY = " event=refused_early "
 _LEFT_OUT = " event=lines_left_out "
+_POOL = " event=pool "
 _NONE = "-"
 
 _AT_ONCE_MS = 50
@@ -83,6 +84,38 @@
     count: int
 
 
+@dataclass(frozen=True)
+class PoolSecond:
+    """What a pool of engines did in a second.
+
+    Attributes
+    ----------
+    at : float
+        Time of day of its end, in seconds since 1970.
+    service, shard : str
+    waiting : int
+        Requests, at its end.
+    pace_per_s : float
+        Tokens a second by which waits were estimated.
+    ready, idle : int
+        Engines that took requests; of these, the ones with nothing to read.
+    sent : int
+        Tokens given to engines.
+    refused : int
+        Requests refused as their turn would have come too late.
+    """
+
+    at: float
+    service: str
+    shard: str
+    waiting: int
+    pace_per_s: float
+    ready: int
+    idle: int
+    sent: int
+    refused: int
+
+
 def read_lines(paths: Iterable[Path]) -> Iterator[tuple[int, str]]:
     """The lines of logs, one file after the other, each with its length in bytes."""
     for path in paths:
@@ -91,12 +124,14 @@
                 yield len(data), data.decode("utf-8", errors="replace")
 
 
-def parse(line: str) -> Record | LeftOut | None:
-    """What a line of a log says of requests; None for other lines."""
+def parse(line: str) -> Record | PoolSecond | LeftOut | None:
+    """What a line of a log says of requests or pools; None for other lines."""
     if _END_OF_REQUEST in line:
         return _ended(parse_event(line))
     if _REFUSED_EARLY in line:
         return _refused_early(parse_event(line))
+    if _POOL in line:
+        return _pool_second(parse_event(line))
     if _LEFT_OUT in line:
         fields = parse_event(line)
         return LeftOut(fields.get("node", _NONE), int(fields.get("count", 0)))
@@ -108,6 +143,21 @@
     return _record(fields, Fate.REFUSED_AT_ONCE, count, fields.get("reason", _NONE))
 
 
+def _pool_second(fields: dict[str, str]) -> PoolSecond:
+    numbers = ("waiting", "ready", "idle", "sent", "refused")
+    return PoolSecond(
+        at=_time(fields),
+        service=fields.get("service", _NONE),
+        shard=fields.get("shard", _NONE),
+        pace_per_s=_number(fields, "pace_per_s") or 0.0,
+        **{name: int(_number(fields, name) or 0) for name in numbers},
+    )
+
+
+def _time(fields: dict[str, str]) -> float:
+    return datetime.fromisoformat(fields["ts"]).timestamp()
+
+
 def _ended(fields: dict[str, str]) -> Record:
     reason = fields.get("reason", _NONE).partition(":")[0]
     return _record(fields, _fate(fields), 1, reason)
@@ -117,7 +167,7 @@
     miss, own = _number(fields, "miss_tokens"), _number(fields, "own")
     is_moved = fields.get("fetch_from", _NONE) != _NONE
     return Record(
-        at=datetime.fromisoformat(fields["ts"]).timestamp(),
+        at=_time(fields),
         fate=fate,
         count=count,
         route=fields.get("route", _NONE),
--- a/turmerictray/analysis/report.py
+++ b/turmerictray/analysis/report.py
@@ -1,6 +1,7 @@
 """An analysis as tables for a person, and as JSON."""
 
 from collections.abc import Iterable
+from dataclasses import asdict
 
 import msgspec
 
@@ -25,6 +26,7 @@
     "again",
     "moved",
 )
+_POOL_HEAD = ("sent", "pace_per_s", "ready", "idle", "waiting", "refused")
 _NAME_WIDTH = 22
 _WIDTH = 11
 
@@ -43,9 +45,22 @@
         blocks.append(_table(name, rows))
     rows = [(f"{at:.0f} s", tally) for at, tally in analysis.timeline()]
     blocks.append(_table("two seconds from", rows))
+    if analysis.pools:
+        blocks.append(_pool_table(analysis))
     return "\n\n".join(blocks)
 
 
+def _pool_table(analysis: Analysis) -> str:
+    """Second by second: tokens given to engines, and what stayed unused beside what was refused."""
+    lines = [f"{'pool, second':{_NAME_WIDTH}}" + "".join(f"{h:>{_WIDTH}}" for h in _POOL_HEAD)]
+    for service, at, tally in analysis.pool_seconds():
+        cells = (getattr(tally, name) for name in _POOL_HEAD)
+        row = "".join(f"{round(cell):>{_WIDTH}}" for cell in cells)
+        name = f"{service}, {at} s"
+        lines.append(f"{name[:_NAME_WIDTH]:{_NAME_WIDTH}}{row}")
+    return "\n".join(lines)
+
+
 def _summary(analysis: Analysis) -> str:
     whole = analysis.whole
     lines = [f"{whole.requests} requests, {whole.lost} not answered in time; largest losses:"]
@@ -96,6 +111,10 @@
         ],
         "groups": groups,
         "windows": [{"from_s": at, **_plain(tally)} for at, tally in analysis.timeline()],
+        "pools": [
+            {"service": service, "second": at, **asdict(tally)}
+            for service, at, tally in analysis.pool_seconds()
+        ],
         "lines_left_out": dict(analysis.left_out),
     }
     return msgspec.json.format(msgspec.json.encode(doc), indent=2)
--- a/turmerictray/analysis/tally.py
+++ b/turmerictray/analysis/tally.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from turmerictray.analysis.records import Fate, LeftOut, Record
+from turmerictray.analysis.records import Fate, LeftOut, PoolSecond, Record
 
 WINDOW_S = 2.0
 
@@ -94,6 +94,27 @@
         return self.requests - self.fates[Fate.IN_TIME]
 
 
+@dataclass
+class PoolTally:
+    """What all pools of a service did in a second; see :class:`PoolSecond`."""
+
+    waiting: int = 0
+    pace_per_s: float = 0.0
+    ready: int = 0
+    idle: int = 0
+    sent: int = 0
+    refused: int = 0
+
+    def add(self, second: PoolSecond) -> None:
+        """Add one pool's."""
+        self.waiting += second.waiting
+        self.pace_per_s += second.pace_per_s
+        self.ready += second.ready
+        self.idle += second.idle
+        self.sent += second.sent
+        self.refused += second.refused
+
+
 Dimension = Callable[[Record], str]
 
 DIMENSIONS: dict[str, Dimension] = {
@@ -121,12 +142,15 @@
             name: defaultdict(Tally) for name in DIMENSIONS
         }
         self.windows: defaultdict[int, Tally] = defaultdict(Tally)
+        self.pools: defaultdict[tuple[str, int], PoolTally] = defaultdict(PoolTally)
         self.left_out: Counter[str] = Counter()
 
-    def add(self, found: Record | LeftOut | None) -> None:
+    def add(self, found: Record | PoolSecond | LeftOut | None) -> None:
         """Count what a line says."""
         if isinstance(found, LeftOut):
             self.left_out[found.node] += found.count
+        elif isinstance(found, PoolSecond):
+            self.pools[found.service, int(found.at)].add(found)
         elif found is not None:
             self._add(found)
 
@@ -141,6 +165,11 @@
         first = min(self.windows, default=0)
         return [((at - first) * WINDOW_S, self.windows[at]) for at in sorted(self.windows)]
 
+    def pool_seconds(self) -> list[tuple[str, int, PoolTally]]:
+        """Service, second from the first of all, and tally, in order."""
+        first = min((at for _, at in self.pools), default=0)
+        return [(name, at - first, self.pools[name, at]) for name, at in sorted(self.pools)]
+
     def losses(self, most: int) -> list[Loss]:
         """The largest losses: late and failed ones by their cause, the others by their reason."""
         found = [
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -18,6 +18,18 @@
 )
 QUEUED = Gauge("turmerictray_queued", "Requests waiting for a slot.", registry=REGISTRY)
 INFLIGHT = Gauge("turmerictray_inflight", "Requests sent and not ended.", registry=REGISTRY)
+POOL_PACE = Gauge(
+    "turmerictray_pool_pace",
+    "Prompt tokens a second by which waits are estimated, by service and shard.",
+    ["service", "shard"],
+    registry=REGISTRY,
+)
+ENGINES_IDLE = Gauge(
+    "turmerictray_engines_idle",
+    "Engines with nothing to read, by service and shard.",
+    ["service", "shard"],
+    registry=REGISTRY,
+)
 QUARANTINED = Gauge(
     "turmerictray_quarantined",
     "Requests that are sent to no target, as targets ended under them.",
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -39,6 +39,7 @@
     TextArrived,
     Withdraw,
 )
+from turmerictray.router.pool_gauges import PoolGauges
 from turmerictray.router.rounds import GrantRounds
 from turmerictray.router.service_pools import ServicePools
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
@@ -88,6 +89,7 @@
         # need no thread of their own: each would wake up twenty times a second on every router.
         self.on_tick: tuple[Callable[[float], None], ...] = ()
         self.summarised = ChangedService()
+        self._gauges = PoolGauges()
         self._rounds = GrantRounds(self._grant_all, self.actor_inbox.empty)
 
     def on_receive(self, message: object) -> object:
@@ -182,6 +184,8 @@
             for hook in self.on_tick:
                 hook(msg.now)
             self._tell_given(msg.now)
+        if self._gauges.is_due(msg.now):
+            self._gauges.tell(self.pools.of_engines(), msg.now)
 
     def _tell_given(self, now: float) -> None:
         """Tell the schedulers of other shards what teams were given and which wait here.
--- a/turmerictray/router/service_pools.py
+++ b/turmerictray/router/service_pools.py
@@ -61,6 +61,14 @@
         """The pools of all targets of the services that have engines."""
         return [pool for pool in self._wholes.values() if pool.targets.spec.engine is not None]
 
+    def of_engines(self) -> list[tuple[ShardId, ServicePool]]:
+        """The pools of the services that have engines, those of shards included."""
+        found = []
+        for whole in self.engines():
+            found.append((WHOLE, whole))
+            found.extend(self._shards.get(whole.name, {}).items())
+        return found
+
     def scheduled(self) -> dict[ServiceName, dict[ShardId, ServicePool]]:
         """The shards that are scheduled here, by service."""
         return {service: pools for service, pools in self._shards.items() if pools}
