Requests under which two engines ended are sent apart, counted by the scheduler too

What callers saw: an innocent request that ran beside a deadly one was held back with it: 503 for up to ten minutes.

Cause: a request's engine follows from its prompt parts and from the engines it was tried at, which are the same for all that an engine's end breaks off. So bystanders follow the culprit from engine to engine. And the next copy comes before the routers have told each other of the endings (0.05 to 0.25 s).

Evidence: with the broker alone, two such requests went to the same engine in eight of eight tries, one after the other.

Ruled out: retries released at the same instant (the pairs above came one by one); the order of free engines after an ending (all were idle).

Change: a request's digest goes with its question for an engine. From the second ending on it is sent to no target where another suspect has just begun; with none, it waits. A settled try says when its target has ended, so the scheduler counts at once, and refuses at three. With one ending nothing changes: after an ordinary crash all of an engine's requests are suspects, and apart from each other they would wait for seconds.

test_suspects_apart could not run before (no digest reached the broker).

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -23,7 +23,14 @@
 )
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.fairness.queue import FairQueue, Pending
 from turmerictray.fairness.recent import Leads, RecentService
 from turmerictray.routing.load import OpenCall, OpenRead, TargetLoad, TargetPhase
@@ -78,6 +85,7 @@
     NOT_REACHED = "not_reached"
     CALLER_GONE = "caller_gone"
     OUT_OF_TIME = "out_of_time"
+    TARGET_ENDED = "target_ended"
 
 
 @dataclass
@@ -95,6 +103,10 @@
         The router that sends it; empty for this router.
     zone : ZoneId or None
         Where that router stands; None for the pool's own zone.
+    digest : RequestDigest
+        See :mod:`turmerictray.admission.digest`.
+    apart : bool
+        It is not sent where a suspect has just begun.
     give_up : float
         Monotonic seconds at which it ends at the latest.
     urgency_s : float
@@ -114,6 +126,8 @@
     exclude: frozenset[str] = frozenset()
     origin: NodeId = NodeId("")
     zone: ZoneId | None = None
+    digest: RequestDigest = RequestDigest("")
+    apart: bool = False
     give_up: float = math.inf
     urgency_s: float = 0.0
     reading_tokens: int = 0
@@ -171,6 +185,8 @@
         The way of choosing an engine.
     targets : PoolTargets or ShardTargets or None
         The targets; None for a new set of a whole service's.
+    is_suspect : callable
+        Whether a target has ended under a request.
     """
 
     def __init__(
@@ -181,11 +197,13 @@
         budget: RetryBudget,
         place: PlacePrompt = place_prompt,
         targets: PoolTargets | ShardTargets | None = None,
+        is_suspect: Callable[[RequestDigest], bool] = lambda _digest: False,
     ) -> None:
         self.name = name
         self.zone = zone
         self.ledger = ledger
         self.budget = budget
+        self.is_suspect = is_suspect
         self._place_prompt = place
         self.targets = PoolTargets(ServiceSpec(name)) if targets is None else targets
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
@@ -352,6 +370,8 @@
 
     def _place(self, wanted: Wanted, part: float, now: float) -> Placement | None:
         loads = candidates(self.targets.loads.values(), wanted.exclude, now)
+        if wanted.apart:
+            loads = [load for load in loads if not self._begins_suspect(load, now)]
         if wanted.prompt is None:
             loads = [load for load in loads if plain_open(load, self.routers, now)]
             return place_plain(loads, wanted.call_id, self.zone, now)
@@ -367,6 +387,9 @@
         wanted.looked_at = now
         return None
 
+    def _begins_suspect(self, load: TargetLoad, now: float) -> bool:
+        return any(digest and self.is_suspect(digest) for digest in load.beginning(now))
+
     def _hold(self, wanted: Wanted, placement: Placement) -> None:
         if wanted.held_by is not placement.load:
             self.release(wanted)
@@ -414,7 +437,7 @@
             placement.expected_s,
             placement.load.slowness,
         )
-        call = OpenCall(item.team, item.hint, wanted.origin, wanted.give_up)
+        call = OpenCall(item.team, item.hint, wanted.origin, wanted.give_up, wanted.digest)
         placement.load.sent(wanted.call_id, read, call)
         if wanted.prompt is not None:
             placement.load.kept.note_read(wanted.prompt)
@@ -446,7 +469,7 @@
             return
         if outcome is Outcome.NOT_REACHED:
             load.not_reached(now)
-        elif outcome in (Outcome.DONE, Outcome.FAILED):
+        elif outcome in (Outcome.DONE, Outcome.FAILED, Outcome.TARGET_ENDED):
             load.answered(outcome is Outcome.DONE, now)
 
     def _end(self, load: TargetLoad, call_id: int, cost: float | None) -> bool:
--- a/turmerictray/admission/quarantine.py
+++ b/turmerictray/admission/quarantine.py
@@ -19,8 +19,9 @@
 """Targets ended under a request from which on it is sent to none. A request that ran beside the
 culprit three times in a row, each time just begun, is rare; one more would cost one more target."""
 
-_LAST_TRY_AT = 2
-"""Targets ended from which on an attempt has no further try, and one copy runs at a time."""
+LAST_TRY_AT = 2
+"""Targets ended from which on an attempt has no further try, and one copy runs at a time, where no
+other suspect has just begun: one more ending then tells of one request."""
 
 HELD_S = 600.0
 """Time without a sign of a request after which it is forgotten. A caller that honours the
@@ -121,7 +122,7 @@
             suspect = self._known(digest, now)
             if suspect is None:
                 return False
-            if suspect.running > 0 and suspect.count >= _LAST_TRY_AT:
+            if suspect.running > 0 and suspect.count >= LAST_TRY_AT:
                 raise Quarantined(f"quarantined: another copy of {digest} runs", _ONE_AT_A_TIME_S)
             suspect.running += 1
             return True
@@ -133,11 +134,15 @@
             if suspect is not None and suspect.running > 0:
                 suspect.running -= 1
 
-    def may_try_again(self, digest: RequestDigest, now: float) -> bool:
-        """Whether a request whose try failed may be sent to another target at once."""
+    def endings(self, digest: RequestDigest, now: float) -> int:
+        """Targets that speak against a request."""
         with self._lock:
             suspect = self._known(digest, now)
-            return suspect is None or suspect.count < _LAST_TRY_AT
+            return 0 if suspect is None else suspect.count
+
+    def may_try_again(self, digest: RequestDigest, now: float) -> bool:
+        """Whether a request whose try failed may be sent to another target at once."""
+        return self.endings(digest, now) < LAST_TRY_AT
 
     def note_ended(self, digest: RequestDigest, target: TargetId, now: float) -> int:
         """A target ended while it began to run a request; returns how many have by now."""
@@ -185,7 +190,7 @@
             return [_report(digest, self._suspects[digest], now) for digest in told]
 
     def _reminders(self) -> list[RequestDigest]:
-        worst = [d for d, suspect in self._suspects.items() if suspect.count >= _LAST_TRY_AT]
+        worst = [d for d, suspect in self._suspects.items() if suspect.count >= LAST_TRY_AT]
         if not worst:
             return []
         self._turn = (self._turn + _REMINDERS) % len(worst)
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -5,12 +5,20 @@
 from functools import singledispatchmethod
 
 from turmerictray.admission.budget import RetryBudget
-from turmerictray.admission.pool import Sent, ServicePool, Wanted
+from turmerictray.admission.pool import Outcome, Sent, ServicePool, Wanted
+from turmerictray.admission.quarantine import LAST_TRY_AT, Quarantine
 from turmerictray.config.routes import RoutingText
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import AdmissionError, CallerGone, QueueTimeout, RepeatsUsedUp
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.changed import ChangedService
@@ -63,6 +71,8 @@
         Where the text in force is put for other threads to read.
     repeats : RepeatLimits
         The fleet's budget of repeats, per service.
+    quarantine : Quarantine or None
+        What is known of requests under which targets have ended; None for nothing yet.
     """
 
     def __init__(
@@ -72,6 +82,7 @@
         incarnation: int,
         in_force: TextInForce,
         repeats: RepeatLimits,
+        quarantine: Quarantine | None = None,
     ) -> None:
         super().__init__()
         self.node = node
@@ -79,6 +90,7 @@
         self.incarnation = incarnation
         self.in_force = in_force
         self.repeats = repeats
+        self.quarantine = quarantine or Quarantine()
         self.ledger = RecentService(node)
         self.pools = ServicePools(self._make_pool)
         self.tell_given: Callable[[ServiceName, int, ServiceGiven], None] | None = None
@@ -111,9 +123,10 @@
         pool = self.pools.of(msg.service, msg.shard)
         if not msg.retry:
             pool.budget.note_request(now)
-        wanted = Wanted(msg.call_id, msg.prompt, msg.exclude, msg.origin, msg.zone, msg.give_up)
+        wanted = self._wanted(msg, now)
         item = Pending(msg.req_id, msg.team, msg.cost, msg.wait_until, msg.reply, wanted)
         try:
+            self.quarantine.check(msg.digest, now)
             if msg.repeat and not pool.budget.take(now):
                 raise RepeatsUsedUp("repeats_used_up", _BUSY_RETRY_S)
             pool.offer(item, now, msg.retry)
@@ -122,6 +135,18 @@
             return
         self._rounds.want(pool, now)
 
+    def _wanted(self, msg: Ask, now: float) -> Wanted:
+        return Wanted(
+            msg.call_id,
+            msg.prompt,
+            msg.exclude,
+            msg.origin,
+            msg.zone,
+            msg.digest,
+            apart=self.quarantine.endings(msg.digest, now) >= LAST_TRY_AT,
+            give_up=msg.give_up,
+        )
+
     @handle.register
     def _(self, msg: Withdraw) -> None:
         for pool in self.pools.of_service(msg.service):
@@ -140,6 +165,9 @@
     def _(self, msg: Settled) -> None:
         pool = self.pools.whole(msg.service)
         now = time.monotonic()
+        if msg.outcome is Outcome.TARGET_ENDED:
+            # Its router's own word to all others takes longer than the next copy of a request.
+            self.quarantine.note_ended(msg.digest, msg.target, now)
         pool.settle(msg.target, msg.call_id, msg.outcome, now, msg.cost)
         self._want(msg.service, now)
 
@@ -402,10 +430,13 @@
             "services": {pool.name: pool.describe(now) for pool in self.pools.wholes()},
         }
 
+    def _is_suspect(self, digest: RequestDigest) -> bool:
+        return self.quarantine.endings(digest, time.monotonic()) > 0
+
     def _make_pool(self, service: ServiceName) -> ServicePool:
         limits = self.repeats
         budget = RetryBudget(limits.ratio, limits.floor, limits.window_s)
-        pool = ServicePool(service, self.zone, self.ledger, budget)
+        pool = ServicePool(service, self.zone, self.ledger, budget, is_suspect=self._is_suspect)
         self._set_fleet_size(pool)
         text = self.in_force.current
         if text is not None and service in text.services:
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -6,7 +6,15 @@
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.config.routes import RoutingText
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.core.reply import Reply
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.routing.load import TargetInfo
@@ -44,6 +52,8 @@
         Monotonic seconds at which it ends at the latest.
     shard : ShardId
         The engines that it may be sent to.
+    digest : RequestDigest
+        See :mod:`turmerictray.admission.digest`.
     reply : Reply
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
@@ -63,6 +73,7 @@
     zone: ZoneId | None = None
     give_up: float = math.inf
     shard: ShardId = WHOLE
+    digest: RequestDigest = RequestDigest("")
 
 
 @dataclass(frozen=True)
@@ -113,13 +124,17 @@
 
 @dataclass(frozen=True)
 class Settled:
-    """A send has ended; ``cost`` is what it took from the pool, in tokens read."""
+    """A send has ended; ``cost`` is what it took from the pool, in tokens read.
+
+    ``digest`` tells the request when its target has ended under it.
+    """
 
     call_id: int
     service: ServiceName
     target: TargetId
     outcome: Outcome
     cost: float
+    digest: RequestDigest = RequestDigest("")
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/crash_evidence.py
+++ b/turmerictray/router/crash_evidence.py
@@ -5,15 +5,11 @@
 from dataclasses import dataclass, field
 
 from turmerictray.admission.quarantine import Quarantine
-from turmerictray.core.errors import ConnectionBroken, TargetFailed, TurmerictrayError
+from turmerictray.core.errors import ConnectionBroken, TurmerictrayError
 from turmerictray.core.ids import RequestDigest, TargetId
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import BEGINNING_S, TargetInfo
 from turmerictray.transport.ended import EndedTargets
 
-_BEGINNING_S = 1.0
-"""Time after the first event of a run in which its target's end still speaks against it. What has
-run for longer was not ended by how it began."""
-
 
 def _none() -> frozenset[TargetId]:
     return frozenset()
@@ -35,27 +31,27 @@
     targets: EndedTargets = field(default_factory=EndedTargets)
     leaving: Callable[[], frozenset[TargetId]] = _none
 
-    def note_failed(
+    def note_broken(
         self,
         digest: RequestDigest,
         target: TargetInfo,
         exc: TurmerictrayError,
         ran_s: float,
         now: float,
-    ) -> None:
-        """A try has failed.
+    ) -> bool:
+        """A try has ended without a whole answer; whether its target has ended under it.
 
         Parameters
         ----------
         ran_s : float
             Seconds since the run's first event; 0 before it.
         """
-        if isinstance(exc, TargetFailed):
-            self.quarantine.note_answered(digest)
-        if not isinstance(exc, ConnectionBroken) or ran_s > _BEGINNING_S:
-            return
-        if target.id not in self.leaving() and self.targets.has_ended(target.id, target.address):
-            self.quarantine.note_ended(digest, target.id, now)
+        if not isinstance(exc, ConnectionBroken) or ran_s > BEGINNING_S:
+            return False
+        if target.id in self.leaving() or not self.targets.has_ended(target.id, target.address):
+            return False
+        self.quarantine.note_ended(digest, target.id, now)
+        return True
 
     @contextmanager
     def running(self, digest: RequestDigest, now: float) -> Iterator[None]:
--- a/turmerictray/router/desk.py
+++ b/turmerictray/router/desk.py
@@ -185,7 +185,7 @@
         if call is None:
             self._to_broker(msg)
             return
-        self._end(call, msg.target, msg.outcome, msg.cost)
+        self._end(call, msg)
 
     @tell.register
     def _(self, msg: TargetLeaving) -> None:
@@ -228,6 +228,7 @@
             ask.repeat,
             ask.shard.index,
             ask.shard.count,
+            ask.digest,
         )
         if self._link.send(scheduler.calls, request):
             return True
@@ -236,12 +237,10 @@
         self._choice.note_silent(scheduler.node)
         return False
 
-    def _end(self, call: _Call, target: str, outcome: Outcome, cost: float) -> None:
-        ask = call.ask
-        self._link.send(
-            call.scheduler.calls,
-            Ended(ask.call_id, ask.service, target, outcome.value, cost),
-        )
+    def _end(self, call: _Call, msg: Settled) -> None:
+        digest = msg.digest if msg.outcome is Outcome.TARGET_ENDED else ""
+        ended = Ended(msg.call_id, msg.service, msg.target, msg.outcome.value, msg.cost, digest)
+        self._link.send(call.scheduler.calls, ended)
 
     def _claim(self, call: _Call) -> bool:
         """Take a waiting call for this thread to answer; false when another one has it.
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -153,7 +153,9 @@
 
     def _start_actors(self) -> None:
         s = self.settings
-        self._broker = Broker.start(s.node, s.zone, self.incarnation, self._in_force, s.repeats)
+        self._broker = Broker.start(
+            s.node, s.zone, self.incarnation, self._in_force, s.repeats, self._quarantine
+        )
         self._timer.subscribe(self._broker, "expire", _EXPIRE_S)
         choice = SchedulerChoice(s.node, s.zone)
         self._readers = StoreReaders(s.node, s.zone, is_seed=s.peer in s.seeds)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -117,9 +117,7 @@
         """Whether a held-back failure has gone to the caller; raises if there is none."""
         if self._call.gone:
             raise CallerGone("caller gone during a try") from exc
-        now = time.monotonic()
-        left = self._routed.bounds.give_up - now
-        self._note_evidence(exc, now)
+        left = self._routed.bounds.give_up - time.monotonic()
         again = self._progress.may_try_again(left) and self._is_unsuspected()
         self._log_try(exc, left, again)
         if again:
@@ -128,11 +126,6 @@
             return True
         raise self._progress.failure(exc, timed_out=left <= 0) from exc
 
-    def _note_evidence(self, exc: TurmerictrayError, now: float) -> None:
-        """Take a failed try for evidence against the request, if it is any."""
-        target, ran_s = self._trace.granted.target, self._progress.ran_s(now)
-        self._parts.crashes.note_failed(self._routed.digest, target, exc, ran_s, now)
-
     def _is_unsuspected(self) -> bool:
         quarantine = self._parts.crashes.quarantine
         return quarantine.may_try_again(self._routed.digest, time.monotonic())
@@ -205,6 +198,7 @@
             retry=bool(progress.tried),
             repeat=progress.arrived > 0,
             give_up=routed.bounds.give_up,
+            digest=routed.digest,
         )
         desk = self._parts.desk
         if not self._call.on_hang_up(lambda: desk.tell(self._withdraw())):
@@ -280,6 +274,7 @@
             raise
         except TargetFailed as exc:
             self._failure = exc
+            self._parts.crashes.quarantine.note_answered(self._routed.digest)
             self._progress.maybe_ran(target.id)
             booking.settle(Outcome.FAILED, self._routed.cost)
             self._parts.pool.give_back(target.id, conn, head)
@@ -298,11 +293,15 @@
         gone = self._call.gone or isinstance(exc, CallerGone)
         if isinstance(exc, OutcomeUnknown):
             self._progress.maybe_ran(granted.target.id)
-        booking.settle(self._outcome_of_break(gone), self._routed.cost)
+        booking.settle(self._outcome_of_break(exc, gone, granted), self._routed.cost)
 
-    def _outcome_of_break(self, gone: bool) -> Outcome:
+    def _outcome_of_break(self, exc: TurmerictrayError, gone: bool, granted: Granted) -> Outcome:
         if gone:
             return Outcome.CALLER_GONE
+        routed, now = self._routed, time.monotonic()
+        ran_s = self._progress.ran_s(now)
+        if self._parts.crashes.note_broken(routed.digest, granted.target, exc, ran_s, now):
+            return Outcome.TARGET_ENDED
         # A stream that is cut at the route's time-out while its events come says nothing against
         # the target; counted as a failure, every long answer would send prompts away from it.
         out_of_time = time.monotonic() >= self._routed.bounds.give_up
@@ -359,5 +358,12 @@
         self._open = False
         routed = self._routed
         self._desk.tell(
-            Settled(routed.call_id, routed.service, self._granted.target.id, outcome, cost)
+            Settled(
+                routed.call_id,
+                routed.service,
+                self._granted.target.id,
+                outcome,
+                cost,
+                routed.digest,
+            )
         )
--- a/turmerictray/router/scheduler.py
+++ b/turmerictray/router/scheduler.py
@@ -8,7 +8,15 @@
 
 from turmerictray.admission.pool import Outcome
 from turmerictray.core.errors import AdmissionError
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.core.reply import Reply
 from turmerictray.router.broker_messages import (
     Ask,
@@ -84,6 +92,7 @@
                 TargetId(msg.target),
                 Outcome(msg.outcome),
                 msg.cost,
+                RequestDigest(msg.digest),
             )
         )
 
@@ -165,4 +174,5 @@
         ZoneId(msg.zone),
         now + msg.give_up_s,
         ShardId(msg.shard, msg.shards),
+        RequestDigest(msg.digest),
     )
--- a/turmerictray/router/service_pools.py
+++ b/turmerictray/router/service_pools.py
@@ -96,4 +96,11 @@
     targets = ShardTargets(
         whole.targets, lambda target: shard_index(target, shard.count) == shard.index
     )
-    return ServicePool(whole.name, whole.zone, whole.ledger, whole.budget, targets=targets)
+    return ServicePool(
+        whole.name,
+        whole.zone,
+        whole.ledger,
+        whole.budget,
+        targets=targets,
+        is_suspect=whole.is_suspect,
+    )
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -8,7 +8,15 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    ServiceName,
+    TargetId,
+    TargetName,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.routing.kept import KeptParts
 
 _SMOOTHING = 0.2
@@ -42,6 +50,10 @@
 _END_TOLD_S = 1.0
 """How long after a request's last moment its end may still be told by the router that sent it."""
 
+BEGINNING_S = 1.0
+"""Time after the first event of a run in which its target's end still speaks against it. What has
+run for longer was not ended by how it began."""
+
 _TELLING_S = 0.06
 """Answers expected sooner are ruled by the way there and back and say little about the target."""
 
@@ -135,12 +147,15 @@
         The router that sends it; empty for this router.
     until : float
         Monotonic seconds at which its router gives it up at the latest.
+    digest : RequestDigest
+        See :mod:`turmerictray.admission.digest`; empty where it is not known.
     """
 
     team: TeamId = TeamId("-")
     charged: float = 0.0
     origin: NodeId = NodeId("")
     until: float = math.inf
+    digest: RequestDigest = RequestDigest("")
 
 
 @dataclass(frozen=True)
@@ -171,6 +186,8 @@
     ----------
     calls : dict of int to OpenCall
         Requests that run there by this router's choice.
+    first_at : dict of int to float
+        When their first events came, in monotonic seconds.
     held : dict of int to int
         Requests of this router that wait for the target, and the tokens it would read for each.
     held_sum : int
@@ -187,6 +204,7 @@
     kept: KeptParts
     calls: dict[int, OpenCall] = field(default_factory=dict)
     reads: dict[int, OpenRead] = field(default_factory=dict)
+    first_at: dict[int, float] = field(default_factory=dict)
     held: dict[int, int] = field(default_factory=dict)
     held_sum: int = 0
     peers: dict[NodeId, PeerLoad] = field(default_factory=dict)
@@ -214,6 +232,8 @@
         """The first event of an answer came; returns what was known when the request was sent."""
         read = self.reads.pop(call_id, None)
         self.note_changed()
+        if read is not None:
+            self.first_at[call_id] = read.sent_at + took_s
         if read is None or read.expected_s < _TELLING_S:
             return read
         low, high = _SLOWNESS_STEP
@@ -255,8 +275,17 @@
         """The request has ended, however; None when it is not known, or no longer."""
         self.note_changed()
         self.reads.pop(call_id, None)
+        self.first_at.pop(call_id, None)
         return self.calls.pop(call_id, None)
 
+    def beginning(self, now: float) -> list[RequestDigest]:
+        """Requests that have just begun to run here, or are about to."""
+        return [
+            call.digest
+            for call_id, call in self.calls.items()
+            if now < self.first_at.get(call_id, now) + BEGINNING_S
+        ]
+
     def lost_calls(self, alive: Collection[str], now: float) -> list[int]:
         """Requests of routers that are gone, or whose end was never told."""
         return [
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -24,6 +24,8 @@
         See :class:`turmerictray.router.broker_messages.Ask`.
     shard, shards : int
         The shard of the service's engines that the request is for, of so many.
+    digest : str
+        See :mod:`turmerictray.admission.digest`.
     """
 
     call_id: int
@@ -45,6 +47,7 @@
     repeat: bool
     shard: int = 0
     shards: int = 1
+    digest: str = ""
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -64,13 +67,17 @@
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """A granted request has ended, or was not sent; ``cost`` is what it took from the pool."""
+    """A granted request has ended, or was not sent; ``cost`` is what it took from the pool.
+
+    ``digest`` is given where its target has ended under it.
+    """
 
     call_id: int
     service: str
     target: str
     outcome: str
     cost: float
+    digest: str = ""
 
 
 class LeavingSeen(msgspec.Struct, frozen=True, array_like=True, tag=5):
