A round sends what has room first, and looks again only for engines nobody waits for

What callers saw: lasting overload at 79 machines: engines begin 1.0 to 1.1 M tokens a second of the 2.0 M that they can read while 3 M are asked; 120 to 160 requests wait.

Cause: the scheduler is short of time. It may spend a quarter of it in rounds of grants; each send looked through all that waits, and each round looked again, in vain, at up to twelve requests whose last look was 0.1 s old. With rounds further apart than that the same twelve are always due, so a round ends before it comes to those whose engine has room.

Seconds 17 to 18, when 31 to 37 engines made two shards: 1.15 and 1.38 M by the two schedulers, 0 to 5 idle. The pace told beside is what was sent, it does not stay low: refusals follow the scheduler, not the other way round.

Change: a round goes once through the teams; first what is held for an engine with room and what has no engine yet, then, only if an engine has room that nobody waits for, what may be better off there. Room is worked out once a round (Openings). The work before a request is remembered until the line changes.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -7,20 +7,16 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from enum import Enum
+from heapq import heapify, heappop, heappush
 
 from turmerictray.admission.budget import RetryBudget
+from turmerictray.admission.openings import Openings
 from turmerictray.admission.pace import Pace
 from turmerictray.admission.turns import TeamTurns, turn_of, work_of
-from turmerictray.admission.window import (
-    MOST_PART,
-    READ_AHEAD_S,
-    engine_open,
-    plain_open,
-    window_part,
-)
+from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
 from turmerictray.core.ids import (
@@ -73,7 +69,14 @@
 
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 12
-"""Waiting requests looked at for one send: bounds the time of a decision when the queue is long."""
+"""Waiting requests looked at in vain in one round: bounds its time when the queue is long."""
+
+
+@dataclass
+class _Looks:
+    """How many requests may still be looked at in vain."""
+
+    left: int
 
 
 class Outcome(Enum):
@@ -212,6 +215,7 @@
         self._waiting: dict[TeamId, TeamTurns] = defaultdict(TeamTurns)
         self._opened_at: dict[TargetId, float] = {}
         self._pace = Pace()
+        self._work_of_first: dict[int, float] = {}
         self._sent = 0.0
         self._refused = 0
 
@@ -242,6 +246,7 @@
         except QueueFull as exc:
             raise QueueFull(exc.reason, wait) from exc
         self._waiting[item.team].add(item, first=retry)
+        self._work_of_first.clear()
 
     def _wait_until(self, item: Pending, loads: list[TargetLoad], now: float) -> float:
         """Until when a request may wait and still be answered in time.
@@ -281,11 +286,19 @@
         Teams take turns, so it waits for those of its own team that come before it, and for as many
         of each other team.
         """
-        before = self._waiting[item.team].up_to(turn_of(item))
+        waiting = self._waiting[item.team]
+        before = waiting.up_to(turn_of(item))
         own = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
-        others = (team for team in self.queue.backlogged() if team != item.team)
-        work = sum(self._waiting[team].work_of(own + 1) for team in others)
-        return work + self._waiting[item.team].work_of(own)
+        others = self._work_of_all(own + 1) - waiting.work_of(own + 1)
+        return others + waiting.work_of(own)
+
+    def _work_of_all(self, first: int) -> float:
+        """Work of the first so many requests of each team."""
+        work = self._work_of_first.get(first)
+        if work is None:
+            work = sum(self._waiting[team].work_of(first) for team in self.queue.backlogged())
+            self._work_of_first[first] = work
+        return work
 
     def backlogged(self) -> set[TeamId]:
         """Teams that wait for room."""
@@ -293,71 +306,94 @@
         return {team for team in teams if self.queue.depth(team) >= _BACKLOGGED}
 
     def next_sent(self, now: float) -> Sent | None:
-        """Take the next request that may be sent now, and book it on its target.
+        """The first of :meth:`sends`."""
+        return next(self.sends(now), None)
 
-        Teams come in the order of the ledger. Behind a request whose best engine is full, the
-        team's next ones are looked at too, or an engine would idle while work for it waits.
+    def sends(self, now: float) -> Iterator[Sent]:
+        """Take the requests that may be sent now, and book them on their targets.
+
+        Teams come in the order of the ledger. Requests whose engine has room, and those that have
+        none yet, come first; then the ones that may be better off at an engine that nobody waits
+        for. Behind a request whose engine is full, the team's next ones are looked at too, or an
+        engine would idle while work for it waits.
         """
         if not len(self.queue):
             self._pace.note_idle()
-            return None
-        return self._look(now) if self._has_room(now) else None
+            return
+        openings = Openings(self.targets, self.routers, now)
+        unclaimed_at = self._unclaimed_at(openings, now)
+        looks = _Looks(_MOST_LOOKED_AT)
+
+        def may_do_better(wanted: Wanted, _part: float) -> bool:
+            return wanted.looked_at < unclaimed_at or now - wanted.looked_at >= _LOOK_AGAIN_S
+
+        def has_opening(wanted: Wanted, part: float) -> bool:
+            if wanted.held_by is None:
+                return wanted.apart or may_do_better(wanted, part)
+            if not self._is_placed(wanted, now):
+                return True
+            return wanted.held_by.info.id in openings.of(part)
+
+        yield from self._send_those(has_opening, openings, looks, now)
+        if self._has_unclaimed(openings):
+            yield from self._send_those(may_do_better, openings, looks, now)
 
-    def _look(self, now: float) -> Sent | None:
-        looked_at = 0
+    def _send_those(
+        self,
+        is_worth_a_look: Callable[[Wanted, float], bool],
+        openings: Openings,
+        looks: "_Looks",
+        now: float,
+    ) -> Iterator[Sent]:
+        """Send requests in the order of their teams, which a send changes for its own team only."""
         backlogged = self.backlogged()
         leads = self.ledger.leads(backlogged)
         most = self.ledger.most() if backlogged else 0.0
-        unclaimed_at = self._unclaimed_at(now)
-        for team in self.queue.by_service():
+        teams = [(self.queue.order(team), team) for team in self.queue.backlogged()]
+        heapify(teams)
+        while teams and openings and looks.left:
+            _, team = heappop(teams)
             part = window_part(self._lead(team, leads, backlogged, most))
             for item in self._next_of(team):
-                if not self._worth_a_look(item.context, part, unclaimed_at, now):
+                if not looks.left or not is_worth_a_look(item.context, part):
                     continue
-                looked_at += 1
                 placement = self._place(item.context, part, now)
-                if placement is not None:
-                    self._remove(item)
-                    self._book(item, placement, now)
-                    return Sent(item, placement)
-            if looked_at >= _MOST_LOOKED_AT:
+                if placement is None:
+                    looks.left -= 1
+                    continue
+                self._remove(item)
+                self._book(item, placement, now)
+                openings.note_sent(placement.load)
+                yield Sent(item, placement)
+                if self.queue.depth(team):
+                    heappush(teams, (self.queue.order(team), team))
                 break
-        return None
 
-    def _worth_a_look(self, wanted: Wanted, part: float, unclaimed_at: float, now: float) -> bool:
-        """Whether a request may be sent elsewhere, or sooner, than when it was looked at."""
+    def _is_placed(self, wanted: Wanted, now: float) -> bool:
+        """Whether a request waits for a target that still takes requests."""
         load = wanted.held_by
-        if load is None or wanted.looked_at < unclaimed_at:
-            return True
-        if now - wanted.looked_at >= _LOOK_AGAIN_S or load.info.phase is not TargetPhase.READY:
-            return True
-        if self.targets.loads.get(load.info.id) is not load or load.avoided(now):
-            return True
-        return engine_open(load, self.targets.model, now, part)
-
-    def _unclaimed_at(self, now: float) -> float:
+        is_listed = self.targets.loads.get(load.info.id) is load
+        return is_listed and load.info.phase is TargetPhase.READY and not load.avoided(now)
+
+    def _has_unclaimed(self, openings: Openings) -> bool:
+        """Whether a target has room that nobody waits for."""
+        return any(not self.targets.loads[target].held for target in openings.of(1.0))
+
+    def _unclaimed_at(self, openings: Openings, now: float) -> float:
         """When an engine that nobody waits for got room last; requests may be better off there."""
         if self.targets.spec.engine is None:
             return math.inf
         newest = -math.inf
-        model = self.targets.model
         opened_before, self._opened_at = self._opened_at, {}
-        for target, load in self.targets.loads.items():
-            if load.info.phase is not TargetPhase.READY or not engine_open(load, model, now):
+        for target in openings.of(1.0):
+            load = self.targets.loads[target]
+            if load.info.phase is not TargetPhase.READY:
                 continue
             opened_at = self._opened_at[target] = opened_before.get(target, now)
             if not load.held:
                 newest = max(newest, opened_at)
         return newest
 
-    def _has_room(self, now: float) -> bool:
-        """Whether any target is open to anyone."""
-        loads = self.targets.loads.values()
-        if self.targets.spec.engine is None:
-            return any(plain_open(load, self.routers, now) for load in loads)
-        model = self.targets.model
-        return any(engine_open(load, model, now, MOST_PART) for load in loads)
-
     def _next_of(self, team: TeamId) -> list[Pending]:
         """The team's requests that come next: mostly the most urgent, now and then the oldest."""
         if self._turns[team] % _OLDEST_EVERY == 0:
@@ -369,6 +405,7 @@
         return lead if lead or team not in backlogged else -self.ledger.behind(team, most)
 
     def _place(self, wanted: Wanted, part: float, now: float) -> Placement | None:
+        wanted.looked_at = now
         loads = candidates(self.targets.loads.values(), wanted.exclude, now)
         if wanted.apart:
             loads = [load for load in loads if not self._begins_suspect(load, now)]
@@ -384,7 +421,6 @@
         # Waiting for the engine that keeps the prompt is worth it: reading the prompt elsewhere
         # takes time from the requests there. The line before the engine counts in its cost.
         self._hold(wanted, placement)
-        wanted.looked_at = now
         return None
 
     def _begins_suspect(self, load: TargetLoad, now: float) -> bool:
@@ -416,10 +452,13 @@
     def _remove(self, item: Pending) -> None:
         self.queue.discard(item)
         self._waiting[item.team].remove(item)
+        self._work_of_first.clear()
 
     def expire(self, now: float) -> list[Pending]:
         """Take out the requests that have waited their time."""
         expired = self.queue.expire(now)
+        if expired:
+            self._work_of_first.clear()
         for item in expired:
             self._waiting[item.team].remove(item)
             self.release(item.context)
--- a/turmerictray/admission/turns.py
+++ b/turmerictray/admission/turns.py
@@ -1,6 +1,7 @@
 """A team's waiting requests in the order in which they are sent."""
 
 from bisect import bisect_left, bisect_right, insort
+from itertools import accumulate
 
 from turmerictray.fairness.queue import Pending
 
@@ -31,14 +32,14 @@
 
     def __init__(self) -> None:
         self._sorted: list[tuple[Turn, int, Pending]] = []
-        self._work = 0.0
+        self._work_up_to: list[float] | None = None
 
     def __len__(self) -> int:
         return len(self._sorted)
 
     def add(self, item: Pending, first: bool) -> None:
         """A request waits; ``first`` puts it before others of its turn."""
-        self._work += work_of(item)
+        self._work_up_to = None
         insort(self._sorted, (turn_of(item), -item.seq if first else item.seq, item))
 
     def remove(self, item: Pending) -> None:
@@ -48,7 +49,7 @@
             index = bisect_left(self._sorted, (turn, seq))
             if index < len(self._sorted) and self._sorted[index][2] is item:
                 del self._sorted[index]
-                self._work -= work_of(item)
+                self._work_up_to = None
                 return
 
     def next(self, most: int) -> list[Pending]:
@@ -61,6 +62,6 @@
 
     def work_of(self, first: int) -> float:
         """Work of the first so many requests, in the unit of :func:`work_of`."""
-        if first >= len(self._sorted):
-            return self._work
-        return sum(work_of(item) for _, _, item in self._sorted[:first])
+        if self._work_up_to is None:
+            self._work_up_to = list(accumulate((work_of(e[2]) for e in self._sorted), initial=0.0))
+        return self._work_up_to[min(first, len(self._sorted))]
--- a/turmerictray/fairness/queue.py
+++ b/turmerictray/fairness/queue.py
@@ -106,7 +106,7 @@
         """The team :meth:`pop` would serve next, or None when nothing waits."""
         if not self._queues:
             return None
-        return min(self._queues, key=self._order)
+        return min(self._queues, key=self.order)
 
     def peek_head(self, team: TeamId) -> Pending:
         """The oldest waiting request of ``team``."""
@@ -123,7 +123,7 @@
             return
         yield first
         rest = [team for team in self._queues if team != first]
-        yield from sorted(rest, key=self._order)
+        yield from sorted(rest, key=self.order)
 
     def pop(self) -> Pending | None:
         """Take the next request of the least served backlogged team, or None."""
@@ -161,7 +161,8 @@
                 self._drop(team)
         return gone
 
-    def _order(self, team: TeamId) -> tuple[float, int]:
+    def order(self, team: TeamId) -> tuple[float, int]:
+        """The place of a backlogged team; lowest is served first."""
         return self.ledger.normalised(team), self._queues[team][0].seq
 
     def _drop(self, team: TeamId) -> None:
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -177,7 +177,7 @@
                 self._rounds.want(pool, now)
 
     def _grant_all(self, pool: ServicePool, now: float) -> None:
-        while (sent := pool.next_sent(now)) is not None:
+        for sent in pool.sends(now):
             self._grant(pool, sent, now)
         metrics.QUEUED.set(sum(len(each.queue) for each in self.pools.all()))
 
--- a/turmerictray/simulation/fleet.py
+++ b/turmerictray/simulation/fleet.py
@@ -177,7 +177,7 @@
         self.timeline.at(self.now + wait, self.ask, self._rng.randrange(len(self.pools)), caller)
 
     def _pump(self, pool: ServicePool) -> None:
-        while (sent := pool.next_sent(self.now)) is not None:
+        for sent in pool.sends(self.now):
             self._send(pool, sent)
 
     def _send(self, pool: ServicePool, sent) -> None:
