A target's end is evidence though its entry is gone before the answer breaks

What callers saw: a deadly request ended four engines in place of three.

Cause: the end of a target that was leaving speaks against nobody, and a target whose entry is gone counted as leaving. Where the entry of a crashed target is removed at once, that news may come before the broken answer is looked at.

In the router's log llm-0 is "gone" at 08.515691 and the try there fails at 08.517881 with no request_suspected before it; the other eleven endings have one each, and their entries went after it.

Ruled out: a listener that stays open after the crash (it is closed before connections are broken), the look that is remembered for 0.2 s (nobody had looked at llm-0).

Change: only targets that have said that they leave, by their entry or their own answer, count as announced. The new test failed for want of the word; by the old set it fails on e0.

--- a/tests/router/test_suspects_apart.py
+++ b/tests/router/test_suspects_apart.py
@@ -1,6 +1,7 @@
 """Where a scheduler sends requests under which targets have ended."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -18,9 +19,16 @@
 )
 from turmerictray.core.reply import Reply
 from turmerictray.router.broker import Broker
-from turmerictray.router.broker_messages import Ask, FirstEvent, Settled, TargetsListed
+from turmerictray.router.broker_messages import (
+    Ask,
+    FirstEvent,
+    Settled,
+    TargetLeaving,
+    TargetsChanged,
+    TargetsListed,
+)
 from turmerictray.router.text_in_force import RepeatLimits, TextInForce
-from turmerictray.routing.load import BEGINNING_S, TargetInfo
+from turmerictray.routing.load import BEGINNING_S, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import Part, PartId, Prompt
 
 LLM = ServiceName("llm")
@@ -119,3 +127,17 @@
     with pytest.raises(Quarantined):
         ask(broker, 1, CULPRIT).result(0)
     assert ask(broker, 2, BYSTANDER).done()
+
+
+def test_only_targets_that_said_so_count_as_leaving_when_they_end(broker):
+    """Guards against endings that speak against nobody as the entry went before the answer."""
+    infos = {str(info.id): info for info in broker_targets(broker)}
+    broker.on_receive(TargetsChanged(changed=[replace(infos["e1"], phase=TargetPhase.LEAVING)]))
+    broker.on_receive(TargetLeaving(LLM, TargetId("e2")))
+    broker.on_receive(TargetsChanged(gone=[TargetId(f"e{n}") for n in range(3)]))
+    assert broker.in_force.leaving == {"e0", "e1", "e2"}
+    assert broker.in_force.announced == {"e1", "e2"}
+
+
+def broker_targets(broker: Broker) -> list[TargetInfo]:
+    return [load.info for load in broker.pools.whole(LLM).targets.loads.values()]
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -295,7 +295,11 @@
     @handle.register
     def _(self, msg: TargetLeaving) -> None:
         self.pools.whole(msg.service).targets.mark_leaving(msg.target)
-        self.in_force.leaving = self.in_force.leaving | {msg.target}
+        self._note_leaving(msg.target)
+
+    def _note_leaving(self, target: TargetId) -> None:
+        self.in_force.leaving = self.in_force.leaving | {target}
+        self.in_force.announced = self.in_force.announced | {target}
 
     def _take(self, info: TargetInfo) -> None:
         for other in self.pools.wholes():
@@ -313,10 +317,13 @@
     def _note_phase(self, info: TargetInfo) -> None:
         if info.phase is TargetPhase.READY:
             self.in_force.leaving = self.in_force.leaving - {info.id}
+            self.in_force.announced = self.in_force.announced - {info.id}
         else:
-            self.in_force.leaving = self.in_force.leaving | {info.id}
+            self._note_leaving(info.id)
 
     def _drop(self, pool: ServicePool, target: str) -> None:
+        # The entry of one that has crashed may be gone before the answers that it broke off: that
+        # announces nothing.
         pool.targets.drop(target)
         self.in_force.leaving = self.in_force.leaving | {TargetId(target)}
         log_event("target", target=target, service=pool.name, phase=TargetPhase.GONE.value)
--- a/turmerictray/router/crash_evidence.py
+++ b/turmerictray/router/crash_evidence.py
@@ -24,7 +24,7 @@
     quarantine : Quarantine
     targets : EndedTargets
     leaving : callable
-        The targets that are leaving or gone; their end was announced and speaks against nobody.
+        The targets that have announced that they leave; their end speaks against nobody.
     """
 
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -251,7 +251,7 @@
 
     def _start_servers(self) -> None:
         s = self.settings
-        crashes = CrashEvidence(self._quarantine, leaving=lambda: self._in_force.leaving)
+        crashes = CrashEvidence(self._quarantine, leaving=lambda: self._in_force.announced)
         parts = Parts(self._desk, self._dialect, self._conns, crashes=crashes)
         self._flow = RequestFlow(parts, self._in_force, self._watch, s.threads)
         self._early = EarlyRefusals(parts, self._in_force)
--- a/turmerictray/router/text_in_force.py
+++ b/turmerictray/router/text_in_force.py
@@ -26,12 +26,25 @@
 
 
 class TextInForce:
-    """Holds the routing text in force, whether the targets are known, and which take no more work.
+    """What a router goes by. Only the broker changes it.
 
-    ``caught_up`` is false from the start until this router knows as much as its peers; no caller is
-    served before. ``leaving`` names the targets that take no more work: leaving, gone or with an
-    entry that can't be read. ``shards`` divides the engines of each service. Only the broker
-    changes them. A text is immutable, so other threads see either the old or the new one whole.
+    A text is immutable, so other threads see either the old or the new one whole.
+
+    Attributes
+    ----------
+    current : RoutingText or None
+        The text in force.
+    targets_listed : bool
+        Whether the targets are known.
+    caught_up : bool
+        False from the start until this router knows as much as its peers; no caller is served
+        before.
+    leaving : frozenset of TargetId
+        Targets that take no more work: leaving, gone or with an entry that can't be read.
+    announced : frozenset of TargetId
+        Those of them that have said so before they were gone.
+    shards : dict of ServiceName to ShardMap
+        The engines of each service, divided.
     """
 
     def __init__(self) -> None:
@@ -39,6 +52,7 @@
         self.targets_listed = False
         self.caught_up = False
         self.leaving: frozenset[TargetId] = frozenset()
+        self.announced: frozenset[TargetId] = frozenset()
         self.shards: dict[ServiceName, ShardMap] = {}
 
     @property
