No request is granted or sent after its queue timeout

Cause: the timeout was looked at by the tick alone. A slot that came free between a request's timeout and the next tick was given to it; the time began when the dispatcher read its mailbox; and the caller's thread sent what had been granted however late it heard of it. All three grow with the lateness of the router's threads.

Evidence: test_queue_timeout.py, all three failing before. Ruled out for a run that I provoked (router stopped for 0.7 s, 1.55 s at the caller): there the engine had taken the request after 0.9 s, its answer lay in the stopped router.

Change: a grant looks at the time, the limit counts from the request, and a grant that is heard late is given back.

--- /dev/null
+++ b/tests/router/test_queue_timeout.py
@@ -0,0 +1,102 @@
+"""No request begins after its queue timeout, however late the router's threads are."""
+
+import json
+import time
+
+import pytest
+
+from turmerictray.config.load import parse_config
+from turmerictray.config.schema import ServiceKind
+from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core.errors import QueueTimeout
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
+from turmerictray.fairness.ledger import PeerCounters
+from turmerictray.router.dispatcher import Dispatcher
+from turmerictray.router.messages import (
+    Admit,
+    ConfigApplied,
+    Finished,
+    Grant,
+    PeerSummary,
+    Placement,
+)
+from turmerictray.router.proxy import Proxy
+from turmerictray.router.request import CallerRequest
+
+LLM, DEPOT, TARGET = ServiceName("llm"), TeamId("depot"), TargetId("e0")
+TIMEOUT_S = 0.2
+
+
+def config():
+    target = {"id": TARGET, "url": "http://e0", "zone": "madina", "slots": 1}
+    service = {"name": LLM, "kind": "model", "targets": [target]}
+    limits = {"queue_timeout_s": TIMEOUT_S}
+    doc = {"version": 1, "services": [service], "teams": [{"id": DEPOT}], "limits": limits}
+    return parse_config(json.dumps(doc))
+
+
+def finished(req: str) -> Finished:
+    return Finished(RequestId(req), DEPOT, TARGET, 1.0, 1.0)
+
+
+@pytest.fixture
+def dispatcher():
+    """One that no timer ticks."""
+    ref = Dispatcher.start(
+        NodeId("r0"), 1, ConfigSnapshot(), peer_timeout_s=60.0, expected_peers={"r1"}
+    )
+    ref.tell(ConfigApplied(config()))
+    ref.tell(PeerSummary(PeerCounters("r1", 1, {}), {}, 1))
+    yield ref
+    ref.stop()
+
+
+def admit(dispatcher, req: str, arrived: float | None = None) -> Admit:
+    arrived = time.monotonic() if arrived is None else arrived
+    msg = Admit(RequestId(req), DEPOT, 1.0, Placement(LLM, None), arrived=arrived)
+    dispatcher.tell(msg)
+    return msg
+
+
+def test_a_slot_that_comes_free_is_not_given_to_a_request_whose_time_is_over(dispatcher):
+    """Guards against a grant between the timeout and the tick that gives requests up."""
+    assert admit(dispatcher, "first").reply.result(5).target == TARGET
+    late = admit(dispatcher, "late")
+    time.sleep(TIMEOUT_S + 0.1)
+    in_time = admit(dispatcher, "in_time")
+    dispatcher.tell(finished("first"))
+    with pytest.raises(QueueTimeout):
+        late.reply.result(5)
+    assert in_time.reply.result(5).target == TARGET
+
+
+def test_the_timeout_counts_from_the_request_and_not_from_the_queue(dispatcher):
+    """Guards against a wait before the dispatcher's mailbox that nobody counts."""
+    msg = admit(dispatcher, "old", arrived=time.monotonic() - TIMEOUT_S - 0.01)
+    with pytest.raises(QueueTimeout):
+        msg.reply.result(5)
+
+
+class LateGrants:
+    """Grants in time; the asking thread hears of it late."""
+
+    def __init__(self) -> None:
+        self.told = []
+
+    def tell(self, msg: object) -> None:
+        self.told.append(msg)
+        if isinstance(msg, Admit):
+            msg.reply.give(Grant(TARGET, "http://e0", 1))
+            time.sleep(TIMEOUT_S + 0.05)
+
+
+def test_a_grant_that_is_heard_after_the_timeout_is_given_back():
+    """Guards against a request that is sent late as its thread wakes up late."""
+    dispatcher = LateGrants()
+    proxy = Proxy(dispatcher, upstream=None, guard=None, node="r0")
+    req = CallerRequest(
+        RequestId("q"), DEPOT, LLM, ServiceKind.MODEL, b"{}", 1.0, None, True, "/", False
+    )
+    with pytest.raises(QueueTimeout):
+        proxy.serve(req, config())
+    assert dispatcher.told[-1] == Finished(RequestId("q"), DEPOT, TARGET, 1.0, 0.0, True)
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -136,7 +136,7 @@
             msg.req_id,
             msg.team,
             msg.hint,
-            time.monotonic() + cfg.limits.queue_timeout_s,
+            msg.arrived + cfg.limits.queue_timeout_s,
             msg.reply,
             msg.placement,
         )
@@ -307,7 +307,7 @@
             placement = queue.peek_head(team).context
             view = choose_target(targets, placement.prefix_key, placement.exclude)
             if view is not None:
-                self._grant(queue.pop_from(team), view)
+                self._grant_in_time(queue.pop_from(team), view)
                 return True
             if not placement.exclude:
                 return False
@@ -315,6 +315,20 @@
             # stopping here would leave them idle while other teams' work waits.
         return False
 
+    def _grant_in_time(self, item: Pending, view: TargetView) -> None:
+        # A slot may come free between a request's timeout and the tick that gives requests up.
+        if item.deadline > time.monotonic():
+            self._grant(item, view)
+        else:
+            self._give_up(item)
+
+    def _give_up(self, item: Pending) -> None:
+        """Refuse a request that has waited its time."""
+        self.hold.drop(item.team)
+        retry_after_s = self.config.limits().retry_after_s
+        if item.reply.refuse(QueueTimeout("queue_timeout", retry_after_s)):
+            log_event("given_up", req=item.req_id, team=item.team, reason="queue_timeout")
+
     def _grant(self, item: Pending, view: TargetView) -> None:
         # A caller's thread that stopped waiting has cancelled its reply. Granting it would
         # take a slot that nobody gives back, and the target would look busy for good.
@@ -329,10 +343,7 @@
         cfg = self.config.current
         for queue in self.queues.values():
             for item in queue.expire(now):
-                self.hold.drop(item.team)
-                if not item.reply.refuse(QueueTimeout("queue_timeout", cfg.limits.retry_after_s)):
-                    continue
-                log_event("given_up", req=item.req_id, team=item.team, reason="queue_timeout")
+                self._give_up(item)
         if self.draining and cfg is not None:
             self._pump()
 
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -1,5 +1,6 @@
 """Typed messages between the router's actors."""
 
+import time
 from dataclasses import dataclass, field
 
 from turmerictray.config.schema import Config
@@ -44,7 +45,8 @@
     A caller's thread that gives up waiting cancels ``reply``; the dispatcher then drops the
     request instead of granting it. A ``retry`` of a request accepted before goes to the head of
     its team's queue and is taken also while the router drains. ``config_version`` is that of the
-    configuration by which it was read; 0 where it is not told.
+    configuration by which it was read; 0 where it is not told. It may wait from ``arrived``, in
+    monotonic seconds, for as long as the queue timeout says.
     """
 
     req_id: RequestId
@@ -54,6 +56,7 @@
     reply: Reply = field(default_factory=Reply)
     retry: bool = False
     config_version: int = 0
+    arrived: float = field(default_factory=time.monotonic)
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -227,7 +227,7 @@
         start = time.monotonic()
         version = req.config_version
         self.dispatcher.tell(
-            Admit(req.req_id, req.team, req.hint, placement, reply, retry, version)
+            Admit(req.req_id, req.team, req.hint, placement, reply, retry, version, start)
         )
         try:
             grant = reply.result(timeout=cfg.limits.queue_timeout_s + _GRANT_MARGIN_S)
@@ -241,7 +241,14 @@
         except AdmissionError:
             metrics.REQUESTS.labels(req.team, "refused").inc()
             raise
-        metrics.QUEUE_WAIT.observe(time.monotonic() - start)
+        waited_s = time.monotonic() - start
+        if waited_s > cfg.limits.queue_timeout_s:
+            # This thread has heard of the grant late. Sent now, the request would begin after its
+            # caller has been promised that it does not.
+            self._finish(req, grant, 0.0)
+            metrics.REQUESTS.labels(req.team, "refused").inc()
+            raise QueueTimeout("queue_timeout", cfg.limits.retry_after_s)
+        metrics.QUEUE_WAIT.observe(waited_s)
         return grant
 
     def _headers(self, req: CallerRequest, grant: Grant) -> dict[str, str]:
