Engines are given the next prompt while the last one is being read

Cause: what an engine has to read was counted whole until the first event of a prompt had come back. A prompt is longer than the window (0.03 s of reading), so the next one was sent only after the first event, a message to the scheduler, a round, a grant and the way to the engine: a gap with each prompt, of a third of its reading time.

Ruled out: the stall and the hot team (the gap is there before them), refusals (there was always something to send).

Change: reading is taken to go on at the pool's rate since the last first event, for the oldest request only: an engine that has fallen silent is given one prompt more, and no others.

--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -198,6 +198,8 @@
         Moving average of the logarithm of (time taken / time that the pool's model says).
     failure_rate : float
         Moving average of failed answers, 0 to 1.
+    last_first_at : float
+        When the newest first event came, in monotonic seconds.
     """
 
     info: TargetInfo
@@ -213,6 +215,7 @@
     failure_rate: float = 0.0
     judged_at: float = 0.0
     unreachable: int = 0
+    last_first_at: float = -math.inf
     avoid_until: float = 0.0
     _standing: Standing | None = None
     _standing_at: float = 0.0
@@ -234,6 +237,7 @@
         self.note_changed()
         if read is not None:
             self.first_at[call_id] = read.sent_at + took_s
+            self.last_first_at = max(self.last_first_at, read.sent_at + took_s)
         if read is None or read.expected_s < _TELLING_S:
             return read
         low, high = _SLOWNESS_STEP
@@ -329,7 +333,19 @@
         read_per_s : float
             Tokens that a target of the pool reads in a second.
         """
-        return self.own_unread_tokens() + self._peers_unread(self._heard(now), now, read_per_s)
+        own = self._own_unread(self._open_reads(), now, read_per_s)
+        return own + self._peers_unread(self._heard(now), now, read_per_s)
+
+    def _own_unread(self, reads: list[OpenRead], now: float, read_per_s: float) -> int:
+        """Tokens to be read for this router, less what the oldest request's reading has done.
+
+        Only the oldest one's: an engine that has fallen silent is not taken to go on reading.
+        """
+        if not reads:
+            return 0
+        since_s = max(0.0, now - max(reads[0].sent_at, self.last_first_at))
+        done = min(reads[0].tokens, int(read_per_s * since_s / self.slowness))
+        return sum(read.tokens for read in reads) - done
 
     def _peers_unread(self, heard: list[PeerLoad], now: float, read_per_s: float) -> int:
         busy = [load for load in heard if load.unread_tokens]
@@ -350,7 +366,8 @@
             heard = self._heard(now)
             reads = self._open_reads()
             self._standing = Standing(
-                sum(read.tokens for read in reads) + self._peers_unread(heard, now, read_per_s),
+                self._own_unread(reads, now, read_per_s)
+                + self._peers_unread(heard, now, read_per_s),
                 self.running + sum(load.running for load in heard),
                 self.failures(now),
                 max((now - read.sent_at - read.expected_s for read in reads), default=0.0),
