A busy actor keeps neither the other actors nor the process from ending

What callers would see: answers cut in planned work, where a router that is told to stop goes on until it is killed.

Cause: stop_all(timeout=1) stops one actor after the other and raises at the first that is busy. The ones after it were never told, and actors' threads keep the process. An actor that asks peers or engines behind a cut is busy for a second with each message.

--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -1,4 +1,4 @@
-"""Questions to actors with a time limit, and actors without which a process can't go on."""
+"""Actors that don't keep their process, questions to them with a time limit, and their end."""
 
 import os
 import time
@@ -29,7 +29,35 @@
         return None
 
 
-class VitalActor(pykka.ThreadingActor):
+def stop_actors(within_s: float) -> None:
+    """Stop all actors, the last started first.
+
+    One that is busy, with a peer that does not answer for example, is told and left behind; waiting
+    for it would leave the others running until the process is killed.
+
+    Parameters
+    ----------
+    within_s : float
+        Seconds that this may take in all.
+    """
+    until = time.monotonic() + within_s
+    for actor in reversed(pykka.ActorRegistry.get_all()):
+        # Half of what is left, so that there is always some for the next one.
+        limit_s = max(0.0, until - time.monotonic()) / 2
+        try:
+            actor.stop(timeout=limit_s)
+        except pykka.Timeout:
+            name = actor.actor_class.__name__
+            log_event("actor_still_busy", level="WARNING", actor=name, limit_s=round(limit_s, 2))
+
+
+class BackgroundActor(pykka.ThreadingActor):
+    """An actor whose thread ends with the process."""
+
+    use_daemon_thread = True
+
+
+class VitalActor(BackgroundActor):
     """An actor whose failure ends its process.
 
     An actor that raises an error only stops itself. Without its owner of pools or of the peer link
--- a/turmerictray/orders/home.py
+++ b/turmerictray/orders/home.py
@@ -10,6 +10,7 @@
 
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core import metrics
+from turmerictray.core.actor import BackgroundActor
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -34,7 +35,7 @@
 _ASK_TIMEOUT_S = 2.0
 
 
-class ClaimHome(pykka.ThreadingActor):
+class ClaimHome(BackgroundActor):
     """Answers claims, from peers over a REP socket and from this router by message.
 
     Parameters
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -8,6 +8,7 @@
 import pynng
 
 from turmerictray.core import metrics
+from turmerictray.core.actor import BackgroundActor
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
@@ -29,7 +30,7 @@
 _HOLD_OFF_S = 1.0
 
 
-class HomeLink(pykka.ThreadingActor):
+class HomeLink(BackgroundActor):
     """Asks one peer's home, and on start fetches what it remembers for this router.
 
     Parameters
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -10,10 +10,10 @@
 from functools import singledispatchmethod
 
 import msgspec
-import pykka
 
 from turmerictray.config.schema import Config, Target
 from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core.actor import BackgroundActor
 from turmerictray.core.errors import EngineError, StaleFence
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -28,7 +28,7 @@
 """How long after the configuration service was asked its answer still counts as the newest."""
 
 
-class Placer(pykka.ThreadingActor):
+class Placer(BackgroundActor):
     """Compares engines with the configuration on each tick and orders what differs.
 
     Parameters
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -14,6 +14,7 @@
 from turmerictray.config.load import load_settings, parse_config
 from turmerictray.config.settings import RouterSettings
 from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core.actor import stop_actors
 from turmerictray.core.app import Application
 from turmerictray.core.errors import ConfigError, SettingsError
 from turmerictray.core.ids import NodeId, ZoneId
@@ -40,6 +41,7 @@
 _EXPIRE_TICK_S = 0.1
 _DRAIN_POLL_S = 0.1
 _CLAIMS_TICK_S = 0.5
+_ACTORS_STOP_S = 5.0
 
 
 class _Actors:
@@ -52,7 +54,7 @@
         self.router.start_actors()
 
     def stop(self) -> None:
-        pykka.ActorRegistry.stop_all(timeout=5)
+        stop_actors(_ACTORS_STOP_S)
 
 
 class Router:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -9,12 +9,11 @@
 import time
 from functools import singledispatchmethod
 
-import pykka
-
 from turmerictray.config.schema import Config
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.config.state import ConfigState
 from turmerictray.core import metrics
+from turmerictray.core.actor import BackgroundActor
 from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -47,7 +46,7 @@
 """Exit status of a router whose invariant broke in assertion mode."""
 
 
-class Dispatcher(pykka.ThreadingActor):
+class Dispatcher(BackgroundActor):
     """Grants target slots to queued requests, fairly and without idling.
 
     Parameters
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -12,7 +12,7 @@
 
 from turmerictray.admission.quarantine import Quarantine
 from turmerictray.core import metrics
-from turmerictray.core.actor import ask_in_time
+from turmerictray.core.actor import ask_in_time, stop_actors
 from turmerictray.core.app import Application
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
@@ -64,6 +64,9 @@
 _STOP_RESERVE_S = 0.9
 """Kept of the grace period for closing what is left before the process is killed."""
 
+_ACTORS_STOP_S = 0.3
+"""Part of the reserve in which actors may end what they are at."""
+
 _DRAIN_LOOK_S = 0.1
 
 _TIDY_S = 5.0
@@ -245,7 +248,7 @@
     def _stop_actors(self) -> None:
         for source in self._sources:
             source.stop()
-        pykka.ActorRegistry.stop_all(timeout=1)
+        stop_actors(_ACTORS_STOP_S)
         self._calls.stop()
         self._conns.close()
 
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -17,7 +17,7 @@
 import pynng
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import ask_in_time
+from turmerictray.core.actor import BackgroundActor, ask_in_time
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
@@ -74,7 +74,7 @@
 _DECODER = msgspec.msgpack.Decoder(Heartbeat)
 
 
-class PeerLink(pykka.ThreadingActor):
+class PeerLink(BackgroundActor):
     """Publishes this router's heartbeats and feeds peers' into the dispatcher.
 
     Parameters
--- a/turmerictray/router/recall.py
+++ b/turmerictray/router/recall.py
@@ -12,7 +12,7 @@
 import pykka
 import urllib3
 
-from turmerictray.core.actor import ask_in_time
+from turmerictray.core.actor import BackgroundActor, ask_in_time
 from turmerictray.core.errors import EngineError, PeerError
 from turmerictray.core.ids import NodeId, TargetId
 from turmerictray.core.logs import log_event
@@ -123,7 +123,7 @@
         ]
 
 
-class Recall(pykka.ThreadingActor):
+class Recall(BackgroundActor):
     """Fetches what the engines keep, tells the broker, and ends.
 
     Parameters
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -12,6 +12,7 @@
 
 from turmerictray.config.load import parse_config
 from turmerictray.core import metrics
+from turmerictray.core.actor import BackgroundActor
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed, PeerHasNewer
@@ -35,7 +36,7 @@
     """Ask the watcher to make its next watch call."""
 
 
-class ConfigWatcher(pykka.ThreadingActor):
+class ConfigWatcher(BackgroundActor):
     """Watches the configuration service and tells the dispatcher of newer accepted texts.
 
     Parameters
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import ask_in_time
+from turmerictray.core.actor import BackgroundActor, ask_in_time
 from turmerictray.core.ids import TargetId
 from turmerictray.core.timer import Tick
 from turmerictray.router.messages import LoadReport, TargetsQuery
@@ -28,7 +28,7 @@
     age_s: float = 0.0
 
 
-class LoadPoller(pykka.ThreadingActor):
+class LoadPoller(BackgroundActor):
     """On each tick, polls every known target's ``/load`` and tells the dispatcher."""
 
     def __init__(self, dispatcher: pykka.ActorRef) -> None:
--- a/turmerictray/standins/batcher.py
+++ b/turmerictray/standins/batcher.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import pykka
+from turmerictray.core.actor import BackgroundActor
 
 
 class Fault(Enum):
@@ -83,7 +83,7 @@
 _LOAD_SAMPLE_S = 0.05
 
 
-class Batcher(pykka.ThreadingActor):
+class Batcher(BackgroundActor):
     """Owns the engine's slots, waiting line, prefix cache and counters.
 
     Parameters
