--- a/tests/admission/test_refusal_by_work.py
+++ b/tests/admission/test_refusal_by_work.py
@@ -47,6 +47,24 @@
     pool.offer(item, clock.now)
 
 
+def test_an_engine_with_nothing_to_do_is_given_what_comes():
+    """Guards against refusals by a pace from the time of a stall while engines idle."""
+    clock = Clock()
+    pool = make_pool(clock)
+    for call_id in range(12):
+        offer(pool, clock, call_id, "a", LONG, 60.0)
+        clock.now += 10 * LONG_S
+        for sent in pool.sends(clock.now):
+            pool.targets.first_event(ENGINE, sent.item.context.call_id, LONG_S)
+    offer(pool, clock, 50, "a", LONG, 60.0)
+    for number in range(1, 6):
+        pool.targets.take(TargetInfo(TargetId(f"back{number}"), LLM, "h:1", ZONE, 64))
+    assert len(list(pool.sends(clock.now))) == 1
+    for number in range(3):
+        offer(pool, clock, 100 + number, f"b{number}", LONG, OBJECTIVE_S)
+    assert len(pool.queue) == 3
+
+
 def test_short_prompts_are_not_refused_for_the_pace_that_long_ones_set():
     """Guards against a pace of requests that lets in nothing but long prompts once they set it."""
     clock = Clock()
