--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -6,16 +6,17 @@
 """
 
 import math
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from heapq import heapify, heappop, heappush
 
 from turmerictray.admission.budget import RetryBudget
+from turmerictray.admission.line import OLDEST_EVERY, WaitingLine
 from turmerictray.admission.openings import Openings
 from turmerictray.admission.pace import Pace
-from turmerictray.admission.turns import TeamTurns, turn_of, work_of
+from turmerictray.admission.turns import work_of
 from turmerictray.admission.window import READ_AHEAD_S, engine_open, plain_open, window_part
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
@@ -52,12 +53,6 @@
 engine that keeps their prompt; counted, any small team would make all others seem ahead of it, and
 the differences between the large ones would be lost."""
 
-_OLDEST_EVERY = 4
-"""One of so many sends of a team takes its oldest request, the others the one that can wait least,
-and of those the shortest. Under twice the load that engines can read, most callers with short
-prompts are answered in time by the time that a few long ones take; the oldest's turn keeps long
-ones from waiting for ever."""
-
 _URGENCY_DIGITS = 1
 """Objectives are told apart to a tenth of a second; what the way to the router took is not."""
 
@@ -212,10 +207,9 @@
         self.queue = FairQueue(ledger, _QUEUE_PER_TEAM, 0.0)
         self.routers = 1
         self._turns: Counter[TeamId] = Counter()
-        self._waiting: dict[TeamId, TeamTurns] = defaultdict(TeamTurns)
+        self._line = WaitingLine()
         self._opened_at: dict[TargetId, float] = {}
         self._pace = Pace()
-        self._work_of_first: dict[int, float] = {}
         self._left_open = 0
         self._sent = 0.0
         self._refused = 0
@@ -248,8 +242,7 @@
             self.queue.push(item, front=retry)
         except QueueFull as exc:
             raise QueueFull(exc.reason, wait) from exc
-        self._waiting[item.team].add(item, first=retry)
-        self._work_of_first.clear()
+        self._line.add(item, first=retry)
 
     def _wait_until(self, item: Pending, loads: list[TargetLoad], now: float) -> float:
         """Until when a request may wait and still be answered in time.
@@ -271,38 +264,16 @@
 
     def expected_wait_s(self, item: Pending) -> float:
         """Seconds until the request's turn, by the work before it and the pace of sends."""
-        return self._pace.seconds_for(self._work_ahead_of(item))
+        return self._pace.seconds_for(self._line.work_ahead_of(item))
 
     def backlog_s(self) -> float:
         """Seconds until all that waits has been sent, by the pace of sends."""
-        teams = self.queue.backlogged()
-        work = sum(self._waiting[team].work_of(self.queue.depth(team)) for team in teams)
-        return self._pace.seconds_for(work)
+        return self._pace.seconds_for(self._line.work())
 
     def _wait_reason(self, item: Pending) -> str:
-        work, wait = self._work_ahead_of(item), self.expected_wait_s(item)
+        work, wait = self._line.work_ahead_of(item), self.expected_wait_s(item)
         return f"wait_too_long: {round(work)} before it, {round(wait * 1000)} ms"
 
-    def _work_ahead_of(self, item: Pending) -> float:
-        """Work that is sent before a request.
-
-        Teams take turns, so it waits for those of its own team that come before it, and for as many
-        of each other team.
-        """
-        waiting = self._waiting[item.team]
-        before = waiting.up_to(turn_of(item))
-        own = before * _OLDEST_EVERY // (_OLDEST_EVERY - 1)
-        others = self._work_of_all(own + 1) - waiting.work_of(own + 1)
-        return others + waiting.work_of(own)
-
-    def _work_of_all(self, first: int) -> float:
-        """Work of the first so many requests of each team."""
-        work = self._work_of_first.get(first)
-        if work is None:
-            work = sum(self._waiting[team].work_of(first) for team in self.queue.backlogged())
-            self._work_of_first[first] = work
-        return work
-
     def backlogged(self) -> set[TeamId]:
         """Teams that wait for room."""
         teams = self.queue.backlogged()
@@ -400,9 +371,9 @@
 
     def _next_of(self, team: TeamId) -> list[Pending]:
         """The team's requests that come next: mostly the most urgent, now and then the oldest."""
-        if self._turns[team] % _OLDEST_EVERY == 0:
+        if self._turns[team] % OLDEST_EVERY == 0:
             return self.queue.waiting(team, _LOOK_BEHIND)
-        return self._waiting[team].next(_LOOK_BEHIND)
+        return self._line.next(team, _LOOK_BEHIND)
 
     def _lead(self, team: TeamId, leads: Leads, backlogged: set[TeamId], most: float) -> float:
         lead = leads.of(team)
@@ -455,16 +426,13 @@
 
     def _remove(self, item: Pending) -> None:
         self.queue.discard(item)
-        self._waiting[item.team].remove(item)
-        self._work_of_first.clear()
+        self._line.remove(item)
 
     def expire(self, now: float) -> list[Pending]:
         """Take out the requests that have waited their time."""
         expired = self.queue.expire(now)
-        if expired:
-            self._work_of_first.clear()
         for item in expired:
-            self._waiting[item.team].remove(item)
+            self._line.remove(item)
             self.release(item.context)
         return expired
 
