--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -333,19 +333,29 @@
         read_per_s : float
             Tokens that a target of the pool reads in a second.
         """
-        own = self._own_unread(self._open_reads(), now, read_per_s)
-        return own + self._peers_unread(self._heard(now), now, read_per_s)
-
-    def _own_unread(self, reads: list[OpenRead], now: float, read_per_s: float) -> int:
-        """Tokens to be read for this router, less what the oldest request's reading has done.
-
-        Only the oldest one's: an engine that has fallen silent is not taken to go on reading.
+        return self._unread(self._open_reads(), self._heard(now), now, read_per_s)
+
+    def _unread(
+        self, reads: list[OpenRead], heard: list[PeerLoad], now: float, read_per_s: float
+    ) -> int:
+        unread = sum(read.tokens for read in reads)
+        if heard:
+            # What peers have sent may be read before this router's.
+            return unread + self._peers_unread(heard, now, read_per_s)
+        return unread - self._read_since(reads, now, read_per_s)
+
+    def _read_since(self, reads: list[OpenRead], now: float, read_per_s: float) -> int:
+        """Tokens read since the last first event.
+
+        Counted whole until its own first event, a prompt that is longer than the window would keep
+        the next one back until word of its end has come here, and the engine would idle meanwhile.
+        Only the oldest request's reading is taken to go on: an engine that has fallen silent is not
+        given more and more.
         """
         if not reads:
             return 0
         since_s = max(0.0, now - max(reads[0].sent_at, self.last_first_at))
-        done = min(reads[0].tokens, int(read_per_s * since_s / self.slowness))
-        return sum(read.tokens for read in reads) - done
+        return min(reads[0].tokens, int(read_per_s * since_s / self.slowness))
 
     def _peers_unread(self, heard: list[PeerLoad], now: float, read_per_s: float) -> int:
         busy = [load for load in heard if load.unread_tokens]
@@ -366,8 +376,7 @@
             heard = self._heard(now)
             reads = self._open_reads()
             self._standing = Standing(
-                self._own_unread(reads, now, read_per_s)
-                + self._peers_unread(heard, now, read_per_s),
+                self._unread(reads, heard, now, read_per_s),
                 self.running + sum(load.running for load in heard),
                 self.failures(now),
                 max((now - read.sent_at - read.expected_s for read in reads), default=0.0),
@@ -400,7 +409,7 @@
         self.held_sum -= self.held.pop(call_id, 0)
 
     def own_unread_tokens(self) -> int:
-        """Tokens that the target still has to read for this router."""
+        """Tokens that the target still has to read for this router, whole requests."""
         return sum(read.tokens for read in self._open_reads())
 
     def running_in_fleet(self, now: float) -> int:
