The receiving threads of links end before their process does

What operators saw: a router that had stopped as planned ended with exit code -6.

Cause: at the end of a process the socket library cleans up, and aborts ("panic: pthread_mutex_lock: Invalid argument" in nni_aio_fini) while a thread is still in its receive call. The receiving threads of both links were told by the closing of their sockets and not waited for.

Change: core.receive.Receiver owns socket and thread, closes the one and waits for the other.

--- a/tests/scheduling/test_link.py
+++ b/tests/scheduling/test_link.py
@@ -1,6 +1,7 @@
 """Messages between routers and the scheduler over real sockets."""
 
 import socket
+import threading
 import time
 
 import pytest
@@ -121,3 +122,12 @@
         time.sleep(0.01)
     assert len(sent) < len(words)
     assert heard == sent
+
+
+def test_nothing_receives_any_more_once_a_link_has_stopped():
+    """Guards against an abort at a process's end, where a thread is still in the library."""
+    for _ in range(20):
+        link = SchedulingLink(free_address(), lambda _: None)
+        link.start()
+        link.stop()
+        assert not [t for t in threading.enumerate() if t.name == "scheduling-receive"]
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -6,7 +6,6 @@
 """
 
 import random
-import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,7 +20,7 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
-from turmerictray.core.receive import receive_all
+from turmerictray.core.receive import Receiver, receive_all
 from turmerictray.core.timer import Tick
 from turmerictray.membership.gossip import FANOUT, Batch, Gossip
 from turmerictray.membership.messages import (
@@ -36,6 +35,9 @@
 """Time between messages. What peers have sent to an engine is known this late; in that time all of
 them may take the same engine for free, so it is kept well under an engine's reading window."""
 
+_RECV_BUFFER = 128
+"""Messages that wait to be handled."""
+
 _REDIAL_S = 2.0
 """A peer silent this long is dialled anew: a connection that a cut left half open swallows messages
 without an error, and new ones work."""
@@ -148,20 +150,21 @@
         self._outlets: dict[str, _Outlet] = {}
         self._rng = random.Random()
         self._gossip = Gossip(self.table, self._rng)
-        self._pull: pynng.Pull0 | None = None
+        self._receiver: Receiver | None = None
 
     def on_start(self) -> None:
         try:
-            self._pull = pynng.Pull0(listen=self.entry.address, recv_buffer_size=128)
+            self._receiver = Receiver(
+                self.entry.address, "peer-receive", _RECV_BUFFER, self._receive
+            )
         except pynng.NNGException as exc:
             raise PeerError(f"cannot listen on {self.entry.address}: {exc}") from exc
-        threading.Thread(target=self._receive, name="peer-receive", daemon=True).start()
 
     def on_stop(self) -> None:
         for outlet in self._outlets.values():
             outlet.close()
-        if self._pull is not None:
-            self._pull.close()
+        if self._receiver is not None:
+            self._receiver.close()
 
     @singledispatchmethod
     def on_receive(self, message: object) -> object:
@@ -275,8 +278,8 @@
         own = () if self._leaving else (self.entry,)
         self._on_members((*own, *self.table.alive(now)))
 
-    def _receive(self) -> None:
-        receive_all(self._pull, "peers", "peer_receive_failed", self._hand_on)
+    def _receive(self, pull: pynng.Pull0) -> None:
+        receive_all(pull, "peers", "peer_receive_failed", self._hand_on)
 
     def _hand_on(self, data: bytes) -> None:
         if self.actor_ref.is_alive():
--- a/turmerictray/scheduling/link.py
+++ b/turmerictray/scheduling/link.py
@@ -14,7 +14,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event
-from turmerictray.core.receive import receive_all
+from turmerictray.core.receive import Receiver, receive_all
 from turmerictray.scheduling.messages import SchedulingMessage
 
 _SEND_BUFFER = 128
@@ -44,19 +44,20 @@
         self._on_message = on_message
         self._lock = threading.Lock()
         self._outlets: dict[str, pynng.Push0] = {}
-        self._pull: pynng.Pull0 | None = None
+        self._receiver: Receiver | None = None
 
     def start(self) -> None:
         """Listen; raises :class:`PeerError` when the address is taken."""
         try:
-            self._pull = pynng.Pull0(listen=self.address, recv_buffer_size=_RECV_BUFFER)
+            self._receiver = Receiver(
+                self.address, "scheduling-receive", _RECV_BUFFER, self._receive
+            )
         except pynng.NNGException as exc:
             raise PeerError(f"cannot listen on {self.address}: {exc}") from exc
-        threading.Thread(target=self._receive, name="scheduling-receive", daemon=True).start()
 
     def stop(self) -> None:
         """Close all sockets."""
-        self._pull.close()
+        self._receiver.close()
         with self._lock:
             outlets, self._outlets = self._outlets, {}
         for outlet in outlets.values():
@@ -100,8 +101,8 @@
                 self._outlets[address] = outlet
             return outlet
 
-    def _receive(self) -> None:
-        receive_all(self._pull, "scheduling", "scheduling_receive_failed", self._take)
+    def _receive(self, pull: pynng.Pull0) -> None:
+        receive_all(pull, "scheduling", "scheduling_receive_failed", self._take)
 
     def _take(self, data: bytes) -> None:
         try:
