--- a/turmerictray/admission/openings.py
+++ b/turmerictray/admission/openings.py
@@ -9,7 +9,8 @@
 class Openings:
     """Targets with room for one more request, by the part of their windows that a team may use.
 
-    Looked up for each waiting request, the room of an engine was most of what a scheduler did.
+    Worked out once for all that waits: for each request anew it would be most of what a scheduler
+    does.
 
     Parameters
     ----------
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -57,10 +57,10 @@
 """Objectives are told apart to a tenth of a second; what the way to the router took is not."""
 
 _LOOK_AGAIN_S = 0.1
-"""A request that waits for an engine is looked at again when that engine has room, when one has
-room that nobody waits for, and else after this time: by then what engines have to do has changed
-by a few prompts. Looked at with each message instead, the requests of a large fleet need more
-processor time than a scheduler has."""
+"""A request that waits for an engine is looked at again when that engine has room, when one gets
+room that nobody waits for, and while there is one after this time: by then what engines have to do
+has changed by a few prompts. Looked at with each message instead, the requests of a large fleet
+need more processor time than a scheduler has."""
 
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 12
--- a/turmerictray/router/pool_gauges.py
+++ b/turmerictray/router/pool_gauges.py
@@ -26,7 +26,9 @@
         return True
 
     def tell(self, pools: Iterable[tuple[ShardId, ServicePool]], now: float) -> None:
-        """Tell of the pools that were given work, hold some, or refused some since the last time.
+        """Export the state of pools, and log it for those in which something has happened.
+
+        That is, which were given work, hold some, or refused some since the last time.
 
         Parameters
         ----------
@@ -36,6 +38,7 @@
         for shard, pool in pools:
             state, before = pool.state(now), self._told.get(pool)
             self._told[pool] = state
+            _export(shard, pool, state)
             if before is not None and (state.waiting or _has_moved(state, before)):
                 _tell(shard, pool, state, before)
 
@@ -44,14 +47,21 @@
     return state.sent != before.sent or state.refused != before.refused
 
 
-def _tell(shard: ShardId, pool: ServicePool, state: PoolState, before: PoolState) -> None:
-    name = f"{shard.index}/{shard.count}"
+def _export(shard: ShardId, pool: ServicePool, state: PoolState) -> None:
+    name = _name(shard)
     metrics.POOL_PACE.labels(pool.name, name).set(state.pace_per_s)
     metrics.ENGINES_IDLE.labels(pool.name, name).set(state.idle)
+
+
+def _name(shard: ShardId) -> str:
+    return f"{shard.index}/{shard.count}"
+
+
+def _tell(shard: ShardId, pool: ServicePool, state: PoolState, before: PoolState) -> None:
     log_event(
         "pool",
         service=pool.name,
-        shard=name,
+        shard=_name(shard),
         waiting=state.waiting,
         pace_per_s=round(state.pace_per_s),
         ready=state.ready,
