--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -210,7 +210,6 @@
         self._line = WaitingLine()
         self._opened_at: dict[TargetId, float] = {}
         self._pace = Pace()
-        self._left_open = 0
         self._sent = 0.0
         self._refused = 0
 
@@ -224,8 +223,7 @@
         QueueFull
             The team has too many waiting.
         WontBeServed
-            By the rate at which requests are sent now, its turn comes too late, and no engine would
-            idle without it.
+            By the rate at which requests are sent now, its turn comes too late.
         """
         wanted: Wanted = item.context
         loads = candidates(self.targets.loads.values(), wanted.exclude, now)
@@ -234,8 +232,7 @@
         if not retry:
             item.deadline = self._wait_until(item, loads, now)
         wait = self.expected_wait_s(item)
-        is_late = now + wait > item.deadline
-        if is_late and not retry and len(self.queue) >= self._left_open:
+        if not retry and now + wait > item.deadline:
             self._refused += 1
             raise WontBeServed(self._wait_reason(item), wait)
         try:
@@ -311,7 +308,6 @@
         yield from self._send_those(has_opening, openings, looks, now)
         if self._has_unclaimed(openings):
             yield from self._send_those(may_do_better, openings, looks, now)
-        self._left_open = len(openings.of(1.0))
 
     def _send_those(
         self,
