What waits is looked at again now and then, also while every engine is waited for

Cause: "A round sends what has room first" looked again at what waits only while an engine had room that nobody waits for. Beside overload there is none, and a request that waits for an engine which hangs, fails or turns slow stayed with it.

The order within a round, what has room first, stays, and its test.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -58,8 +58,8 @@
 
 _LOOK_AGAIN_S = 0.1
 """A request that waits for an engine is looked at again when that engine has room, when one gets
-room that nobody waits for, and while there is one after this time: by then what engines have to do
-has changed by a few prompts. Looked at with each message instead, the requests of a large fleet
+room that nobody waits for, and else after this time: by then what engines have to do has changed
+by a few prompts, and one that has fallen silent shows. Looked at with each message instead, the requests of a large fleet
 need more processor time than a scheduler has."""
 
 _LOOK_BEHIND = 8
@@ -306,8 +306,7 @@
             return wanted.held_by.info.id in openings.of(part)
 
         yield from self._send_those(has_opening, openings, looks, now)
-        if self._has_unclaimed(openings):
-            yield from self._send_those(may_do_better, openings, looks, now)
+        yield from self._send_those(may_do_better, openings, looks, now)
 
     def _send_those(
         self,
@@ -346,10 +345,6 @@
         is_listed = self.targets.loads.get(load.info.id) is load
         return is_listed and load.info.phase is TargetPhase.READY and not load.avoided(now)
 
-    def _has_unclaimed(self, openings: Openings) -> bool:
-        """Whether a target has room that nobody waits for."""
-        return any(not self.targets.loads[target].held for target in openings.of(1.0))
-
     def _unclaimed_at(self, openings: Openings, now: float) -> float:
         """When an engine that nobody waits for got room last; requests may be better off there."""
         if self.targets.spec.engine is None:
