Routers that all start together wait 0.6 s for each other, not a second

Cause: a router without a peer that serves waited as long as one that hears nobody. One that has heard all peers it knows, which are starting too, has only to leave time for a peer that is not: two messages of it.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -59,8 +59,8 @@
 _LOOK_AGAIN_S = 0.1
 """A request that waits for an engine is looked at again when that engine has room, when one gets
 room that nobody waits for, and else after this time: by then what engines have to do has changed
-by a few prompts, and one that has fallen silent shows. Looked at with each message instead, the requests of a large fleet
-need more processor time than a scheduler has."""
+by a few prompts, and one that has fallen silent shows. Looked at with each message instead, the
+requests of a large fleet need more processor time than a scheduler has."""
 
 _LOOK_BEHIND = 8
 _MOST_LOOKED_AT = 12
--- a/turmerictray/router/start_check.py
+++ b/turmerictray/router/start_check.py
@@ -10,6 +10,10 @@
 """A router that no peer is known to by then goes by what it has read itself. It has sent its seeds
 four messages by then."""
 
+_ALL_STARTING_S = 0.6
+"""The same for one that has heard all peers that it knows, which are starting as well. A peer that
+is not has sent it two messages by then."""
+
 _NO_WORD_S = 3.0
 """The same for a router that knows of peers it has not heard. Members that are down count as alive
 for about as long."""
@@ -71,6 +75,7 @@
         if any(self._heard.values()):
             return StartEnd.PEER
         # Peers that are all starting know no more than this router does.
-        if waited_s >= ALONE_S and self._members <= self._heard.keys():
+        limit_s = _ALL_STARTING_S if self._heard else ALONE_S
+        if waited_s >= limit_s and self._members <= self._heard.keys():
             return StartEnd.ALONE
         return StartEnd.NO_WORD if waited_s >= _NO_WORD_S else None
