A router whose peer link cannot start terminates instead of running isolated

PeerLink's on_start raises PeerError, pykka ends the actor, and its logger has a handler that discards records.

Class: an actor that ends unseen. pykka doesn't call on_failure for a failed start, so also the routed path's PeerLink, though vital, would have ended unseen. VitalActor now opens its resources in open() and terminates the process if that fails; all actors of the own path are vital; what pykka logs reaches the log.

A silent peer is on the metrics page (turmerictray_peer_silence_seconds, turmerictray_heartbeats_total) and in the log (peer_lost, also for a peer never heard, with the number of connections and of heartbeats sent) after peer_timeout_s.

--- a/tests/core/test_actor.py
+++ b/tests/core/test_actor.py
@@ -29,3 +29,53 @@
     assert proc.returncode == ACTOR_FAILED_EXIT
     assert "event=actor_failed actor=Pools" in proc.stdout
     assert "no such pool" in proc.stdout
+
+
+FAILED_START_PROGRAM = """
+import time
+from turmerictray.core.actor import VitalActor
+from turmerictray.core.logs import setup_logging
+
+class Link(VitalActor):
+    def open(self):
+        raise ValueError("address in use")
+
+setup_logging("router", "r1", stderr=False, stdout=True)
+Link.start()
+time.sleep(20)
+"""
+
+
+def test_actor_that_fails_to_start_terminates_process_with_reason():
+    """Guards against a router that serves without its peer link, as the link failed to start."""
+    proc = subprocess.run(
+        [sys.executable, "-c", FAILED_START_PROGRAM], capture_output=True, text=True, timeout=15
+    )
+    assert proc.returncode == ACTOR_FAILED_EXIT
+    assert "event=actor_failed actor=Link" in proc.stdout
+    assert "address in use" in proc.stdout
+
+
+PLAIN_ACTOR_PROGRAM = """
+import time
+import pykka
+from turmerictray.core.logs import setup_logging
+
+class Optional(pykka.ThreadingActor):
+    use_daemon_thread = True
+    def on_receive(self, message):
+        raise ValueError(message)
+
+setup_logging("router", "r1", stderr=False, stdout=True)
+Optional.start().tell("no such entry")
+time.sleep(0.5)
+"""
+
+
+def test_failure_of_any_actor_is_logged():
+    """Guards against an actor that ends without a trace in the log."""
+    proc = subprocess.run(
+        [sys.executable, "-c", PLAIN_ACTOR_PROGRAM], capture_output=True, text=True, timeout=15
+    )
+    assert "event=library_log logger=pykka" in proc.stdout
+    assert "no such entry" in proc.stdout
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -1,6 +1,7 @@
 """Actor base classes, queries to actors with a timeout, and the stop of all actors."""
 
 import os
+import sys
 import time
 from types import TracebackType
 from typing import Any
@@ -64,8 +65,22 @@
     By default only the actor that raised stops. A router without the actor that owns its pools
     would still report that it is ready but refuse every request, and one without its peer link
     would run isolated, until somebody notices. A terminated router is restarted within a second.
+
+    Subclasses acquire their resources in :meth:`open`, not in ``on_start``.
     """
 
+    def on_start(self) -> None:
+        """Acquire the actor's resources; terminate the process if that fails."""
+        try:
+            self.open()
+        except Exception:
+            # pykka doesn't call on_failure for a failed start.
+            self.on_failure(*sys.exc_info())
+            raise
+
+    def open(self) -> None:
+        """Acquire the actor's resources, on its own thread before the first message."""
+
     def on_failure(
         self,
         exception_type: type[BaseException] | None,
--- a/turmerictray/core/logs.py
+++ b/turmerictray/core/logs.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import logging
 import re
 import sys
 import threading
@@ -91,6 +92,25 @@
         logger.add(StdoutSink(), format="{message}", level="INFO", enqueue=False, catch=False)
     if path:
         logger.add(path, format="{message}", level="INFO", enqueue=False)
+    _log_actor_failures()
+
+
+class _LibraryLogs(logging.Handler):
+    """Writes a library's warnings and errors, with the exception if there is one, as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one record."""
+        exc = record.exc_info[1] if record.exc_info else None
+        reason = record.getMessage() if exc is None else f"{record.getMessage()} {exc!r}"
+        log_event("library_log", level="WARNING", logger=record.name, reason=reason[:300])
+
+
+def _log_actor_failures() -> None:
+    # pykka installs a handler that discards its records, so that an actor that fails without a
+    # hook of its own would leave no trace.
+    pykka_logger = logging.getLogger("pykka")
+    if not any(isinstance(handler, _LibraryLogs) for handler in pykka_logger.handlers):
+        pykka_logger.addHandler(_LibraryLogs(level=logging.WARNING))
 
 
 def log_event(event: str, level: str = "INFO", **fields: object) -> None:
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -61,6 +61,18 @@
     buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2, 5, 10),
     registry=REGISTRY,
 )
+PEER_SILENCE = Gauge(
+    "turmerictray_peer_silence_seconds",
+    "Time since the last heartbeat of a peer, or since the start if none was received.",
+    ["peer"],
+    registry=REGISTRY,
+)
+HEARTBEATS = Counter(
+    "turmerictray_heartbeats_total",
+    "Heartbeats by whether they were sent, or why not: late_tick or no_report.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 CLAIMS = Counter(
     "turmerictray_claims_total",
     "Claims on keys of non-idempotent requests, by verdict.",
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -159,7 +159,7 @@
         self._gossip = Gossip(self.table, self._rng)
         self._receiver: Receiver | None = None
 
-    def on_start(self) -> None:
+    def open(self) -> None:
         try:
             self._receiver = Receiver(
                 self.entry.address, "peer-receive", _RECV_BUFFER, self._receive
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -8,7 +8,7 @@
 import pynng
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
@@ -31,7 +31,7 @@
 """Time for which a peer that did not answer is considered unreachable."""
 
 
-class HomeLink(BackgroundActor):
+class HomeLink(VitalActor):
     """Queries one peer's replica, and after the start fetches the claims that it stores.
 
     Parameters
@@ -58,7 +58,7 @@
         self.unreachable_until = 0.0
         self._req: pynng.Req0 | None = None
 
-    def on_start(self) -> None:
+    def open(self) -> None:
         self._req = pynng.Req0(send_timeout=_SEND_TIMEOUT_MS, recv_timeout=_RECV_TIMEOUT_MS)
         self._req.dial(self.address, block=False)
 
--- a/turmerictray/orders/replica.py
+++ b/turmerictray/orders/replica.py
@@ -10,7 +10,7 @@
 
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -38,7 +38,7 @@
 """Time the socket thread waits for the actor's answer to a peer's request."""
 
 
-class ClaimHome(BackgroundActor):
+class ClaimHome(VitalActor):
     """Votes on claims, from peers over a REP socket and from this router by actor messages.
 
     Parameters
@@ -64,7 +64,7 @@
         self._rep: pynng.Rep0 | None = None
         self._thread: threading.Thread | None = None
 
-    def on_start(self) -> None:
+    def open(self) -> None:
         try:
             self._rep = pynng.Rep0(listen=self.listen, recv_timeout=_RECV_TIMEOUT_MS)
         except pynng.NNGException as exc:
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -13,7 +13,7 @@
 
 from turmerictray.config.schema import Config, Target
 from turmerictray.config.snapshot import ConfigSnapshot
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import EngineError, StaleFence
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -29,7 +29,7 @@
 to it."""
 
 
-class Placer(BackgroundActor):
+class Placer(VitalActor):
     """Actor that compares engines with the configuration on each tick and orders the differences.
 
     Parameters
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -113,7 +113,7 @@
             node=s.node,
             zone=s.zone,
             listen=s.peer_listen,
-            peers=[peer.heartbeat for peer in s.peers],
+            peers={peer.node: peer.heartbeat for peer in s.peers},
             dispatcher=self.dispatcher,
             peer_timeout_s=s.peer_timeout_s,
             placer=placer,
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -13,7 +13,7 @@
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.config.state import ConfigState
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -46,7 +46,7 @@
 """Exit status of a router that detected a violated invariant in assertion mode."""
 
 
-class Dispatcher(BackgroundActor):
+class Dispatcher(VitalActor):
     """Scheduler of target slots that shares them fairly and is work-conserving.
 
     Parameters
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -17,7 +17,7 @@
 import pynng
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor, ask_with_timeout
+from turmerictray.core.actor import VitalActor, ask_with_timeout
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
@@ -76,7 +76,7 @@
 _DECODER = msgspec.msgpack.Decoder(Heartbeat)
 
 
-class PeerLink(BackgroundActor):
+class PeerLink(VitalActor):
     """Actor that sends this router's heartbeats and passes on those of its peers.
 
     Parameters
@@ -85,12 +85,12 @@
         Name and availability zone of this router.
     listen : str
         Address to publish on, ``tcp://host:port``.
-    peers : list of str
-        Addresses that the peers publish on.
+    peers : dict of str to str
+        Address that each peer publishes on, by the peer's name.
     dispatcher : pykka.ActorRef
         Receives a :class:`PeerSummary` for each heartbeat of a peer.
     peer_timeout_s : float
-        Time without a heartbeat after which a peer is logged as lost, in seconds.
+        Time without a heartbeat after which a peer is logged as silent, in seconds.
     placer : pykka.ActorRef
         Receives the same summaries, to know which peers are alive.
     watcher : pykka.ActorRef
@@ -104,7 +104,7 @@
         node: str,
         zone: str,
         listen: str,
-        peers: list[str],
+        peers: dict[str, str],
         dispatcher: pykka.ActorRef,
         peer_timeout_s: float,
         placer: pykka.ActorRef,
@@ -114,6 +114,7 @@
         super().__init__()
         self.node, self.zone = node, zone
         self.listen, self.peers = listen, peers
+        self.started_at = time.monotonic()
         self.dispatcher = dispatcher
         self.placer = placer
         self.watcher = watcher
@@ -123,7 +124,7 @@
         self.seq = 0
         self.last_sent: dict[str, float] = {}
         self.last_received_at: dict[str, float] = {}
-        self.lost_peers: set[str] = set()
+        self.silent_peers: set[str] = set()
         self.incarnations: dict[str, int] = {}
         self.echoes_left: dict[str, int] = {}
         self._closing = threading.Event()
@@ -131,17 +132,18 @@
         self.sub: pynng.Sub0 | None = None
         self._reader: threading.Thread | None = None
 
-    def on_start(self) -> None:
+    def open(self) -> None:
         try:
             self.pub = pynng.Pub0(listen=self.listen)
         except pynng.NNGException as exc:
             raise PeerError(f"cannot listen on {self.listen}: {exc}") from exc
         self.sub = pynng.Sub0(recv_timeout=_RECV_TIMEOUT_MS)
         self.sub.subscribe(b"")
-        for addr in self.peers:
+        for addr in self.peers.values():
             self.sub.dial(addr, block=False)
         self._reader = threading.Thread(target=self._receive, name="peer-reader", daemon=True)
         self._reader.start()
+        log_event("peer_link_started", listen=self.listen, peers=len(self.peers))
 
     def on_stop(self) -> None:
         self._closing.set()
@@ -153,9 +155,11 @@
 
     def on_receive(self, message: object) -> None:
         if isinstance(message, Tick):
-            if not message.is_late():
+            if message.is_late():
+                metrics.HEARTBEATS.labels("late_tick").inc()
+            else:
                 self._send_heartbeat()
-            self._log_lost_peers(time.monotonic())
+            self._check_silence(time.monotonic())
         elif isinstance(message, Heartbeat):
             self._process_heartbeat(message)
 
@@ -163,6 +167,7 @@
         restarted = frozenset(NodeId(node) for node in self.echoes_left)
         report = ask_with_timeout(self.dispatcher, ReportQuery(restarted), _REPORT_TIMEOUT_S)
         if report is None:
+            metrics.HEARTBEATS.labels("no_report").inc()
             return
         local = report.counters
         self.seq += 1
@@ -186,6 +191,7 @@
         )
         data = _ENCODER.encode(heartbeat)
         self.pub.send(data)
+        metrics.HEARTBEATS.labels("sent").inc()
         metrics.count_control_bytes("peer", len(data) * max(1, len(self.peers)), 0)
 
     def _receive(self) -> None:
@@ -210,8 +216,8 @@
         if self.incarnations.get(heartbeat.node) != heartbeat.counters.incarnation:
             self.incarnations[heartbeat.node] = heartbeat.counters.incarnation
             self.echoes_left[heartbeat.node] = ECHO_HEARTBEATS
-        if heartbeat.node in self.lost_peers:
-            self.lost_peers.discard(heartbeat.node)
+        if heartbeat.node in self.silent_peers:
+            self.silent_peers.discard(heartbeat.node)
             log_event("peer_back", peer=heartbeat.node, peer_zone=heartbeat.zone)
         summary = PeerSummary(
             heartbeat.counters, heartbeat.demand, heartbeat.config_version, heartbeat.echoes
@@ -222,8 +228,21 @@
             self.max_peer_version = heartbeat.config_version
             self.watcher.tell(PeerHasNewer(heartbeat.config_version, heartbeat.url))
 
-    def _log_lost_peers(self, now: float) -> None:
-        for node, last in list(self.last_received_at.items()):
-            if node not in self.lost_peers and now - last > self.peer_timeout_s:
-                self.lost_peers.add(node)
-                log_event("peer_lost", level="WARNING", peer=node, silent_s=round(now - last, 2))
+    def _check_silence(self, now: float) -> None:
+        """Report how long each peer has been silent, counted from the start if never heard."""
+        for node in self.peers:
+            silent_s = now - self.last_received_at.get(node, self.started_at)
+            metrics.PEER_SILENCE.labels(node).set(round(silent_s, 2))
+            if silent_s > self.peer_timeout_s and node not in self.silent_peers:
+                self.silent_peers.add(node)
+                # The further fields tell a link that doesn't work here from one of the peer: how
+                # many peers it is connected to, and how many heartbeats it has sent itself.
+                log_event(
+                    "peer_lost",
+                    level="WARNING",
+                    peer=node,
+                    silent_s=round(silent_s, 2),
+                    heard_before=node in self.last_received_at,
+                    connected=len(self.sub.pipes),
+                    sent=self.seq,
+                )
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -12,7 +12,7 @@
 
 from turmerictray.config.load import parse_config
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed, PeerHasNewer
@@ -38,7 +38,7 @@
     """Message from the watcher to itself that starts the next long poll."""
 
 
-class ConfigWatcher(BackgroundActor):
+class ConfigWatcher(VitalActor):
     """Actor that watches the configuration service and passes on newer valid configurations.
 
     Parameters
@@ -67,7 +67,7 @@
         self.failures = 0
         self.http = urllib3.PoolManager(retries=False)
 
-    def on_start(self) -> None:
+    def open(self) -> None:
         self.actor_ref.tell(_Poll())
 
     def on_stop(self) -> None:
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor
+from turmerictray.core.actor import VitalActor
 from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
@@ -29,7 +29,7 @@
     instances: list[Instance]
 
 
-class InstancePoller(BackgroundActor):
+class InstancePoller(VitalActor):
     """Actor that polls the instance list on each tick.
 
     Parameters
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from turmerictray.core import metrics
-from turmerictray.core.actor import BackgroundActor, ask_with_timeout
+from turmerictray.core.actor import VitalActor, ask_with_timeout
 from turmerictray.core.ids import TargetId
 from turmerictray.core.timer import Tick
 from turmerictray.router.messages import LoadReport, TargetsQuery
@@ -28,7 +28,7 @@
     age_s: float = 0.0
 
 
-class LoadPoller(BackgroundActor):
+class LoadPoller(VitalActor):
     """Actor that polls ``/load`` of every known target on each tick.
 
     Parameters
