--- a/tests/router/test_peer_link.py
+++ b/tests/router/test_peer_link.py
@@ -1,4 +1,4 @@
-"""A router whose peer link does not work terminates or reports it; it never runs isolated unseen."""
+"""A router whose peer link does not work terminates or reports it."""
 
 import re
 import signal
