A router does not trust an old revision because its peer is frozen

Cause: a start ended after peer_timeout_s whatever the reason for the silence, and was then taken for good. Evidence: 'ready version=1 peers_heard=0 timed_out=True'.

What tells a frozen peer from one that is down or partitioned: its operating system still completes connections. A router that starts probes its silent peers once a second; while one of them accepts connections it refuses callers as starting, for unresponsive_peer_timeout_s (30 s) at most, as a process that hangs forever can't be told from one that wakes. A peer that refuses connections or doesn't answer (killed, host down, partitioned) is waited for 3 s as before, one that the instance list calls gone not at all. Weighed and left: the instance list can't tell it, as it goes on listing a frozen or partitioned router; the claims link is frozen with the peer.

The own path now decides by the same StartupCheck as the routed path, with limits of its own. A start that heard nobody is unconfirmed: the first peer that reveals a newer revision makes the router refuse again, the queued requests included, until it has it; and other starting routers don't take it as proof.

--- a/tests/router/test_startup_check.py
+++ b/tests/router/test_startup_check.py
@@ -2,7 +2,7 @@
 
 from turmerictray.core.ids import NodeId
 from turmerictray.router.published import Position, StorePosition
-from turmerictray.router.startup_check import StartupCheck, StartupResult
+from turmerictray.router.startup_check import StartupCheck, StartupLimits, StartupResult
 
 
 def position(version: int, revision: int = 5, era: int = 1) -> Position:
@@ -72,3 +72,63 @@
     startup_check.record_peer("r2", position(2), True)
     assert startup_check.result(position(1), 9.0) is None
     assert startup_check.result(position(1), 10.1) is StartupResult.BEHIND
+
+
+def test_router_waits_longer_while_a_silent_peer_accepts_connections():
+    """Guards against a frozen peer that is taken for one that is down."""
+    startup_check = make_check()
+    startup_check.set_unresponsive(True)
+    assert startup_check.result(position(1), 29.0) is None
+    startup_check.set_unresponsive(False)
+    assert startup_check.result(position(1), 29.0) is StartupResult.ALONE
+
+
+def test_wait_for_unresponsive_peers_is_bounded():
+    """Guards against a router that never serves because the process of a peer hangs forever."""
+    startup_check = make_check("r2")
+    startup_check.set_unresponsive(True)
+    assert startup_check.result(position(1), 30.1) is StartupResult.NO_REPORT
+
+
+def test_router_behind_a_frozen_peer_waits_longer():
+    """Guards against serving a known old configuration because its holder is frozen."""
+    startup_check = make_check("r2")
+    startup_check.record_peer("r2", position(2), True)
+    startup_check.set_unresponsive(True)
+    assert startup_check.result(position(1), 29.0) is None
+    assert startup_check.result(position(1), 30.1) is StartupResult.BEHIND
+
+
+def test_router_that_started_alone_stops_serving_if_a_peer_has_newer_documents():
+    """Guards against a start that timed out and then goes on by documents known to be old."""
+    startup_check = make_check("r2")
+    assert startup_check.update(position(1), 3.1) is StartupResult.NO_REPORT
+    assert startup_check.may_serve and not startup_check.confirmed
+    startup_check.record_peer("r2", position(2), True)
+    assert startup_check.update(position(1), 60.0) is None
+    assert not startup_check.may_serve
+    assert startup_check.update(position(2), 60.2) is StartupResult.PEER
+    assert startup_check.may_serve and startup_check.confirmed
+
+
+def test_router_behind_does_not_alternate_between_serving_and_refusing():
+    """Guards against refusals for as long as newer documents can't be fetched."""
+    startup_check = make_check("r2")
+    startup_check.record_peer("r2", position(2), True)
+    assert startup_check.update(position(1), 10.1) is StartupResult.BEHIND
+    startup_check.record_peer("r2", position(2), True)
+    startup_check.update(position(1), 10.2)
+    assert startup_check.may_serve
+    startup_check.record_peer("r2", position(3), True)
+    startup_check.update(position(1), 10.3)
+    assert not startup_check.may_serve
+
+
+def test_serving_peer_does_not_suffice_while_others_may_report():
+    """Guards against the revision of a lagging peer, if the router knows all its peers."""
+    limits = StartupLimits(confirm_all_s=3.0)
+    startup_check = StartupCheck(NodeId("r1"), 0.0, limits)
+    startup_check.set_members(["r2", "r3"])
+    startup_check.record_peer("r2", position(1), True)
+    assert startup_check.result(position(1), 2.9) is None
+    assert startup_check.result(position(1), 3.1) is StartupResult.PEER
--- a/turmerictray/config/settings.py
+++ b/turmerictray/config/settings.py
@@ -59,6 +59,9 @@
         URL of the instance list.
     bootstrap_config : str or None
         A configuration file that is used only until the configuration service first answers.
+    unresponsive_peer_timeout_s : float
+        Maximum wait at a start for peers that accept connections but are silent, in seconds. They
+        may be frozen with a newer configuration in force.
     threads : int
         Callers' requests that are handled concurrently, waiting or being answered; one team may
         use as many threads as are free.
@@ -80,6 +83,7 @@
     heartbeat_s: Seconds = 0.5
     placement_poll_s: Seconds = 1.0
     peer_timeout_s: Seconds = 3.0
+    unresponsive_peer_timeout_s: Seconds = 30.0
     drain_timeout_s: Seconds = 30.0
     watch_wait_s: Seconds = 2.0
     threads: Annotated[int, msgspec.Meta(ge=4, le=1024)] = 256
--- a/turmerictray/loadtool/fleet_spec.py
+++ b/turmerictray/loadtool/fleet_spec.py
@@ -35,6 +35,8 @@
         and the instance list, pass through relays, as :meth:`LocalFleet.partition` needs.
     router_threads : int
         Threads of the HTTP server of each router.
+    router_settings : dict
+        Entries that override the routers' settings.
     """
 
     engines: int = 2
@@ -51,6 +53,7 @@
     load_lag_s: float = 0.3
     partitionable: bool = False
     router_threads: int = 256
+    router_settings: dict = field(default_factory=dict)
 
     def zone(self, idx: int) -> str:
         """Return the zone of the router or target with index ``idx`` among its kind."""
--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -227,6 +227,7 @@
             "assertions": True,
             "threads": spec.router_threads,
             "drain_timeout_s": 20.0,
+            **spec.router_settings,
         }
 
     def _relayed_port(self, source: str, target: str, port: int) -> int:
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -29,6 +29,7 @@
 from turmerictray.router.dispatcher import Dispatcher
 from turmerictray.router.front import Front
 from turmerictray.router.messages import ConfigApplied, Drain, StatusQuery
+from turmerictray.router.peer_prober import PROBE_INTERVAL_S, PeerProber
 from turmerictray.router.peers import PeerLink
 from turmerictray.router.proxy import Proxy
 from turmerictray.router.server import HttpServer
@@ -87,6 +88,7 @@
     def start_actors(self) -> None:
         """Start all actors and subscribe the periodic ones to the timer."""
         s = self.settings
+        heartbeat_addresses = {peer.node: peer.heartbeat for peer in s.peers}
         self.dispatcher = Dispatcher.start(
             NodeId(s.node),
             self.incarnation,
@@ -95,6 +97,8 @@
             peer_timeout_s=s.peer_timeout_s,
             expected_peers=frozenset(peer.node for peer in s.peers),
             front_capacity=s.threads,
+            peer_addresses=heartbeat_addresses,
+            unresponsive_peer_timeout_s=s.unresponsive_peer_timeout_s,
         )
         self._apply_bootstrap_config()
         members = self._members()
@@ -113,7 +117,7 @@
             node=s.node,
             zone=s.zone,
             listen=s.peer_listen,
-            peers={peer.node: peer.heartbeat for peer in s.peers},
+            peers=heartbeat_addresses,
             dispatcher=self.dispatcher,
             peer_timeout_s=s.peer_timeout_s,
             placer=placer,
@@ -121,6 +125,7 @@
             url=s.advertise_url or f"http://{s.listen.host}:{s.listen.port}",
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
+        self.timer.subscribe(PeerProber.start(self.dispatcher), "probe", PROBE_INTERVAL_S)
         self.guard = self._start_order_guard(members)
 
     def _members(self) -> list[Member]:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -5,6 +5,7 @@
 follows the ledger, which counts each team's service fleet-wide.
 """
 
+import math
 import os
 import time
 from functools import singledispatchmethod
@@ -23,6 +24,7 @@
 from turmerictray.fairness.queue import FairQueue, PendingRequest
 from turmerictray.fairness.slot_allocation import SlotCount
 from turmerictray.fairness.slots import SlotShares
+from turmerictray.membership.reachability import HeardPeers, Reachability
 from turmerictray.router.messages import (
     Admit,
     ConfigApplied,
@@ -31,17 +33,24 @@
     Grant,
     Listing,
     LoadReport,
+    PeersProbed,
     PeerSummary,
     Report,
     ReportQuery,
+    SilentPeers,
+    SilentPeersQuery,
     StatusQuery,
     TargetsQuery,
 )
+from turmerictray.router.published import Position
+from turmerictray.router.startup_check import StartupCheck, StartupLimits, StartupResult
 from turmerictray.router.status import RouterStatus, TargetStatus, TeamStatus
 from turmerictray.routing.choice import choose_target
 from turmerictray.routing.table import TargetTable
 from turmerictray.routing.target import TargetState, TargetView
 
+_STARTING_RETRY_AFTER_S = 1.0
+
 INVARIANT_EXIT_STATUS = 70
 """Exit status of a router that detected a violated invariant in assertion mode."""
 
@@ -62,14 +71,19 @@
         Whether to check the dispatcher's invariants after every message, which is slower. Meant
         for randomised tests.
     peer_timeout_s : float
-        Time after which a silent peer is ignored, and maximum wait for peers at startup, in
-        seconds.
+        Time after which a silent peer is ignored, and maximum wait at startup for peers that are
+        down or partitioned, in seconds.
     expected_peers : frozenset of str
         Peers named in the settings. The router becomes ready once it has received a heartbeat
         from each of them, except those that the instance list marks as gone, and its
-        configuration is as new as theirs; at the latest after ``peer_timeout_s``.
+        configuration is as new as theirs. For the other cases see
+        :class:`~turmerictray.router.startup_check.StartupCheck`.
     front_capacity : int
         Maximum number of requests in the front at once, one per thread.
+    peer_addresses : dict of str to str or None
+        Heartbeat address of each peer, by name. A peer without one is never probed.
+    unresponsive_peer_timeout_s : float
+        Maximum wait at startup for peers that accept connections but are silent, in seconds.
     """
 
     def __init__(
@@ -81,6 +95,8 @@
         peer_timeout_s: float = 3.0,
         expected_peers: frozenset[str] = frozenset(),
         front_capacity: int = 256,
+        peer_addresses: dict[str, str] | None = None,
+        unresponsive_peer_timeout_s: float = 30.0,
     ) -> None:
         super().__init__()
         self.node = node
@@ -94,12 +110,18 @@
         self.hold = AdmissionLimit(front_capacity)
         self.draining = False
         self.shares = SlotShares(node, peer_timeout_s)
-        self.started_at = time.monotonic()
-        self.startup_timeout_s = peer_timeout_s
-        self.expected_peers = expected_peers
+        limits = StartupLimits(
+            no_peers_s=0.0,
+            all_starting_s=0.0,
+            no_report_s=peer_timeout_s,
+            unresponsive_s=unresponsive_peer_timeout_s,
+            confirm_all_s=peer_timeout_s,
+        )
+        self.startup = StartupCheck(node, time.monotonic(), limits)
+        self.expected_peers = frozenset(expected_peers)
+        self.heard_peers = HeardPeers(peer_addresses or {}, peer_timeout_s)
         self.gone_peers: set[str] = set()
-        self.peer_versions: dict[str, int] = {}
-        self.ready = False
+        self.accepting_peers: set[str] = set()
         self.min_config_version = 0
 
     def on_receive(self, message: object) -> object:
@@ -129,7 +151,7 @@
             msg.reply.try_set_exception(Draining("draining", retry))
             return
         if cfg is not None and not self._has_caught_up(msg):
-            msg.reply.try_set_exception(Starting("starting", 1.0))
+            msg.reply.try_set_exception(Starting("starting", _STARTING_RETRY_AFTER_S))
             return
         if cfg is None or not self.table.of_service(msg.placement.service):
             msg.reply.try_set_exception(
@@ -166,7 +188,7 @@
         service. Requests that it served before it knew its peers' versions, or that it parsed
         before, would be handled by rules that an accepted change has replaced.
         """
-        return self.ready and not 0 < msg.config_version < self.min_config_version
+        return self.startup.may_serve and not 0 < msg.config_version < self.min_config_version
 
     @handle.register
     def _(self, msg: Finished) -> None:
@@ -188,7 +210,7 @@
             return
         self._apply_config(msg.cfg)
         log_event("config_in_force", version=msg.cfg.version)
-        self._check_ready(time.monotonic())
+        self._update_startup(time.monotonic())
         self._grant_free_slots()
 
     @handle.register
@@ -196,7 +218,7 @@
         for tid in self.table.apply_listing(msg.states):
             log_event("target_leaving", target=tid, state=self.table.targets[tid].state.value)
         self.gone_peers = {tid for tid, state in msg.states.items() if state is TargetState.GONE}
-        self._check_ready(time.monotonic())
+        self._update_startup(time.monotonic())
         self._grant_free_slots()
 
     @handle.register
@@ -217,8 +239,7 @@
         self.shares.update(msg.counters.node, msg.demand)
         self.ledger.waiting_on_peers = self.shares.teams_waiting()
         self.ledger.limit_deficit(self.config.limits().catch_up_tokens)
-        self.peer_versions[msg.counters.node] = msg.config_version
-        self._check_ready(time.monotonic())
+        self._record_peer(msg, time.monotonic())
         self._update_claims()
         self._grant_free_slots()
 
@@ -229,7 +250,7 @@
 
     @handle.register
     def _(self, msg: Tick) -> None:
-        self._check_ready(msg.now)
+        self._update_startup(msg.now)
         for view in self.table.targets.values():
             view.expire_suspicion(msg.now)
         self._expire(msg.now)
@@ -248,9 +269,26 @@
             for counters in self.ledger.earlier_incarnations(node)
         ]
         return Report(
-            self.ledger.local_report(), self.config.version, self._local_demand(), earlier
+            self.ledger.local_report(),
+            self.config.version,
+            self._local_demand(),
+            earlier,
+            self.startup.confirmed,
         )
 
+    @handle.register
+    def _(self, _msg: SilentPeersQuery) -> SilentPeers:
+        silent = self.heard_peers.silent(time.monotonic())
+        addresses = {peer: addr for peer, addr in silent.items() if peer not in self.gone_peers}
+        return SilentPeers(addresses, self.startup.confirmed)
+
+    @handle.register
+    def _(self, msg: PeersProbed) -> None:
+        self.accepting_peers = {
+            peer for peer, result in msg.results.items() if result is Reachability.ACCEPTS
+        }
+        self._update_startup(time.monotonic())
+
     @handle.register
     def _(self, msg: TargetsQuery) -> list[tuple[str, str]]:
         return [(view.id, view.url) for view in self.table.targets.values()]
@@ -268,7 +306,7 @@
             node=self.node,
             config_version=self.config.version,
             draining=self.draining,
-            ready=self.ready,
+            ready=self.startup.may_serve,
             share=round(min(shares, default=1.0), 3),
             queued=self._queued(),
             in_hand=len(self.hold),
@@ -358,21 +396,43 @@
         if self.draining and cfg is not None:
             self._grant_free_slots()
 
-    def _check_ready(self, now: float) -> None:
-        if self.ready or self.config.current is None:
+    def _record_peer(self, msg: PeerSummary, now: float) -> None:
+        peer = msg.counters.node
+        self.heard_peers.record(peer, now)
+        self.startup.record_peer(peer, Position(msg.config_version), msg.caught_up)
+        self._update_startup(now)
+
+    def _update_startup(self, now: float) -> None:
+        if self.startup.confirmed or self.config.current is None:
             return
-        all_peers_known = self.expected_peers <= self.peer_versions.keys() | self.gone_peers
-        caught_up = self.config.version >= max(self.peer_versions.values(), default=0)
-        timed_out = now - self.started_at > self.startup_timeout_s
-        if (all_peers_known and caught_up) or timed_out:
-            self.ready = True
-            self.min_config_version = self.config.version
-            log_event(
-                "ready",
-                version=self.config.version,
-                peers_heard=len(self.peer_versions),
-                timed_out=timed_out and not (all_peers_known and caught_up),
-            )
+        self.startup.set_members(self.expected_peers - self.gone_peers)
+        silent = self.heard_peers.silent(now).keys() - self.gone_peers
+        self.startup.set_unresponsive(bool(self.accepting_peers & silent))
+        was_serving = self.startup.may_serve
+        result = self.startup.update(Position(self.config.version), now)
+        if self.startup.may_serve and not was_serving:
+            self._start_serving(result)
+        elif was_serving and not self.startup.may_serve:
+            self._refuse_as_outdated()
+
+    def _start_serving(self, result: StartupResult) -> None:
+        self.min_config_version = self.config.version
+        log_event(
+            "ready",
+            level="INFO" if self.startup.confirmed else "WARNING",
+            version=self.config.version,
+            peers_heard=self.startup.peers_heard,
+            timed_out=result in (StartupResult.NO_REPORT, StartupResult.BEHIND),
+            by=result.value,
+        )
+
+    def _refuse_as_outdated(self) -> None:
+        """Refuse the queued requests, which were parsed with an outdated configuration."""
+        log_event("outdated", level="WARNING", version=self.config.version, queued=self._queued())
+        for queue in self.queues.values():
+            for pending in queue.expire(math.inf):
+                self.hold.release(pending.team)
+                pending.reply.try_set_exception(Starting("starting", _STARTING_RETRY_AFTER_S))
 
     def _demand_for(self, service: ServiceName) -> dict[TeamId, int]:
         queue = self.queues.get(service)
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -7,6 +7,7 @@
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
 from turmerictray.core.reply import Reply
 from turmerictray.fairness.ledger import PeerCounters
+from turmerictray.membership.reachability import Reachability
 from turmerictray.routing.target import TargetState
 
 
@@ -67,7 +68,7 @@
         A further attempt of a request that was accepted before. It goes to the head of its team's
         queue and is accepted even while the router drains.
     config_version : int
-        Version of the configuration with which the request was parsed; 0 if unknown.
+        Version of the configuration with which the request was parsed.
     arrived : float
         Start of the queue timeout, in monotonic seconds.
     """
@@ -176,12 +177,15 @@
     earlier_counters : list of PeerCounters
         The peer's copies of counters from earlier incarnations of restarted routers, which may
         include this one.
+    caught_up : bool
+        False for a peer that is starting too.
     """
 
     counters: PeerCounters
     demand: dict[str, dict[str, int]] = field(default_factory=dict)
     config_version: int = 0
     earlier_counters: list[PeerCounters] = field(default_factory=list)
+    caught_up: bool = True
 
 
 @dataclass(frozen=True)
@@ -199,6 +203,34 @@
     """Query for the ``(target id, url)`` pairs of all known targets."""
 
 
+@dataclass(frozen=True)
+class SilentPeersQuery:
+    """Query for the :class:`SilentPeers`, while the router starts."""
+
+
+@dataclass(frozen=True)
+class SilentPeers:
+    """Peers that were not heard lately.
+
+    Attributes
+    ----------
+    addresses : dict of str to str
+        ``tcp://host:port`` by the peer's name.
+    confirmed : bool
+        Whether the start is over, and silent peers no longer matter.
+    """
+
+    addresses: dict[str, str]
+    confirmed: bool
+
+
+@dataclass(frozen=True)
+class PeersProbed:
+    """Results of probes of silent peers, by the peer's name."""
+
+    results: dict[str, Reachability]
+
+
 @dataclass(frozen=True)
 class PeerHasNewer:
     """Notification that a peer has a newer configuration, served at ``url``/admin/config."""
@@ -233,9 +265,12 @@
         Requests waiting on this router per service and team.
     earlier_counters : list of PeerCounters
         Counters from earlier incarnations of restarted peers.
+    caught_up : bool
+        False from this router's start until its configuration was compared with its peers'.
     """
 
     counters: PeerCounters
     config_version: int
     demand: dict[str, dict[str, int]]
     earlier_counters: list[PeerCounters]
+    caught_up: bool = True
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -59,6 +59,8 @@
         Base URL of the sender's HTTP front, from which peers fetch its configuration.
     echoes : list of PeerCounters
         The sender's copies of counters from earlier incarnations of recently restarted routers.
+    caught_up : bool
+        False from the sender's start until its configuration was compared with its peers'.
     """
 
     node: str
@@ -70,6 +72,7 @@
     demand: dict[str, dict[str, int]] = {}
     url: str = ""
     echoes: list[PeerCounters] = []
+    caught_up: bool = True
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -188,6 +191,7 @@
             report.demand,
             self.url,
             report.earlier_counters,
+            report.caught_up,
         )
         data = _ENCODER.encode(heartbeat)
         self.pub.send(data)
@@ -220,7 +224,11 @@
             self.silent_peers.discard(heartbeat.node)
             log_event("peer_back", peer=heartbeat.node, peer_zone=heartbeat.zone)
         summary = PeerSummary(
-            heartbeat.counters, heartbeat.demand, heartbeat.config_version, heartbeat.echoes
+            heartbeat.counters,
+            heartbeat.demand,
+            heartbeat.config_version,
+            heartbeat.echoes,
+            heartbeat.caught_up,
         )
         self.dispatcher.tell(summary)
         self.placer.tell(summary)
--- a/turmerictray/router/startup_check.py
+++ b/turmerictray/router/startup_check.py
@@ -1,26 +1,42 @@
 """Check that a router that has just started is as up to date as its peers."""
 
 from collections.abc import Collection
+from dataclasses import dataclass
 from enum import Enum
 
 from turmerictray.core.ids import NodeId
 from turmerictray.router.published import Position
 
-NO_PEERS_TIMEOUT_S = 1.0
-"""A router that knows no peer after this long serves with what it has read itself. It has sent four
-messages to its seeds by then."""
 
-_ALL_STARTING_TIMEOUT_S = 0.6
-"""The same limit for a router whose known peers have all reported that they are starting too. A
-peer that is already serving would have sent two messages by then."""
+@dataclass(frozen=True)
+class StartupLimits:
+    """Time limits of a start, in seconds since the start.
 
-_NO_REPORT_TIMEOUT_S = 3.0
-"""The same limit for a router without a message from some of its known peers. Members that are down
-are considered alive for about as long."""
+    Attributes
+    ----------
+    no_peers_s : float
+        A router that knows no peer after this long serves with what it has read itself.
+    all_starting_s : float
+        The same limit for a router whose known peers have all reported that they are starting too.
+    no_report_s : float
+        The same limit for a router without a message from some of its known peers.
+    behind_s : float
+        A router that knows of newer documents and can't fetch them serves with what it has after
+        this long.
+    unresponsive_s : float
+        The limit that replaces all of the above while a silent peer accepts connections. Its
+        process is alive, perhaps frozen, and may have newer documents in force. The router can't
+        tell it from a process that hangs forever, so the wait is bounded.
+    confirm_all_s : float
+        Until then, one peer that serves does not suffice as long as others are silent.
+    """
 
-_MAX_STARTUP_S = 10.0
-"""A router that knows of newer documents and can't fetch them serves with what it has after this
-long."""
+    no_peers_s: float = 1.0
+    all_starting_s: float = 0.6
+    no_report_s: float = 3.0
+    behind_s: float = 10.0
+    unresponsive_s: float = 30.0
+    confirm_all_s: float = 0.0
 
 
 class StartupResult(Enum):
@@ -44,19 +60,38 @@
     served callers from that data, it would accept revoked keys and routes and send requests to
     targets that have left, until a peer's message revealed newer data.
 
+    A router that hears nobody has to serve at some time, as its availability zone may be
+    partitioned. It does so unconfirmed: the first peer that reveals newer documents makes it refuse
+    callers again until it has fetched them.
+
     Parameters
     ----------
     node : NodeId
     started_at : float
         Monotonic seconds.
+    limits : StartupLimits
+
+    Attributes
+    ----------
+    may_serve : bool
+    confirmed : bool
+        Whether the router's documents were compared with those of its peers. The check has then
+        ended.
     """
 
-    def __init__(self, node: NodeId, started_at: float) -> None:
+    def __init__(
+        self, node: NodeId, started_at: float, limits: StartupLimits | None = None
+    ) -> None:
         self._node = node
         self._started_at = started_at
+        self._limits = limits or StartupLimits()
         self._newest = Position()
+        self._newest_when_served = Position()
         self._caught_up_by_peer: dict[str, bool] = {}
         self._members: frozenset[str] = frozenset()
+        self._unresponsive = False
+        self.may_serve = False
+        self.confirmed = False
 
     def record_peer(self, peer: str, position: Position, caught_up: bool) -> None:
         """Record a peer's position; ``caught_up`` is False for a peer that is starting too."""
@@ -67,6 +102,45 @@
         """Set the routers considered alive."""
         self._members = frozenset(members) - {self._node}
 
+    def set_unresponsive(self, unresponsive: bool) -> None:
+        """Set whether a peer that accepts connections is silent."""
+        self._unresponsive = unresponsive
+
+    @property
+    def peers_heard(self) -> int:
+        """Number of peers whose position is known."""
+        return len(self._caught_up_by_peer)
+
+    def update(self, local: Position, now: float) -> StartupResult | None:
+        """Update whether the router may serve callers.
+
+        Parameters
+        ----------
+        local : Position
+            How far this router has read.
+
+        Returns
+        -------
+        StartupResult or None
+            Reason to serve or, once serving, to consider the start confirmed; None if there is
+            none.
+        """
+        if self.may_serve and self._is_revealed_as_outdated(local):
+            self.may_serve = False
+            self._started_at = now
+        result = self.result(local, now)
+        if result is None:
+            return None
+        if not self.may_serve:
+            self.may_serve = True
+            self._newest_when_served = self._newest
+        heard_all = result is StartupResult.ALONE and bool(self._caught_up_by_peer)
+        self.confirmed = result is StartupResult.PEER or heard_all
+        return result
+
+    def _is_revealed_as_outdated(self, local: Position) -> bool:
+        return local.is_behind(self._newest) and self._newest_when_served.is_behind(self._newest)
+
     def result(self, local: Position, now: float) -> StartupResult | None:
         """Return why the router may serve callers now, or None while it has to wait.
 
@@ -75,13 +149,20 @@
         local : Position
             How far this router has read.
         """
+        limits = self._limits
         waited_s = now - self._started_at
+        heard_all = self._members <= self._caught_up_by_peer.keys()
         if local.is_behind(self._newest):
-            return StartupResult.BEHIND if waited_s >= _MAX_STARTUP_S else None
-        if any(self._caught_up_by_peer.values()):
+            return StartupResult.BEHIND if waited_s >= self._limit(limits.behind_s) else None
+        if any(self._caught_up_by_peer.values()) and (
+            heard_all or waited_s >= limits.confirm_all_s
+        ):
             return StartupResult.PEER
         # Peers that are all starting know no more than this router.
-        limit_s = _ALL_STARTING_TIMEOUT_S if self._caught_up_by_peer else NO_PEERS_TIMEOUT_S
-        if waited_s >= limit_s and self._members <= self._caught_up_by_peer.keys():
+        limit_s = limits.all_starting_s if self._caught_up_by_peer else limits.no_peers_s
+        if waited_s >= self._limit(limit_s) and heard_all:
             return StartupResult.ALONE
-        return StartupResult.NO_REPORT if waited_s >= _NO_REPORT_TIMEOUT_S else None
+        return StartupResult.NO_REPORT if waited_s >= self._limit(limits.no_report_s) else None
+
+    def _limit(self, limit_s: float) -> float:
+        return max(limit_s, self._limits.unresponsive_s) if self._unresponsive else limit_s
