A newer configuration of a peer is fetched at once, and again if that fails

If the fetch failed once (the peer's front was slow), it was not tried again for that version.

Cause: ConfigWatcher fetched from peers between its own long polls, and PeerLink told it once per version.

Change: an actor of its own fetches from peers, and PeerLink repeats the news with each heartbeat until this router has the version. test_restart_with_old_service, third scenario: version 2 is served within 2 s of the end of the peer's pause, and version 1 for less than 1 s after it.

--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -27,6 +27,7 @@
 from turmerictray.placement.engine import EngineClient
 from turmerictray.placement.placer import Placer
 from turmerictray.router.dispatcher import Dispatcher
+from turmerictray.router.fetch_config import PeerConfigFetcher
 from turmerictray.router.front import Front
 from turmerictray.router.messages import ConfigApplied, Drain, StatusQuery
 from turmerictray.router.peer_prober import PROBE_INTERVAL_S, PeerProber
@@ -106,7 +107,7 @@
             NodeId(s.node), members, self.snapshot, EngineClient(), s.peer_timeout_s
         )
         self.timer.subscribe(placer, "placement", s.placement_poll_s)
-        watcher = ConfigWatcher.start(s.config_url, self.dispatcher, placer, s.watch_wait_s)
+        ConfigWatcher.start(s.config_url, self.dispatcher, placer, s.watch_wait_s)
         self.timer.subscribe(self.dispatcher, "expire", _EXPIRY_INTERVAL_S)
         if s.instances_url:
             poller = InstancePoller.start(s.instances_url, [self.dispatcher, placer])
@@ -121,7 +122,7 @@
             dispatcher=self.dispatcher,
             peer_timeout_s=s.peer_timeout_s,
             placer=placer,
-            watcher=watcher,
+            fetcher=PeerConfigFetcher.start(self.dispatcher),
             url=s.advertise_url or f"http://{s.listen.host}:{s.listen.port}",
         )
         self.timer.subscribe(link, "heartbeat", s.heartbeat_s)
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -96,8 +96,8 @@
         Time without a heartbeat after which a peer is logged as silent, in seconds.
     placer : pykka.ActorRef
         Receives the same summaries, to know which peers are alive.
-    watcher : pykka.ActorRef
-        The configuration watcher, notified when a peer has a newer configuration.
+    fetcher : pykka.ActorRef
+        Notified when a peer has a newer configuration.
     url : str
         Base URL of this router's HTTP front, sent to peers.
     """
@@ -111,7 +111,7 @@
         dispatcher: pykka.ActorRef,
         peer_timeout_s: float,
         placer: pykka.ActorRef,
-        watcher: pykka.ActorRef,
+        fetcher: pykka.ActorRef,
         url: str,
     ) -> None:
         super().__init__()
@@ -120,9 +120,9 @@
         self.started_at = time.monotonic()
         self.dispatcher = dispatcher
         self.placer = placer
-        self.watcher = watcher
+        self.fetcher = fetcher
         self.url = url
-        self.max_peer_version = 0
+        self.config_version = 0
         self.peer_timeout_s = peer_timeout_s
         self.seq = 0
         self.last_sent: dict[str, float] = {}
@@ -173,6 +173,7 @@
             metrics.HEARTBEATS.labels("no_report").inc()
             return
         local = report.counters
+        self.config_version = report.config_version
         self.seq += 1
         full = self.seq % FULL_HEARTBEAT_INTERVAL == 1 or bool(self.echoes_left)
         if full:
@@ -232,9 +233,9 @@
         )
         self.dispatcher.tell(summary)
         self.placer.tell(summary)
-        if heartbeat.config_version > self.max_peer_version and heartbeat.url:
-            self.max_peer_version = heartbeat.config_version
-            self.watcher.tell(PeerHasNewer(heartbeat.config_version, heartbeat.url))
+        if heartbeat.config_version > self.config_version and heartbeat.url:
+            # Repeated with each heartbeat until this router has it, as a fetch may fail.
+            self.fetcher.tell(PeerHasNewer(heartbeat.config_version, heartbeat.url))
 
     def _check_silence(self, now: float) -> None:
         """Report how long each peer has been silent, counted from the start if never heard."""
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -15,7 +15,7 @@
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
-from turmerictray.router.messages import ConfigApplied, ConfigConfirmed, PeerHasNewer
+from turmerictray.router.messages import ConfigApplied, ConfigConfirmed
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
 _UNCHANGED_PAUSE_S = 0.5
@@ -74,9 +74,7 @@
         self.http.clear()
 
     def on_receive(self, message: object) -> None:
-        if isinstance(message, PeerHasNewer):
-            self._fetch_from_peer(message)
-        elif isinstance(message, _Poll):
+        if isinstance(message, _Poll):
             self._poll()
             if self.actor_ref.is_alive():
                 self.actor_ref.tell(_Poll())
@@ -121,27 +119,6 @@
             # last one and is sent immediately. The pause limits this to a few reads per second.
             time.sleep(_UNCHANGED_PAUSE_S)
 
-    def _fetch_from_peer(self, msg: PeerHasNewer) -> None:
-        # A router that restarts while the configuration service is stale or down would otherwise
-        # keep an outdated configuration. The peer's copy passes the same checks as any other.
-        if msg.version <= self.version:
-            return
-        try:
-            resp = self.http.request(
-                "GET",
-                msg.url.rstrip("/") + "/admin/config",
-                timeout=urllib3.Timeout(connect=1.0, read=2.0),
-            )
-        except urllib3.exceptions.HTTPError as exc:
-            log_event(
-                "peer_config_unreachable", level="WARNING", url=msg.url, reason=type(exc).__name__
-            )
-            return
-        metrics.count_control_bytes("config", 200, len(resp.data) + 200)
-        if resp.status == 200:
-            log_event("peer_config_fetched", version=msg.version, url=msg.url)
-            self.offer(resp.data)
-
     def offer(self, raw: bytes) -> bool:
         """Check a configuration and pass it on if it is newer than the last one passed on.
 
