A request of unknown version does not pass the check of a starting router

Version 0 meant 'not known' and was let through by _has_caught_up. Proxy is the only sender and always passes the version of the configuration that the request was parsed with, so no caller met it; as a default it was a way around the check. The tests that left it out now state version 1, what their dispatcher has.

test_request_parsed_without_a_version_is_not_admitted failed before.

--- a/tests/router/test_drain_retry.py
+++ b/tests/router/test_drain_retry.py
@@ -37,7 +37,8 @@
 
 
 def _admit(dispatcher, req_id: str, exclude: frozenset[str] = frozenset(), retry: bool = False):
-    msg = Admit(RequestId(req_id), DEPOT, 1.0, Placement(LLM, None, exclude), retry=retry)
+    placement = Placement(LLM, None, exclude)
+    msg = Admit(RequestId(req_id), DEPOT, 1.0, placement, retry=retry, config_version=1)
     dispatcher.tell(msg)
     return msg.reply.result(timeout=5)
 
--- a/tests/router/test_queue_timeout.py
+++ b/tests/router/test_queue_timeout.py
@@ -53,7 +53,7 @@
 
 def admit(dispatcher, req: str, arrived: float | None = None) -> Admit:
     arrived = time.monotonic() if arrived is None else arrived
-    msg = Admit(RequestId(req), DEPOT, 1.0, Placement(LLM, None), arrived=arrived)
+    msg = Admit(RequestId(req), DEPOT, 1.0, Placement(LLM, None), config_version=1, arrived=arrived)
     dispatcher.tell(msg)
     return msg
 
--- a/tests/router/test_starting.py
+++ b/tests/router/test_starting.py
@@ -103,3 +103,14 @@
         assert admit(dispatcher, 1).target == "e0"
     finally:
         dispatcher.stop()
+
+
+def test_request_parsed_without_a_version_is_not_admitted():
+    """Guards against a request that passes the check because its version is not known."""
+    dispatcher = Dispatcher.start(NodeId("r0"), 1, ConfigSnapshot())
+    try:
+        dispatcher.tell(ConfigApplied(config(1)))
+        with pytest.raises(Starting):
+            admit(dispatcher, 0)
+    finally:
+        dispatcher.stop()
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -188,7 +188,7 @@
         service. Requests that it served before it knew its peers' versions, or that it parsed
         before, would be handled by rules that an accepted change has replaced.
         """
-        return self.startup.may_serve and not 0 < msg.config_version < self.min_config_version
+        return self.startup.may_serve and msg.config_version >= self.min_config_version
 
     @handle.register
     def _(self, msg: Finished) -> None:
