Fleets that are started side by side draw different ports

In its ss output nobody listens on router-0's heartbeat port, and connections of another process on that very port are in TIME-WAIT: another launcher's fleet had it when router-0 tried to listen.

Cause: free_port checks that a port is free and gives it back; until the process binds it, a launcher beside may draw it as well. A launcher now reserves blocks of ports for its life.

test_ports: 6 launchers with 1,000 ports each; before, the same port twice or more (failed), now all different.

--- a/turmerictray/loadtool/local.py
+++ b/turmerictray/loadtool/local.py
@@ -6,9 +6,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,31 +18,10 @@
 import urllib3
 
 from turmerictray.loadtool.fleet_spec import FleetSpec
+from turmerictray.loadtool.ports import free_port
 from turmerictray.loadtool.relay import Network
 
 _READY_TIMEOUT_S = 20.0
-_PORT_RANGE = (10240, 32768)
-_assigned_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a free TCP port on 127.0.0.1 that was not returned before.
-
-    Ports are taken from below the ephemeral range (32768 and up on Linux). A port within that range
-    could be assigned to an outgoing connection of the load before the intended process binds it,
-    which then fails with "address already in use".
-    """
-    while True:
-        port = random.randrange(*_PORT_RANGE)
-        if port in _assigned_ports:
-            continue
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _assigned_ports.add(port)
-        return port
 
 
 def _nng_url(port: int) -> str:
