Routed path: a router does not trust an old store because its peers are frozen

Cause: a router that hears nobody took that for being alone, after 1 s (ALONE), 3 s (NO_REPORT), or 10 s (BEHIND), and for good.

Change, as on the own path: it probes its seeds; while a silent one accepts connections it waits, 30 s at most. Seeds that refuse or don't answer (killed, host down, zone partitioned) count as before. A start that heard nobody is unconfirmed: it refuses callers again as soon as a peer reveals newer documents, fetches them at once, and does not count as proof for other starting routers (the summary's caught_up).

--- a/tests/platform/test_restart.py
+++ b/tests/platform/test_restart.py
@@ -1,5 +1,6 @@
 """Routers that restart while the store answers with outdated documents."""
 
+import signal
 import threading
 import time
 from collections import Counter
@@ -152,3 +153,49 @@
     for router in started:
         assert wait_for(router.is_ready, 8.0)
         assert status(router) == 200
+
+
+def publish_without_ping(deployment: LocalDeployment) -> None:
+    """Publish a configuration without the ping route."""
+    config = default_config(2)
+    config["routes"] = [route for route in config["routes"] if route["name"] != "ping"]
+    publish(deployment, config, 404)
+
+
+def statuses_while_paused(router, peers, pause_s: float) -> tuple[Counter, float]:
+    """Count the statuses of pings until ``OBSERVATION_S`` after the peers have been resumed.
+
+    Also return the time from then to the first 404, in seconds.
+    """
+    seen = Counter()
+    resumed_at = time.monotonic() + pause_s
+    first_404 = None
+    is_paused = True
+    while (now := time.monotonic()) < resumed_at + OBSERVATION_S:
+        if is_paused and now >= resumed_at:
+            is_paused = False
+            for peer in peers:
+                peer.signal(signal.SIGCONT)
+        answered = status(router)
+        seen[answered] += 1
+        if answered == 404 and first_404 is None:
+            first_404 = time.monotonic()
+        time.sleep(0.01)
+    return seen, (first_404 or now) - resumed_at
+
+
+@pytest.mark.parametrize(("seeds", "number"), [(3, 0), (3, 2), (1, 0), (1, 1)])
+def test_removed_route_is_not_served_while_all_peers_are_frozen(
+    start_deployment, outdated_store, seeds, number
+):
+    """Guards against a frozen peer that is taken for one that is down."""
+    deployment = start_deployment(routers=3, seeds=seeds)
+    publish_without_ping(deployment)
+    router = deployment.routers[number]
+    peers = [peer for peer in deployment.routers if peer is not router]
+    for peer in peers:
+        peer.signal(signal.SIGSTOP)
+    restart(router, outdated_store(deployment.workers))
+    seen, delay_s = statuses_while_paused(router, peers, 8.0)
+    assert set(seen) <= {0, 404, 503} and seen[404], seen
+    assert delay_s <= 2.0
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -117,19 +117,26 @@
         ``host:port`` of the store.
     folder : Path
         Folder for its settings and log.
-    min_retries : int
+    min_retries, seeds : int
         See :class:`LocalDeployment`.
     """
 
     def __init__(
-        self, number: int, network: str, zone: str, store: str, folder: Path, min_retries: int
+        self,
+        number: int,
+        network: str,
+        zone: str,
+        store: str,
+        folder: Path,
+        min_retries: int,
+        seeds: int,
     ) -> None:
         self.name = f"r{number}"
         self.ip = f"{network}.{number}"
         self.log_path = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.toml"
         self._store = store
-        self._settings.write_text(self._settings_text(network, zone, store, min_retries))
+        self._settings.write_text(self._settings_text(network, zone, store, min_retries, seeds))
         self._process: subprocess.Popen | None = None
 
     @property
@@ -202,13 +209,16 @@
             self._process.kill()
             self._process.wait(_STOP_TIMEOUT_S)
 
-    def _settings_text(self, network: str, zone: str, store: str, min_retries: int) -> str:
+    def _settings_text(
+        self, network: str, zone: str, store: str, min_retries: int, seeds: int
+    ) -> str:
+        seed_list = ", ".join(f'"{network}.{n}:{_CONTROL_PORT}"' for n in range(1, seeds + 1))
         return f"""
 node = "{self.name}"
 ip = "{self.ip}"
 zone = "{zone}"
 internal_ports = [{_PEER_PORT}, {_PEER_PORT + 15}]
-seeds = ["{network}.1:{_CONTROL_PORT}"]
+seeds = [{seed_list}]
 [listen]
 front = "{self.ip}:{_FRONT_PORT}"
 ready = "{self.ip}:{_READY_PORT}"
@@ -234,6 +244,8 @@
     min_retries : int
         Retries that all routers together may send in ten seconds, however few requests there
         are; 0 disables retries.
+    seeds : int
+        Number of routers, from the first, that the others contact first.
     network : Network or None
         Relays connections, so that a test can disturb them. Link sources are ``callers`` for
         callers' connections to routers, the router's name for its connections to the store, and
@@ -247,6 +259,7 @@
         apps: int = 2,
         engines: int = 2,
         min_retries: int = 50,
+        seeds: int = 1,
         network: Network | None = None,
     ) -> None:
         self.network = network
@@ -256,7 +269,7 @@
         self.workers += [Worker(f"llm-{n}", "llm").start() for n in range(engines)]
         loopback = find_free_network()
         self.routers = [
-            LocalRouter(number, loopback, "z1", self._store_for(number), folder, min_retries)
+            LocalRouter(number, loopback, "z1", self._store_for(number), folder, min_retries, seeds)
             for number in range(1, routers + 1)
         ]
 
--- a/turmerictray/router/active_config.py
+++ b/turmerictray/router/active_config.py
@@ -39,8 +39,13 @@
     targets_listed : bool
         Whether a list of the targets has been received.
     caught_up : bool
-        False after a start until this router has configuration as new as its peers'; until then
-        no caller is served.
+        False after a start until this router has configuration as new as its peers', or hears
+        nobody for too long. Until then no caller is served.
+    confirmed : bool
+        Whether the configuration was compared with the peers' since the start.
+    min_version : int
+        Version when this router began to serve. Requests that were routed with an older one are
+        not served.
     unavailable_targets : frozenset of TargetId
         Targets that accept no more work: leaving, removed, or with an entry that can't be read.
     announced_leaving : frozenset of TargetId
@@ -53,10 +58,23 @@
         self.current: RoutingConfig | None = None
         self.targets_listed = False
         self.caught_up = False
+        self.confirmed = False
+        self.min_version = 0
         self.unavailable_targets: frozenset[TargetId] = frozenset()
         self.announced_leaving: frozenset[TargetId] = frozenset()
         self.shards: dict[ServiceName, ShardMap] = {}
 
+    def set_startup(self, may_serve: bool, confirmed: bool) -> None:
+        """Set whether callers may be served, and whether the configuration is confirmed."""
+        if may_serve and not self.caught_up:
+            self.min_version = self.version
+        self.confirmed = confirmed
+        self.caught_up = may_serve
+
+    def is_outdated(self, version: int) -> bool:
+        """Whether a request that was routed with ``version`` must not be sent to a target."""
+        return not self.caught_up or version < self.min_version
+
     @property
     def version(self) -> int:
         """Version of the active configuration; 0 for none."""
--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -273,7 +273,7 @@
 
     @handle.register
     def _(self, msg: CaughtUp) -> None:
-        self.active_config.caught_up = True
+        self.active_config.set_startup(msg.may_serve, msg.confirmed)
 
     @handle.register
     def _(self, msg: TargetsListed) -> None:
@@ -427,7 +427,7 @@
             service=self.gossip_usage_changes.take(self.ledger.local_counters()),
             waiting=sorted({team for pool in self.pools.all() for team in pool.backlogged()}),
             reads=self._collect_reads(),
-            caught_up=self.active_config.caught_up,
+            caught_up=self.active_config.confirmed,
         )
 
     def _collect_reads(self) -> list[PartRead]:
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -218,11 +218,19 @@
 
 @dataclass(frozen=True)
 class CaughtUp:
-    """This router's state is as recent as its peers'.
+    """State of this router's start; sent after the messages that carry what was fetched from peers.
 
-    Sent after the messages that carry the state fetched from them.
+    Attributes
+    ----------
+    may_serve : bool
+        Whether callers may be served.
+    confirmed : bool
+        Whether the router's documents were compared with those of its peers.
     """
 
+    may_serve: bool
+    confirmed: bool
+
 
 @dataclass(frozen=True)
 class OnTick:
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -1,7 +1,7 @@
 """Retrieval from peers of published documents that this router has not read from the store."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -9,7 +9,9 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.membership.messages import PeerMessage, RouterSummary
-from turmerictray.router.broker_messages import RoutersAlive
+from turmerictray.membership.reachability import HeardPeers, Reachability
+from turmerictray.router.broker_messages import CaughtUp, RoutersAlive
+from turmerictray.router.messages import PeersProbed, SilentPeers, SilentPeersQuery
 from turmerictray.router.published import PeerDocs, Position, PublishedDocs, StorePosition
 from turmerictray.router.startup_check import StartupCheck, StartupResult
 from turmerictray.router.store_readers import StoreReaderSelection
@@ -22,6 +24,9 @@
 _MIN_FETCH_INTERVAL_S = 0.3
 """Minimum time between two fetches from peers."""
 
+_SILENCE_S = 3.0
+"""Time without a message after which a seed counts as silent."""
+
 ApplyDocs = Callable[[PublishedDocs, str], None]
 """Applies a peer's documents; called with the documents and the peer's name."""
 
@@ -83,8 +88,10 @@
     apply_docs : callable
         Applies a peer's documents.
     startup_check : StartupCheck
-    on_caught_up : callable
-        Called once, when the router has caught up after its start.
+    on_startup : callable
+        Called with :class:`CaughtUp` whenever the state of the start changes.
+    seeds : collection of str
+        ``tcp://host:port`` of the other routers that this one contacts first.
     """
 
     def __init__(
@@ -93,20 +100,25 @@
         readers: StoreReaderSelection,
         apply_docs: ApplyDocs,
         startup_check: StartupCheck,
-        on_caught_up: Callable[[], None],
+        on_startup: Callable[[CaughtUp], None],
+        seeds: Collection[str] = (),
     ) -> None:
         super().__init__()
         self._position = position
         self._readers = readers
         self._apply_docs = apply_docs
         self._startup_check: StartupCheck | None = startup_check
-        self._on_caught_up = on_caught_up
+        self._on_startup = on_startup
+        self._startup = CaughtUp(may_serve=False, confirmed=False)
+        self._seeds = HeardPeers({seed: seed for seed in seeds}, _SILENCE_S)
+        self._accepting_seeds: set[str] = set()
         self._peer_docs = PeerDocs()
         self._lag = LagTracker()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> None:
+    def on_receive(self, message: object) -> SilentPeers | None:
         log_unknown_message(message)
+        return None
 
     @on_receive.register
     def _(self, message: PeerMessage) -> None:
@@ -121,6 +133,7 @@
             self._readers.record_peer_age(message.summary.store_age_s)
         if self._startup_check is not None:
             self._startup_check.record_peer(message.sender.node, peer, message.summary.caught_up)
+            self._seeds.record(message.sender.address, now)
             self._check_startup()
 
     @on_receive.register
@@ -132,19 +145,41 @@
     def _(self, message: CheckStartup) -> None:
         self._check_startup()
 
+    @on_receive.register
+    def _(self, message: SilentPeersQuery) -> SilentPeers:
+        return SilentPeers(self._seeds.silent(time.monotonic()), self._startup_check is None)
+
+    @on_receive.register
+    def _(self, message: PeersProbed) -> None:
+        self._accepting_seeds = {
+            seed for seed, result in message.results.items() if result is Reachability.ACCEPTS
+        }
+        self._check_startup()
+
     def _check_startup(self) -> None:
-        if self._startup_check is None:
+        check = self._startup_check
+        if check is None:
             return
-        local = self._position()
-        result = self._startup_check.result(local, time.monotonic())
-        if result is None:
+        local, now = self._position(), time.monotonic()
+        check.set_unresponsive(bool(self._accepting_seeds & self._seeds.silent(now).keys()))
+        result = check.update(local, now)
+        startup = CaughtUp(check.may_serve, check.confirmed)
+        if startup == self._startup:
             return
-        self._startup_check = None
-        self._on_caught_up()
+        self._startup = startup
+        self._on_startup(startup)
+        self._log_startup(startup, result, local)
+        if startup.confirmed:
+            self._startup_check = None
+
+    def _log_startup(
+        self, startup: CaughtUp, result: StartupResult | None, local: Position
+    ) -> None:
         log_event(
-            "caught_up",
+            "caught_up" if startup.may_serve else "outdated",
             level="INFO" if result is StartupResult.PEER else "WARNING",
-            by=result.value,
+            by=result.value if result else "-",
+            confirmed=startup.confirmed,
             text_version=local.text_version,
             targets_revision=local.targets.revision,
         )
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -22,7 +22,6 @@
 from turmerictray.router.broker import Broker
 from turmerictray.router.broker_messages import (
     BrokerQuery,
-    CaughtUp,
     KeptQuery,
     OnTick,
     PeerHeard,
@@ -36,6 +35,7 @@
 from turmerictray.router.early_refusals import EarlyRefusals
 from turmerictray.router.flow import RequestFlow
 from turmerictray.router.gateway_settings import GatewaySettings
+from turmerictray.router.peer_prober import PROBE_INTERVAL_S, PeerProber
 from turmerictray.router.placement_client import PlacementClient
 from turmerictray.router.published import PublishedCopy, PublishedDocs
 from turmerictray.router.run import RequestDependencies
@@ -176,8 +176,10 @@
             self._readers,
             self._apply_peer_docs,
             StartupCheck(s.node, time.monotonic()),
-            lambda: self._broker.tell(CaughtUp()),
+            self._broker.tell,
+            [f"tcp://{seed}" for seed in s.seeds if seed != s.peer],
         )
+        self._timer.subscribe(PeerProber.start(self._catch_up), "probe", PROBE_INTERVAL_S)
         self._start_scheduling(choice)
 
         cache_warmup = Recall.start(self._broker, s.node, self._list_cached_parts)
@@ -272,7 +274,10 @@
             self._quarantine, leaving=lambda: self._active_config.announced_leaving
         )
         deps = RequestDependencies(
-            self._placement_client, self._dialect, self._connections, crashes=crashes
+            self._placement_client,
+            self._dialect,
+            self._connections,
+            crashes=crashes,
         )
         self._flow = RequestFlow(deps, self._active_config, self._watch, s.threads)
         self._early_refusals = EarlyRefusals(deps, self._active_config)
