Routed path: requests are not served by routing from before the router caught up

A request between the two was routed by the old configuration and served. Likewise a request that waits in a queue while its router turns out to be outdated.

Change: the configuration is read after the check; a request whose routing is older than the configuration at the end of the start is refused as starting when it is granted, before anything is sent (so 'not run' is true). An answer that has begun goes on.

Not seen in a run with real processes.

--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -126,11 +126,12 @@
             raise CallerGone("caller gone before its request was read")
         if self._closing:
             raise Draining("draining", _DRAINING_RETRY_S)
-        config = self._active_config.current
-        if config is None:
+        if self._active_config.current is None:
             raise NoConfig("no_config", _NOT_READY_RETRY_S)
         if not self._active_config.caught_up:
             raise Starting("starting", _NOT_READY_RETRY_S)
+        # Read only now: a configuration from before the router had caught up may be outdated.
+        config = self._active_config.current
         trace.routed = self._route(exchange, body, config)
         if trace.routed.envelope.prompt is not None:
             self._check_capacity(trace.routed)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -278,6 +278,7 @@
             self._dialect,
             self._connections,
             crashes=crashes,
+            is_outdated=self._active_config.is_outdated,
         )
         self._flow = RequestFlow(deps, self._active_config, self._watch, s.threads)
         self._early_refusals = EarlyRefusals(deps, self._active_config)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -1,7 +1,7 @@
 """Attempts of one request: request a target, send, relay the answer, settle the grant."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import TimeoutError as FutureTimeout
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -16,6 +16,7 @@
     Quarantined,
     QueueFull,
     QueueTimeout,
+    Starting,
     TargetBusy,
     TargetFailed,
     TurmerictrayError,
@@ -50,6 +51,9 @@
 _GRANT_SLACK_S = 0.3
 """Time that a request waits, beyond its queue deadline, for the broker's refusal, in seconds."""
 
+_STARTING_RETRY_S = 0.5
+"""Retry-After while newer documents are fetched from a peer."""
+
 _SILENCE_FACTOR = 4.0
 _MIN_SILENCE_S = 2.0
 """A target that has not begun to answer after four times the expected time, and at least this many
@@ -59,13 +63,18 @@
 
 @dataclass(frozen=True)
 class RequestDependencies:
-    """Components that the attempts of all requests share."""
+    """Components that the attempts of all requests share.
+
+    ``is_outdated`` tells whether a request that was routed with a version of the routing
+    configuration must not be sent.
+    """
 
     placement_client: PlacementClient
     dialect: Dialect
     pool: ConnectionPool
     backlog: TeamBacklog = field(default_factory=TeamBacklog)
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    is_outdated: Callable[[int], bool] = lambda _version: False
 
 
 class RequestRun:
@@ -173,6 +182,7 @@
         try:
             self._deps.crashes.quarantine.check(self._routed.digest, time.monotonic())
             granted = self._request_target()
+            self._check_current(granted)
         except AdmissionError as exc:
             if not self._call.caller_gone and self._relay_withheld_failure():
                 return None
@@ -193,6 +203,14 @@
             # Release the slot after any failure; otherwise this router would lose it for good.
             slot.settle(Outcome.FAILED, self._routed.cost)
 
+    def _check_current(self, granted: Granted) -> None:
+        """Refuse a request whose routing turned out to be outdated while it waited."""
+        if self._progress.answer_started or not self._deps.is_outdated(self._routed.text_version):
+            return
+        slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
+        slot.settle(Outcome.NOT_RUN, 0.0)
+        raise Starting("starting", _STARTING_RETRY_S)
+
     def _request_target(self) -> Granted:
         routed, progress = self._routed, self._progress
         reply = Reply()
