A copy of an order that was told 'not run' is not refused as a duplicate

Seen on the way: a release to a replica that doesn't answer was lost, and the copy refused until the claim expires (order_memory_s).

Ruled out: a majority suffices. Any replica that still holds the key refuses the copy, and has to, as it can't tell a released claim from one that ran.

Change: the release waits for the answers of all replicas, 0.6 s at most, before the caller is told; the link of a replica that did not answer repeats it for as long as claims are stored. Price: one exchange between routers, a few milliseconds, on a refusal of an order only.

--- a/turmerictray/orders/guard.py
+++ b/turmerictray/orders/guard.py
@@ -22,7 +22,7 @@
 from turmerictray.orders.wire import Release, Take
 
 _VOTES_WAIT_S = 0.6
-"""Time to wait for the replicas' votes on a claim."""
+"""Time to wait for the replicas' votes on a claim, and for their answers to a release."""
 
 _STATE_WAIT_S = 2.0
 """Time to wait for the state of the local replica."""
@@ -118,8 +118,15 @@
         raise ClaimUnavailable("order_homes_unreachable", retry_after_s)
 
     def release(self, claim: Claim) -> None:
-        """Release a claim whose request was certainly not run, without waiting for replies."""
-        self._send(Release(claim.key, claim.holder))
+        """Release a claim whose request was certainly not run, and wait for the replicas.
+
+        The caller is told afterwards that it may send the request again. A replica that still held
+        the claim would then refuse the copy as a duplicate. Replicas that do not answer in time
+        are not waited for any longer; their links repeat the release.
+        """
+        votes = self._collect_votes(Release(claim.key, claim.holder))
+        if Vote.UNREACHABLE in votes:
+            log_event("claim_release_late", key=claim.key.hex(), votes=_format_votes(votes))
 
     def state(self) -> HomeState:
         """Return the state of the local replica."""
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -1,6 +1,8 @@
 """Link to one peer's replica: owns the socket and sends one request at a time."""
 
 import time
+from collections import deque
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 import msgspec
@@ -19,6 +21,7 @@
     ANSWER_DECODER,
     ENCODER,
     Records,
+    Release,
     ReplicaAnswer,
     ReplicaRequest,
     Sync,
@@ -43,10 +46,18 @@
         Address of the peer's replica, ``tcp://host:port``.
     local_replica : pykka.ActorRef
         The local :class:`~turmerictray.orders.replica.ClaimHome`.
+    retention_s : callable
+        Returns the time in seconds for which replicas store claims. A release that the peer has
+        not answered is repeated for as long.
     """
 
     def __init__(
-        self, node: NodeId, peer: NodeId, address: str, local_replica: pykka.ActorRef
+        self,
+        node: NodeId,
+        peer: NodeId,
+        address: str,
+        local_replica: pykka.ActorRef,
+        retention_s: Callable[[], float],
     ) -> None:
         super().__init__()
         self.node = node
@@ -56,6 +67,8 @@
         self.started_at = time.monotonic()
         self.synced = False
         self.unreachable_until = 0.0
+        self.retention_s = retention_s
+        self._unconfirmed_releases: deque[tuple[float, Release]] = deque()
         self._req: pynng.Req0 | None = None
 
     def open(self) -> None:
@@ -78,10 +91,13 @@
         answer = None
         if time.monotonic() >= self.unreachable_until:
             answer = self._exchange(msg.request)
+        if answer is None and isinstance(msg.request, Release):
+            self._unconfirmed_releases.append((time.monotonic(), msg.request))
         msg.reply.try_set_result(answer.vote if isinstance(answer, Voted) else Vote.UNREACHABLE)
 
     @on_receive.register
     def _(self, _msg: Tick) -> None:
+        self._repeat_releases()
         requested_at = time.monotonic()
         if self.synced or requested_at - self.started_at < SYNC_DELAY_S:
             return
@@ -90,6 +106,14 @@
             self.synced = True
             self.local_replica.tell(Synced(answer, requested_at))
 
+    def _repeat_releases(self) -> None:
+        while self._unconfirmed_releases and time.monotonic() >= self.unreachable_until:
+            requested_at, release = self._unconfirmed_releases[0]
+            expired = time.monotonic() - requested_at > self.retention_s()
+            if not expired and self._exchange(release) is None:
+                return
+            self._unconfirmed_releases.popleft()
+
     def _exchange(self, request: ReplicaRequest) -> ReplicaAnswer | None:
         data = ENCODER.encode(request)
         try:
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -141,7 +141,13 @@
         self.timer.subscribe(replica, "claims", _CLAIMS_INTERVAL_S)
         replicas = {node: replica}
         for peer in s.peers:
-            link = HomeLink.start(node, NodeId(peer.node), peer.claims, replica)
+            link = HomeLink.start(
+                node,
+                NodeId(peer.node),
+                peer.claims,
+                replica,
+                lambda: self.snapshot.limits().order_memory_s,
+            )
             self.timer.subscribe(link, "claims", _CLAIMS_INTERVAL_S)
             replicas[NodeId(peer.node)] = link
         return OrderGuard(node, members, replicas)
