--- a/tests/core/test_log_sink.py
+++ b/tests/core/test_log_sink.py
@@ -1,6 +1,8 @@
 """Tests that logging never blocks a request and uses bounded memory."""
 
 import os
+import subprocess
+import sys
 import time
 
 from turmerictray.core import log_sink
@@ -65,3 +67,22 @@
     assert all(budget.try_spend(failed=True) for _ in range(5))
     assert budget.pop_dropped_count() == 95
     assert budget.pop_dropped_count() == 0
+
+
+LAST_LINE_PROGRAM = """
+from turmerictray.core.logs import log_event, setup_logging
+
+setup_logging("router", "r1", stderr=False, stdout=True)
+for number in range(1500):
+    log_event("line", number=number)
+log_event("last_line")
+"""
+
+
+def test_last_line_is_written_before_the_process_ends():
+    """Guards against a log without the lines that tell why a process ended."""
+    for _ in range(5):
+        proc = subprocess.run(
+            [sys.executable, "-c", LAST_LINE_PROGRAM], capture_output=True, text=True, timeout=15
+        )
+        assert "event=last_line" in proc.stdout
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -8,14 +8,11 @@
 
 import pykka
 
-from turmerictray.core.logs import log_event
+from turmerictray.core.logs import close_logs, log_event
 
 ACTOR_FAILED_EXIT = 71
 """Exit status of a process that ends because one of its actors failed."""
 
-_LOG_FLUSH_S = 0.2
-"""Time that the log thread gets to write the last line before the process exits."""
-
 
 def ask_with_timeout(actor: pykka.ActorRef, message: object, timeout_s: float) -> Any | None:
     """Ask an actor and return its answer, or None if it takes longer than ``timeout_s`` seconds.
@@ -99,5 +96,5 @@
             actor=type(self).__name__,
             reason=repr(exception_value)[:200],
         )
-        time.sleep(_LOG_FLUSH_S)
+        close_logs()
         os._exit(ACTOR_FAILED_EXIT)
--- a/turmerictray/core/log_sink.py
+++ b/turmerictray/core/log_sink.py
@@ -46,6 +46,8 @@
 
     def close(self) -> None:
         """Write the queued lines and stop the thread; waits at most a second for each."""
+        if not self._thread.is_alive():
+            return
         try:
             self._lines.put(None, timeout=1.0)
         except queue.Full:
--- a/turmerictray/core/logs.py
+++ b/turmerictray/core/logs.py
@@ -5,6 +5,7 @@
 into one timeline.
 """
 
+import atexit
 import itertools
 import logging
 import re
@@ -20,6 +21,7 @@
 _seq = itertools.count()
 _seq_lock = threading.Lock()
 _request_budget = LineBudget()
+_stdout_sinks: list[StdoutSink] = []
 _identity = {"node": "-", "zone": "-", "role": "-"}
 
 
@@ -89,12 +91,23 @@
     if stderr:
         logger.add(sys.stderr, format="{message}", level="INFO", enqueue=False)
     if stdout:
-        logger.add(StdoutSink(), format="{message}", level="INFO", enqueue=False, catch=False)
+        sink = StdoutSink()
+        # The sink's thread is a daemon; without this, the last lines are lost if it does not run
+        # before the process ends.
+        atexit.register(sink.close)
+        _stdout_sinks.append(sink)
+        logger.add(sink, format="{message}", level="INFO", enqueue=False, catch=False)
     if path:
         logger.add(path, format="{message}", level="INFO", enqueue=False)
     _log_actor_failures()
 
 
+def close_logs() -> None:
+    """Write what is queued; later lines are lost. Call before a process ends by ``os._exit``."""
+    for sink in _stdout_sinks:
+        sink.close()
+
+
 class _LibraryLogs(logging.Handler):
     """Writes a library's warnings and errors, with the exception if there is one, as events."""
 
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -17,7 +17,7 @@
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
-from turmerictray.core.logs import log_event, log_unknown_message
+from turmerictray.core.logs import close_logs, log_event, log_unknown_message
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.admission_limit import AdmissionLimit
 from turmerictray.fairness.ledger import UsageLedger
@@ -135,6 +135,7 @@
                 log_event(
                     "invariant_broken", level="ERROR", reason=str(exc), after=type(message).__name__
                 )
+                close_logs()
                 os._exit(INVARIANT_EXIT_STATUS)
         return result
 
