A router sends engines no orders by a configuration that may be outdated

An engine that ignores fencing numbers would unload what revision 2 had loaded. The confirmation that such an order needs comes from the same outdated service.

Change: no orders while the router does not serve callers. The test failed before (the order was sent); not seen in a run with real processes.

--- a/tests/placement/test_engine_orders.py
+++ b/tests/placement/test_engine_orders.py
@@ -236,3 +236,19 @@
 @when("a heartbeat of the peer arrives")
 def peer_heartbeat(placer):
     placer.tell(PeerSummary(PeerCounters("r1", 1, {})))
+
+
+def test_placer_sends_no_orders_while_the_router_starts():
+    """Guards against orders by the outdated configuration of a restarted router."""
+    snapshot, engine, node = _snapshot("e0", False), FakeEngine(["chat-2"]), NodeId("r0")
+    snapshot.starting = True
+    placer = Placer.start(node, [Member(node, ZoneId("madina"))], snapshot, engine, 3.0)
+    try:
+        placer.tell(ConfigConfirmed(1, time.monotonic()))
+        placer.ask(Tick("placement", time.monotonic()))
+        assert engine.orders == []
+        snapshot.starting = False
+        placer.ask(Tick("placement", time.monotonic()))
+        assert engine.orders == [ModelOrder(1, ["chat-1"])]
+    finally:
+        placer.stop()
--- a/turmerictray/config/snapshot.py
+++ b/turmerictray/config/snapshot.py
@@ -14,10 +14,13 @@
     ----------
     current : Config or None
         The active configuration; None before the first.
+    starting : bool
+        Whether the router does not serve callers yet, because ``current`` may be outdated.
     """
 
     def __init__(self) -> None:
         self.current: Config | None = None
+        self.starting = False
 
     def limits(self) -> Limits:
         """Return the active limits; the defaults of the schema before the first configuration."""
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -90,6 +90,10 @@
         cfg = self.snapshot.current
         if cfg is None or msg.is_late() or not self._is_startup_complete():
             return
+        # A router that has just started may have an outdated configuration, which its
+        # configuration service, if it is outdated as well, would even confirm.
+        if self.snapshot.starting:
+            return
         live = self._eligible_members()
         for target in _engines_with_models(cfg):
             if responsible_router(target.id, target.zone, live) == self.node:
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -102,6 +102,7 @@
         self.node = node
         self.incarnation = incarnation
         self.snapshot = snapshot
+        self.snapshot.starting = True
         self.assertions = assertions
         self.ledger = UsageLedger(node, incarnation)
         self.config = ConfigState()
@@ -418,6 +419,7 @@
 
     def _start_serving(self, result: StartupResult) -> None:
         self.min_config_version = self.config.version
+        self.snapshot.starting = False
         log_event(
             "ready",
             level="INFO" if self.startup.confirmed else "WARNING",
@@ -429,6 +431,7 @@
 
     def _refuse_as_outdated(self) -> None:
         """Refuse the queued requests, which were parsed with an outdated configuration."""
+        self.snapshot.starting = True
         log_event("outdated", level="WARNING", version=self.config.version, queued=self._queued())
         for queue in self.queues.values():
             for pending in queue.expire(math.inf):
