Requests that wait for a service which a new configuration removes are refused at once

Found by the search for what is read when a request is parsed and used after a change (own path): a queued request names its service; if a new configuration removes the service, no slot ever becomes free for it and the caller waits for its queue timeout (30 s by default), though it is known at once that it can't be served.

Change: the queues of removed services are emptied with no_target when the configuration comes into force.

--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -15,7 +15,14 @@
 from turmerictray.config.state import ConfigState
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
-from turmerictray.core.errors import Draining, NoTarget, QueueFull, QueueTimeout, Starting
+from turmerictray.core.errors import (
+    AdmissionError,
+    Draining,
+    NoTarget,
+    QueueFull,
+    QueueTimeout,
+    Starting,
+)
 from turmerictray.core.ids import NodeId, ServiceName, TeamId
 from turmerictray.core.logs import close_logs, log_event, log_unknown_message
 from turmerictray.core.timer import Tick
@@ -342,9 +349,20 @@
         for queue in self.queues.values():
             queue.max_per_team = cfg.limits.queue_per_team
             queue.retry_after = cfg.limits.retry_after_s
+        self._refuse_removed_services(cfg)
         self.snapshot.current = cfg
         metrics.CONFIG_VERSION.set(cfg.version)
 
+    def _refuse_removed_services(self, cfg: Config) -> None:
+        for service in self.queues.keys() - {ServiceName(svc.name) for svc in cfg.services}:
+            queue = self.queues.pop(service)
+            self._refuse_all(queue, NoTarget("no_target", cfg.limits.retry_after_s))
+
+    def _refuse_all(self, queue: FairQueue, exc: AdmissionError) -> None:
+        for pending in queue.expire(math.inf):
+            self.hold.release(pending.team)
+            pending.reply.try_set_exception(exc)
+
     def _grant_free_slots(self) -> None:
         for service, queue in self.queues.items():
             targets = self.table.of_service(service)
@@ -434,9 +452,7 @@
         self.snapshot.starting = True
         log_event("outdated", level="WARNING", version=self.config.version, queued=self._queued())
         for queue in self.queues.values():
-            for pending in queue.expire(math.inf):
-                self.hold.release(pending.team)
-                pending.reply.try_set_exception(Starting("starting", _STARTING_RETRY_AFTER_S))
+            self._refuse_all(queue, Starting("starting", _STARTING_RETRY_AFTER_S))
 
     def _demand_for(self, service: ServiceName) -> dict[TeamId, int]:
         queue = self.queues.get(service)
