Stand-in worker: a crash also closes a connection that is just being accepted

Router log: one of the four requests had been sent to an engine that another of them ended in the same instant; no reset came, and it was given up after 2 s of silence (TimeoutError) and not counted as an ending. Cause: the stand-in lists the connections to break and tracks a new one after that. A process that ends closes all.

test_connection_accepted_during_a_crash_is_closed failed before, passes now.

--- a/turmerictray/platform/standins/http.py
+++ b/turmerictray/platform/standins/http.py
@@ -32,12 +32,18 @@
     def __init__(self, *args: object) -> None:
         super().__init__(*args)
         self._open: set[socket.socket] = set()
+        self._aborted = False
         self._lock = threading.Lock()
 
     def process_request(self, request: socket.socket, client_address: object) -> None:
-        """Track and serve a new connection."""
+        """Track and serve a new connection; close it if the server was aborted meanwhile."""
         with self._lock:
-            self._open.add(request)
+            aborted = self._aborted
+            if not aborted:
+                self._open.add(request)
+        if aborted:
+            super().shutdown_request(request)
+            return
         super().process_request(request, client_address)
 
     def shutdown_request(self, request: socket.socket) -> None:
@@ -52,6 +58,7 @@
         self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
         with self._lock:
+            self._aborted = True
             open_connections, self._open = self._open, set()
         for conn in open_connections:
             # The handler may close the connection concurrently.
