--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -213,8 +213,13 @@
             except msgspec.DecodeError:
                 log_event("peer_bad_message", level="WARNING", size=len(data))
                 continue
-            if heartbeat.node != self.node:
+            if heartbeat.node == self.node:
+                continue
+            try:
                 self.actor_ref.tell(heartbeat)
+            except pykka.ActorDeadError:
+                # The router is stopping; the actor ended before its socket is closed.
+                return
 
     def _process_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.last_received_at[heartbeat.node] = time.monotonic()
