--- a/tests/core/test_actor.py
+++ b/tests/core/test_actor.py
@@ -20,12 +20,16 @@
 """
 
 
+def run(program: str) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=15
+    )
+
+
 def test_failed_actor_terminates_process_with_reason():
     # The actor that owns the pools raises. If only its thread ended, the process would report that
     # it is ready but refuse every request once the query to the dead actor has timed out.
-    proc = subprocess.run(
-        [sys.executable, "-c", PROGRAM], capture_output=True, text=True, timeout=15
-    )
+    proc = run(PROGRAM)
     assert proc.returncode == ACTOR_FAILED_EXIT
     assert "event=actor_failed actor=Pools" in proc.stdout
     assert "no such pool" in proc.stdout
@@ -48,9 +52,7 @@
 
 def test_actor_that_fails_to_start_terminates_process_with_reason():
     """Guards against a router that serves without its peer link, as the link failed to start."""
-    proc = subprocess.run(
-        [sys.executable, "-c", FAILED_START_PROGRAM], capture_output=True, text=True, timeout=15
-    )
+    proc = run(FAILED_START_PROGRAM)
     assert proc.returncode == ACTOR_FAILED_EXIT
     assert "event=actor_failed actor=Link" in proc.stdout
     assert "address in use" in proc.stdout
@@ -74,8 +76,6 @@
 
 def test_failure_of_any_actor_is_logged():
     """Guards against an actor that ends without a trace in the log."""
-    proc = subprocess.run(
-        [sys.executable, "-c", PLAIN_ACTOR_PROGRAM], capture_output=True, text=True, timeout=15
-    )
+    proc = run(PLAIN_ACTOR_PROGRAM)
     assert "event=library_log logger=pykka" in proc.stdout
     assert "no such entry" in proc.stdout
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -438,12 +438,13 @@
     def _start_serving(self, result: StartupResult) -> None:
         self.min_config_version = self.config.version
         self.snapshot.starting = False
+        timed_out = result in (StartupResult.NO_REPORT, StartupResult.BEHIND)
         log_event(
             "ready",
-            level="INFO" if self.startup.confirmed else "WARNING",
+            level="WARNING" if timed_out else "INFO",
             version=self.config.version,
             peers_heard=self.startup.peers_heard,
-            timed_out=result in (StartupResult.NO_REPORT, StartupResult.BEHIND),
+            timed_out=timed_out,
             by=result.value,
         )
 
