--- a/tests/admission/test_budget.py
+++ b/tests/admission/test_budget.py
@@ -36,3 +36,11 @@
     assert sum(budget.try_spend(0.0) for _ in range(20)) == 8
     assert not budget.try_spend(9.9)
     assert budget.try_spend(10.1)
+
+
+def test_requests_outside_the_window_are_forgotten_without_retries():
+    """Guards against memory that grows with every request of a service that never retries."""
+    budget = RetryBudget(RATIO, FLOOR, WINDOW_S)
+    for number in range(20_000):
+        budget.note_request(number * WINDOW_S / 100)
+    assert len(budget._requests) <= 101
--- a/turmerictray/admission/budget.py
+++ b/turmerictray/admission/budget.py
@@ -42,6 +42,8 @@
     def note_request(self, now: float) -> None:
         """Record a caller's request to the service."""
         self._requests.append(now)
+        # Also here, as a service that never retries would otherwise keep all its requests.
+        self._remove_expired(now)
 
     def try_spend(self, now: float) -> bool:
         """Spend one retry; return False if the window's allowance is used up."""
