--- a/tests/router/test_queue_timeout.py
+++ b/tests/router/test_queue_timeout.py
@@ -2,12 +2,14 @@
 
 import json
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from turmerictray.config.load import parse_config
 from turmerictray.config.schema import ServiceKind
 from turmerictray.config.snapshot import ConfigSnapshot
+from turmerictray.core import metrics
 from turmerictray.core.errors import QueueTimeout
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId
 from turmerictray.fairness.ledger import PeerCounters
@@ -100,3 +102,17 @@
     with pytest.raises(QueueTimeout):
         proxy.serve(req, config())
     assert dispatcher.received[-1] == Finished(RequestId("q"), DEPOT, TARGET, 1.0, 0.0, True)
+
+
+def test_refusal_because_the_dispatcher_stalls_is_counted(monkeypatch):
+    """Guards against refusals that are missing from the metrics while the dispatcher stalls."""
+    monkeypatch.setattr("turmerictray.router.proxy._GRANT_MARGIN_S", 0.0)
+    refused = metrics.REQUESTS.labels(DEPOT, "refused")
+    before = refused._value.get()
+    proxy = Proxy(SimpleNamespace(tell=lambda msg: None), upstream=None, guard=None, node="r0")
+    req = CallerRequest(
+        RequestId("q"), DEPOT, LLM, ServiceKind.MODEL, b"{}", 1.0, None, True, "/", False
+    )
+    with pytest.raises(QueueTimeout):
+        proxy.serve(req, config())
+    assert refused._value.get() == before + 1
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -256,6 +256,7 @@
             # the caller still gets a final answer now. Cancelling fails if a grant arrives at the
             # same moment; the grant is then used.
             if reply.cancel():
+                metrics.REQUESTS.labels(req.team, "refused").inc()
                 raise QueueTimeout("queue_timeout", cfg.limits.retry_after_s) from None
             grant = reply.result()
         except AdmissionError:
