--- a/turmerictray/router/broker.py
+++ b/turmerictray/router/broker.py
@@ -30,7 +30,6 @@
     Ask,
     BrokerQuery,
     CachedParts,
-    CaughtUp,
     EnginesQuery,
     FirstEvent,
     Granted,
@@ -41,6 +40,7 @@
     RoutersAlive,
     ServiceHeard,
     Settled,
+    StartupState,
     SummaryQuery,
     TargetLeaving,
     TargetsChanged,
@@ -272,7 +272,7 @@
         metrics.CONFIG_VERSION.set(config.version)
 
     @handle.register
-    def _(self, msg: CaughtUp) -> None:
+    def _(self, msg: StartupState) -> None:
         self.active_config.set_startup(msg.may_serve, msg.confirmed)
 
     @handle.register
--- a/turmerictray/router/broker_messages.py
+++ b/turmerictray/router/broker_messages.py
@@ -217,7 +217,7 @@
 
 
 @dataclass(frozen=True)
-class CaughtUp:
+class StartupState:
     """State of this router's start; sent after the messages that carry what was fetched from peers.
 
     Attributes
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -10,7 +10,7 @@
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.membership.messages import PeerMessage, RouterSummary
 from turmerictray.membership.reachability import HeardPeers, Reachability
-from turmerictray.router.broker_messages import CaughtUp, RoutersAlive
+from turmerictray.router.broker_messages import RoutersAlive, StartupState
 from turmerictray.router.messages import PeersProbed, SilentPeers, SilentPeersQuery
 from turmerictray.router.published import PeerDocs, Position, PublishedDocs, StorePosition
 from turmerictray.router.startup_check import StartupCheck, StartupResult
@@ -89,7 +89,7 @@
         Applies a peer's documents.
     startup_check : StartupCheck
     on_startup : callable
-        Called with :class:`CaughtUp` whenever the state of the start changes.
+        Called with :class:`StartupState` whenever the state of the start changes.
     seeds : collection of str
         ``tcp://host:port`` of the other routers that this one contacts first.
     """
@@ -100,7 +100,7 @@
         readers: StoreReaderSelection,
         apply_docs: ApplyDocs,
         startup_check: StartupCheck,
-        on_startup: Callable[[CaughtUp], None],
+        on_startup: Callable[[StartupState], None],
         seeds: Collection[str] = (),
     ) -> None:
         super().__init__()
@@ -109,7 +109,7 @@
         self._apply_docs = apply_docs
         self._startup_check: StartupCheck | None = startup_check
         self._on_startup = on_startup
-        self._startup = CaughtUp(may_serve=False, confirmed=False)
+        self._startup = StartupState(may_serve=False, confirmed=False)
         self._seeds = HeardPeers({seed: seed for seed in seeds}, _SILENCE_S)
         self._accepting_seeds: set[str] = set()
         self._peer_docs = PeerDocs()
@@ -163,7 +163,7 @@
         local, now = self._position(), time.monotonic()
         check.set_unresponsive(bool(self._accepting_seeds & self._seeds.silent(now).keys()))
         result = check.update(local, now)
-        startup = CaughtUp(check.may_serve, check.confirmed)
+        startup = StartupState(check.may_serve, check.confirmed)
         if startup == self._startup:
             return
         self._startup = startup
@@ -173,7 +173,7 @@
             self._startup_check = None
 
     def _log_startup(
-        self, startup: CaughtUp, result: StartupResult | None, local: Position
+        self, startup: StartupState, result: StartupResult | None, local: Position
     ) -> None:
         log_event(
             "caught_up" if startup.may_serve else "outdated",
