test_config_stateful follows the fetch from peers to its own actor

The machine called ConfigWatcher._fetch_from_peer, which is PeerConfigFetcher now; it failed in the first run of the whole suite for want of the method. Rules, invariants and number of examples are the same.

--- a/tests/config/test_config_stateful.py
+++ b/tests/config/test_config_stateful.py
@@ -10,6 +10,7 @@
 from turmerictray.config.state import ConfigState
 from turmerictray.core.errors import ConfigError
 from turmerictray.router import watch_config
+from turmerictray.router.fetch_config import PeerConfigFetcher
 from turmerictray.router.messages import ConfigApplied, PeerHasNewer
 from turmerictray.router.watch_config import ConfigWatcher
 
@@ -42,7 +43,7 @@
 
 
 class Router:
-    """The watcher and the active configuration of one router, connected to the fake service."""
+    """Watcher, fetcher and active configuration of one router, connected to the fake service."""
 
     def __init__(self, service: "ConfigMachine") -> None:
         self.state = ConfigState()
@@ -50,6 +51,8 @@
             "http://config", FakeActorRef(self._apply), FakeActorRef(lambda _: None), 2.0
         )
         self.watcher.http = service
+        self.fetcher = PeerConfigFetcher(FakeActorRef(self._apply))
+        self.fetcher._http = service
 
     def _apply(self, msg: ConfigApplied) -> None:
         before = self.state.version
@@ -107,7 +110,7 @@
     def fetch_from_peer(self, index, peer):
         version = self.routers[peer].state.version
         if version:
-            self.routers[index].watcher._fetch_from_peer(PeerHasNewer(version, f"http://{peer}"))
+            self.routers[index].fetcher.on_receive(PeerHasNewer(version, f"http://{peer}"))
 
     @rule(index=st.sampled_from(ROUTERS))
     def restart(self, index):
