--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -13,6 +13,7 @@
     TurmerictrayError,
 )
 from turmerictray.transport.events import Event
+from turmerictray.transport.target_conn import BodyEnd
 
 _MIN_ATTEMPT_S = 0.03
 """Minimum time left for a further attempt, in seconds. With less it can't end in time and would
@@ -45,6 +46,10 @@
         When the last event was sent, in monotonic seconds.
     first_event_at : float or None
         When the first event of the current attempt was sent, in monotonic seconds.
+    body_end : BodyEnd or None
+        What delimits the body of the last answer whose head was received.
+    unfinished_bytes : int
+        Bytes received after the last complete event of the last stream.
     """
 
     route: Route
@@ -57,6 +62,8 @@
     max_pause_s: float = 0.0
     last_event_at: float | None = None
     first_event_at: float | None = None
+    body_end: BodyEnd | None = None
+    unfinished_bytes: int = 0
 
     def begin_attempt(self) -> None:
         """Begin an attempt at another target."""
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -84,6 +84,7 @@
         flags = self._dialect.read_answer(head, self._routed.envelope)
         self.leaving = flags.leaving
         self._check(head, flags)
+        self._progress.body_end = conn.body_end
         if _is_event_stream(head):
             self._relay_events(conn, head)
             return
@@ -123,6 +124,7 @@
                 events = splitter.feed(data)
             except EventTooLarge as exc:
                 raise OutcomeUnknown(str(exc)) from exc
+            self._progress.unfinished_bytes = len(splitter.rest)
             if not events:
                 continue
             self._start_stream(head)
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -112,6 +112,10 @@
             if self.progress.event_count:
                 gap_ms = _ms(routed.route.gap_s)
                 fields.update(pause_ms=_ms(self.progress.max_pause_s), gap_ms=gap_ms)
+            if self.progress.body_end is not None:
+                fields["end"] = self.progress.body_end.value
+            if self.progress.unfinished_bytes:
+                fields["unfinished_bytes"] = self.progress.unfinished_bytes
         return fields
 
 
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from dataclasses import dataclass
+from enum import Enum
 
 from urllib3.util.connection import create_connection
 
@@ -28,6 +29,14 @@
 """
 
 
+class BodyEnd(Enum):
+    """What delimits the body of an answer (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    LAST_CHUNK = "last_chunk"
+    CONNECTION_CLOSE = "connection_close"
+
+
 @dataclass(frozen=True)
 class TargetRequest:
     """A request to a target; ``headers`` holds all headers except Content-Length."""
@@ -155,6 +164,13 @@
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise _call_error(exc, f"{self.address}: body: {exc!r}") from exc
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """What delimits the body of the current answer."""
+        if self._resp.chunked:
+            return BodyEnd.LAST_CHUNK
+        return BodyEnd.CONNECTION_CLOSE if self._resp.length is None else BodyEnd.LENGTH
+
     def _read_body_bytes(self) -> bytes:
         resp = self._resp
         if resp.isclosed():
