--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -28,7 +28,8 @@
     ``OTHER_ID`` answers with the id of another request, ``UNSIGNED`` without the worker's seal,
     ``EXTRA_ANSWER`` sends a second answer, and ``NO_LENGTH`` ends the body by closing the
     connection. ``RESET_UNSENT`` resets the connection before the request runs,
-    ``RESET_AFTER_RUN`` after it started to run.
+    ``RESET_AFTER_RUN`` after it started to run. ``UNFRAMED_STREAM`` sends a stream with neither a
+    length nor chunks, ``UNFRAMED_CUT_STREAM`` also closes the connection within an event of it.
     """
 
     NONE = "none"
@@ -45,6 +46,13 @@
     NO_LENGTH = "no_length"
     BROKEN_STREAM = "broken_stream"
     SILENT_STREAM = "silent_stream"
+    UNFRAMED_STREAM = "unframed_stream"
+    UNFRAMED_CUT_STREAM = "unframed_cut_stream"
+
+    @property
+    def is_unframed_stream(self) -> bool:
+        """Whether a stream with this fault has neither a length nor chunks."""
+        return self in (WorkerFault.UNFRAMED_STREAM, WorkerFault.UNFRAMED_CUT_STREAM)
 
 
 @dataclass
@@ -248,6 +256,7 @@
 
 class _Handler(QuietHandler):
     disable_nagle_algorithm = True
+    _chunked = True
 
     @property
     def worker(self) -> Worker:
@@ -324,13 +333,15 @@
             self._send_answer(200, b"extra", request_id="f" * 16)
 
     def _stream(self, request: ReceivedRequest, fault: WorkerFault) -> None:
-        self._send_head(
-            200, [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
-        )
+        self._chunked = not fault.is_unframed_stream
+        framing = ("Transfer-Encoding", "chunked") if self._chunked else ("Connection", "close")
+        self._send_head(200, [("Content-Type", "text/event-stream"), framing])
+        self.close_connection = not self._chunked
+        breaks = fault not in (WorkerFault.NONE, WorkerFault.UNFRAMED_STREAM)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, self.worker.behaviour.event_count + 1):
             event = f"id: {number}\ndata: piece-{number}\n\n".encode()
-            if fault is not WorkerFault.NONE and number == first + 2:
+            if breaks and number == first + 2:
                 self._break_stream(request, fault, event)
                 return
             if self._wait_for_close(self.worker.behaviour.event_interval_s):
@@ -344,9 +355,15 @@
         self._send_chunk(event[: len(event) // 2])
         if fault is WorkerFault.SILENT_STREAM:
             request.client_disconnected = self._wait_for_close(_HANG_S)
+        if fault is WorkerFault.UNFRAMED_CUT_STREAM:
+            self.close_connection = True
+            return
         self._reset()
 
     def _send_chunk(self, data: bytes) -> None:
+        if not self._chunked:
+            self.wfile.write(data)
+            return
         self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
     def _wait_for_close(self, seconds: float) -> bool:
