An answer that a target breaks off is never passed on as complete

Cause: nothing in the router knew by which proof an answer is complete. http.client answers b'' at the end of a connection and at a last chunk alike, takes the end of a connection inside a head for the head's end, inside a chunk's size line ('0' of '0a3') for the last chunk and inside the trailer for its end; the relay sent what follows the last whole event and closed the answer. Change: transport/body.py reads a body by its framing and names its end (BodyEnd); a line that the connection cuts is an error. A stream that ends within an event was broken off whatever delimits it; one without length or chunks also if no event came. Then a resumable stream goes on at another target, any other caller's connection is closed without the last chunk. Bodies of known length are also passed on as they arrive.

--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -12,8 +12,8 @@
     TimedOut,
     TurmerictrayError,
 )
+from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import Event
-from turmerictray.transport.target_conn import BodyEnd
 
 _MIN_ATTEMPT_S = 0.03
 """Minimum time left for a further attempt, in seconds. With less it can't end in time and would
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -3,10 +3,11 @@
 import time
 
 from turmerictray.admission.pool_types import Outcome
-from turmerictray.core.errors import OutcomeUnknown, TargetBusy, TargetFailed
+from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown, TargetBusy, TargetFailed
 from turmerictray.router.dialect import AnswerFlags, Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter, EventTooLarge
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection
@@ -130,6 +131,10 @@
             self._start_stream(head)
             self._exchange.send(b"".join(event.data for event in events))
             self._progress.record_events(events)
+        if not splitter.is_complete(conn.body_end):
+            is_closed = conn.body_end is BodyEnd.CONNECTION_CLOSE
+            error = ConnectionBroken if is_closed else OutcomeUnknown
+            raise error("the stream ended within an event, or before the first one")
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
--- a/turmerictray/transport/events.py
+++ b/turmerictray/transport/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from turmerictray.transport.body import BodyEnd
+
 _MAX_EVENT_BYTES = 1 << 20
 
 
@@ -35,6 +37,7 @@
 
     def __init__(self) -> None:
         self._remainder = b""
+        self._event_count = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Append bytes of the stream and return the events that they complete.
@@ -52,6 +55,7 @@
                 break
             events.append(_parse_event(self._remainder[:end]))
             self._remainder = self._remainder[end:]
+        self._event_count += len(events)
         if len(self._remainder) > _MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event is over {_MAX_EVENT_BYTES} bytes")
         return events
@@ -61,11 +65,26 @@
         """Bytes received after the last complete event."""
         return self._remainder
 
+    def is_complete(self, end: BodyEnd) -> bool:
+        """Return whether the stream, whose body has ended, was not broken off.
+
+        A stream that ends within an event was broken off, whatever delimits its body. If only the
+        close of the connection does, so was a stream without any event.
+
+        Parameters
+        ----------
+        end : BodyEnd
+            What delimited the body.
+        """
+        if self._remainder.strip(b"\r\n"):
+            return False
+        return self._event_count > 0 or end is not BodyEnd.CONNECTION_CLOSE
+
 
 def _find_event_end(data: bytes) -> int:
     """Return the index just after the first blank line, or -1 if there is none."""
     ends = []
-    for separator in (b"\n\n", b"\r\n\r\n"):
+    for separator in (b"\n\n", b"\n\r\n"):
         index = data.find(separator)
         if index >= 0:
             ends.append(index + len(separator))
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -5,11 +5,11 @@
 import socket
 import time
 from dataclasses import dataclass
-from enum import Enum
 
 from urllib3.util.connection import create_connection
 
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
+from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.exchange import Header
 
 _READ_SIZE_BYTES = 65536
@@ -29,14 +29,6 @@
 """
 
 
-class BodyEnd(Enum):
-    """What delimits the body of an answer (RFC 9112, section 6.3)."""
-
-    LENGTH = "length"
-    LAST_CHUNK = "last_chunk"
-    CONNECTION_CLOSE = "connection_close"
-
-
 @dataclass(frozen=True)
 class TargetRequest:
     """A request to a target; ``headers`` holds all headers except Content-Length."""
@@ -56,14 +48,29 @@
     return head.encode("latin-1") + req.body
 
 
-class _PersistentReader(io.BufferedReader):
-    """A buffered reader that stays open after each answer read from it.
+class _AnswerReader(io.BufferedReader):
+    """A buffered reader that stays open after each answer, and returns no incomplete lines.
 
     :class:`http.client.HTTPResponse` closes its file at the end of an answer. Bytes that a target
     sent after the answer would be lost with the buffer, and the next answer would be read from its
     middle. As the reader stays open, such bytes are detected.
+
+    :mod:`http.client` takes the end of a connection for the end of a head.
     """
 
+    def readline(self, size: int | None = -1) -> bytes:
+        """Read a line, or ``size`` bytes of it.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            The connection ended within the line.
+        """
+        line = super().readline(size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise http.client.IncompleteRead(line)
+        return line
+
     def close(self) -> None:
         """Do nothing; :meth:`TargetConnection.close` closes the socket."""
 
@@ -100,8 +107,9 @@
         except OSError as exc:
             raise NotSent(f"{address}: {exc}") from exc
         raw = socket.SocketIO(self._sock, "r")
-        self._reader = _PersistentReader(raw, _READ_SIZE_BYTES)
+        self._reader = _AnswerReader(raw, _READ_SIZE_BYTES)
         self._resp: http.client.HTTPResponse | None = None
+        self._body: Body | None = None
 
     def send(self, req: TargetRequest, timeout_s: float) -> None:
         """Send a request, head and body.
@@ -125,10 +133,12 @@
         OutcomeUnknown
             No valid head came within ``timeout_s`` seconds.
         """
+        self._body = None
         self._resp = http.client.HTTPResponse(_ReaderSocket(self._reader), method=method)
         try:
             self._sock.settimeout(timeout_s)
             self._resp.begin()
+            self._body = body_of(self._resp, method, self._reader)
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise _call_error(exc, f"{self.address}: head: {exc!r}") from exc
         headers = [(name.title(), val) for name, val in self._resp.getheaders()]
@@ -160,33 +170,21 @@
             raise OutcomeUnknown(f"{self.address}: body: timed out")
         try:
             self._sock.settimeout(left_s)
-            return self._read_body_bytes()
+            return self._body.read_available()
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise _call_error(exc, f"{self.address}: body: {exc!r}") from exc
 
     @property
     def body_end(self) -> BodyEnd:
         """What delimits the body of the current answer."""
-        if self._resp.chunked:
-            return BodyEnd.LAST_CHUNK
-        return BodyEnd.CONNECTION_CLOSE if self._resp.length is None else BodyEnd.LENGTH
-
-    def _read_body_bytes(self) -> bytes:
-        resp = self._resp
-        if resp.isclosed():
-            return b""
-        if resp.chunked or resp.length is None:
-            return resp.read1(_READ_SIZE_BYTES)
-        # For a body of known length, read1() treats a closed connection as the end of the body, so
-        # a truncated body would seem complete; read() raises IncompleteRead.
-        return resp.read()
+        return self._body.end
 
     def is_reusable(self) -> bool:
         """Return whether the answer is complete and the connection may carry another request."""
-        resp = self._resp
-        if resp is None or not resp.isclosed() or resp.will_close:
+        body = self._body
+        if body is None or not body.is_complete or self._resp.will_close:
             return False
-        return not self._has_unexpected_data()
+        return body.end is not BodyEnd.CONNECTION_CLOSE and not self._has_unexpected_data()
 
     def is_usable(self, margin_s: float, default_limit_s: float) -> bool:
         """Return whether an idle connection may still be used.
