A broken-off stream to an HTTP/1.0 caller ends with a reset

Change: a streamed answer is incomplete until end_stream is called, also if its handler returns or fails; where the close of the connection delimits it, the connection is set to reset until then, so that a killed process resets it too.

--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -111,6 +111,9 @@
     def answer(self, status, _headers, body: bytes) -> None:
         self.status, self.body = status, body
 
+    def end_stream(self) -> None:
+        """Nothing to end; :meth:`AnswerRelay.relay_answer` returns if the answer is complete."""
+
 
 @pytest.fixture
 def target():
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -138,6 +138,7 @@
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
+        self._exchange.end_stream()
 
     def _start_stream(self, head: AnswerHead) -> None:
         if self._progress.answer_started:
--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -100,6 +100,7 @@
         self.head = RequestHead(req.method.decode("latin-1"), req.uri.decode("latin-1"), headers)
         self.answer_started = False
         self.status = 0
+        self._is_unfinished = False
 
     @property
     def sock(self) -> socket.socket:
@@ -160,13 +161,30 @@
             self._write(body)
 
     def start_stream(self, status: int, headers: Iterable[Header]) -> None:
-        """Send the head of an answer whose body is streamed; raises :class:`CallerGone`."""
+        """Send the head of an answer whose body is streamed; raises :class:`CallerGone`.
+
+        The caller sees the answer as incomplete unless :meth:`end_stream` is called.
+        """
+        self._is_unfinished = True
         self._send_head(status, headers)
+        if not self._req.chunked_write:
+            self._req.conn.set_reset_on_close(True)
 
     def send(self, data: bytes) -> None:
         """Send part of a streamed body; raises :class:`CallerGone`."""
         self._write(data)
 
+    def end_stream(self) -> None:
+        """End a streamed body as complete."""
+        self._is_unfinished = False
+        if not self._req.chunked_write:
+            self._req.conn.set_reset_on_close(False)
+
+    def close(self) -> None:
+        """Abort the answer if it is unfinished; to be called when the request has been handled."""
+        if self._is_unfinished:
+            self.abort()
+
     def abort(self) -> None:
         """Close the connection without the last chunk, so that the answer is seen as incomplete."""
         self._req.chunked_write = False
--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -70,7 +70,10 @@
         """Handle the request."""
         server = self.req.server
         exchange = ClientExchange(self.req, server.is_draining)
-        server.handler(exchange)
+        try:
+            server.handler(exchange)
+        finally:
+            exchange.close()
 
 
 class _Server(StrictServerMixin, HTTPServer):
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 import threading
 import time
 
@@ -75,6 +76,26 @@
     """A caller's connection with strict framing and a time limit for each request head."""
 
     RequestHandlerClass = _TimedRequest
+    _resets = False
+
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Set whether closing the connection resets it, also if the process is killed.
+
+        A caller whose answer is delimited by the close of its connection takes a normal close for
+        the end of the answer.
+        """
+        self._resets = resets
+        linger = struct.pack("ii", resets, 0)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def close(self) -> None:
+        """Close the connection, with a reset if that was set."""
+        if not self._resets:
+            super().close()
+            return
+        # The shutdown before a normal close would reach the caller ahead of the reset.
+        self.rfile.close()
+        self.socket.close()
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection is kept open."""
