The product's own path passes on whole events only, and sees cut heads and chunk sizes

What callers saw: an OpenAI-style stream without length or chunks that its engine broke off within an event ended as complete; after a break that was seen, the error event was written into the middle of the event and could not be read. Change: AnswerReader takes a line that the connection cuts for an error on both paths; streams pass on whole events, and EventSplitter.is_complete decides at the end.

--- /dev/null
+++ b/tests/router/cutting_target.py
@@ -0,0 +1,96 @@
+"""A target that sends some bytes of an answer and then ends its connection."""
+
+import itertools
+import re
+import socket
+import struct
+import threading
+import time
+
+EVENTS = [f"id: {n}\r\ndata: piece-{n}\r\n\r\n".encode() for n in (1, 2, 3)]
+STREAM = b"".join(EVENTS)
+STREAM_BOUNDARIES = list(itertools.accumulate(len(event) for event in EVENTS))
+BODY = b'{"slot": "confirmed"}'
+
+
+def _chunked(body: bytes) -> bytes:
+    size = len(body) // 3 + 1
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    # Leading zeros: a size line that is cut after the first of them looks like the last chunk's.
+    chunks = b"".join(b"%06x;ext=1\r\n%b\r\n" % (len(part), part) for part in parts)
+    return chunks + b"0\r\nX-Trailer: 1\r\n\r\n"
+
+
+def _framed(body: bytes, framing: str) -> tuple[str, bytes]:
+    """Return the header field that delimits a body, and its bytes on the wire."""
+    if framing == "length":
+        return f"Content-Length: {len(body)}\r\n", body
+    if framing == "chunks":
+        return "Transfer-Encoding: chunked\r\n", _chunked(body)
+    return "", body
+
+
+def make_answer(framing: str, is_stream: bool, status: int) -> tuple[bytes, bytes]:
+    """Return the head of an answer and its body on the wire."""
+    header, wire = _framed(STREAM if is_stream else BODY, framing)
+    kind = "text/event-stream" if is_stream else "application/json"
+    head = (
+        f"HTTP/1.1 {status} OK\r\nX-Request-Id: a1\r\nX-Server-Seal: s\r\n"
+        f"Content-Type: {kind}\r\n{header}\r\n"
+    )
+    return head.encode(), wire
+
+
+def _read_request(conn: socket.socket) -> None:
+    """Read a whole request; closed with unread bytes, the connection would be reset."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += conn.recv(65536)
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    while len(body) < (int(length[1]) if length else 0):
+        body += conn.recv(65536)
+
+
+class CuttingTarget:
+    """Sends some bytes on each connection and then ends it in one of four ways."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.how = "fin"
+        self.one_by_one = False
+        self._held: list[socket.socket] = []
+        self._server = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return "{}:{}".format(*self._server.getsockname())
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._server.accept()
+            except OSError:
+                return
+            self._serve(conn)
+
+    def _serve(self, conn: socket.socket) -> None:
+        _read_request(conn)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for piece in [bytes([b]) for b in self.data] if self.one_by_one else [self.data]:
+            conn.sendall(piece)
+        if self.how == "reset":
+            # The reset must not overtake the data.
+            time.sleep(0.002)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if self.how == "half_close":
+            conn.shutdown(socket.SHUT_WR)
+        if self.how in ("half_close", "silence"):
+            self._held.append(conn)
+        else:
+            conn.close()
+
+    def close(self) -> None:
+        for sock in (self._server, *self._held):
+            sock.close()
--- /dev/null
+++ b/tests/router/test_upstream.py
@@ -0,0 +1,47 @@
+"""Streams of the product's own path that an engine breaks off."""
+
+import pytest
+
+from tests.router.cutting_target import (
+    BODY,
+    STREAM,
+    STREAM_BOUNDARIES,
+    CuttingTarget,
+    make_answer,
+)
+from turmerictray.core.errors import OutcomeUnknown
+from turmerictray.router.upstream import Upstream
+
+
+@pytest.fixture
+def target():
+    started = CuttingTarget()
+    yield started
+    started.close()
+
+
+def _read(target: CuttingTarget, is_stream: bool) -> tuple[bool, bytes]:
+    """Read an answer; return whether it ended as complete, and its body."""
+    upstream, data = Upstream(), b""
+    try:
+        resp = upstream.open(f"http://{target.address}/", b"{}", {}, 1.0, 2.0, idempotent=False)
+        for piece in upstream.stream_events(resp) if is_stream else upstream.stream(resp):
+            data += piece
+    except OutcomeUnknown:
+        return False, data
+    return True, data
+
+
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_no_answer_that_is_cut_looks_complete(target, framing, is_stream):
+    # A stream without length or chunks that ended within an event looked complete, and so did an
+    # answer that was cut in its head, or after the first zero of a chunk's size.
+    head, wire = make_answer(framing, is_stream, 200)
+    for cut in range(-len(head) + 1, len(wire) + 1):
+        target.data = (head + wire)[: len(head) + cut]
+        complete, body = _read(target, is_stream)
+        may_end = cut in STREAM_BOUNDARIES if is_stream else cut >= 0
+        assert complete == (may_end if framing == "none" else cut == len(wire)), cut
+        assert (STREAM if is_stream else BODY).startswith(body)
+        assert not is_stream or len(body) in (0, *STREAM_BOUNDARIES)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -297,7 +297,7 @@
         chunks = 0
         outcome = "done"
         try:
-            for chunk in self.upstream.stream(resp):
+            for chunk in self._stream_pieces(resp):
                 chunks += 1
                 tail = (tail + chunk)[-_USAGE_TAIL_BYTES:]
                 yield chunk
@@ -313,6 +313,12 @@
         finally:
             self._record_finished(req, grant, _cost_tokens(tail, req, chunks), outcome)
 
+    def _stream_pieces(self, resp) -> Iterator[bytes]:
+        """Yield the body of a streamed answer; an event that is broken off is not passed on."""
+        if resp.headers.get("Content-Type", "").startswith("text/event-stream"):
+            return self.upstream.stream_events(resp)
+        return self.upstream.stream(resp)
+
     def _read_body(self, req: CallerRequest, grant: Grant, resp, attempt: int) -> bytes:
         # The status of an answer that is not streamed is sent to the caller only after its last
         # byte has arrived. A connection lost within the body then gives the caller an "outcome
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -10,11 +10,22 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
+from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown, UpstreamRefused
+from turmerictray.transport.answer_reader import StrictResponse
+from turmerictray.transport.body import BodyEnd
+from turmerictray.transport.events import EventSplitter, EventTooLarge
 
 _STREAM_CHUNK_BYTES = 4096
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    response_class = StrictResponse
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class Upstream:
     """A router's connection pool to all targets.
 
@@ -26,6 +37,7 @@
 
     def __init__(self, maxsize: int = 64) -> None:
         self._pool = urllib3.PoolManager(num_pools=256, maxsize=maxsize, block=False, retries=False)
+        self._pool.pool_classes_by_scheme = {"http": _ConnectionPool}
 
     def open(
         self,
@@ -106,6 +118,27 @@
         finally:
             resp.release_conn()
 
+    def stream_events(self, resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+        """Yield the complete events of ``resp`` as they arrive.
+
+        Raises
+        ------
+        OutcomeUnknown
+            The connection failed, or the stream was broken off.
+        """
+        splitter = EventSplitter()
+        for data in self.stream(resp):
+            try:
+                events = splitter.feed(data)
+            except EventTooLarge as exc:
+                raise OutcomeUnknown(str(exc)) from exc
+            if events:
+                yield b"".join(event.data for event in events)
+        if not splitter.is_complete(_body_end(resp)):
+            raise ConnectionBroken("the stream ended within an event, or before the first one")
+        if splitter.rest:
+            yield splitter.rest
+
     def close(self) -> None:
         """Close all idle connections of the pool."""
         self._pool.clear()
@@ -113,6 +146,13 @@
 
 def _request_on_new_connection(method: str, url: str, headers: dict[str, str], **options):
     # The pool and its single connection live only as long as the response and are not reused.
-    pool = urllib3.connection_from_url(url, maxsize=1)
-    target = urllib3.util.parse_url(url).request_uri
+    parsed = urllib3.util.parse_url(url)
+    pool = _ConnectionPool(parsed.host, parsed.port, maxsize=1)
+    target = parsed.request_uri
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
+
+
+def _body_end(resp: urllib3.BaseHTTPResponse) -> BodyEnd:
+    if resp.chunked:
+        return BodyEnd.LAST_CHUNK
+    return BodyEnd.LENGTH if "Content-Length" in resp.headers else BodyEnd.CONNECTION_CLOSE
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -9,6 +9,7 @@
 from urllib3.util.connection import create_connection
 
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
+from turmerictray.transport.answer_reader import AnswerReader
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.exchange import Header
 
@@ -48,29 +49,14 @@
     return head.encode("latin-1") + req.body
 
 
-class _AnswerReader(io.BufferedReader):
-    """A buffered reader that stays open after each answer, and returns no incomplete lines.
+class _PersistentReader(AnswerReader):
+    """A reader that stays open after each answer read from it.
 
     :class:`http.client.HTTPResponse` closes its file at the end of an answer. Bytes that a target
     sent after the answer would be lost with the buffer, and the next answer would be read from its
     middle. As the reader stays open, such bytes are detected.
-
-    :mod:`http.client` takes the end of a connection for the end of a head.
     """
 
-    def readline(self, size: int | None = -1) -> bytes:
-        """Read a line, or ``size`` bytes of it.
-
-        Raises
-        ------
-        http.client.IncompleteRead
-            The connection ended within the line.
-        """
-        line = super().readline(size)
-        if not line.endswith(b"\n") and len(line) != size:
-            raise http.client.IncompleteRead(line)
-        return line
-
     def close(self) -> None:
         """Do nothing; :meth:`TargetConnection.close` closes the socket."""
 
@@ -107,7 +93,7 @@
         except OSError as exc:
             raise NotSent(f"{address}: {exc}") from exc
         raw = socket.SocketIO(self._sock, "r")
-        self._reader = _AnswerReader(raw, _READ_SIZE_BYTES)
+        self._reader = _PersistentReader(raw, _READ_SIZE_BYTES)
         self._resp: http.client.HTTPResponse | None = None
         self._body: Body | None = None
 
