The stand-in of a caller tells cut answers from complete ones; the soak has answers without length or chunks

The soak's workers also send streams without length or chunks, whole and cut, and whole bodies without length.

--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -79,6 +79,9 @@
     WorkerFault.EXTRA_ANSWER,
     WorkerFault.BROKEN_STREAM,
     WorkerFault.SILENT_STREAM,
+    WorkerFault.NO_LENGTH,
+    WorkerFault.UNFRAMED_STREAM,
+    WorkerFault.UNFRAMED_CUT_STREAM,
 )
 
 
--- a/turmerictray/platform/standins/caller.py
+++ b/turmerictray/platform/standins/caller.py
@@ -19,7 +19,8 @@
     status : int
         0 if no status line was received.
     complete : bool
-        Whether the body was received to its end, by its length or its last chunk.
+        Whether the body was received to its end: by its length, by its last chunk or, if it has
+        neither, by a close of the connection that is not within an event.
     elapsed_s : float
         Time spent reading the answer.
     """
@@ -69,31 +70,40 @@
         return answer
 
     def _read_into(self, answer: RawAnswer) -> None:
-        line = self._rfile.readline()
-        if not line:
-            return
+        line = self._read_line()
         answer.status = int(line.split()[1])
-        while (line := self._rfile.readline().strip()) != b"":
+        while (line := self._read_line()) != b"":
             name, _, value = line.decode().partition(":")
             answer.headers[name.title()] = value.strip()
         if answer.headers.get("Transfer-Encoding") == "chunked":
             self._read_chunks(answer)
-            return
-        length = int(answer.headers.get("Content-Length", 0))
-        answer.body = self._rfile.read(length)
-        answer.complete = len(answer.body) == length
+        elif "Content-Length" in answer.headers:
+            length = int(answer.headers["Content-Length"])
+            answer.body = self._rfile.read(length)
+            answer.complete = len(answer.body) == length
+        else:
+            self._read_unframed(answer)
+
+    def _read_line(self) -> bytes:
+        """Read a line without its end; a line that the connection cuts is an error."""
+        line = self._rfile.readline()
+        if not line.endswith(b"\r\n"):
+            raise ConnectionError("the connection ended within a line")
+        return line[:-2]
 
     def _read_chunks(self, answer: RawAnswer) -> None:
-        while True:
-            line = self._rfile.readline()
-            if not line:
-                return
-            size = int(line, 16)
+        while size := int(self._read_line().partition(b";")[0], 16):
             answer.body += self._rfile.read(size)
-            self._rfile.read(2)
-            if not size:
-                answer.complete = True
-                return
+            self._read_line()
+        while self._read_line():
+            pass
+        answer.complete = True
+
+    def _read_unframed(self, answer: RawAnswer) -> None:
+        while data := self._rfile.read1():
+            answer.body += data
+        is_stream = answer.headers.get("Content-Type", "").startswith("text/event-stream")
+        answer.complete = not is_stream or answer.body.endswith((b"\n\n", b"\n\r\n"))
 
     def is_closed(self, within_s: float = 2.0) -> bool:
         """Whether the router closes the connection within ``within_s`` without sending a byte."""
