Events of a failure are not written into an open stream

What callers saw: a stream that is resumed at a target which answers 4xx or 5xx with text/event-stream got the events of that failure as if they went on with it; such a 5xx was never tried elsewhere, and 503 with X-Not-Executed was no refusal. Cause: _is_event_stream looked at the type only. Change: only a success is relayed as events; a failure is a whole body, which is refused if it ends within an event.

--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -49,15 +49,18 @@
     started.close()
 
 
-def _relay(target: CuttingTarget, timeout_s: float = 2.0) -> tuple[bool, _Caller, TargetConnection]:
-    """Relay one answer; return whether it ended as complete."""
+def _relay(
+    target: CuttingTarget, timeout_s: float = 2.0, started: bool = False
+) -> tuple[bool, _Caller, TargetConnection]:
+    """Relay one answer, or the rest of a stream that ``started``; return whether it is complete."""
     deadline = time.monotonic() + timeout_s
     route = SimpleNamespace(repeatable=True, resumable=True, max_attempts=1, gap_s=1.0)
     bounds = SimpleNamespace(answer_deadline=deadline)
     envelope = SimpleNamespace(request_id="a1")
     routed = SimpleNamespace(envelope=envelope, route=route, bounds=bounds)
     caller = _Caller()
-    relay = AnswerRelay(caller, PlatformDialect(), routed, Progress(route), lambda: None)
+    progress = Progress(route, answer_started=started)
+    relay = AnswerRelay(caller, PlatformDialect(), routed, progress, lambda: None)
     conn = TargetConnection(target.address, 1.0)
     try:
         conn.send(TargetRequest("POST", "/", [("Host", "h")], b""), 1.0)
@@ -102,6 +105,18 @@
         conn.close()
 
 
+@pytest.mark.parametrize("status", [404, 500, 503])
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_no_events_of_a_failure_go_into_an_open_stream(target, framing, status):
+    # A failure whose body consists of events was written into the stream that was to go on.
+    head, wire = make_answer(framing, True, status)
+    target.data = head + wire
+    complete, caller, conn = _relay(target, started=True)
+    conn.close()
+    assert not complete
+    assert caller.body == b""
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 @pytest.mark.parametrize("framing", ["length", "chunks", "none"])
 def test_no_silent_answer_looks_complete(target, framing, is_stream):
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -8,7 +8,7 @@
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
 from turmerictray.transport.body import BodyEnd
-from turmerictray.transport.events import EventSplitter, EventTooLarge
+from turmerictray.transport.events import Event, EventSplitter, EventTooLarge
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection
 
@@ -86,10 +86,14 @@
         self.leaving = flags.leaving
         self._check(head, flags)
         self._progress.body_end = conn.body_end
-        if _is_event_stream(head):
+        if _is_event_stream(head) and head.status < 300:
             self._relay_events(conn, head)
             return
         body = conn.read_body(self._routed.bounds.answer_deadline)
+        if _is_event_stream(head):
+            splitter = EventSplitter()
+            _feed(splitter, body)
+            _check_complete(splitter, conn.body_end)
         if flags.not_run:
             raise TargetBusy(f"target did not run it: {head.status}", 0.5)
         self.outcome = Outcome.FAILED if head.status >= 500 else Outcome.DONE
@@ -121,20 +125,14 @@
     def _relay_events(self, conn: TargetConnection, head: AnswerHead) -> None:
         splitter = EventSplitter()
         while data := conn.read_available(self._next_event_deadline()):
-            try:
-                events = splitter.feed(data)
-            except EventTooLarge as exc:
-                raise OutcomeUnknown(str(exc)) from exc
+            events = _feed(splitter, data)
             self._progress.unfinished_bytes = len(splitter.rest)
             if not events:
                 continue
             self._start_stream(head)
             self._exchange.send(b"".join(event.data for event in events))
             self._progress.record_events(events)
-        if not splitter.is_complete(conn.body_end):
-            is_closed = conn.body_end is BodyEnd.CONNECTION_CLOSE
-            error = ConnectionBroken if is_closed else OutcomeUnknown
-            raise error("the stream ended within an event, or before the first one")
+        _check_complete(splitter, conn.body_end)
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
@@ -157,5 +155,18 @@
         return min(answer_deadline, time.monotonic() + timeout_s)
 
 
+def _feed(splitter: EventSplitter, data: bytes) -> list[Event]:
+    try:
+        return splitter.feed(data)
+    except EventTooLarge as exc:
+        raise OutcomeUnknown(str(exc)) from exc
+
+
+def _check_complete(splitter: EventSplitter, end: BodyEnd) -> None:
+    if not splitter.is_complete(end):
+        error = ConnectionBroken if end is BodyEnd.CONNECTION_CLOSE else OutcomeUnknown
+        raise error("the stream ended within an event, or before the first one")
+
+
 def _is_event_stream(head: AnswerHead) -> bool:
     return (head.get("Content-Type") or "").startswith("text/event-stream")
