--- a/turmerictray/core/ids.py
+++ b/turmerictray/core/ids.py
@@ -22,6 +22,9 @@
 TargetName = NewType("TargetName", str)
 """The name under which a target is listed; a restarted target may keep it."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a target's software. What two versions generate must not be joined in one stream."""
+
 NodeId = NewType("NodeId", str)
 """An entry instance (router), as named in its settings."""
 
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -18,7 +18,15 @@
     TeamSpec,
 )
 from turmerictray.core.errors import ConfigError
-from turmerictray.core.ids import RegionId, ServiceName, TargetId, TargetName, TeamId, ZoneId
+from turmerictray.core.ids import (
+    RegionId,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    TargetName,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.routing.cold import ColdSpec
 from turmerictray.routing.load import TargetInfo, TargetPhase
 
@@ -235,6 +243,7 @@
         _PHASES[entry.state],
         name,
         entry.cold_left_ms / _MS_PER_S,
+        SoftwareVersion(entry.version),
     )
 
 
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -98,6 +98,7 @@
         if self.granted is not None:
             fields.update(
                 target=self.granted.target.id,
+                software=self.granted.target.version or "-",
                 wait_ms=_ms(self.granted_at - self.arrived),
                 expected_ms=_ms(self.granted.expected_s),
                 miss_tokens=self.granted.miss_tokens,
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -12,6 +12,7 @@
     NodeId,
     RequestDigest,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     TargetName,
     TeamId,
@@ -89,6 +90,8 @@
         equals the id.
     cold_s : float
         Seconds for which the target stays cold, as of the time when it reported this.
+    version : SoftwareVersion
+        Version of its software; empty if it tells none.
     """
 
     id: TargetId
@@ -99,6 +102,7 @@
     phase: TargetPhase = TargetPhase.READY
     name: TargetName = TargetName("")
     cold_s: float = 0.0
+    version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def instance_name(self) -> TargetName:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -390,7 +390,13 @@
         if previous is None or (
             previous.info.phase is TargetPhase.READY and info.phase is not TargetPhase.READY
         ):
-            log_event("target", target=info.id, service=info.service, phase=info.phase.value)
+            log_event(
+                "target",
+                target=info.id,
+                service=info.service,
+                phase=info.phase.value,
+                software=info.version or "-",
+            )
         self._record_phase(pool.targets.loads[info.id].info)
 
     def _record_phase(self, info: TargetInfo) -> None:
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -107,6 +107,8 @@
         The granting router, and the address at which it receives the request's outcome.
     backlog_s : float
         Estimated seconds until all requests queued at the scheduler have been sent.
+    version : str
+        Software version of the target.
     """
 
     call_id: int
@@ -123,6 +125,7 @@
     ahead_tokens: int
     fetch_from: str = ""
     backlog_s: float = 0.0
+    version: str = ""
 
 
 class PlaceRefused(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -18,7 +18,14 @@
     QueueFull,
     WontBeServed,
 )
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, TargetName, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    TargetName,
+    ZoneId,
+)
 from turmerictray.core.logs import log_event
 from turmerictray.membership.messages import MemberEntry
 from turmerictray.router.active_config import ActiveConfig
@@ -396,6 +403,7 @@
         ZoneId(msg.zone),
         msg.slots,
         name=TargetName(msg.name),
+        version=SoftwareVersion(msg.version),
     )
     return Granted(
         info,
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -147,6 +147,7 @@
                 granted.ahead_tokens,
                 granted.fetch_from,
                 granted.backlog_s,
+                target.version,
             ),
         )
         if not sent:
