--- /dev/null
+++ b/tests/platform/features/software_versions.feature
@@ -0,0 +1,42 @@
+Feature: A stream holds events of one software version
+
+  Background:
+    Given a deployment with 3 router(s), and 2 engines each of the versions v1 and v2
+
+  Scenario: A stream that breaks continues at its own version within the answer
+    When 24 callers request streams that break once
+    Then 24 streams are whole
+    And each stream holds one version
+
+  Scenario: A stream that its caller takes up at another router continues at its own version
+    When 24 callers leave their streams and take them up at another router
+    Then at least 20 streams go on
+    And each stream holds one version
+
+  Scenario: Streams of a killed router continue at their own version
+    When 24 callers lose their streams to a kill of their router and take them up at another
+    Then at least 12 streams go on
+    And each stream holds one version
+
+  Scenario: Streams are taken up at a router that has just started
+    When 24 callers leave their streams and take them up at a router started meanwhile
+    Then at least 12 streams go on
+    And each stream holds one version
+
+  Scenario: A stream whose version is gone does not go on at the other
+    When 12 callers leave their streams, and take them up once their version is gone
+    Then no stream goes on
+    And each attempt to take up a stream was refused without a run
+
+  Scenario Outline: A stream that can't be identified does not go on
+    When a caller takes up a stream with <resumes>
+    Then no stream goes on
+    And each attempt to take up a stream was refused without a run
+
+    Examples:
+      | resumes                           |
+      | an unknown id                     |
+      | no id                             |
+      | an empty id                       |
+      | an id of 10 kB                    |
+      | the id of another team's stream   |
--- a/turmerictray/platform/standins/caller.py
+++ b/turmerictray/platform/standins/caller.py
@@ -35,6 +35,10 @@
         """Return the ids of the complete events in the body."""
         return [int(number) for number in re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", self.body)]
 
+    def versions(self) -> set[str]:
+        """Return the software versions of the workers that wrote the events in the body."""
+        return {found.decode() for found in re.findall(rb"data: (\S+) piece-", self.body)}
+
 
 class RawCaller:
     """A connection to a router.
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -16,6 +16,7 @@
 """A request whose body contains this crashes each worker that starts to run it."""
 
 DEFAULT_ZONE = "z1"
+DEFAULT_VERSION = "v1"
 
 _HANG_S = 30.0
 _CLOSE_POLL_S = 0.02
@@ -131,6 +132,8 @@
         Start time in milliseconds since the epoch.
     zone : str
         Availability zone that its entry announces.
+    version : str
+        Version of its software, which it writes into each event.
     received_requests : list of ReceivedRequest
     connections : int
         Connections accepted so far.
@@ -146,6 +149,7 @@
         self.id = worker_id
         self.service = service
         self.zone = DEFAULT_ZONE
+        self.version = DEFAULT_VERSION
         self.born = time.time_ns() // 1_000_000
         self.behaviour = WorkerBehaviour()
         self.received_requests: list[ReceivedRequest] = []
@@ -172,7 +176,7 @@
             "service": self.service,
             "address": self.address,
             "zone": zone or self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.behaviour.slots,
             "state": state,
             "sequence": 1,
@@ -340,7 +344,7 @@
         breaks = fault not in (WorkerFault.NONE, WorkerFault.UNFRAMED_STREAM)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, self.worker.behaviour.event_count + 1):
-            event = f"id: {number}\ndata: piece-{number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.worker.version} piece-{number}\n\n".encode()
             if breaks and number == first + 2:
                 self._break_stream(request, fault, event)
                 return
