A stream goes on within its answer only at the software version that began it

Cause: no choice of a target knew its software version. Change: the version of the target that wrote the first event binds all later attempts of the request; pools choose among targets of that version, refuse at once when none is left (also requests that wait as the last one goes), and a router checks the granted target itself, as its scheduler may be of an older release. An attempt before the first event is free, as before.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -165,9 +165,10 @@
             At the current throughput, the request would be dispatched after its deadline.
         """
         context: PlacementContext = pending.context
-        loads = candidates(self.targets.loads.values(), context.exclude, now, context.home_zones)
+        loads = self._candidates(context, now)
         if not loads:
-            raise NoTarget("no_target", NO_TARGET_RETRY_S)
+            reason = "no_target" if context.version is None else "no_target_of_version"
+            raise NoTarget(reason, NO_TARGET_RETRY_S)
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
         wait = self.expected_wait_s(pending)
@@ -347,9 +348,13 @@
             else -self.ledger.deficit(team, top_usage)
         )
 
+    def _candidates(self, context: PlacementContext, now: float) -> list[TargetLoad]:
+        loads = self.targets.loads.values()
+        return candidates(loads, context.exclude, now, context.home_zones, context.version)
+
     def _place(self, context: PlacementContext, fraction: float, now: float) -> Placement | None:
         context.last_attempt_at = now
-        loads = candidates(self.targets.loads.values(), context.exclude, now, context.home_zones)
+        loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
         if context.isolated:
             loads = [load for load in loads if not self._has_starting_suspect(load, now)]
@@ -436,17 +441,25 @@
         return expired
 
     def take_unservable(self) -> list[PendingRequest]:
-        """Remove and return all pending requests if operators have evacuated all targets.
+        """Remove and return the pending requests that no target will run.
 
-        Other targets that are missing usually return within the requests' deadlines.
+        These are all if operators have evacuated all targets, and those that need a software
+        version of which no target is left. Other targets that are missing usually return within
+        the requests' deadlines.
         """
-        phases = {load.info.phase for load in self.targets.loads.values()}
-        if TargetPhase.READY in phases or TargetPhase.EVACUATED not in phases:
+        if not len(self.queue):
             return []
+        infos = [load.info for load in self.targets.loads.values()]
+        phases = {info.phase for info in infos}
+        all_evacuated = TargetPhase.READY not in phases and TargetPhase.EVACUATED in phases
+        versions = {info.version for info in infos if info.phase is TargetPhase.READY}
         requests = [
             pending
             for team in self.queue.backlogged()
             for pending in self.queue.waiting(team, self.queue.depth(team))
+            if all_evacuated
+            or pending.context.version is not None
+            and pending.context.version not in versions
         ]
         for pending in requests:
             self._remove(pending)
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from turmerictray.core.ids import NodeId, RequestDigest, ZoneId
+from turmerictray.core.ids import NodeId, RequestDigest, SoftwareVersion, ZoneId
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.routing.load import TargetLoad
 from turmerictray.routing.place import Placement
@@ -58,6 +58,7 @@
     last_attempt_at : float
         Monotonic seconds of the last placement attempt.
     home_zones : frozenset of ZoneId or None
+    version : SoftwareVersion or None
     own_path : bool
         See :class:`~turmerictray.scheduling.broker_messages.Ask`.
     """
@@ -76,6 +77,7 @@
     last_reserved_target: TargetLoad | None = None
     last_attempt_at: float = -math.inf
     home_zones: frozenset[ZoneId] | None = None
+    version: SoftwareVersion | None = None
     own_path: bool = False
 
 
--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -12,6 +12,7 @@
     TimedOut,
     TurmerictrayError,
 )
+from turmerictray.core.ids import SoftwareVersion
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import Event
 
@@ -46,6 +47,8 @@
         When the last event was sent, in monotonic seconds.
     first_event_at : float or None
         When the first event of the current attempt was sent, in monotonic seconds.
+    version : SoftwareVersion or None
+        Software version that writes the stream; None before its first event.
     body_end : BodyEnd or None
         What delimits the body of the last answer whose head was received.
     unfinished_bytes : int
@@ -62,6 +65,7 @@
     max_pause_s: float = 0.0
     last_event_at: float | None = None
     first_event_at: float | None = None
+    version: SoftwareVersion | None = None
     body_end: BodyEnd | None = None
     unfinished_bytes: int = 0
 
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -11,6 +11,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    NoTarget,
     NotSent,
     OutcomeUnknown,
     Quarantined,
@@ -182,6 +183,7 @@
         try:
             self._deps.crashes.quarantine.check(self._routed.digest, time.monotonic())
             granted = self._request_target()
+            self._check_version(granted)
             self._check_current(granted)
         except AdmissionError as exc:
             if not self._call.caller_gone and self._relay_withheld_failure():
@@ -211,6 +213,14 @@
         slot.settle(Outcome.NOT_RUN, 0.0)
         raise Starting("starting", _STARTING_RETRY_S)
 
+    def _check_version(self, granted: Granted) -> None:
+        """Refuse a target of another software version, from a scheduler that does not know it."""
+        if self._progress.version in (None, granted.target.version):
+            return
+        slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
+        slot.settle(Outcome.NOT_RUN, 0.0)
+        raise NoTarget("target_of_other_version", _STARTING_RETRY_S)
+
     def _request_target(self) -> Granted:
         routed, progress = self._routed, self._progress
         reply = Reply()
@@ -235,6 +245,7 @@
             answer_deadline=routed.bounds.answer_deadline,
             digest=routed.digest,
             home_zones=routed.home_zones,
+            version=progress.version,
         )
         client = self._deps.placement_client
         if not self._call.on_disconnect(lambda: client.tell(self._withdrawal())):
@@ -376,6 +387,7 @@
 
         def note_first() -> None:
             self._trace.note_first()
+            self._progress.version = granted.target.version
             took_s = time.monotonic() - sent_at
             self._deps.placement_client.tell(
                 FirstEvent(routed.call_id, routed.service, granted.target.id, took_s)
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from turmerictray.core.ids import ZoneId
+from turmerictray.core.ids import SoftwareVersion, ZoneId
 from turmerictray.routing.load import LoadSnapshot, TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prompt import Prompt
@@ -95,11 +95,13 @@
     exclude: frozenset[str],
     now: float,
     home_zones: frozenset[ZoneId] | None = None,
+    version: SoftwareVersion | None = None,
 ) -> list[TargetLoad]:
     """Return the targets that may take a request.
 
     Unreachable targets are included only if no other is left. ``home_zones`` are the availability
-    zones in which the request may run; None for all.
+    zones in which the request may run, and ``version`` is the software version that must run it;
+    None for all.
     """
     ready = [
         load
@@ -108,6 +110,8 @@
     ]
     if home_zones is not None:
         ready = [load for load in ready if load.info.zone in home_zones]
+    if version is not None:
+        ready = [load for load in ready if load.info.version == version]
     reachable = [load for load in ready if not load.is_avoided(now)]
     return reachable or ready
 
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -173,6 +173,7 @@
             isolated=self.quarantine.crash_count(msg.digest, now) >= NO_RETRY_THRESHOLD,
             answer_deadline=msg.answer_deadline,
             home_zones=msg.home_zones,
+            version=msg.version,
             own_path=msg.own_path or msg.prompt is None,
         )
 
@@ -327,6 +328,7 @@
             self._update_target(info)
         self.active_config.targets_listed = True
         self.active_config.shards = self.pools.update_shards()
+        self._refuse_unservable()
         self._schedule_all_grants()
 
     @handle.register
@@ -338,6 +340,7 @@
         for info in msg.changed:
             self._update_target(info)
         self.active_config.shards = self.pools.update_shards()
+        self._refuse_unservable()
         self._schedule_all_grants()
 
     @handle.register
@@ -378,7 +381,10 @@
     def _refuse_unservable(self) -> None:
         for pool in self.pools.all():
             for request in pool.take_unservable():
-                request.reply.try_set_exception(NoTarget("zone_evacuated", NO_TARGET_RETRY_S))
+                reason = (
+                    "zone_evacuated" if request.context.version is None else "no_target_of_version"
+                )
+                request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
     def _update_target(self, info: TargetInfo) -> None:
         for old_pool in self.pools.all_unsharded():
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -11,6 +11,7 @@
     RequestDigest,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     TeamId,
     ZoneId,
@@ -57,6 +58,8 @@
         Digest of the request's content; see :mod:`turmerictray.admission.digest`.
     home_zones : frozenset of ZoneId or None
         Availability zones whose targets may run the request; None for all.
+    version : SoftwareVersion or None
+        Software version that must run the request, to continue a stream; None for any.
     own_path : bool
         No scheduler was asked; other routers may send to the same targets unseen.
     reply : Reply
@@ -81,6 +84,7 @@
     digest: RequestDigest = RequestDigest("")
     home_zones: frozenset[ZoneId] | None = None
     own_path: bool = False
+    version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True)
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -31,6 +31,8 @@
         See :mod:`turmerictray.admission.digest`.
     home_zones : list of str or None
         Availability zones whose engines may run the request; None for all.
+    version : str or None
+        Software version that must run the request; None for any.
     """
 
     call_id: int
@@ -54,6 +56,7 @@
     shards: int = 1
     digest: str = ""
     home_zones: list[str] | None = None
+    version: str | None = None
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -252,6 +252,7 @@
             ask.shard.count,
             ask.digest,
             None if ask.home_zones is None else sorted(ask.home_zones),
+            ask.version,
         )
         if self._link.send(scheduler.scheduling_address, request):
             return True
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -13,6 +13,7 @@
     RequestDigest,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     TeamId,
     ZoneId,
@@ -183,4 +184,5 @@
         ShardId(msg.shard, msg.shards),
         RequestDigest(msg.digest),
         None if msg.home_zones is None else frozenset(map(ZoneId, msg.home_zones)),
+        version=None if msg.version is None else SoftwareVersion(msg.version),
     )
