A stream that its caller takes up goes on at the software version that began it, or not at all

Cause: nobody kept which version wrote a stream's first event, and no router read Resumes. Change: the router that granted the target records the version with the first event (64-bit key of team, service and request id; 15 to 30 s; at most 150,000). While a service has had one version for 30 s, nothing is told. From the time at which there are two, schedulers tell all records every 0.1 s to the routers that hold what engines cache too (schedulers, successors, one for each zone) and to those that will schedule in a moment. A request that takes up a stream is bound to the recorded version; without a record to the only version there has been, if the list of targets is at most 4 s old; otherwise it is refused at once with 503, which is true, and its caller may begin anew. A silent scheduler is replaced by the next one for such requests, as this router lacks the records.

--- a/tests/platform/features/software_versions.feature
+++ b/tests/platform/features/software_versions.feature
@@ -13,11 +13,17 @@
     Then at least 20 streams go on
     And each stream holds one version
 
-  Scenario: Streams of a killed router continue at their own version
-    When 24 callers lose their streams to a kill of their router and take them up at another
+  Scenario Outline: Streams of a killed router, the scheduler or another, continue at their own version
+    When 24 callers lose their streams to a kill of router <number> and take them up at another
     Then at least 12 streams go on
     And each stream holds one version
 
+    Examples:
+      | number |
+      | 1      |
+      | 2      |
+      | 3      |
+
   Scenario: Streams are taken up at a router that has just started
     When 24 callers leave their streams and take them up at a router started meanwhile
     Then at least 12 streams go on
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -137,11 +137,12 @@
 
 @when(
     parsers.parse(
-        "{count:d} callers lose their streams to a kill of their router and take them up at another"
+        "{count:d} callers lose their streams to a kill of router {number:d} "
+        "and take them up at another"
     )
 )
-def streams_of_killed_router(deployment, ctx, count):
-    first, second, _ = deployment.routers
+def streams_of_killed_router(deployment, ctx, count, number):
+    first, second = deployment.routers[number - 1], deployment.routers[number - 2]
     streams = [_new_stream() for _ in range(count)]
     with ThreadPoolExecutor(count) as pool:
         results = [pool.submit(_request, first, stream) for stream in streams]
--- /dev/null
+++ b/tests/routing/test_streams.py
@@ -0,0 +1,104 @@
+"""Records of the software versions that began streams."""
+
+import tracemalloc
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmerictray.core.ids import RequestId, ServiceName, SoftwareVersion, StreamKey, TeamId
+from turmerictray.routing.streams import (
+    RecentVersions,
+    StreamVersions,
+    pack_keys,
+    stream_key,
+    unpack_keys,
+)
+
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+KEYS = st.integers(0, 2**64 - 1).map(StreamKey)
+
+_STEPS = st.lists(
+    st.tuples(st.floats(0, 20), st.integers(0, 5), st.sampled_from([V1, V2, None])), max_size=60
+)
+"""Seconds since the step before, a stream, and the version that began it; None to look it up."""
+
+
+@given(_STEPS)
+def test_a_stream_is_found_at_its_version_or_not_at_all(steps):
+    streams, last, now = StreamVersions(), {}, 0.0
+    for gap_s, key, version in steps:
+        now += gap_s
+        if version is not None:
+            streams.record(StreamKey(key), version, now)
+            last[key] = (version, now)
+            continue
+        expected, recorded_at = last.get(key, (None, now))
+        found = streams.find(StreamKey(key), now)
+        assert found in (expected, None)
+        if now - recorded_at < 15:
+            assert found == expected
+        if now - recorded_at > 30:
+            assert found is None
+
+
+@given(_STEPS, st.lists(st.booleans(), min_size=60, max_size=60))
+def test_reports_give_another_router_the_same_records(steps, mixed):
+    # A router that learns of a second version reports also what it recorded before.
+    streams, other, now = StreamVersions(), StreamVersions(), 0.0
+    for (gap_s, key, version), is_mixed in zip(
+        steps, [*mixed[: len(steps) - 1], True], strict=False
+    ):
+        now += gap_s / 20
+        if version is not None:
+            streams.record(StreamKey(key), version, now)
+        for reported, keys in streams.take_unreported(is_mixed).items():
+            other.merge(unpack_keys(pack_keys(keys)), reported, now)
+    for key in range(6):
+        assert other.find(StreamKey(key), now) == streams.find(StreamKey(key), now)
+
+
+def test_nothing_is_reported_while_there_is_one_version():
+    streams = StreamVersions()
+    streams.record(StreamKey(1), V1, 0.0)
+    assert streams.take_unreported(False) == {}
+    assert streams.take_unreported(True) == {V1: [1]}
+    assert streams.take_unreported(True) == {}
+
+
+@given(st.lists(KEYS, max_size=20))
+def test_keys_survive_a_message(keys):
+    assert unpack_keys(pack_keys(keys)) == keys
+    assert unpack_keys(pack_keys(keys) + b"\0\0\0") == keys
+
+
+def test_key_depends_on_team_service_and_request():
+    teams = [TeamId("a"), TeamId("ab")]
+    services = [ServiceName("c"), ServiceName("bc")]
+    requests = [RequestId("d"), RequestId("")]
+    keys = {stream_key(t, s, r) for t in teams for s in services for r in requests}
+    assert len(keys) == 8
+
+
+def test_records_are_bounded_at_5000_streams_a_second():
+    # Each record takes under 200 bytes, so that they fit beside a router's other state.
+    streams = StreamVersions()
+    tracemalloc.start()
+    for number in range(300_000):
+        streams.record(StreamKey(number * 2**40), V1, number / 5000)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert 75_000 <= len(streams) <= 150_000
+    assert used < 200 * len(streams)
+
+
+def test_a_version_counts_until_its_streams_are_over():
+    versions = RecentVersions()
+    for version in (V1, V1, V2):
+        versions.add(version)
+    versions.remove(V1, 10.0)
+    assert versions.current(100.0) == {V1, V2}
+    versions.remove(V1, 100.0)
+    assert versions.current(129.0) == {V1, V2}
+    assert versions.current(131.0) == {V2}
+    versions.add(V1)
+    assert versions.current(131.0) == {V1, V2}
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -114,6 +114,13 @@
     """No live target serves the requested service."""
 
 
+class CannotResume(AdmissionError):
+    """It is not known which software version began the stream that the caller takes up.
+
+    The caller may begin it anew.
+    """
+
+
 class NoConfig(AdmissionError):
     """The router has not yet read any configuration."""
 
--- a/turmerictray/core/ids.py
+++ b/turmerictray/core/ids.py
@@ -25,6 +25,9 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 """Version of a target's software. What two versions generate must not be joined in one stream."""
 
+StreamKey = NewType("StreamKey", int)
+"""Identifies a stream by its team, its service and the request that began it; 64 bits."""
+
 NodeId = NewType("NodeId", str)
 """An entry instance (router), as named in its settings."""
 
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -13,6 +13,7 @@
 _REQUEST_ID = "X-Request-Id"
 _DEADLINE_MS = "X-Deadline-Ms"
 _RESUME_AFTER = "Last-Event-Id"
+_RESUMES = "Resumes"
 _TEAM = "X-Tenant"
 _EXPECTED_INSTANCE = "X-Expect-Instance"
 _NOT_EXECUTED = "X-Not-Executed"
@@ -85,6 +86,7 @@
             _parse_deadline_s(head.headers.get(_DEADLINE_MS)),
             _parse_prompt(head.headers.get(_TOKEN_COUNT), head.headers.get(_PROMPT_PREFIX)),
             forwarded,
+            _parse_resumes(head.headers),
         )
 
     def target_headers(
@@ -146,6 +148,15 @@
     return authorization[len(_BEARER_PREFIX) :].strip()
 
 
+def _parse_resumes(headers: dict[str, str]) -> RequestId | None:
+    if not headers.get(_RESUME_AFTER):
+        return None
+    resumes = headers.get(_RESUMES, "")
+    if "," in resumes:
+        raise CallerError(f"{_RESUMES} is given twice")
+    return RequestId(resumes)
+
+
 def _parse_deadline_s(text: str | None) -> float | None:
     if text is None:
         return None
--- a/turmerictray/router/dialect.py
+++ b/turmerictray/router/dialect.py
@@ -30,6 +30,9 @@
         None for a request to a plain service.
     headers : list of Header
         Forwarded to the target unchanged.
+    resumes : RequestId or None
+        Request that brought the first event of the stream that this one takes up; empty if the
+        caller doesn't name it, None if the request takes up no stream.
     """
 
     request_id: RequestId
@@ -37,6 +40,7 @@
     caller_timeout_s: float | None
     prompt: Prompt | None
     headers: list[Header]
+    resumes: RequestId | None = None
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -253,6 +253,8 @@
                 hooks,
                 self._placement_client.send_usage_report,
                 self._placement_client.send_parts_read,
+                self._placement_client.send_streams_begun,
+                self._readers.age_s,
             )
         )
 
--- a/turmerictray/router/routed_request.py
+++ b/turmerictray/router/routed_request.py
@@ -8,8 +8,16 @@
 from turmerictray.admission.time_bounds import TimeBounds
 from turmerictray.config.routes import Route, RoutingConfig
 from turmerictray.core.errors import CallerError
-from turmerictray.core.ids import RequestDigest, ServiceName, TeamId, ZoneId
+from turmerictray.core.ids import (
+    RequestDigest,
+    RequestId,
+    ServiceName,
+    StreamKey,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.router.dialect import Envelope
+from turmerictray.routing.streams import stream_key
 from turmerictray.transport.exchange import RequestHead
 
 _NO_TEAM = TeamId("-")
@@ -81,6 +89,21 @@
         head = self.head
         return request_digest(head.method, head.host, head.target, self.envelope.key, self.body)
 
+    @property
+    def stream(self) -> StreamKey | None:
+        """Key of the stream that this request begins; None for a plain service."""
+        return self._stream_key(self.envelope.request_id)
+
+    @property
+    def resumes(self) -> StreamKey | None:
+        """Key of the stream that this request takes up, None if it takes up none."""
+        return self._stream_key(self.envelope.resumes)
+
+    def _stream_key(self, request_id: RequestId | None) -> StreamKey | None:
+        if self.envelope.prompt is None or request_id is None:
+            return None
+        return stream_key(self.accounting_team, self.service, request_id)
+
     @property
     def cost(self) -> float:
         """Cost of the request in tokens to prefill; a constant for plain services."""
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -190,6 +190,8 @@
                 return None
             raise self._progress.final_error(exc, isinstance(exc, QueueTimeout)) from exc
         self._trace.note_granted(granted)
+        if self._routed.resumes is not None:
+            self._progress.version = granted.target.version
         return granted
 
     def _attempt(self, granted: Granted) -> None:
@@ -246,6 +248,7 @@
             digest=routed.digest,
             home_zones=routed.home_zones,
             version=progress.version,
+            resumes=routed.resumes if progress.version is None else None,
         )
         client = self._deps.placement_client
         if not self._call.on_disconnect(lambda: client.tell(self._withdrawal())):
@@ -390,7 +393,14 @@
             self._progress.version = granted.target.version
             took_s = time.monotonic() - sent_at
             self._deps.placement_client.tell(
-                FirstEvent(routed.call_id, routed.service, granted.target.id, took_s)
+                FirstEvent(
+                    routed.call_id,
+                    routed.service,
+                    granted.target.id,
+                    took_s,
+                    routed.stream,
+                    granted.target.version,
+                )
             )
 
         return AnswerRelay(self._exchange, self._deps.dialect, routed, self._progress, note_first)
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -6,11 +6,12 @@
 from dataclasses import replace
 
 from turmerictray.config.routes import ServiceSpec
-from turmerictray.core.ids import NodeId, TargetId, ZoneId
+from turmerictray.core.ids import NodeId, SoftwareVersion, TargetId, ZoneId
 from turmerictray.routing.load import PeerLoad, PendingPrefill, TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prefix_cache import PrefixCacheModel
 from turmerictray.routing.prompt import UNSHARED_PART, PartId, Prompt, PromptPart
+from turmerictray.routing.streams import RecentVersions
 from turmerictray.routing.zone_reachability import ZoneReachability
 
 _CACHE_MEMORY_FRACTION = 0.95
@@ -55,6 +56,7 @@
         self._estimates_changed = False
         self._evacuated_zones: frozenset[ZoneId] = frozenset()
         self._reported_cold_s: dict[TargetId, float] = {}
+        self._versions = RecentVersions()
         self._zone_reachability = ZoneReachability()
         self._unreported_reads: deque[tuple[TargetId, tuple[PromptPart, ...]]] = deque(
             maxlen=_MAX_REPORTED_READS
@@ -67,8 +69,14 @@
 
     def add_or_update(self, info: TargetInfo, now: float = 0.0) -> None:
         """Add a target or update its entry; a target that was leaving stays in that phase."""
+        before = self.loads.get(info.id)
+        old_version = before.info.version if before is not None else None
         self._update_entry(info)
         load = self.loads[info.id]
+        if old_version != load.info.version:
+            self._versions.add(load.info.version)
+            if old_version is not None:
+                self._versions.remove(old_version, now)
         if info.cold_s != self._reported_cold_s.get(info.id, 0.0):
             self._reported_cold_s[info.id] = info.cold_s
             load.note_cold(info.cold_s, now)
@@ -115,9 +123,15 @@
         """Load entries of all targets of the service, by id."""
         return self.loads
 
-    def remove(self, target: TargetId) -> None:
+    def recent_versions(self, now: float) -> set[SoftwareVersion]:
+        """Return the software versions that may have begun a stream that is still awaited."""
+        return self._versions.current(now)
+
+    def remove(self, target: TargetId, now: float = 0.0) -> None:
         """Remove a target that is gone; requests in progress there end by themselves."""
-        self.loads.pop(target, None)
+        load = self.loads.pop(target, None)
+        if load is not None:
+            self._versions.remove(load.info.version, now)
         self._reported_cold_s.pop(target, None)
         self.revision += 1
 
--- /dev/null
+++ b/turmerictray/routing/streams.py
@@ -0,0 +1,146 @@
+"""Software versions that began streams, so that their callers can take them up elsewhere.
+
+All times are passed in as arguments, so that the records can be tested without waiting.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from turmerictray.core.ids import RequestId, ServiceName, SoftwareVersion, StreamKey, TeamId
+
+_KEY_BYTES = 8
+_CONTEXT = b"stream-key"
+
+_GENERATION_S = 15.0
+"""Records are dropped by generations: one is kept for 15 to 30 s after its last use, longer than
+callers wait for an answer."""
+
+_MAX_GENERATION_SIZE = 75_000
+"""Records per generation, for 5,000 streams a second; beyond it, the older generation is dropped
+early."""
+
+_VERSION_RETENTION_S = 2 * _GENERATION_S
+"""How long a version counts after its last target is gone; a stream that it began may be taken up
+until then."""
+
+_MAX_REPORT_SIZE = 4096
+"""Records in one report to other routers; more wait for the next one."""
+
+
+def stream_key(team: TeamId, service: ServiceName, request_id: RequestId) -> StreamKey:
+    """Return the key of the stream that a caller's request began.
+
+    It includes the team, so that no caller learns of another team's streams.
+    """
+    digest = blake2b(digest_size=_KEY_BYTES, person=_CONTEXT)
+    for part in (team, service, request_id):
+        data = part.encode()
+        digest.update(len(data).to_bytes(8, "big"))
+        digest.update(data)
+    return StreamKey(int.from_bytes(digest.digest(), "big"))
+
+
+def pack_keys(streams: Iterable[StreamKey]) -> bytes:
+    """Encode keys for a message."""
+    return b"".join(stream.to_bytes(_KEY_BYTES, "big") for stream in streams)
+
+
+def unpack_keys(data: bytes) -> list[StreamKey]:
+    """Decode keys from a message; an incomplete last one is left out."""
+    ends = range(_KEY_BYTES, len(data) + 1, _KEY_BYTES)
+    return [StreamKey(int.from_bytes(data[end - _KEY_BYTES : end], "big")) for end in ends]
+
+
+class RecentVersions:
+    """Software versions that a service's targets have, or have had until recently."""
+
+    def __init__(self) -> None:
+        self._target_counts: Counter[SoftwareVersion] = Counter()
+        self._gone_at: dict[SoftwareVersion, float] = {}
+
+    def add(self, version: SoftwareVersion) -> None:
+        """Record a target of a version."""
+        self._target_counts[version] += 1
+
+    def remove(self, version: SoftwareVersion, now: float) -> None:
+        """Record that a target of a version is gone."""
+        self._target_counts[version] -= 1
+        if not self._target_counts[version]:
+            del self._target_counts[version]
+            self._gone_at[version] = now
+
+    def current(self, now: float) -> set[SoftwareVersion]:
+        """Return the versions that may have begun a stream that is still awaited."""
+        gone_at = {v: at for v, at in self._gone_at.items() if now - at <= _VERSION_RETENTION_S}
+        self._gone_at = gone_at
+        return set(self._target_counts) | set(gone_at)
+
+
+class StreamVersions:
+    """The software version that began each recent stream of one service.
+
+    While all targets have had one version, other routers can tell it without these records. They
+    are reported from the time at which a second version appears, and then all at once.
+    """
+
+    def __init__(self) -> None:
+        self._current: dict[StreamKey, SoftwareVersion] = {}
+        self._previous: dict[StreamKey, SoftwareVersion] = {}
+        self._generation_started_at: float | None = None
+        self._unreported: list[StreamKey] | None = None
+
+    def __len__(self) -> int:
+        return len(self._current) + len(self._previous)
+
+    def record(self, stream: StreamKey, version: SoftwareVersion, now: float) -> None:
+        """Record the version that wrote the first event of a stream."""
+        self.merge([stream], version, now)
+        if self._unreported is not None:
+            self._unreported.append(stream)
+
+    def merge(self, streams: Iterable[StreamKey], version: SoftwareVersion, now: float) -> None:
+        """Add the records of another router."""
+        self._drop_old(now)
+        for stream in streams:
+            self._current[stream] = version
+
+    def find(self, stream: StreamKey, now: float) -> SoftwareVersion | None:
+        """Return the version that began a stream, or None if that is not known."""
+        self._drop_old(now)
+        found = self._current.get(stream)
+        return self._previous.get(stream) if found is None else found
+
+    def take_unreported(self, is_mixed: bool) -> dict[SoftwareVersion, list[StreamKey]]:
+        """Return the records to send to other routers, by version.
+
+        Parameters
+        ----------
+        is_mixed : bool
+            Whether more than one version may have begun the streams that are still awaited.
+        """
+        if not is_mixed:
+            self._unreported = None
+            return {}
+        if self._unreported is None:
+            self._unreported = [*self._previous, *self._current]
+        taken, self._unreported = (
+            self._unreported[:_MAX_REPORT_SIZE],
+            self._unreported[_MAX_REPORT_SIZE:],
+        )
+        by_version: dict[SoftwareVersion, list[StreamKey]] = {}
+        for stream in taken:
+            version = self._current.get(stream, self._previous.get(stream))
+            if version is not None:
+                by_version.setdefault(version, []).append(stream)
+        return by_version
+
+    def _drop_old(self, now: float) -> None:
+        if self._generation_started_at is None:
+            self._generation_started_at = now
+        age_s = now - self._generation_started_at
+        if age_s < _GENERATION_S and len(self._current) < _MAX_GENERATION_SIZE:
+            return
+        self._previous = self._current if age_s < 2 * _GENERATION_S else {}
+        self._current = {}
+        self._generation_started_at += age_s // _GENERATION_S * _GENERATION_S
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from collections import defaultdict
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -17,6 +18,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    CannotResume,
     NoTarget,
     QueueTimeout,
     RepeatsUsedUp,
@@ -25,6 +27,7 @@
     NodeId,
     RequestDigest,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     TeamId,
     ZoneId,
@@ -40,6 +43,7 @@
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
+from turmerictray.routing.streams import StreamVersions, pack_keys, unpack_keys
 from turmerictray.scheduling.broker_messages import (
     Ask,
     BrokerQuery,
@@ -56,6 +60,7 @@
     ServiceHeard,
     Settled,
     StartupState,
+    StreamsBegunElsewhere,
     SummaryQuery,
     TargetLeaving,
     TargetsChanged,
@@ -65,13 +70,24 @@
     ZonesEvacuated,
 )
 from turmerictray.scheduling.grant_throttle import GrantThrottle
-from turmerictray.scheduling.messages import PartsRead, ServiceGiven
+from turmerictray.scheduling.messages import PartsRead, ServiceGiven, StreamsBegun
 from turmerictray.scheduling.pool_gauges import PoolGauges
 from turmerictray.scheduling.service_pools import ServicePools
 
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
 
+_STREAMS_REPORT_INTERVAL_S = 0.1
+"""Interval between two reports of the versions that began streams, in seconds. A caller whose
+stream breaks before the report is refused; it is sent before most streams break."""
+
+_MAX_TARGETS_AGE_S = 4.0
+"""Age of the list of targets up to which it is taken as complete; a watch of the store that waits
+for changes is repeated sooner."""
+
+_UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
+"""Retry-After in seconds for a stream whose version is not known; another router may know it."""
+
 _BUDGET_RETRY_AFTER_S = 0.5
 """Retry-After in seconds when a service's retry budget is used up."""
 
@@ -117,6 +133,10 @@
         self.pools = ServicePools(self._make_pool)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
+        self.send_streams_begun: Callable[[StreamsBegun], None] | None = None
+        self.targets_age_s: Callable[[], float] = lambda: 0.0
+        self._streams: defaultdict[ServiceName, StreamVersions] = defaultdict(StreamVersions)
+        self._streams_report_due_at = -math.inf
         self.shard_usage_changes = ChangedUsage()
         self.fleet_size = 1
         self.live_routers: frozenset[str] = frozenset({node})
@@ -148,11 +168,11 @@
         pool = self.pools.for_shard(msg.service, msg.shard)
         if not msg.retry:
             pool.budget.note_request(now)
-        context = self._placement_context(msg, now)
-        request = PendingRequest(
-            msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
-        )
         try:
+            context = self._placement_context(msg, now)
+            request = PendingRequest(
+                msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
+            )
             self.quarantine.check(msg.digest, now)
             if msg.repeat and not pool.budget.try_spend(now):
                 raise RepeatsUsedUp("repeats_used_up", _BUDGET_RETRY_AFTER_S)
@@ -173,10 +193,38 @@
             isolated=self.quarantine.crash_count(msg.digest, now) >= NO_RETRY_THRESHOLD,
             answer_deadline=msg.answer_deadline,
             home_zones=msg.home_zones,
-            version=msg.version,
+            version=self._required_version(msg, now),
             own_path=msg.own_path or msg.prompt is None,
         )
 
+    def _required_version(self, msg: Ask, now: float) -> SoftwareVersion | None:
+        """Return the software version that must run a request; None for any.
+
+        Raises
+        ------
+        CannotResume
+            The request takes up a stream, and which version began it is not known.
+        """
+        if msg.version is not None or msg.resumes is None:
+            return msg.version
+        streams = self._streams[msg.service]
+        version = streams.find(msg.resumes, now)
+        if version is None:
+            version = self._only_version(msg.service, now)
+        if version is None:
+            raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
+        streams.record(msg.resumes, version, now)
+        return version
+
+    def _only_version(self, service: ServiceName, now: float) -> SoftwareVersion | None:
+        """Return the software version of all recent targets of a service; None if not certain.
+
+        A router whose list of targets is old may have missed another version.
+        """
+        versions = self.pools.unsharded(service).targets.recent_versions(now)
+        is_certain = len(versions) == 1 and self.targets_age_s() <= _MAX_TARGETS_AGE_S
+        return versions.pop() if is_certain else None
+
     @handle.register
     def _(self, msg: Withdraw) -> None:
         for pool in self.pools.for_service(msg.service):
@@ -190,6 +238,8 @@
         pool = self.pools.unsharded(msg.service)
         now = time.monotonic()
         pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
+        if msg.stream is not None:
+            self._streams[msg.service].record(msg.stream, msg.version, now)
         self._schedule_grants(msg.service, now)
 
     @handle.register
@@ -246,6 +296,7 @@
             for hook in self.tick_hooks:
                 hook(msg.now)
             self._report_parts_read(msg.now)
+            self._report_streams_begun(msg.now)
             self._report_usage(msg.now)
         if self._gauges.is_due(msg.now):
             self._gauges.report(self.pools.engine_pools(), msg.now)
@@ -280,6 +331,21 @@
             if reads:
                 self.send_parts_read(PartsRead(pool.name, reads))
 
+    def _report_streams_begun(self, now: float) -> None:
+        """Tell other routers which software versions have begun streams, while there are several.
+
+        A router that took up a stream without knowing would join what two versions generate.
+        """
+        if self.send_streams_begun is None or now < self._streams_report_due_at:
+            return
+        self._streams_report_due_at = now + _STREAMS_REPORT_INTERVAL_S
+        for service, streams in self._streams.items():
+            versions = self.pools.unsharded(service).targets.recent_versions(now)
+            begun = streams.take_unreported(len(versions) > 1)
+            if begun:
+                packed = {version: pack_keys(keys) for version, keys in begun.items()}
+                self.send_streams_begun(StreamsBegun(service, packed))
+
     def _expire_overdue_prefills(self, pool: ServicePool, now: float) -> None:
         for target, read in pool.targets.expire_overdue_prefills(now):
             log_event(
@@ -419,7 +485,7 @@
     def _remove_target(self, pool: ServicePool, target: str) -> None:
         # Not added to the announced targets: the entry of a crashed target may be removed before
         # the answers that the crash interrupted have failed, so removal is no announcement.
-        pool.targets.remove(target)
+        pool.targets.remove(target, time.monotonic())
         self.active_config.unavailable_targets = self.active_config.unavailable_targets | {
             TargetId(target)
         }
@@ -463,6 +529,13 @@
         for target, part, tokens in msg.report.reads:
             targets.record_peer_read(TargetId(target), [PromptPart(PartId(part), tokens)])
 
+    @handle.register
+    def _(self, msg: StreamsBegunElsewhere) -> None:
+        now = time.monotonic()
+        streams = self._streams[ServiceName(msg.report.service)]
+        for version, packed in msg.report.streams.items():
+            streams.merge(unpack_keys(packed), SoftwareVersion(version), now)
+
     @handle.register
     def _(self, msg: KeptHeard) -> None:
         for pool in self.pools.unsharded_engine_pools():
@@ -511,6 +584,8 @@
         self.tick_hooks = msg.hooks
         self.send_usage_report = msg.send_usage_report
         self.send_parts_read = msg.send_parts_read
+        self.send_streams_begun = msg.send_streams_begun
+        self.targets_age_s = msg.targets_age_s
 
     @handle.register
     def _(self, msg: SummaryQuery) -> RouterSummary:
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -12,6 +12,7 @@
     RequestId,
     ServiceName,
     SoftwareVersion,
+    StreamKey,
     TargetId,
     TeamId,
     ZoneId,
@@ -21,7 +22,7 @@
 from turmerictray.router.published import StorePosition
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Prompt, PromptPart
-from turmerictray.scheduling.messages import PartsRead, ServiceGiven
+from turmerictray.scheduling.messages import PartsRead, ServiceGiven, StreamsBegun
 from turmerictray.scheduling.shards import UNSHARDED, ShardId
 
 CachedParts = dict[TargetId, list[PromptPart]]
@@ -60,6 +61,8 @@
         Availability zones whose targets may run the request; None for all.
     version : SoftwareVersion or None
         Software version that must run the request, to continue a stream; None for any.
+    resumes : StreamKey or None
+        Stream that the request takes up, at a version that is to be found out; None for none.
     own_path : bool
         No scheduler was asked; other routers may send to the same targets unseen.
     reply : Reply
@@ -85,6 +88,7 @@
     home_zones: frozenset[ZoneId] | None = None
     own_path: bool = False
     version: SoftwareVersion | None = None
+    resumes: StreamKey | None = None
 
 
 @dataclass(frozen=True)
@@ -125,12 +129,17 @@
 
 @dataclass(frozen=True)
 class FirstEvent:
-    """The first event of an answer arrived ``took_s`` seconds after the request was sent."""
+    """The first event of an answer arrived ``took_s`` seconds after the request was sent.
+
+    ``stream`` is the key of the stream that began, and ``version`` the target's software version.
+    """
 
     call_id: int
     service: ServiceName
     target: TargetId
     took_s: float
+    stream: StreamKey | None = None
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True)
@@ -224,6 +233,13 @@
     report: PartsRead
 
 
+@dataclass(frozen=True)
+class StreamsBegunElsewhere:
+    """Software versions that began streams, reported by another router."""
+
+    report: StreamsBegun
+
+
 @dataclass(frozen=True)
 class KeptHeard:
     """Cached prompt parts reported by engines or a peer.
@@ -281,11 +297,17 @@
         service, its shard count and the report.
     send_parts_read : callable or None
         Sends what engines have read to the other schedulers.
+    send_streams_begun : callable or None
+        Sends the software versions that began streams to the routers that keep such records.
+    targets_age_s : callable
+        Returns the age of this router's list of targets, in seconds.
     """
 
     hooks: tuple[Callable[[float], None], ...]
     send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
     send_parts_read: Callable[[PartsRead], None] | None = None
+    send_streams_begun: Callable[[StreamsBegun], None] | None = None
+    targets_age_s: Callable[[], float] = lambda: 0.0
 
 
 @dataclass(frozen=True)
--- a/turmerictray/scheduling/choice.py
+++ b/turmerictray/scheduling/choice.py
@@ -108,11 +108,7 @@
     def ranked_members(self, key: str) -> list[MemberEntry]:
         """Return the eligible members, including the local router, in order of preference."""
         eligible = [entry for entry in self._members if entry.heartbeat >= _MIN_HEARTBEATS]
-        return sorted(
-            eligible or self._members,
-            key=lambda entry: weighted_rank(key, entry.node, entry.cores**_CORES_EXPONENT),
-            reverse=True,
-        )
+        return _rank_members(key, eligible or self._members)
 
     def informed_members(self, service: ServiceName, shards: int) -> list[MemberEntry]:
         """Return the other routers that are to know what the engines of a service cache.
@@ -127,6 +123,19 @@
             self._informed[service, shards] = (now + _INFORMED_TTL_S, members)
         return members
 
+    def stream_record_holders(self, service: ServiceName, shards: int) -> list[MemberEntry]:
+        """Return the other routers that are to know which software version began each stream.
+
+        These are the routers of :meth:`informed_members`, and those that have started too recently
+        to schedule but will do so in a moment.
+        """
+        found = {entry.node: entry for entry in self.informed_members(service, shards)}
+        for index in range(shards):
+            ranked = _rank_members(_key(service, ShardId(index, shards)), self._members)
+            found.update((entry.node, entry) for entry in ranked[:_RANKS_INFORMED])
+        found.pop(self.node, None)
+        return list(found.values())
+
     def _find_informed(self, service: ServiceName, shards: int) -> list[MemberEntry]:
         found: dict[str, MemberEntry] = {}
         for count in {1, shards, 2 * shards}:
@@ -151,5 +160,13 @@
         return None
 
 
+def _rank_members(key: str, members: Iterable[MemberEntry]) -> list[MemberEntry]:
+    return sorted(
+        members,
+        key=lambda entry: weighted_rank(key, entry.node, entry.cores**_CORES_EXPONENT),
+        reverse=True,
+    )
+
+
 def _key(service: ServiceName, shard: ShardId) -> str:
     return service if shard == UNSHARDED else f"{service}/{shard.index}/{shard.count}"
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -33,6 +33,8 @@
         Availability zones whose engines may run the request; None for all.
     version : str or None
         Software version that must run the request; None for any.
+    resumes : int or None
+        Key of the stream that the request takes up; None for none.
     """
 
     call_id: int
@@ -57,6 +59,7 @@
     digest: str = ""
     home_zones: list[str] | None = None
     version: str | None = None
+    resumes: int | None = None
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -67,12 +70,17 @@
 
 
 class FirstSeen(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Report that the first event of an answer came ``took_s`` seconds after sending."""
+    """Report that the first event of an answer came ``took_s`` seconds after sending.
+
+    ``stream`` is the key of the stream that began, and ``version`` the target's software version.
+    """
 
     call_id: int
     service: str
     target: str
     took_s: float
+    stream: int | None = None
+    version: str = ""
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -179,6 +187,20 @@
     reads: list[tuple[str, str, int]]
 
 
+class StreamsBegun(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Software versions that have just begun streams of a service.
+
+    Attributes
+    ----------
+    streams : dict of str to bytes
+        Keys of the streams by version, encoded by
+        :func:`turmerictray.routing.streams.pack_keys`.
+    """
+
+    service: str
+    streams: dict[str, bytes]
+
+
 class LookNow(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Message from a router to itself that triggers the check for unresponsive schedulers.
 
@@ -199,6 +221,7 @@
     | PlaceRefused
     | StillWaiting
     | PartsRead
+    | StreamsBegun
     | ServiceGiven
     | LookNow
 )
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -13,6 +13,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    CannotResume,
     Draining,
     NoTarget,
     QueueFull,
@@ -53,6 +54,7 @@
     PlaceWithdrawn,
     ServiceGiven,
     StillWaiting,
+    StreamsBegun,
 )
 from turmerictray.scheduling.shards import UNSHARDED, ShardId, ShardMap
 
@@ -62,6 +64,8 @@
 
 _SHARD_FULL_ERRORS = frozenset({QueueFull.__name__, WontBeServed.__name__})
 
+_UNKNOWN_ERRORS = frozenset({NoTarget.__name__, CannotResume.__name__})
+
 _DRAINING_RETRY_AFTER_S = 0.05
 """Retry-After in seconds when this router stops; another router can serve the caller at once."""
 
@@ -187,8 +191,12 @@
         if call is None:
             self._send_to_broker(msg)
             return
-        first_seen = FirstSeen(msg.call_id, msg.service, msg.target, msg.took_s)
-        self._link.send(call.scheduler.scheduling_address, first_seen)
+        first_seen = FirstSeen(
+            msg.call_id, msg.service, msg.target, msg.took_s, msg.stream, msg.version
+        )
+        if not self._link.send(call.scheduler.scheduling_address, first_seen):
+            # The local broker keeps the stream's version instead.
+            self._send_to_broker(msg)
 
     @tell.register
     def _(self, msg: Settled) -> None:
@@ -222,6 +230,12 @@
         for entry in self._choice.informed_members(service, self._shards(service).count):
             self._link.send(entry.scheduling_address, report)
 
+    def send_streams_begun(self, report: StreamsBegun) -> None:
+        """Send the software versions that began streams to the routers that keep such records."""
+        service = ServiceName(report.service)
+        for entry in self._choice.stream_record_holders(service, self._shards(service).count):
+            self._link.send(entry.scheduling_address, report)
+
     def _send_request(
         self, ask: Ask, scheduler: MemberEntry, fallback_shards: tuple[ShardId, ...]
     ) -> bool:
@@ -253,6 +267,7 @@
             ask.digest,
             None if ask.home_zones is None else sorted(ask.home_zones),
             ask.version,
+            ask.resumes,
         )
         if self._link.send(scheduler.scheduling_address, request):
             return True
@@ -320,9 +335,9 @@
         call = self._remote_calls.get(msg.call_id)
         if call is None or not self._claim(call):
             return True
-        if msg.error == NoTarget.__name__:
-            # The scheduler may know fewer targets than this router: it may be partitioned from the
-            # store or have just started.
+        if msg.error in _UNKNOWN_ERRORS:
+            # The scheduler may know fewer targets or streams than this router: it may be
+            # partitioned from the store or have just started.
             self._place_locally(call.ask)
             return True
         if msg.error in _SHARD_FULL_ERRORS:
@@ -378,9 +393,17 @@
             self._link.reconnect(entry.scheduling_address)
         for call in waiting:
             if call.scheduler.node in unresponsive and self._claim(call):
-                self._place_locally(call.ask)
+                self._place_without(call)
         self._drop_expired_calls(now)
 
+    def _place_without(self, call: _RemoteCall) -> None:
+        """Place a request whose scheduler is unresponsive."""
+        if call.ask.resumes is None:
+            self._place_locally(call.ask)
+        else:
+            # The next scheduler keeps the records of streams that this router lacks.
+            self._request_placement(call.ask, (call.ask.shard, *call.fallback_shards))
+
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
             self._remote_calls.pop(call_id, None)
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -14,6 +14,7 @@
     RequestId,
     ServiceName,
     SoftwareVersion,
+    StreamKey,
     TargetId,
     TeamId,
     ZoneId,
@@ -27,6 +28,7 @@
     PartsReadElsewhere,
     ServiceHeard,
     Settled,
+    StreamsBegunElsewhere,
     TargetLeaving,
     Withdraw,
 )
@@ -42,6 +44,7 @@
     PlaceWithdrawn,
     ServiceGiven,
     StillWaiting,
+    StreamsBegun,
 )
 from turmerictray.scheduling.shards import ShardId
 
@@ -84,7 +87,9 @@
     @handle_message.register
     def _(self, msg: FirstSeen) -> None:
         service, target = ServiceName(msg.service), TargetId(msg.target)
-        self._broker.tell(FirstEvent(msg.call_id, service, target, msg.took_s))
+        stream = None if msg.stream is None else StreamKey(msg.stream)
+        version = SoftwareVersion(msg.version)
+        self._broker.tell(FirstEvent(msg.call_id, service, target, msg.took_s, stream, version))
 
     @handle_message.register
     def _(self, msg: Ended) -> None:
@@ -111,6 +116,10 @@
     def _(self, msg: PartsRead) -> None:
         self._broker.tell(PartsReadElsewhere(msg))
 
+    @handle_message.register
+    def _(self, msg: StreamsBegun) -> None:
+        self._broker.tell(StreamsBegunElsewhere(msg))
+
     def send_keepalives(self, _now: float) -> None:
         """Send a keep-alive to each router with requests waiting here."""
         with self._lock:
@@ -185,4 +194,5 @@
         RequestDigest(msg.digest),
         None if msg.home_zones is None else frozenset(map(ZoneId, msg.home_zones)),
         version=None if msg.version is None else SoftwareVersion(msg.version),
+        resumes=None if msg.resumes is None else StreamKey(msg.resumes),
     )
