Cached parts are fetched only from engines of the same software version

Change: the source of a fetch is chosen among engines of the version that will run the request. Price: in mixed times a part is read once for each version. Evidence: test_nothing_is_fetched_from_another_software_version failed before; tests/routing and tests/admission 119 passed.

--- a/tests/routing/test_place.py
+++ b/tests/routing/test_place.py
@@ -1,6 +1,8 @@
 """Placement of prompts: on the engine that caches them, unless its queue costs more."""
 
-from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
+from dataclasses import replace
+
+from turmerictray.core.ids import NodeId, ServiceName, SoftwareVersion, TargetId, ZoneId
 from turmerictray.routing.load import PeerLoad, PendingPrefill, TargetInfo, TargetLoad, TargetPhase
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.place import candidates, place_plain, place_prompt
@@ -184,6 +186,21 @@
     assert placement.source is None
 
 
+def test_nothing_is_fetched_from_another_software_version():
+    """Guards against an engine that continues from what another version wrote into its cache."""
+    other, leaving, idle = make_load("other"), make_load("leaving"), make_load("idle")
+    other.info = replace(other.info, version=SoftwareVersion("v2"))
+    for load in (other, leaving):
+        load.prefix_cache.note_read(PROMPT)
+    with_backlog(other, 40_000)
+    placement = place_prompt([other, idle], PROMPT, 99, fetching_model(), ZONE, 0.0)
+    assert placement.load is idle
+    assert placement.source is None
+    sources = [other, leaving, idle]
+    placement = place_prompt([other, idle], PROMPT, 99, fetching_model(), ZONE, 0.0, sources)
+    assert placement.source is leaving.info
+
+
 def test_short_parts_are_read_again():
     prompt = Prompt((PromptPart(PartId("greeting"), 300), PromptPart(PartId("own"), 100)), 400, 10)
     loads = [make_load(f"e{n}") for n in range(2)]
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -157,11 +157,13 @@
     cached = {load.info.id: load.prefix_cache.cached_tokens(prompt) for load in loads}
     shared = sum(part.tokens for part in prompt.shared)
     preferred = _preferred_engine(loads, prompt, cached)
-    source = _fetch_source(loads, cached, model, now)
-    if model.fetch_per_s and (source is None or cached[source.info.id] < shared):
-        source = _better_source(source, other_sources, prompt, cached, model, now)
+    sources = {
+        version: _source_of_version(version, loads, other_sources, prompt, cached, model, now)
+        for version in {load.info.version for load in loads}
+    }
     best: tuple[float, float, TargetLoad, _EngineWork] | None = None
     for load in loads:
+        source = sources[load.info.version]
         work = _engine_work(load, prompt.input_tokens, shared, cached, source, model)
         cost, expected = _engine_cost(load, work, call_id, model, zone, now)
         if preferred is not None and load.info.id != preferred:
@@ -189,6 +191,28 @@
     return max(loads, key=lambda load: rank(key, load.info.id)).info.id
 
 
+def _source_of_version(
+    version: SoftwareVersion,
+    loads: list[TargetLoad],
+    other_sources: Collection[TargetLoad],
+    prompt: Prompt,
+    cached: dict[str, int],
+    model: PoolModel,
+    now: float,
+) -> TargetLoad | None:
+    """Return the engine from which those of a software version may fetch a prompt's parts.
+
+    What one version writes, also into its cache, does not fit another.
+    """
+    same = [load for load in loads if load.info.version == version]
+    source = _fetch_source(same, cached, model, now)
+    shared = sum(part.tokens for part in prompt.shared)
+    if not model.fetch_per_s or (source is not None and cached[source.info.id] >= shared):
+        return source
+    others = [load for load in other_sources if load.info.version == version]
+    return _better_source(source, others, prompt, cached, model, now)
+
+
 def _fetch_source(
     loads: list[TargetLoad], cached: dict[str, int], model: PoolModel, now: float
 ) -> TargetLoad | None:
