Soak: workers of two software versions, callers that take up broken streams at other routers

Each stream holds events of one version over its caller's requests, checked from the versions that workers write into their events; the report counts streams taken up and those that went on.

--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -181,3 +181,16 @@
         " seq=0 event=starting\nevent=text_in_force version=3 source=store\n"
     )
     assert rules(check_config_logs([log])) == ["config-revert", "error"]
+
+
+def test_stream_of_two_versions_is_found():
+    # The soak joined two versions over a caller's requests, unseen.
+    record = SoakRecord()
+    for request_id, resumes, version in (("a", "", "v1"), ("b", "a", "v1"), ("c", "a", "v2")):
+        request = make_request("plan", resumes=resumes)
+        request.request_id = request_id
+        request.answer = RawAnswer(200, body=f"id: 1\ndata: {version} piece-1\n\n".encode())
+        record.requests.append(request)
+    assert [found.req_id for found in checks.check_software_versions(record)] == ["a"]
+    del record.requests[-1]
+    assert not list(checks.check_software_versions(record))
--- a/turmerictray/platform/soak/callers.py
+++ b/turmerictray/platform/soak/callers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from turmerictray.platform.soak.record import STREAMS, SoakRecord, SoakRequest
+from turmerictray.platform.soak.record import RESUMABLE, STREAMS, SoakRecord, SoakRequest
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller, make_request
 from turmerictray.platform.standins.local import LocalDeployment
 
@@ -56,16 +56,49 @@
             except OSError:
                 self._stop.wait(_MAX_REFUSAL_PAUSE_S)
                 continue
-            self._send_requests(caller, router.name)
+            broken = self._send_requests(caller, router.name)
             caller.close()
+            if broken is not None:
+                self._take_up(broken)
 
-    def _send_requests(self, caller: RawCaller, router: str) -> None:
-        """Send requests over one connection until it ends or an answer closes it."""
+    def _send_requests(self, caller: RawCaller, router: str) -> SoakRequest | None:
+        """Send requests over one connection until it ends or an answer closes it.
+
+        Returns
+        -------
+        SoakRequest or None
+            The last request, if its stream broke and can be taken up.
+        """
         while not self._stop.wait(_PAUSE_S):
             request = self._draw_request(router)
             self._record.requests.append(request)
             if not self._send(caller, request):
+                return request if _is_broken_stream(request) else None
+        return None
+
+    def _take_up(self, request: SoakRequest) -> None:
+        """Take up a stream that broke, at random routers, until it ends or makes no progress."""
+        while request is not None:
+            router = self._rng.choice(self._deployment.routers)
+            request = SoakRequest(
+                f"soak{next(_ids):012x}",
+                request.route,
+                router.name,
+                request.method,
+                request.target,
+                request.body,
+                time.monotonic(),
+                resumes=request.stream_id,
+                first_event=request.answer.event_ids()[-1] + 1,
+            )
+            try:
+                caller = RawCaller(self._deployment.front(router))
+            except OSError:
                 return
+            self._record.requests.append(request)
+            self._send(caller, request)
+            caller.close()
+            request = request if _is_broken_stream(request) else None
 
     def _draw_request(self, router: str) -> SoakRequest:
         route = self._rng.choice(list(ROUTES))
@@ -85,6 +118,9 @@
             headers |= PROMPT_HEADERS | {
                 "X_Prompt_Prefix": f"{shared_part},{request.request_id[4:]}:260"
             }
+        if request.resumes:
+            headers["Resumes"] = request.resumes
+            headers["Last_Event_Id"] = str(request.first_event - 1)
         try:
             caller.send(make_request(request.method, request.target, request.body, **headers))
         except OSError:
@@ -101,3 +137,14 @@
         if request.answer.status in (0, 503):
             time.sleep(self._rng.uniform(0, _MAX_REFUSAL_PAUSE_S))
         return request.answer.complete and not closes
+
+
+def _is_broken_stream(request: SoakRequest) -> bool:
+    answer = request.answer
+    return (
+        request.route == RESUMABLE
+        and request.disconnected_at is None
+        and answer.status == 200
+        and not answer.complete
+        and bool(answer.event_ids())
+    )
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -36,9 +36,10 @@
         answer = request.answer
         if request.route in STREAMS and answer.status == 200:
             ids = answer.event_ids()
-            if ids != list(range(1, len(ids) + 1)):
+            first = request.first_event
+            if ids != list(range(first, first + len(ids))):
                 yield Violation(request.request_id, "order", f"events {ids}")
-            if answer.complete and len(ids) != event_count:
+            if answer.complete and len(ids) != event_count + 1 - first:
                 yield Violation(request.request_id, "whole", f"complete with {len(ids)} events")
         if answer.status != 200 or not answer.complete:
             continue
@@ -51,6 +52,16 @@
             yield Violation(request.request_id, "own-answer", f"body {answer.body[:60]!r}")
 
 
+def check_software_versions(record: SoakRecord) -> Iterator[Violation]:
+    """Check that each stream holds events of one software version, over its caller's requests."""
+    versions: dict[str, set[str]] = defaultdict(set)
+    for request in record.requests:
+        versions[request.stream_id] |= request.answer.versions()
+    for stream_id, found in versions.items():
+        if len(found) > 1:
+            yield Violation(stream_id, "one-version", f"events of {sorted(found)}")
+
+
 def check_executions(record: SoakRecord, workers: list[Worker]) -> Iterator[Violation]:
     """Check that workers ran only sent requests, unchanged, and those of ``RUN_ONCE`` only once."""
     by_id = {request.request_id: request for request in record.requests}
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -14,6 +14,7 @@
 from turmerictray.loadtool.relay import Direction
 from turmerictray.platform.soak.crashing_requests import CrashingRequestSender
 from turmerictray.platform.soak.record import (
+    VERSIONS,
     ZONES,
     Disturbance,
     EvacuationRecord,
@@ -384,10 +385,10 @@
         self.deployment.withdraw(worker)
 
     def _start_replacement(self, worker: Worker) -> None:
-        replacement = Worker(
-            f"{worker.service}-n{next(self._worker_numbers)}", worker.service
-        ).start()
+        number = next(self._worker_numbers)
+        replacement = Worker(f"{worker.service}-n{number}", worker.service).start()
         replacement.zone = worker.zone
+        replacement.version = VERSIONS[number % len(VERSIONS)]
         replacement.behaviour.service_time_s, replacement.behaviour.event_count = (
             worker.behaviour.service_time_s,
             worker.behaviour.event_count,
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -9,9 +9,15 @@
 STREAMS = frozenset({"plan", "recon"})
 """Routes that answer with a stream."""
 
+VERSIONS = ("v1", "v2")
+"""Software versions of the workers, which serve side by side."""
+
 ZONES = ("z1", "z2")
 """Availability zones of the workers."""
 
+RESUMABLE = "plan"
+"""Route whose streams callers take up again."""
+
 RUN_ONCE = frozenset({"order", "recon"})
 """Routes whose requests may run at most once."""
 
@@ -99,6 +105,11 @@
     answer : RawAnswer
     disconnected_at : float or None
         When its caller disconnected without reading the answer.
+    resumes : str
+        Id of the request that brought the first event of the stream that this one takes up; empty
+        if it takes up none.
+    first_event : int
+        Number of the first event that the answer may hold.
     """
 
     request_id: str
@@ -111,6 +122,13 @@
     ended_at: float = 0.0
     answer: RawAnswer = field(default_factory=RawAnswer)
     disconnected_at: float | None = None
+    resumes: str = ""
+    first_event: int = 1
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that began the stream."""
+        return self.resumes or self.request_id
 
 
 @dataclass
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -14,7 +14,7 @@
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.callers import SoakCaller
 from turmerictray.platform.soak.fault_injector import FaultInjector
-from turmerictray.platform.soak.record import ZONES, SoakRecord
+from turmerictray.platform.soak.record import VERSIONS, ZONES, SoakRecord
 from turmerictray.platform.soak.schedule import (
     draw_crashes_and_restores,
     draw_floods_and_joins,
@@ -72,6 +72,8 @@
         Number of injected faults by kind, and of answers by status (0 for no answer).
     violations : list of Violation
         Violated guarantees.
+    taken_up, went_on : int
+        Number of requests that took up a broken stream, and of those of them that got events.
     """
 
     seed: int
@@ -79,6 +81,8 @@
     fault_counts: Counter = field(default_factory=Counter)
     status_counts: Counter = field(default_factory=Counter)
     violations: list[Violation] = field(default_factory=list)
+    taken_up: int = 0
+    went_on: int = 0
 
 
 def run_soak(seed: int, options: SoakOptions, folder: Path | None = None) -> SoakReport:
@@ -100,6 +104,7 @@
     )
     for number, worker in enumerate(deployment.workers):
         worker.zone = ZONES[number % len(ZONES)]
+        worker.version = VERSIONS[number // len(ZONES) % len(VERSIONS)]
         worker.behaviour.event_count, worker.behaviour.service_time_s = (
             _EVENTS_PER_STREAM,
             _SERVICE_TIME_S,
@@ -113,7 +118,11 @@
         answers = Counter(
             sent.answer.status for sent in record.requests if sent.disconnected_at is None
         )
-        return SoakReport(seed, folder, record.fault_counts, answers, violations)
+        taken_up = [request for request in record.requests if request.resumes]
+        went_on = sum(bool(request.answer.event_ids()) for request in taken_up)
+        return SoakReport(
+            seed, folder, record.fault_counts, answers, violations, len(taken_up), went_on
+        )
     finally:
         deployment.stop()
 
@@ -174,6 +183,7 @@
     logs = [router.log_path for router in deployment.routers]
     return [
         *checks.check_answers(record, _EVENTS_PER_STREAM),
+        *checks.check_software_versions(record),
         *checks.check_executions(record, workers),
         *checks.check_answer_times(record),
         *checks.check_floods(record),
@@ -197,6 +207,7 @@
         f"({_format_counts(report.fault_counts)})",
         f"answers: {report.status_counts[200]} of {total} were 200 "
         f"({_format_counts(report.status_counts)})",
+        f"streams taken up: {report.taken_up}, of which {report.went_on} went on",
         f"violated guarantees: {len(report.violations)}; logs in {report.folder}",
     ]
     lines += [
