--- a/tests/admission/test_refusal_by_work.py
+++ b/tests/admission/test_refusal_by_work.py
@@ -1,14 +1,27 @@
 """Tests of the refusal of requests that would be dispatched too late."""
 
 from concurrent.futures import Future
+from dataclasses import replace
+
+import pytest
 
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.pool import ServicePool
 from turmerictray.admission.pool_types import PlacementContext
 from turmerictray.config.routes import EngineSpec, ServiceSpec
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.errors import WontBeServed
+from turmerictray.core.ids import (
+    NodeId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.fairness.recent_usage import RecentUsage
+from turmerictray.routing.cold import ColdSpec
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 
@@ -35,7 +48,15 @@
     return pool
 
 
-def enqueue(pool: ServicePool, clock: Clock, call_id: int, team: str, tokens: int, wait: float):
+def enqueue(
+    pool: ServicePool,
+    clock: Clock,
+    call_id: int,
+    team: str,
+    tokens: int,
+    wait: float,
+    version: SoftwareVersion | None = None,
+):
     prompt = Prompt((PromptPart(PartId(f"p{call_id}"), tokens),), tokens, 10)
     pending = PendingRequest(
         RequestId(str(call_id)),
@@ -43,7 +64,7 @@
         prompt.cost,
         clock.now + wait,
         Future(),
-        PlacementContext(call_id, prompt),
+        PlacementContext(call_id, prompt, version=version),
     )
     pool.enqueue(pending, clock.now)
 
@@ -66,6 +87,33 @@
     assert len(pool.queue) == 3
 
 
+@pytest.mark.parametrize(
+    ("idle", "version"),
+    [({"cold_s": 60.0}, None), ({"version": SoftwareVersion("v2")}, SoftwareVersion("v1"))],
+    ids=["resting", "other version"],
+)
+def test_idle_engines_that_may_not_be_used_save_no_request_from_refusal(idle, version):
+    """Guards against waiting in vain beside resting cold engines, or those of other versions."""
+    clock = Clock()
+    pool = make_pool(clock)
+    engine = TargetInfo(ENGINE, LLM, "h:1", ZONE, 64, version=SoftwareVersion("v1"))
+    pool.targets.add_or_update(engine)
+    pool.targets.set_spec(replace(pool.targets.spec, cold=ColdSpec(60.0, 0.5)))
+    for call_id in range(12):
+        enqueue(pool, clock, call_id, "a", LONG, 60.0)
+        clock.now += 10 * LONG_S
+        for sent in pool.dispatch_ready(clock.now):
+            pool.targets.record_first_event(ENGINE, sent.pending.context.call_id, LONG_S)
+    enqueue(pool, clock, 50, "a", LONG, OBJECTIVE_S)
+    for number in range(5):
+        target = TargetId(f"idle{number}")
+        info = replace(engine, id=target, **idle)
+        pool.targets.add_or_update(info, clock.now)
+        pool.targets.loads[target].last_sent_at = clock.now
+    with pytest.raises(WontBeServed):
+        enqueue(pool, clock, 51, "a", LONG, OBJECTIVE_S, version)
+
+
 def test_short_prompts_are_not_refused_after_long_ones_lowered_the_request_rate():
     """Guards against measuring throughput in requests, which long prompts would make too low."""
     clock = Clock()
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -172,7 +172,7 @@
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
         wait = self.expected_wait_s(pending)
-        if not retry and now + wait > pending.deadline and not self._has_idle_engine(now):
+        if not retry and now + wait > pending.deadline and not self._has_idle_engine(context, now):
             self._refused_count += 1
             raise WontBeServed(self._refusal_reason(pending), wait)
         try:
@@ -181,7 +181,7 @@
             raise QueueFull(exc.reason, wait) from exc
         self._dispatch_order.add(pending, front=retry)
 
-    def _has_idle_engine(self, now: float) -> bool:
+    def _has_idle_engine(self, context: PlacementContext, now: float) -> bool:
         """Return whether an engine has nothing to read, and no pending request will take it.
 
         After a stall, the measured throughput says nothing of such an engine.
@@ -189,10 +189,12 @@
         waiting, loads = len(self.queue), self.targets.loads
         if self.targets.spec.engine is None or waiting >= len(loads):
             return False
-        return waiting < sum(self._is_idle(load, now) for load in loads.values())
+        idle = sum(self._is_idle(load, context, now) for load in self._candidates(context, now))
+        return waiting < idle
 
-    def _is_idle(self, load: TargetLoad, now: float) -> bool:
-        if load.info.phase is not TargetPhase.READY or load.is_avoided(now):
+    def _is_idle(self, load: TargetLoad, context: PlacementContext, now: float) -> bool:
+        spec, own_path = self.targets.spec, context.own_path
+        if load.is_avoided(now) or self.cold_targets.is_resting(load, spec, now, own_path):
             return False
         snapshot = load.load_snapshot(now, self.targets.model.read_per_s)
         return not snapshot.unread_tokens and snapshot.running < load.info.slots
