Reports of streams are rarer where there are many receivers

Computed, not played: with 300 routers, 32 shards and 5,000 streams a second a scheduler has 134 receivers and would send 1,340 messages a second in mixed times; now at most 160 (one to each in 0.84 s), 37 kB/s with 15 receivers at 79 and 195 routers. test_reports_are_rarer_with_many_receivers.

--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -144,3 +144,20 @@
     fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
     with pytest.raises(NoTarget):
         _result(reply)
+
+
+def test_reports_are_rarer_with_many_receivers():
+    # Hundreds of schedulers that tell each other ten times a second would do little else.
+    fixture, sent_at = _Fixture(V1, V2), []
+    receivers = 160
+
+    def send(_report) -> int:
+        sent_at.append(now)
+        return receivers
+
+    fixture.broker.handle(OnTick((), send_streams_begun=send))
+    for step in range(100):
+        now = 100 + step * 0.05
+        fixture.begin(V1)
+        fixture.broker._report_streams_begun(now)
+    assert len(sent_at) == 5
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -81,6 +81,10 @@
 """Interval between two reports of the versions that began streams, in seconds. A caller whose
 stream breaks before the report is refused; it is sent before most streams break."""
 
+_MAX_REPORTS_PER_INTERVAL = 16
+"""Reports sent in this interval; with more receivers, the interval is longer. A service with many
+schedulers has hundreds of receivers."""
+
 _MAX_TARGETS_AGE_S = 4.0
 """Age of the list of targets up to which it is taken as complete; a watch of the store that waits
 for changes is repeated sooner."""
@@ -133,7 +137,7 @@
         self.pools = ServicePools(self._make_pool)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
-        self.send_streams_begun: Callable[[StreamsBegun], None] | None = None
+        self.send_streams_begun: Callable[[StreamsBegun], int] | None = None
         self.targets_age_s: Callable[[], float] = lambda: 0.0
         self._streams: defaultdict[ServiceName, StreamVersions] = defaultdict(StreamVersions)
         self._streams_report_due_at = -math.inf
@@ -338,13 +342,15 @@
         """
         if self.send_streams_begun is None or now < self._streams_report_due_at:
             return
-        self._streams_report_due_at = now + _STREAMS_REPORT_INTERVAL_S
+        interval_s = _STREAMS_REPORT_INTERVAL_S
         for service, streams in self._streams.items():
             versions = self.pools.unsharded(service).targets.recent_versions(now)
             begun = streams.take_unreported(len(versions) > 1)
             if begun:
                 packed = {version: pack_keys(keys) for version, keys in begun.items()}
-                self.send_streams_begun(StreamsBegun(service, packed))
+                receivers = self.send_streams_begun(StreamsBegun(service, packed))
+                interval_s *= max(1.0, receivers / _MAX_REPORTS_PER_INTERVAL)
+        self._streams_report_due_at = now + interval_s
 
     def _expire_overdue_prefills(self, pool: ServicePool, now: float) -> None:
         for target, read in pool.targets.expire_overdue_prefills(now):
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -298,7 +298,8 @@
     send_parts_read : callable or None
         Sends what engines have read to the other schedulers.
     send_streams_begun : callable or None
-        Sends the software versions that began streams to the routers that keep such records.
+        Sends the software versions that began streams to the routers that keep such records;
+        returns their number.
     targets_age_s : callable
         Returns the age of this router's list of targets, in seconds.
     """
@@ -306,7 +307,7 @@
     hooks: tuple[Callable[[float], None], ...]
     send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
     send_parts_read: Callable[[PartsRead], None] | None = None
-    send_streams_begun: Callable[[StreamsBegun], None] | None = None
+    send_streams_begun: Callable[[StreamsBegun], int] | None = None
     targets_age_s: Callable[[], float] = lambda: 0.0
 
 
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -230,11 +230,19 @@
         for entry in self._choice.informed_members(service, self._shards(service).count):
             self._link.send(entry.scheduling_address, report)
 
-    def send_streams_begun(self, report: StreamsBegun) -> None:
-        """Send the software versions that began streams to the routers that keep such records."""
+    def send_streams_begun(self, report: StreamsBegun) -> int:
+        """Send the software versions that began streams to the routers that keep such records.
+
+        Returns
+        -------
+        int
+            Number of these routers.
+        """
         service = ServiceName(report.service)
-        for entry in self._choice.stream_record_holders(service, self._shards(service).count):
+        holders = self._choice.stream_record_holders(service, self._shards(service).count)
+        for entry in holders:
             self._link.send(entry.scheduling_address, report)
+        return len(holders)
 
     def _send_request(
         self, ask: Ask, scheduler: MemberEntry, fallback_shards: tuple[ShardId, ...]
