--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -26,6 +26,26 @@
     assert read(X_Deadline_Ms=text).caller_timeout_s == seconds
 
 
+@pytest.mark.parametrize(
+    ("fields", "resumes"),
+    [
+        ({}, None),
+        ({"Resumes": "a0"}, None),
+        ({"Last_Event_Id": "3", "Resumes": "a0"}, "a0"),
+        ({"Last_Event_Id": "3"}, ""),
+        ({"Last_Event_Id": "", "Resumes": "a0"}, None),
+    ],
+)
+def test_stream_that_a_request_takes_up(fields, resumes):
+    assert read(**fields).resumes == resumes
+
+
+def test_repeated_name_of_a_stream_is_refused():
+    """Guards against continuing either of two streams."""
+    with pytest.raises(CallerError):
+        read(Last_Event_Id="3", Resumes="a0, a1")
+
+
 def test_repeated_request_id_is_refused():
     """Guards against accepting answers with either of two request ids."""
     with pytest.raises(CallerError):
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -40,6 +40,12 @@
     "Requests that are sent to no target, as targets ended under them.",
     registry=REGISTRY,
 )
+STREAMS_TAKEN_UP = Counter(
+    "turmerictray_streams_taken_up_total",
+    "Requests that take up a stream, by how the version that began it is known.",
+    ["version_known_by"],
+    registry=REGISTRY,
+)
 CONTROL_BYTES = Counter(
     "turmerictray_control_bytes_total",
     "Bytes of control traffic (peer link, claims, configuration, instance list, load reports).",
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -13,6 +13,10 @@
 """Assumed time that a caller waits if its request could not be parsed far enough to know it."""
 
 
+_MAX_ID_LENGTH = 40
+"""Longest part of a caller's id that is logged."""
+
+
 class RequestTrace:
     """Record of a request's handling, written as one log line at its end.
 
@@ -95,6 +99,8 @@
         if prompt is not None:
             last_part_tokens = prompt.parts[-1].tokens if prompt.parts else 0
             fields.update(part=prompt.affinity_key, input=prompt.input_tokens, own=last_part_tokens)
+        if routed.envelope.resumes is not None:
+            fields["resumes"] = routed.envelope.resumes[:_MAX_ID_LENGTH] or "-"
         if self.granted is not None:
             fields.update(
                 target=self.granted.target.id,
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -212,9 +212,10 @@
         if msg.version is not None or msg.resumes is None:
             return msg.version
         streams = self._streams[msg.service]
-        version = streams.find(msg.resumes, now)
+        version, known_by = streams.find(msg.resumes, now), "record"
         if version is None:
-            version = self._only_version(msg.service, now)
+            version, known_by = self._only_version(msg.service, now), "only_version"
+        metrics.STREAMS_TAKEN_UP.labels("nothing" if version is None else known_by).inc()
         if version is None:
             raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
         streams.record(msg.resumes, version, now)
