--- a/turmerictray/scheduling/choice.py
+++ b/turmerictray/scheduling/choice.py
@@ -44,6 +44,10 @@
 """Seconds for which a selection is cached; ranking all routers per request would be too slow."""
 
 
+_CachedMembers = dict[tuple[ServiceName, int], tuple[float, list[MemberEntry]]]
+"""Members by service and number of shards, with the time until which they are valid."""
+
+
 class SchedulerChoice:
     """Selects schedulers by rendezvous hashing among responsive members, weighted by their cores.
 
@@ -65,7 +69,8 @@
         self._members: tuple[MemberEntry, ...] = ()
         self._unresponsive: dict[str, tuple[int, float]] = {}
         self._selections: dict[str, tuple[float, MemberEntry | None]] = {}
-        self._informed: dict[tuple[ServiceName, int], tuple[float, list[MemberEntry]]] = {}
+        self._informed: _CachedMembers = {}
+        self._record_holders: _CachedMembers = {}
 
     def set_members(self, members: Iterable[MemberEntry]) -> None:
         """Replace the list of members believed alive, which includes the local router."""
@@ -116,12 +121,7 @@
         These are the schedulers of the present division into ``shards`` and of the next ones, their
         successors, and the routers that would schedule for each zone if it were partitioned.
         """
-        now = self._clock()
-        until, members = self._informed.get((service, shards), (0.0, []))
-        if now >= until:
-            members = self._find_informed(service, shards)
-            self._informed[service, shards] = (now + _INFORMED_TTL_S, members)
-        return members
+        return self._cached_members(self._informed, self._find_informed, service, shards)
 
     def stream_record_holders(self, service: ServiceName, shards: int) -> list[MemberEntry]:
         """Return the other routers that are to know which software version began each stream.
@@ -129,6 +129,25 @@
         These are the routers of :meth:`informed_members`, and those that have started too recently
         to schedule but will do so in a moment.
         """
+        return self._cached_members(
+            self._record_holders, self._find_record_holders, service, shards
+        )
+
+    def _cached_members(
+        self,
+        cache: _CachedMembers,
+        find: Callable[[ServiceName, int], list[MemberEntry]],
+        service: ServiceName,
+        shards: int,
+    ) -> list[MemberEntry]:
+        now = self._clock()
+        until, members = cache.get((service, shards), (0.0, []))
+        if now >= until:
+            members = find(service, shards)
+            cache[service, shards] = (now + _INFORMED_TTL_S, members)
+        return members
+
+    def _find_record_holders(self, service: ServiceName, shards: int) -> list[MemberEntry]:
         found = {entry.node: entry for entry in self.informed_members(service, shards)}
         for index in range(shards):
             ranked = _rank_members(_key(service, ShardId(index, shards)), self._members)
