On a router's own path only a record tells a stream's version

Found by reading, not seen: a scheduler that knew two versions refused an unknown stream, and the router that had asked placed it by its own list, which could still show one version. test_an_unknown_stream_is_refused_on_the_own_path failed before.

--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -102,6 +102,12 @@
     assert _Fixture(V1, V1).take_up() == V1
 
 
+def test_an_unknown_stream_is_refused_on_the_own_path():
+    # The scheduler had refused it, as it knew of a second version before this router did.
+    with pytest.raises(CannotResume):
+        _Fixture(V1, V1).take_up(own_path=True)
+
+
 def test_an_unknown_stream_is_refused_among_two_versions():
     with pytest.raises(CannotResume):
         _Fixture(V1, V2).take_up()
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -204,6 +204,9 @@
     def _required_version(self, msg: Ask, now: float) -> SoftwareVersion | None:
         """Return the software version that must run a request; None for any.
 
+        On the own path only a record counts: the scheduler that refused the request may know of
+        a version that this router has not heard of.
+
         Raises
         ------
         CannotResume
@@ -213,7 +216,7 @@
             return msg.version
         streams = self._streams[msg.service]
         version, known_by = streams.find(msg.resumes, now), "record"
-        if version is None:
+        if version is None and not msg.own_path:
             version, known_by = self._only_version(msg.service, now), "only_version"
         metrics.STREAMS_TAKEN_UP.labels("nothing" if version is None else known_by).inc()
         if version is None:
