A stream of a route with several services is taken up at the service that began it

Change: the service is drawn from a hash of the id of the request that began the stream, which requests that take it up name. Evidence: the scenario failed before and passes; draws are uniform (test_requests_are_drawn_uniformly_and_alike_everywhere).

--- a/tests/platform/features/software_versions.feature
+++ b/tests/platform/features/software_versions.feature
@@ -24,6 +24,12 @@
       | 2      |
       | 3      |
 
+  Scenario: A stream of a route with two services is taken up at the service that began it
+    Given the route plan has a second service, with 1 engine of the version v9
+    When 24 callers leave their streams and take them up at another router
+    Then at least 20 streams go on
+    And each stream holds one version
+
   Scenario: Streams are taken up at a router that has just started
     When 24 callers leave their streams and take them up at a router started meanwhile
     Then at least 12 streams go on
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -8,6 +8,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request
+from turmerictray.platform.standins.local import default_config
 from turmerictray.platform.standins.worker import Worker, WorkerFault
 
 scenarios("features/software_versions.feature")
@@ -116,6 +117,28 @@
     return deployment
 
 
+@given(
+    parsers.parse(
+        "the route plan has a second service, with {count:d} engine of the version {version}"
+    )
+)
+def second_service(deployment, count, version):
+    for number in range(count):
+        worker = Worker(f"llm2-{number}", "llm2").start()
+        worker.version = version
+        worker.behaviour.event_count = _EVENTS
+        worker.behaviour.event_interval_s = _EVENT_INTERVAL_S
+        worker.behaviour.slots = 64
+        deployment.add_worker(worker)
+    config = default_config(2)
+    config["services"].append({**config["services"][1], "name": "llm2"})
+    route = next(route for route in config["routes"] if route["name"] == "plan")
+    route["backends"] = [{"service": "llm", "weight": 1.0}, {"service": "llm2", "weight": 1.0}]
+    del route["service"]
+    deployment.store.store.put("op/config", config)
+    time.sleep(2 * _GOSSIP_S)
+
+
 @when(parsers.parse("{count:d} callers request streams that break once"))
 def streams_break_once(deployment, ctx, count):
     router = deployment.routers[0]
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -11,6 +11,7 @@
     StreamVersions,
     pack_keys,
     stream_key,
+    uniform_draw,
     unpack_keys,
 )
 
@@ -79,6 +80,14 @@
     assert len(keys) == 8
 
 
+def test_requests_are_drawn_uniformly_and_alike_everywhere():
+    # A stream of a route with two services was taken up at the other one, by a new random draw.
+    draws = sorted(uniform_draw(RequestId(f"{number:016x}")) for number in range(2000))
+    assert all(abs(draw - rank / 2000) < 0.05 for rank, draw in enumerate(draws))
+    assert uniform_draw(RequestId("a")) == uniform_draw(RequestId("a"))
+    assert 0 <= draws[0] and draws[-1] < 1
+
+
 def test_records_are_bounded_at_5000_streams_a_second():
     # Each record takes under 200 bytes, so that they fit beside a router's other state.
     streams = StreamVersions()
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -25,6 +25,7 @@
 from turmerictray.router.routed_request import RoutedRequest, authenticate_team
 from turmerictray.router.run import RequestDependencies, RequestRun
 from turmerictray.router.trace import RequestTrace
+from turmerictray.routing.streams import uniform_draw
 from turmerictray.transport.disconnect import CancellableCall, DisconnectMonitor
 from turmerictray.transport.exchange import ClientExchange
 
@@ -164,7 +165,8 @@
             body=body,
             envelope=envelope,
             route=route,
-            service=route.service_for(self._rng.random()),
+            # A request that takes up a stream must reach the service that began it.
+            service=route.service_for(uniform_draw(envelope.resumes or envelope.request_id)),
             team=team,
             bounds=time_bounds(route, exchange.arrived_at, envelope.caller_timeout_s),
             text_version=config.version,
--- a/turmerictray/routing/streams.py
+++ b/turmerictray/routing/streams.py
@@ -11,6 +11,8 @@
 
 _KEY_BYTES = 8
 _CONTEXT = b"stream-key"
+_FLOAT_BITS = 53
+_UNUSED_BITS = 8 * _KEY_BYTES - _FLOAT_BITS
 
 _GENERATION_S = 15.0
 """Records are dropped by generations: one is kept for 15 to 30 s after its last use, longer than
@@ -41,6 +43,12 @@
     return StreamKey(int.from_bytes(digest.digest(), "big"))
 
 
+def uniform_draw(request_id: RequestId) -> float:
+    """Return a number in [0, 1) that is uniform over ids and the same wherever it is computed."""
+    digest = blake2b(request_id.encode(), digest_size=_KEY_BYTES, person=_CONTEXT).digest()
+    return (int.from_bytes(digest, "big") >> _UNUSED_BITS) / (1 << _FLOAT_BITS)
+
+
 def pack_keys(streams: Iterable[StreamKey]) -> bytes:
     """Encode keys for a message."""
     return b"".join(stream.to_bytes(_KEY_BYTES, "big") for stream in streams)
