--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -90,6 +90,12 @@
     stream.answers.append(answer)
 
 
+def _begin_streams(router, count: int) -> list[_Stream]:
+    return _in_parallel(
+        lambda stream: _begin(router, stream), [_new_stream() for _ in range(count)]
+    )
+
+
 def _take_up(router, stream: _Stream) -> None:
     last_id = str(stream.event_ids()[-1])
     _request(router, stream, Resumes=f"{stream.request_id}-0", Last_Event_Id=last_id)
@@ -151,9 +157,7 @@
 @when(parsers.parse("{count:d} callers leave their streams and take them up at another router"))
 def streams_taken_up_elsewhere(deployment, ctx, count):
     first, second, _ = deployment.routers
-    ctx["streams"] = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    ctx["streams"] = _begin_streams(first, count)
     _withdraw_one_of_each_version(deployment)
     _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
 
@@ -187,9 +191,7 @@
 def streams_taken_up_at_started_router(deployment, ctx, count):
     first, second, _ = deployment.routers
     second.stop()
-    ctx["streams"] = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    ctx["streams"] = _begin_streams(first, count)
     _withdraw_one_of_each_version(deployment)
     second.start()
     second.wait_ready()
@@ -203,9 +205,7 @@
 )
 def streams_of_a_version_that_is_gone(deployment, ctx, count):
     first, second, _ = deployment.routers
-    streams = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    streams = _begin_streams(first, count)
     ctx["streams"] = [stream for stream in streams if stream.versions() == {"v1"}]
     assert ctx["streams"]
     for worker in deployment.of_service("llm"):
