--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -8,6 +8,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request
+from turmerictray.platform.standins.local import default_config
 from turmerictray.platform.standins.worker import Worker, WorkerFault
 
 scenarios("features/software_versions.feature")
@@ -89,6 +90,12 @@
     stream.answers.append(answer)
 
 
+def _begin_streams(router, count: int) -> list[_Stream]:
+    return _in_parallel(
+        lambda stream: _begin(router, stream), [_new_stream() for _ in range(count)]
+    )
+
+
 def _take_up(router, stream: _Stream) -> None:
     last_id = str(stream.event_ids()[-1])
     _request(router, stream, Resumes=f"{stream.request_id}-0", Last_Event_Id=last_id)
@@ -116,6 +123,28 @@
     return deployment
 
 
+@given(
+    parsers.parse(
+        "the route plan has a second service, with {count:d} engine of the version {version}"
+    )
+)
+def second_service(deployment, count, version):
+    for number in range(count):
+        worker = Worker(f"llm2-{number}", "llm2").start()
+        worker.version = version
+        worker.behaviour.event_count = _EVENTS
+        worker.behaviour.event_interval_s = _EVENT_INTERVAL_S
+        worker.behaviour.slots = 64
+        deployment.add_worker(worker)
+    config = default_config(2)
+    config["services"].append({**config["services"][1], "name": "llm2"})
+    route = next(route for route in config["routes"] if route["name"] == "plan")
+    route["backends"] = [{"service": "llm", "weight": 1.0}, {"service": "llm2", "weight": 1.0}]
+    del route["service"]
+    deployment.store.store.put("op/config", config)
+    time.sleep(2 * _GOSSIP_S)
+
+
 @when(parsers.parse("{count:d} callers request streams that break once"))
 def streams_break_once(deployment, ctx, count):
     router = deployment.routers[0]
@@ -128,9 +157,7 @@
 @when(parsers.parse("{count:d} callers leave their streams and take them up at another router"))
 def streams_taken_up_elsewhere(deployment, ctx, count):
     first, second, _ = deployment.routers
-    ctx["streams"] = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    ctx["streams"] = _begin_streams(first, count)
     _withdraw_one_of_each_version(deployment)
     _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
 
@@ -164,9 +191,7 @@
 def streams_taken_up_at_started_router(deployment, ctx, count):
     first, second, _ = deployment.routers
     second.stop()
-    ctx["streams"] = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    ctx["streams"] = _begin_streams(first, count)
     _withdraw_one_of_each_version(deployment)
     second.start()
     second.wait_ready()
@@ -180,9 +205,7 @@
 )
 def streams_of_a_version_that_is_gone(deployment, ctx, count):
     first, second, _ = deployment.routers
-    streams = _in_parallel(
-        lambda stream: _begin(first, stream), [_new_stream() for _ in range(count)]
-    )
+    streams = _begin_streams(first, count)
     ctx["streams"] = [stream for stream in streams if stream.versions() == {"v1"}]
     assert ctx["streams"]
     for worker in deployment.of_service("llm"):
