--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -72,8 +72,8 @@
         Number of injected faults by kind, and of answers by status (0 for no answer).
     violations : list of Violation
         Violated guarantees.
-    taken_up, went_on : int
-        Number of requests that took up a broken stream, and of those of them that got events.
+    taken_up : Counter
+        Number of requests that took up a broken stream, by status.
     """
 
     seed: int
@@ -81,8 +81,7 @@
     fault_counts: Counter = field(default_factory=Counter)
     status_counts: Counter = field(default_factory=Counter)
     violations: list[Violation] = field(default_factory=list)
-    taken_up: int = 0
-    went_on: int = 0
+    taken_up: Counter = field(default_factory=Counter)
 
 
 def run_soak(seed: int, options: SoakOptions, folder: Path | None = None) -> SoakReport:
@@ -118,11 +117,8 @@
         answers = Counter(
             sent.answer.status for sent in record.requests if sent.disconnected_at is None
         )
-        taken_up = [request for request in record.requests if request.resumes]
-        went_on = sum(bool(request.answer.event_ids()) for request in taken_up)
-        return SoakReport(
-            seed, folder, record.fault_counts, answers, violations, len(taken_up), went_on
-        )
+        taken_up = Counter(sent.answer.status for sent in record.requests if sent.resumes)
+        return SoakReport(seed, folder, record.fault_counts, answers, violations, taken_up)
     finally:
         deployment.stop()
 
@@ -207,7 +203,7 @@
         f"({_format_counts(report.fault_counts)})",
         f"answers: {report.status_counts[200]} of {total} were 200 "
         f"({_format_counts(report.status_counts)})",
-        f"streams taken up: {report.taken_up}, of which {report.went_on} went on",
+        f"streams taken up: {sum(report.taken_up.values())} ({_format_counts(report.taken_up)})",
         f"violated guarantees: {len(report.violations)}; logs in {report.folder}",
     ]
     lines += [
