--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -31,6 +31,10 @@
         See :mod:`turmerictray.admission.digest`.
     home_zones : list of str or None
         Availability zones whose engines may run the request; None for all.
+    version : str or None
+        Software version that must run the request; None for any.
+    resumes : int or None
+        Key of the stream that the request takes up; None for none.
     """
 
     call_id: int
@@ -54,6 +58,8 @@
     shards: int = 1
     digest: str = ""
     home_zones: list[str] | None = None
+    version: str | None = None
+    resumes: int | None = None
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -64,12 +70,17 @@
 
 
 class FirstSeen(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Report that the first event of an answer came ``took_s`` seconds after sending."""
+    """Report that the first event of an answer came ``took_s`` seconds after sending.
+
+    ``stream`` is the key of the stream that began, and ``version`` the target's software version.
+    """
 
     call_id: int
     service: str
     target: str
     took_s: float
+    stream: int | None = None
+    version: str = ""
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -107,6 +118,8 @@
         The granting router, and the address at which it receives the request's outcome.
     backlog_s : float
         Estimated seconds until all requests queued at the scheduler have been sent.
+    version : str
+        Software version of the target.
     """
 
     call_id: int
@@ -123,6 +136,7 @@
     ahead_tokens: int
     fetch_from: str = ""
     backlog_s: float = 0.0
+    version: str = ""
 
 
 class PlaceRefused(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -173,6 +187,20 @@
     reads: list[tuple[str, str, int]]
 
 
+class StreamsBegun(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Software versions that have just begun streams of a service.
+
+    Attributes
+    ----------
+    streams : dict of str to bytes
+        Keys of the streams by version, encoded by
+        :func:`turmerictray.routing.streams.pack_keys`.
+    """
+
+    service: str
+    streams: dict[str, bytes]
+
+
 class LookNow(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Message from a router to itself that triggers the check for unresponsive schedulers.
 
@@ -193,6 +221,7 @@
     | PlaceRefused
     | StillWaiting
     | PartsRead
+    | StreamsBegun
     | ServiceGiven
     | LookNow
 )
