--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -102,6 +102,12 @@
     assert _Fixture(V1, V1).take_up() == V1
 
 
+def test_an_unknown_stream_is_refused_on_the_own_path():
+    # The scheduler had refused it, as it knew of a second version before this router did.
+    with pytest.raises(CannotResume):
+        _Fixture(V1, V1).take_up(own_path=True)
+
+
 def test_an_unknown_stream_is_refused_among_two_versions():
     with pytest.raises(CannotResume):
         _Fixture(V1, V2).take_up()
@@ -144,3 +150,20 @@
     fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
     with pytest.raises(NoTarget):
         _result(reply)
+
+
+def test_reports_are_rarer_with_many_receivers():
+    # Hundreds of schedulers that tell each other ten times a second would do little else.
+    fixture, sent_at = _Fixture(V1, V2), []
+    receivers = 160
+
+    def send(_report) -> int:
+        sent_at.append(now)
+        return receivers
+
+    fixture.broker.handle(OnTick((), send_streams_begun=send))
+    for step in range(100):
+        now = 100 + step * 0.05
+        fixture.begin(V1)
+        fixture.broker._report_streams_begun(now)
+    assert len(sent_at) == 5
