An old list of targets still proves the only version while all routers are heard

Found by reading, not seen: while the store is away for more than 4 s, a stream without a record was refused although its service had one version; callers that name no stream (no Resumes) have none, so that each stream taken up in an outage would have been lost. Change: the list counts as complete while no router has gone out of hearing since it was current, as then none has a newer one. Evidence: test_an_unknown_stream_goes_on_while_no_router_can_read_the_store failed before; after a cut it is refused as before. test_resumption and test_software_versions 25 passed.

--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -144,6 +144,7 @@
         self.shard_usage_changes = ChangedUsage()
         self.fleet_size = 1
         self.live_routers: frozenset[str] = frozenset({node})
+        self._router_lost_at = -math.inf
         self.evacuated_zones: frozenset[ZoneId] = frozenset()
         # Called on each tick that is not late. Components that run at the same interval share this
         # thread; a thread per component would wake up 20 times a second on every router.
@@ -227,11 +228,13 @@
     def _only_version(self, service: ServiceName, now: float) -> SoftwareVersion | None:
         """Return the software version of all recent targets of a service; None if not certain.
 
-        A router whose list of targets is old may have missed another version.
+        A router whose list of targets is old may have missed another version, unless it still
+        hears all routers: then none of them has a newer list.
         """
         versions = self.pools.unsharded(service).targets.recent_versions(now)
-        is_certain = len(versions) == 1 and self.targets_age_s() <= _MAX_TARGETS_AGE_S
-        return versions.pop() if is_certain else None
+        age_s = self.targets_age_s()
+        is_current = age_s <= _MAX_TARGETS_AGE_S or self._router_lost_at < now - age_s
+        return versions.pop() if len(versions) == 1 and is_current else None
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
@@ -578,6 +581,8 @@
 
     @handle.register
     def _(self, msg: RoutersAlive) -> None:
+        if self.live_routers - msg.nodes:
+            self._router_lost_at = time.monotonic()
         self.fleet_size = len(msg.nodes)
         self.live_routers = msg.nodes
         for pool in self.pools.all_unsharded():
