--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -32,6 +32,7 @@
     TargetsChanged,
 )
 from turmerictray.scheduling.messages import StreamsBegun
+from turmerictray.scheduling.resumptions import Resumptions
 
 LLM = ServiceName("llm")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -165,16 +166,15 @@
 
 def test_reports_are_rarer_with_many_receivers():
     # Hundreds of schedulers that tell each other ten times a second would do little else.
-    fixture, sent_at = _Fixture(V1, V2), []
-    receivers = 160
+    sent_at, receivers = [], 160
 
     def send(_report) -> int:
         sent_at.append(now)
         return receivers
 
-    fixture.broker.handle(OnTick((), send_streams_begun=send))
+    resumptions = Resumptions()
     for step in range(100):
         now = 100 + step * 0.05
-        fixture.begin(V1)
-        fixture.broker._report_streams_begun(now)
+        resumptions.record(LLM, StreamKey(step), V1, now)
+        resumptions.report(lambda _service: {V1, V2}, send, now)
     assert len(sent_at) == 5
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -2,7 +2,6 @@
 
 import math
 import time
-from collections import defaultdict
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -18,7 +17,6 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
-    CannotResume,
     NoTarget,
     QueueTimeout,
     RepeatsUsedUp,
@@ -43,7 +41,6 @@
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
-from turmerictray.routing.streams import StreamVersions, pack_keys, unpack_keys
 from turmerictray.scheduling.broker_messages import (
     Ask,
     BrokerQuery,
@@ -70,28 +67,14 @@
     ZonesEvacuated,
 )
 from turmerictray.scheduling.grant_throttle import GrantThrottle
-from turmerictray.scheduling.messages import PartsRead, ServiceGiven, StreamsBegun
+from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.pool_gauges import PoolGauges
+from turmerictray.scheduling.resumptions import Resumptions, SendReport, TargetsView
 from turmerictray.scheduling.service_pools import ServicePools
 
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
 
-_STREAMS_REPORT_INTERVAL_S = 0.1
-"""Interval between two reports of the versions that began streams, in seconds. A caller whose
-stream breaks before the report is refused; it is sent before most streams break."""
-
-_MAX_REPORTS_PER_INTERVAL = 16
-"""Reports sent in this interval; with more receivers, the interval is longer. A service with many
-schedulers has hundreds of receivers."""
-
-_MAX_TARGETS_AGE_S = 4.0
-"""Age of the list of targets up to which it is taken as complete; a watch of the store that waits
-for changes is repeated sooner."""
-
-_UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
-"""Retry-After in seconds for a stream whose version is not known; another router may know it."""
-
 _BUDGET_RETRY_AFTER_S = 0.5
 """Retry-After in seconds when a service's retry budget is used up."""
 
@@ -137,10 +120,9 @@
         self.pools = ServicePools(self._make_pool)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
-        self.send_streams_begun: Callable[[StreamsBegun], int] | None = None
+        self.send_streams_begun: SendReport | None = None
         self.targets_age_s: Callable[[], float] = lambda: 0.0
-        self._streams: defaultdict[ServiceName, StreamVersions] = defaultdict(StreamVersions)
-        self._streams_report_due_at = -math.inf
+        self._resumptions = Resumptions()
         self.shard_usage_changes = ChangedUsage()
         self.fleet_size = 1
         self.live_routers: frozenset[str] = frozenset({node})
@@ -215,26 +197,15 @@
         """
         if msg.version is not None or msg.resumes is None:
             return msg.version
-        streams = self._streams[msg.service]
-        version, known_by = streams.find(msg.resumes, now), "record"
-        if version is None and not msg.own_path:
-            version, known_by = self._only_version(msg.service, now), "only_version"
-        metrics.STREAMS_TAKEN_UP.labels("nothing" if version is None else known_by).inc()
-        if version is None:
-            raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
-        streams.record(msg.resumes, version, now)
-        return version
-
-    def _only_version(self, service: ServiceName, now: float) -> SoftwareVersion | None:
-        """Return the software version of all recent targets of a service; None if not certain.
-
-        A router whose list of targets is old may have missed another version, unless it still
-        hears all routers: then none of them has a newer list.
-        """
-        versions = self.pools.unsharded(service).targets.recent_versions(now)
-        age_s = self.targets_age_s()
-        is_current = age_s <= _MAX_TARGETS_AGE_S or self._router_lost_at < now - age_s
-        return versions.pop() if len(versions) == 1 and is_current else None
+        targets = TargetsView(
+            self._recent_versions(msg.service), self.targets_age_s(), self._router_lost_at
+        )
+        return self._resumptions.find_version(
+            msg.service, msg.resumes, None if msg.own_path else targets, now
+        )
+
+    def _recent_versions(self, service: ServiceName) -> set[SoftwareVersion]:
+        return self.pools.unsharded(service).targets.recent_versions(time.monotonic())
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
@@ -250,7 +221,7 @@
         now = time.monotonic()
         pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
         if msg.stream is not None:
-            self._streams[msg.service].record(msg.stream, msg.version, now)
+            self._resumptions.record(msg.service, msg.stream, msg.version, now)
         self._schedule_grants(msg.service, now)
 
     @handle.register
@@ -307,7 +278,8 @@
             for hook in self.tick_hooks:
                 hook(msg.now)
             self._report_parts_read(msg.now)
-            self._report_streams_begun(msg.now)
+            if self.send_streams_begun is not None:
+                self._resumptions.report(self._recent_versions, self.send_streams_begun, msg.now)
             self._report_usage(msg.now)
         if self._gauges.is_due(msg.now):
             self._gauges.report(self.pools.engine_pools(), msg.now)
@@ -342,23 +314,6 @@
             if reads:
                 self.send_parts_read(PartsRead(pool.name, reads))
 
-    def _report_streams_begun(self, now: float) -> None:
-        """Tell other routers which software versions have begun streams, while there are several.
-
-        A router that took up a stream without knowing would join what two versions generate.
-        """
-        if self.send_streams_begun is None or now < self._streams_report_due_at:
-            return
-        interval_s = _STREAMS_REPORT_INTERVAL_S
-        for service, streams in self._streams.items():
-            versions = self.pools.unsharded(service).targets.recent_versions(now)
-            begun = streams.take_unreported(len(versions) > 1)
-            if begun:
-                packed = {version: pack_keys(keys) for version, keys in begun.items()}
-                receivers = self.send_streams_begun(StreamsBegun(service, packed))
-                interval_s *= max(1.0, receivers / _MAX_REPORTS_PER_INTERVAL)
-        self._streams_report_due_at = now + interval_s
-
     def _expire_overdue_prefills(self, pool: ServicePool, now: float) -> None:
         for target, read in pool.targets.expire_overdue_prefills(now):
             log_event(
@@ -544,10 +499,7 @@
 
     @handle.register
     def _(self, msg: StreamsBegunElsewhere) -> None:
-        now = time.monotonic()
-        streams = self._streams[ServiceName(msg.report.service)]
-        for version, packed in msg.report.streams.items():
-            streams.merge(unpack_keys(packed), SoftwareVersion(version), now)
+        self._resumptions.merge(msg.report, time.monotonic())
 
     @handle.register
     def _(self, msg: KeptHeard) -> None:
