--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -217,7 +217,8 @@
 
     def _check_version(self, granted: Granted) -> None:
         """Refuse a target of another software version, from a scheduler that does not know it."""
-        if self._progress.version in (None, granted.target.version):
+        version = self._progress.version
+        if version is None or granted.target.version == version:
             return
         slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
         slot.settle(Outcome.NOT_RUN, 0.0)
