--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -3,12 +3,11 @@
 import time
 
 from turmerictray.admission.pool_types import Outcome
-from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown, TargetBusy, TargetFailed
+from turmerictray.core.errors import OutcomeUnknown, TargetBusy, TargetFailed
 from turmerictray.router.dialect import AnswerFlags, Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
-from turmerictray.transport.body import BodyEnd
-from turmerictray.transport.events import Event, EventSplitter, EventTooLarge
+from turmerictray.transport.events import EventSplitter
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection
 
@@ -92,8 +91,8 @@
         body = conn.read_body(self._routed.bounds.answer_deadline)
         if _is_event_stream(head):
             splitter = EventSplitter()
-            _feed(splitter, body)
-            _check_complete(splitter, conn.body_end)
+            splitter.feed(body)
+            splitter.check_complete(conn.body_end)
         if flags.not_run:
             raise TargetBusy(f"target did not run it: {head.status}", 0.5)
         self.outcome = Outcome.FAILED if head.status >= 500 else Outcome.DONE
@@ -125,14 +124,14 @@
     def _relay_events(self, conn: TargetConnection, head: AnswerHead) -> None:
         splitter = EventSplitter()
         while data := conn.read_available(self._next_event_deadline()):
-            events = _feed(splitter, data)
+            events = splitter.feed(data)
             self._progress.unfinished_bytes = len(splitter.rest)
             if not events:
                 continue
             self._start_stream(head)
             self._exchange.send(b"".join(event.data for event in events))
             self._progress.record_events(events)
-        _check_complete(splitter, conn.body_end)
+        splitter.check_complete(conn.body_end)
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
@@ -155,18 +154,5 @@
         return min(answer_deadline, time.monotonic() + timeout_s)
 
 
-def _feed(splitter: EventSplitter, data: bytes) -> list[Event]:
-    try:
-        return splitter.feed(data)
-    except EventTooLarge as exc:
-        raise OutcomeUnknown(str(exc)) from exc
-
-
-def _check_complete(splitter: EventSplitter, end: BodyEnd) -> None:
-    if not splitter.is_complete(end):
-        error = ConnectionBroken if end is BodyEnd.CONNECTION_CLOSE else OutcomeUnknown
-        raise error("the stream ended within an event, or before the first one")
-
-
 def _is_event_stream(head: AnswerHead) -> bool:
     return (head.get("Content-Type") or "").startswith("text/event-stream")
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -10,10 +10,10 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown, UpstreamRefused
+from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
 from turmerictray.transport.answer_reader import StrictResponse
 from turmerictray.transport.body import BodyEnd
-from turmerictray.transport.events import EventSplitter, EventTooLarge
+from turmerictray.transport.events import EventSplitter
 
 _STREAM_CHUNK_BYTES = 4096
 
@@ -128,14 +128,9 @@
         """
         splitter = EventSplitter()
         for data in self.stream(resp):
-            try:
-                events = splitter.feed(data)
-            except EventTooLarge as exc:
-                raise OutcomeUnknown(str(exc)) from exc
-            if events:
+            if events := splitter.feed(data):
                 yield b"".join(event.data for event in events)
-        if not splitter.is_complete(_body_end(resp)):
-            raise ConnectionBroken("the stream ended within an event, or before the first one")
+        splitter.check_complete(_body_end(resp))
         if splitter.rest:
             yield splitter.rest
 
--- a/turmerictray/transport/events.py
+++ b/turmerictray/transport/events.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 
+from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown
 from turmerictray.transport.body import BodyEnd
 
 _MAX_EVENT_BYTES = 1 << 20
 
 
-class EventTooLarge(ValueError):
+class EventTooLarge(OutcomeUnknown):
     """An event exceeds the size limit without ending."""
 
 
@@ -65,8 +66,8 @@
         """Bytes received after the last complete event."""
         return self._remainder
 
-    def is_complete(self, end: BodyEnd) -> bool:
-        """Return whether the stream, whose body has ended, was not broken off.
+    def check_complete(self, end: BodyEnd) -> None:
+        """Check that the stream, whose body has ended, was not broken off.
 
         A stream that ends within an event was broken off, whatever delimits its body. If only the
         close of the connection does, so was a stream without any event.
@@ -75,10 +76,16 @@
         ----------
         end : BodyEnd
             What delimited the body.
+
+        Raises
+        ------
+        OutcomeUnknown
+            The stream was broken off; :class:`ConnectionBroken` if its connection delimited it.
         """
-        if self._remainder.strip(b"\r\n"):
-            return False
-        return self._event_count > 0 or end is not BodyEnd.CONNECTION_CLOSE
+        is_closed = end is BodyEnd.CONNECTION_CLOSE
+        if self._remainder.strip(b"\r\n") or (is_closed and not self._event_count):
+            error = ConnectionBroken if is_closed else OutcomeUnknown
+            raise error("the stream ended within an event, or before the first one")
 
 
 def _find_event_end(data: bytes) -> int:
