Candidates and sources are not listed twice

A request about to be refused had its candidates listed again, at the moment of overload; a fetch's sources were copied into a list for each version.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -172,7 +172,11 @@
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
         wait = self.expected_wait_s(pending)
-        if not retry and now + wait > pending.deadline and not self._has_idle_engine(context, now):
+        if (
+            not retry
+            and now + wait > pending.deadline
+            and not self._has_idle_engine(loads, context, now)
+        ):
             self._refused_count += 1
             raise WontBeServed(self._refusal_reason(pending), wait)
         try:
@@ -181,16 +185,17 @@
             raise QueueFull(exc.reason, wait) from exc
         self._dispatch_order.add(pending, front=retry)
 
-    def _has_idle_engine(self, context: PlacementContext, now: float) -> bool:
-        """Return whether an engine has nothing to read, and no pending request will take it.
+    def _has_idle_engine(
+        self, loads: list[TargetLoad], context: PlacementContext, now: float
+    ) -> bool:
+        """Return whether one of ``loads`` has nothing to read, and no pending request will take it.
 
         After a stall, the measured throughput says nothing of such an engine.
         """
-        waiting, loads = len(self.queue), self.targets.loads
+        waiting = len(self.queue)
         if self.targets.spec.engine is None or waiting >= len(loads):
             return False
-        idle = sum(self._is_idle(load, context, now) for load in self._candidates(context, now))
-        return waiting < idle
+        return waiting < sum(self._is_idle(load, context, now) for load in loads)
 
     def _is_idle(self, load: TargetLoad, context: PlacementContext, now: float) -> bool:
         spec, own_path = self.targets.spec, context.own_path
--- a/turmerictray/routing/place.py
+++ b/turmerictray/routing/place.py
@@ -209,8 +209,7 @@
     shared = sum(part.tokens for part in prompt.shared)
     if not model.fetch_per_s or (source is not None and cached[source.info.id] >= shared):
         return source
-    others = [load for load in other_sources if load.info.version == version]
-    return _better_source(source, others, prompt, cached, model, now)
+    return _better_source(source, version, other_sources, prompt, cached, model, now)
 
 
 def _fetch_source(
@@ -226,6 +225,7 @@
 
 def _better_source(
     source: TargetLoad | None,
+    version: SoftwareVersion,
     other_sources: Collection[TargetLoad],
     prompt: Prompt,
     cached: dict[str, int],
@@ -235,7 +235,7 @@
     """Return the source that caches most of the prompt's parts; add its tokens to ``cached``."""
     most = max(_MIN_FETCH_TOKENS - 1, cached[source.info.id] if source is not None else 0)
     for load in other_sources:
-        if load.info.id in cached or load.is_avoided(now):
+        if load.info.version != version or load.info.id in cached or load.is_avoided(now):
             continue
         tokens = load.prefix_cache.cached_tokens(prompt)
         if tokens <= most or not _is_usable_source(load, model, now):
