--- a/turmerictray/router/routed_request.py
+++ b/turmerictray/router/routed_request.py
@@ -89,12 +89,12 @@
         head = self.head
         return request_digest(head.method, head.host, head.target, self.envelope.key, self.body)
 
-    @property
+    @cached_property
     def stream(self) -> StreamKey | None:
         """Key of the stream that this request begins; None for a plain service."""
         return self._stream_key(self.envelope.request_id)
 
-    @property
+    @cached_property
     def resumes(self) -> StreamKey | None:
         """Key of the stream that this request takes up, None if it takes up none."""
         return self._stream_key(self.envelope.resumes)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from turmerictray.admission.backlog import TeamBacklog
+from turmerictray.admission.pool import NO_TARGET_RETRY_S
 from turmerictray.admission.pool_types import Outcome
 from turmerictray.core.errors import (
     AdmissionError,
@@ -211,8 +212,7 @@
         """Refuse a request whose routing turned out to be outdated while it waited."""
         if self._progress.answer_started or not self._deps.is_outdated(self._routed.text_version):
             return
-        slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
-        slot.settle(Outcome.NOT_RUN, 0.0)
+        self._return_grant(granted)
         raise Starting("starting", _STARTING_RETRY_S)
 
     def _check_version(self, granted: Granted) -> None:
@@ -220,9 +220,12 @@
         version = self._progress.version
         if version is None or granted.target.version == version:
             return
+        self._return_grant(granted)
+        raise NoTarget("target_of_other_version", NO_TARGET_RETRY_S)
+
+    def _return_grant(self, granted: Granted) -> None:
         slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
         slot.settle(Outcome.NOT_RUN, 0.0)
-        raise NoTarget("target_of_other_version", _STARTING_RETRY_S)
 
     def _request_target(self) -> Granted:
         routed, progress = self._routed, self._progress
