--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -7,7 +7,7 @@
 from turmerictray.loadtool.history import Violation
 from turmerictray.platform.soak.record import RUN_ONCE, STREAMS, SoakRecord, SoakRequest
 from turmerictray.platform.standins.local import TEAM
-from turmerictray.platform.standins.worker import ReceivedRequest, Worker
+from turmerictray.platform.standins.worker import ReceivedRequest, Worker, shared_part_ids
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses with which a router guarantees that the request has not run and never will."""
@@ -27,7 +27,9 @@
 """Time after a planned stop in which the router may still be stopping."""
 
 _MAX_CRASHES = 3
+_MAX_PART_CRASHES = 5
 _MAX_LATER_SENDS = 3
+_MIN_SOUND_REQUESTS = 20
 
 
 def check_answers(record: SoakRecord, event_count: int) -> Iterator[Violation]:
@@ -232,6 +234,76 @@
                 yield Violation(body.decode(), "deadly", detail)
 
 
+def check_crashing_parts(
+    record: SoakRecord, workers: list[Worker], routers: list[str]
+) -> Iterator[Violation]:
+    """Check that a part that crashed five workers is sent to hardly any others.
+
+    Counting starts again as in :func:`check_crashing_requests`.
+    """
+    for part in sorted(record.crashing_parts):
+        for span in _split_arrivals(record, part_arrivals(part, workers), routers):
+            later = late_sends(span)
+            if len(later) > _MAX_LATER_SENDS:
+                crashed = sum(ran for _, ran in span)
+                detail = f"sent {len(later)} more times; {crashed} workers crashed in total"
+                yield Violation(part, "crashing-part", detail)
+
+
+def part_arrivals(part: str, workers: list[Worker]) -> list[tuple[float, bool]]:
+    """Return when prompts with a part arrived at workers, and whether each began to run."""
+    return sorted(
+        (received.received_at, received.ran)
+        for worker in workers
+        for received in worker.received_requests
+        if part in shared_part_ids(received.headers.get("X-Prompt-Prefix", ""))
+    )
+
+
+def late_sends(arrivals: list[tuple[float, bool]]) -> list[float]:
+    """Return the arrivals later than the routers' time to react to the fifth crash."""
+    crashes = [at for at, ran in arrivals if ran]
+    if len(crashes) < _MAX_PART_CRASHES:
+        return []
+    return [at for at, _ in arrivals if at > crashes[_MAX_PART_CRASHES - 1] + _SETTLE_S]
+
+
+def check_sound_requests(record: SoakRecord, workers: list[Worker]) -> Iterator[Violation]:
+    """Check that sound prompts are served while others with a crashing part are refused."""
+    first = min(
+        (at for part in record.crashing_parts for at, _ in part_arrivals(part, workers)),
+        default=None,
+    )
+    last = max(
+        (r.started_at for r in record.requests if r.request_id.startswith("part")), default=0
+    )
+    if first is None:
+        return
+    before, after = [], []
+    for request in record.requests:
+        if (
+            request.route not in STREAMS
+            or request.resumes
+            or not request.request_id.startswith("soak")
+            or record.was_disturbed(request.started_at - _SETTLE_S, request.ended_at)
+        ):
+            continue
+        if request.ended_at < first:
+            before.append(_begun(request))
+        elif first + 2 * _SETTLE_S < request.started_at < last:
+            after.append(_begun(request))
+    if min(len(before), len(after)) < _MIN_SOUND_REQUESTS:
+        return
+    share_before, share_after = sum(before) / len(before), sum(after) / len(after)
+    if share_after < share_before / 2:
+        detail = f"{share_after:.2f} begin at the first attempt, {share_before:.2f} before"
+        yield Violation("-", "sound-requests", detail)
+
+
+def _begun(request: SoakRequest) -> bool:
+    return request.answer.status == 200 and bool(request.answer.event_ids())
+
+
 def _split_arrivals(
     record: SoakRecord, arrivals: list[tuple[float, bool]], routers: list[str]
 ) -> list[list[tuple[float, bool]]]:
--- a/turmerictray/platform/soak/crashing_requests.py
+++ b/turmerictray/platform/soak/crashing_requests.py
@@ -1,14 +1,14 @@
-"""A caller that repeatedly sends a request that crashes each worker that starts to run it."""
+"""Callers whose requests, or one part of whose prompts, crash each worker that runs them."""
 
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from turmerictray.platform.soak.record import SoakRecord, SoakRequest
 from turmerictray.platform.soak.schedule import ScheduledFault
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller, make_request
-from turmerictray.platform.standins.local import LocalDeployment
+from turmerictray.platform.standins.local import LocalDeployment, LocalRouter
 from turmerictray.platform.standins.worker import CRASH_MARKER
 
 _ROUTES = ("plan", "recon", "ping")
@@ -17,6 +17,10 @@
 
 _PAUSE_RANGE_S = (0.05, 0.5)
 
+_PART_ROUTE = "plan"
+_FIRST_OWN_PART = 0xD0000000
+"""Ids of the parts that only one prompt with a crashing part has count up from here."""
+
 _ids = itertools.count(1)
 
 
@@ -88,3 +92,89 @@
             return
         request.answer = caller.read()
         request.ended_at = time.monotonic()
+
+
+class CrashingPartSender:
+    """Sends ever new prompts with one part that crashes each worker that begins to answer.
+
+    They share route, team and all other shared parts with sound requests.
+
+    Parameters
+    ----------
+    deployment : LocalDeployment
+    record : SoakRecord
+    part : str
+        Id of the crashing part.
+    shared_parts : sequence of str
+        Other parts as ``id:tokens``; each prompt has one of them.
+    position : int
+        Index of the crashing part in the prompt; never the last one.
+    seed : int
+    on_answer : callable
+        Called after each answer.
+    """
+
+    def __init__(
+        self,
+        deployment: LocalDeployment,
+        record: SoakRecord,
+        part: str,
+        shared_parts: Sequence[str],
+        position: int,
+        seed: int,
+        on_answer: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._deployment = deployment
+        self._record = record
+        self._part = part
+        self._shared_parts = shared_parts
+        self._position = position
+        self._on_answer = on_answer
+        self._rng = random.Random(seed)
+
+    def run(self, ends_at: float, pause_range_s: tuple[float, float] = _PAUSE_RANGE_S) -> None:
+        """Send to random routers until ``ends_at``, in monotonic seconds."""
+        self._record.crashing_parts.add(self._part)
+        while time.monotonic() < ends_at:
+            self.send(self._rng.choice(self._deployment.routers))
+            self._on_answer()
+            time.sleep(self._rng.uniform(*pause_range_s))
+
+    def send(self, router: LocalRouter) -> None:
+        """Send one prompt."""
+        number = next(_ids)
+        request = SoakRequest(
+            f"part{number:012x}",
+            _PART_ROUTE,
+            router.name,
+            "POST",
+            f"/{_PART_ROUTE}/{number}",
+            b"crates",
+            time.monotonic(),
+        )
+        parts = [self._rng.choice(self._shared_parts), f"{number + _FIRST_OWN_PART:x}:260"]
+        parts.insert(self._position, f"{self._part}:150")
+        headers = PROMPT_HEADERS | {"X_Prompt_Prefix": ",".join(parts)}
+        self._record.requests.append(request)
+        try:
+            caller = RawCaller(self._deployment.front(router))
+        except OSError:
+            request.ended_at = time.monotonic()
+            return
+        try:
+            caller.send(
+                make_request(
+                    "POST",
+                    request.target,
+                    request.body,
+                    X_Request_Id=request.request_id,
+                    **headers,
+                )
+            )
+            request.answer = caller.read()
+        except OSError:
+            # The connection broke; the answer stays empty.
+            pass
+        finally:
+            request.ended_at = time.monotonic()
+            caller.close()
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -169,6 +169,8 @@
     floods : list of FloodRecord
     crashing_bodies : set of bytes
         Bodies of the requests that crash workers.
+    crashing_parts : set of str
+        Ids of the prompt parts that crash workers, in lower-case hexadecimal.
     """
 
     requests: list[SoakRequest] = field(default_factory=list)
@@ -180,6 +182,7 @@
     fault_counts: Counter = field(default_factory=Counter)
     floods: list[FloodRecord] = field(default_factory=list)
     crashing_bodies: set[bytes] = field(default_factory=set)
+    crashing_parts: set[str] = field(default_factory=set)
 
     def was_disturbed(self, since: float, until: float, *components: str) -> bool:
         """Return whether a component was disturbed from ``since`` to ``until``.
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -20,6 +20,17 @@
 
 _HANG_S = 30.0
 _CLOSE_POLL_S = 0.02
+_CRASH_DELAY_S = 0.25
+"""Time from the first event until a worker crashes at ``CrashPoint.AFTER_DELAY``."""
+
+
+class CrashPoint(Enum):
+    """Moment at which a worker crashes under a prompt with a crashing part."""
+
+    BEFORE_HEAD = "before_head"
+    AFTER_HEAD = "after_head"
+    AFTER_EVENT = "after_event"
+    AFTER_DELAY = "after_delay"
 
 
 class WorkerFault(Enum):
@@ -104,6 +115,11 @@
         Idle timeout that answers announce in a ``Keep-Alive`` header; None sends no header.
     breaks_new_streams : bool
         Whether each stream breaks that is not resumed.
+    crashing_parts : frozenset of str
+        Prompt parts that crash the worker when it begins to answer, unless they come last.
+    crash_point : CrashPoint
+    is_chunked : bool
+        Whether streams are framed in chunks; otherwise the connection ends them.
     faults : deque of WorkerFault
         Faults of the next requests, one each.
     """
@@ -117,6 +133,9 @@
     cold_crash_per_s: float = math.inf
     keep_alive_s: int | None = None
     breaks_new_streams: bool = False
+    crashing_parts: frozenset[str] = frozenset()
+    crash_point: CrashPoint = CrashPoint.AFTER_HEAD
+    is_chunked: bool = True
     faults: deque[WorkerFault] = field(default_factory=deque)
 
 
@@ -203,6 +222,11 @@
             self.crashed.set()
             self._server.abort()
 
+    def has_crashing_part(self, header: str) -> bool:
+        """Return whether a prompt has a part that crashes this worker."""
+        crashing = self.behaviour.crashing_parts
+        return bool(crashing) and not crashing.isdisjoint(shared_part_ids(header))
+
     def become_cold(self, seconds: float, notice_s: float = 0.0) -> None:
         """Become cold, as after a start; the entry has to be written again.
 
@@ -346,10 +370,19 @@
             self._send_answer(200, b"extra", request_id="f" * 16)
 
     def _stream(self, request: ReceivedRequest, fault: WorkerFault) -> None:
-        self._chunked = not fault.is_unframed_stream
+        crash_point = None
+        if self.worker.has_crashing_part(request.headers.get("X-Prompt-Prefix", "")):
+            crash_point = self.worker.behaviour.crash_point
+        if crash_point is CrashPoint.BEFORE_HEAD:
+            self.worker.crash()
+            return
+        self._chunked = self.worker.behaviour.is_chunked and not fault.is_unframed_stream
         framing = ("Transfer-Encoding", "chunked") if self._chunked else ("Connection", "close")
         self._send_head(200, [("Content-Type", "text/event-stream"), framing])
         self.close_connection = not self._chunked
+        if crash_point is CrashPoint.AFTER_HEAD:
+            self.worker.crash()
+            return
         breaks = fault not in (WorkerFault.NONE, WorkerFault.UNFRAMED_STREAM)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, self.worker.behaviour.event_count + 1):
@@ -362,6 +395,10 @@
                 self.close_connection = True
                 return
             self._send_chunk(event)
+            if crash_point is not None:
+                time.sleep(_CRASH_DELAY_S if crash_point is CrashPoint.AFTER_DELAY else 0)
+                self.worker.crash()
+                return
         self._send_chunk(b"")
 
     def _break_stream(self, request: ReceivedRequest, fault: WorkerFault, event: bytes) -> None:
@@ -422,3 +459,9 @@
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
+
+
+def shared_part_ids(header: str) -> set[str]:
+    """Return the ids of a prompt's parts without its last one, as numbers in lower-case hex."""
+    ids = [part.strip().partition(":")[0] for part in header.split(",") if part.strip()]
+    return {f"{int(part_id, 16):x}" for part_id in ids[:-1]}
