--- a/tests/transport/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -4,7 +4,7 @@
 import threading
 
 from turmerictray.core.ids import TargetId
-from turmerictray.transport.exit_detection import TargetExitDetector, refuses_connections
+from turmerictray.crashes.exit_detection import TargetExitDetector, refuses_connections
 
 TARGET = TargetId("e1")
 
--- a/tests/admission/test_quarantine.py
+++ b/tests/crashes/test_quarantine.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmerictray.admission import quarantine as module
-from turmerictray.admission.digest import request_digest
-from turmerictray.admission.quarantine import QUARANTINE_S, QUARANTINE_THRESHOLD, Quarantine
 from turmerictray.core.errors import Quarantined
 from turmerictray.core.ids import RequestDigest, TargetId
+from turmerictray.crashes import quarantine as module
+from turmerictray.crashes.digest import request_digest
+from turmerictray.crashes.quarantine import QUARANTINE_S, QUARANTINE_THRESHOLD, Quarantine
 from turmerictray.membership.messages import CrashReport
 
 DEADLY = RequestDigest("deadly")
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from turmerictray.admission.quarantine import QUARANTINE_THRESHOLD, Quarantine
 from turmerictray.core.ids import NodeId, RequestDigest, TargetId
+from turmerictray.crashes.quarantine import QUARANTINE_THRESHOLD, Quarantine
 from turmerictray.membership.gossip import Batch, Gossip
 from turmerictray.membership.messages import CrashReport, MemberEntry
 from turmerictray.membership.table import MemberTable
--- a/turmerictray/__init__.py
+++ b/turmerictray/__init__.py
@@ -10,6 +10,8 @@
     load.
 ``transport``
     HTTP servers and connections to targets.
+``crashes``
+    Which requests, and which parts of prompts, crash the targets that run them.
 ``admission``
     The decision whether a request is dispatched, queued, retried or refused.
 ``fairness``
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -40,10 +40,10 @@
     zone : ZoneId or None
         Availability zone of that router; None for the zone of the pool.
     digest : RequestDigest
-        See :mod:`turmerictray.admission.digest`.
+        See :mod:`turmerictray.crashes.digest`.
     isolated : bool
         Whether to avoid targets on which a suspect has just started; see
-        :mod:`turmerictray.admission.quarantine`.
+        :mod:`turmerictray.crashes.quarantine`.
     answer_deadline : float
         Deadline of the final answer, in monotonic seconds.
     urgency_s : float
--- a/turmerictray/core/ids.py
+++ b/turmerictray/core/ids.py
@@ -14,7 +14,7 @@
 
 RequestDigest = NewType("RequestDigest", str)
 """Identifies a request that is sent again with another id, by its content; see
-:mod:`turmerictray.admission.digest`."""
+:mod:`turmerictray.crashes.digest`."""
 
 TargetId = NewType("TargetId", str)
 """One incarnation of a target: a run of a model engine or service worker from start to end."""
--- /dev/null
+++ b/turmerictray/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests, and which parts of prompts, crash the targets that run them."""
--- a/turmerictray/router/crash_evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -4,11 +4,11 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from turmerictray.admission.quarantine import Quarantine
 from turmerictray.core.errors import ConnectionBroken, TurmerictrayError
 from turmerictray.core.ids import RequestDigest, TargetId
+from turmerictray.crashes.exit_detection import TargetExitDetector
+from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetInfo
-from turmerictray.transport.exit_detection import TargetExitDetector
 
 
 def _no_targets() -> frozenset[TargetId]:
--- a/turmerictray/admission/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -2,7 +2,7 @@
 
 A *query of death* crashes every target that starts to run it, and its caller sends it again. When a
 target crashes, every request that had just started there is a suspect, although most of them are
-innocent. Requests are identified by their digest (see :mod:`turmerictray.admission.digest`). For
+innocent. Requests are identified by their digest (see :mod:`turmerictray.crashes.digest`). For
 each suspect, the targets that crashed while running it are counted over all routers. Any answer
 clears the request.
 """
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -111,7 +111,7 @@
     Attributes
     ----------
     digest : str
-        See :mod:`turmerictray.admission.digest`.
+        See :mod:`turmerictray.crashes.digest`.
     ended : list of str
         All targets that terminated while running the request.
     cleared : list of str
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -10,18 +10,18 @@
 import pykka
 from prometheus_client import generate_latest
 
-from turmerictray.admission.quarantine import Quarantine
 from turmerictray.core import metrics
 from turmerictray.core.actor import ask_with_timeout, stop_actors
 from turmerictray.core.app import Application
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
+from turmerictray.crashes.evidence import CrashEvidence
+from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.membership.link import PERIOD_S, Leave, PeerLink
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.active_config import ActiveConfig
 from turmerictray.router.cache_warmup import WARMUP_TICK_INTERVAL_S, ListCachedParts, Recall
 from turmerictray.router.catch_up import CatchUp, CheckStartup
-from turmerictray.router.crash_evidence import CrashEvidence
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.early_refusals import EarlyRefusals
 from turmerictray.router.flow import RequestFlow
--- a/turmerictray/router/routed_request.py
+++ b/turmerictray/router/routed_request.py
@@ -4,7 +4,6 @@
 from functools import cached_property
 
 from turmerictray.admission.backlog import TeamRoute
-from turmerictray.admission.digest import request_digest
 from turmerictray.admission.time_bounds import TimeBounds
 from turmerictray.config.routes import Route, RoutingConfig
 from turmerictray.core.errors import CallerError
@@ -16,6 +15,7 @@
     TeamId,
     ZoneId,
 )
+from turmerictray.crashes.digest import request_digest
 from turmerictray.router.dialect import Envelope
 from turmerictray.routing.streams import stream_key
 from turmerictray.transport.exchange import RequestHead
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -26,7 +26,7 @@
 )
 from turmerictray.core.logs import log_request
 from turmerictray.core.reply import Reply
-from turmerictray.router.crash_evidence import CrashEvidence
+from turmerictray.crashes.evidence import CrashEvidence
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -161,7 +161,7 @@
     expires_at : float
         Latest time at which its router abandons it, in monotonic seconds.
     digest : RequestDigest
-        See :mod:`turmerictray.admission.digest`; empty if unknown.
+        See :mod:`turmerictray.crashes.digest`; empty if unknown.
     """
 
     team: TeamId = TeamId("-")
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -9,7 +9,6 @@
 from turmerictray.admission.cold_targets import ColdTargets
 from turmerictray.admission.pool import NO_TARGET_RETRY_S, ServicePool
 from turmerictray.admission.pool_types import Dispatch, Outcome, PlacementContext
-from turmerictray.admission.quarantine import NO_RETRY_THRESHOLD, Quarantine
 from turmerictray.admission.window import ENGINE_WINDOW_S
 from turmerictray.config.routes import RoutingConfig
 from turmerictray.core import metrics
@@ -32,6 +31,7 @@
 )
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
+from turmerictray.crashes.quarantine import NO_RETRY_THRESHOLD, Quarantine
 from turmerictray.fairness.changed_usage import ChangedUsage
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.fairness.recent_usage import RecentUsage
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -56,7 +56,7 @@
     shard : ShardId
         Shard of engines that the request may be sent to.
     digest : RequestDigest
-        Digest of the request's content; see :mod:`turmerictray.admission.digest`.
+        Digest of the request's content; see :mod:`turmerictray.crashes.digest`.
     home_zones : frozenset of ZoneId or None
         Availability zones whose targets may run the request; None for all.
     version : SoftwareVersion or None
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -28,7 +28,7 @@
     shard, shards : int
         Index of the shard in which an engine is requested, and number of shards.
     digest : str
-        See :mod:`turmerictray.admission.digest`.
+        See :mod:`turmerictray.crashes.digest`.
     home_zones : list of str or None
         Availability zones whose engines may run the request; None for all.
     version : str or None
