--- a/turmerictray/crashes/parts.py
+++ b/turmerictray/crashes/parts.py
@@ -101,27 +101,28 @@
 
     Attributes
     ----------
+    suspects : SuspectTable of ServicePart
     attribution : Attribution
         Set by the owner after each change.
     """
 
     def __init__(self) -> None:
-        self._table: SuspectTable[ServicePart] = SuspectTable(
+        self.suspects: SuspectTable[ServicePart] = SuspectTable(
             2 * HOLD_S, ISOLATION_THRESHOLD, self._log_forgotten
         )
         self._sound = SoundParts()
         self.attribution = Attribution()
 
     def __len__(self) -> int:
-        return len(self._table)
+        return len(self.suspects)
 
     # -- decisions -----------------------------------------------------------------------------
 
     def suspicion(self, fingerprint: Fingerprint, now: float) -> Suspicion:
         """Return the evidence against a prompt's parts."""
-        if not len(self._table):
+        if not len(self.suspects):
             return Suspicion.NONE
-        found = [(part, self._table.find(part, now)) for part in fingerprint.parts]
+        found = [(part, self.suspects.find(part, now)) for part in fingerprint.parts]
         suspects = {part: suspect for part, suspect in found if suspect and suspect.crashes}
         if not suspects:
             return Suspicion.NONE
@@ -136,7 +137,7 @@
 
     def _may_test(self, held: list[ServicePart], fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a prompt whose parts are held back may be sent as a test."""
-        suspects = [self._table.get(part) for part in held]
+        suspects = [self.suspects.get(part) for part in held]
         if all(now - suspect.seen_at >= HOLD_S for suspect in suspects):
             return True
         if not any(suspect.isolated - suspect.cleared for suspect in suspects):
@@ -149,7 +150,7 @@
 
     def isolated_parts(self, fingerprint: Fingerprint, now: float) -> frozenset[ServicePart]:
         """Return the parts of a prompt of which only one may start at a time."""
-        found = ((part, self._table.find(part, now)) for part in fingerprint.parts)
+        found = ((part, self.suspects.find(part, now)) for part in fingerprint.parts)
         return frozenset(
             part
             for part, suspect in found
@@ -169,7 +170,7 @@
         bool
             Whether so many were refused that this one is to be sent as a test instead.
         """
-        found = map(self._table.get, self.held_parts(fingerprint))
+        found = map(self.suspects.get, self.held_parts(fingerprint))
         suspects = [suspect for suspect in found if suspect is not None]
         for suspect in suspects:
             suspect.seen_at = now
@@ -194,13 +195,13 @@
         )
         accused = [part for part in fingerprint.parts if not self._sound.contains(part, now)]
         for part in accused:
-            self._table.add_findings(self._table.find_or_add(part, now, now), found)
+            self.suspects.add_findings(self.suspects.find_or_add(part, now, now), found)
         return accused
 
     def record_answer(self, fingerprint: Fingerprint, now: float) -> "AnswerRecord":
         """Record an answer, which proves all parts of its prompt sound."""
         news = self._sound.add(fingerprint.parts, now)
-        suspects = [self._table.find(part, now) for part in fingerprint.parts]
+        suspects = [self.suspects.find(part, now) for part in fingerprint.parts]
         cleared = [self._clear(suspect) for suspect in suspects if suspect is not None]
         return AnswerRecord(news, any(cleared))
 
@@ -211,37 +212,33 @@
             if report.age_s >= HOLD_S:
                 continue
             part = ServicePart(ServiceName(report.service), PartId(report.part))
-            suspect = self._table.find_or_add(part, now, now - report.age_s)
+            suspect = self.suspects.find_or_add(part, now, now - report.age_s)
             found = Findings(*(frozenset(found) for found in report.findings()))
-            changed |= self._table.add_findings(suspect, found)
+            changed |= self.suspects.add_findings(suspect, found)
             if self._sound.contains(part, now):
                 changed |= self._clear(suspect)
         return changed
 
     def _clear(self, suspect: Suspect) -> bool:
-        return self._table.add_findings(suspect, Findings(cleared=frozenset(suspect.crashed)))
-
-    def crashes(self) -> Iterator[tuple[ServicePart, set[TargetId]]]:
-        """Return the crashes that count against each part."""
-        return ((part, suspect.crashes) for part, suspect in self._table.items())
+        return self.suspects.add_findings(suspect, Findings(cleared=frozenset(suspect.crashed)))
 
     # -- exchange with peers and memory --------------------------------------------------------
 
     def has_pending_updates(self) -> bool:
         """Return whether there are changes to report to peers soon."""
-        return self._table.has_pending_updates()
+        return self.suspects.has_pending_updates()
 
     def take_reports(self, now: float) -> list[PartCrashReport]:
         """Return the reports for the next message to peers."""
-        return [_report(part, suspect, now) for part, suspect in self._table.take_updates()]
+        return [_report(part, suspect, now) for part, suspect in self.suspects.take_updates()]
 
     def sweep(self, now: float) -> None:
         """Forget the suspects that were not seen for long."""
-        self._table.sweep(now)
+        self.suspects.sweep(now)
 
     def describe(self) -> Iterator[dict[str, object]]:
         """Describe the parts that are held back, for operators."""
-        for part, suspect in self._table.items():
+        for part, suspect in sorted(self.suspects.items(), key=lambda item: item[0]):
             if part in self.attribution.held:
                 yield {
                     "service": part.service,
--- a/turmerictray/crashes/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -246,8 +246,8 @@
     def _update_attribution(self) -> None:
         """Attribute the crashes again, after a change of the evidence."""
         before = {key for key in self._attribution.held if isinstance(key, ServicePart)}
-        requests = ((digest, suspect.crashes) for digest, suspect in self._requests.items())
-        found = attribute([*requests, *self._parts.crashes()])
+        requests = self._requests.crashes(HOLD_THRESHOLD)
+        found = attribute([*requests, *self._parts.suspects.crashes(HOLD_THRESHOLD)])
         self._attribution = self._parts.attribution = found
         held = {key for key in found.held if isinstance(key, ServicePart)}
         for part in held - before:
--- a/turmerictray/crashes/suspects.py
+++ b/turmerictray/crashes/suspects.py
@@ -11,6 +11,9 @@
 MAX_SUSPECTS = 4096
 """Maximum number of suspects in memory, about 200 bytes each."""
 
+_EVICTED_AT_ONCE = 128
+"""Number of suspects that are forgotten when the table is full; finding them takes long."""
+
 MAX_UPDATES_PER_MESSAGE = 64
 """Maximum number of new reports in one message, about 4 KB."""
 
@@ -112,6 +115,11 @@
         """Return a copy of all entries, which other threads may iterate over."""
         return iter(self._suspects.copy().items())
 
+    def crashes(self, at_least: int) -> list[tuple[Key, set[TargetId]]]:
+        """Return the suspects with many crashes, with those that count against them."""
+        many = [item for item in self.items() if len(item[1].crashed) >= at_least]
+        return [(key, suspect.crashes) for key, suspect in many]
+
     def get(self, key: Key) -> Suspect | None:
         """Return a suspect whether or not it is due to be forgotten."""
         return self._suspects.get(key)
@@ -129,7 +137,8 @@
         suspect = self.find(key, now)
         if suspect is None:
             if len(self._suspects) >= MAX_SUSPECTS:
-                self._forget(min(self._suspects, key=self._eviction_order))
+                for weakest in sorted(self._suspects, key=self._eviction_order)[:_EVICTED_AT_ONCE]:
+                    self._forget(weakest)
             suspect = self._suspects[key] = Suspect(seen_at)
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return suspect
