Ids of prompt parts are equal however they are written

A part whose id comes in capitals or with leading zeros was another part to the routers: its crashes were counted apart, and its cached tokens not found. Ids are hexadecimal numbers; they are brought to one form where they are read, from callers and from engines. What is forwarded stays as the caller wrote it. test_part_ids_are_equal_however_they_are_written failed before.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -61,3 +61,14 @@
     with pytest.raises(CallerError):
         read(Connection=f"keep-alive, {name}")
     assert read(Connection="keep-alive, X-Other").request_id == "a1"
+
+
+def test_part_ids_are_equal_however_they_are_written():
+    """Guards against a crashing part that is new to the routers in each spelling."""
+    prompts = [
+        read(X_Token_Count="100,10", X_Prompt_Prefix=text).prompt
+        for text in ("c0ffee:60,1:40", "C0FFEE:60,1:40", " 00c0ffee:60, 01:40")
+    ]
+    assert prompts[0] == prompts[1] == prompts[2]
+    assert [part.part_id for part in prompts[0].parts] == ["c0ffee", "1"]
+    assert read(X_Token_Count="1,1", X_Prompt_Prefix="00:1").prompt.parts[0].part_id == "0"
--- a/turmerictray/platform/engines.py
+++ b/turmerictray/platform/engines.py
@@ -5,8 +5,9 @@
 
 from turmerictray.core.errors import EngineError
 from turmerictray.platform.documents import target_id
+from turmerictray.platform.headers import to_part_id
 from turmerictray.routing.load import TargetInfo
-from turmerictray.routing.prompt import PartId, PromptPart
+from turmerictray.routing.prompt import PromptPart
 
 _LIST_TIMEOUT_S = 1.0
 """Time limit of a request; a healthy engine answers within a few milliseconds."""
@@ -41,4 +42,4 @@
         and target_id(engine.instance_name, listing.born) != engine.id
     ):
         raise EngineError(f"{engine.address} has restarted since its entry was read")
-    return [PromptPart(PartId(part), tokens) for _, part, tokens, _ in listing.held]
+    return [PromptPart(to_part_id(part), tokens) for _, part, tokens, _ in listing.held]
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -169,6 +169,11 @@
     return milliseconds / 1000
 
 
+def to_part_id(text: str) -> PartId:
+    """Return the id of a prompt part; it is a hexadecimal number, which may be written variously."""
+    return PartId(text.strip().lower().lstrip("0") or "0")
+
+
 def _parse_prompt(count: str | None, parts: str | None) -> Prompt | None:
     """Return the prompt of a request to a model, or None for other requests."""
     if count is None:
@@ -176,7 +181,7 @@
     try:
         input_tokens, _, output_tokens = count.partition(",")
         items = [item.strip().rpartition(":") for item in (parts or "").split(",") if item.strip()]
-        prompt_parts = tuple(PromptPart(PartId(name), int(tokens)) for name, _, tokens in items)
+        prompt_parts = tuple(PromptPart(to_part_id(name), int(tokens)) for name, _, tokens in items)
         return Prompt(prompt_parts, int(input_tokens), int(output_tokens or 0))
     except ValueError:
         raise CallerError(f"{_TOKEN_COUNT} or {_PROMPT_PREFIX} can't be read") from None
