--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -170,7 +170,7 @@
 
 
 def to_part_id(text: str) -> PartId:
-    """Return the id of a prompt part; it is a hexadecimal number, which may be written variously."""
+    """Return the id of a prompt part, a hexadecimal number, in one of its spellings."""
     return PartId(text.strip().lower().lstrip("0") or "0")
 
 
