Soak: prompts with a crashing part, and both checks

A fifth schedule adds senders of ever new prompts with one of two crashing parts, at either shared position, beside all other faults. Checked: at most three sends later than three seconds after the fifth crash, by routers that are undisturbed; sound prompts begin at the first attempt at least half as often as before.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -7,6 +7,7 @@
     FaultKind,
     draw_crashes_and_restores,
     draw_floods_and_joins,
+    draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
 )
@@ -33,6 +34,7 @@
     assert draw_floods_and_joins(5, 30) == draw_floods_and_joins(5, 30)
     assert draw_crashes_and_restores(5, 30) == draw_crashes_and_restores(5, 30)
     assert draw_zone_faults(5, 30) == draw_zone_faults(5, 30)
+    assert draw_prompt_faults(5, 30) == draw_prompt_faults(5, 30)
     drawn = {
         fault.kind
         for seed in range(20)
@@ -41,6 +43,7 @@
             draw_floods_and_joins,
             draw_crashes_and_restores,
             draw_zone_faults,
+            draw_prompt_faults,
         )
         for fault in draw(seed, 30)
     }
@@ -52,7 +55,11 @@
     report = run_soak(
         seed,
         SoakOptions(
-            seconds=12.0, floods_and_joins=False, crashes_and_restores=False, zone_faults=False
+            seconds=12.0,
+            floods_and_joins=False,
+            crashes_and_restores=False,
+            zone_faults=False,
+            prompt_faults=False,
         ),
         tmp_path,
     )
@@ -61,7 +68,7 @@
 
 def test_targets_match_store_after_two_restores(tmp_path):
     """Guards against ignoring targets that rewrote their entries before the new era was listed."""
-    report = run_soak(416, SoakOptions(seconds=12.0), tmp_path)
+    report = run_soak(416, SoakOptions(seconds=12.0, prompt_faults=False), tmp_path)
     assert not report.violations, format_soak(report)
 
 
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -231,7 +231,7 @@
     thread.start()
     send_crashing_parts(deployment)
     thread.join()
-    sends = [at for at, _ in part_arrivals(PARTS[0], deployment.workers)]
+    sends = [found.at for found in part_arrivals(PARTS[0], deployment.workers)]
     assert len([at for at in sends if at > restarted_at[0] + 3.0]) <= MAX_LATE_SENDS, len(sends)
 
 
--- a/turmerictray/platform/soak/callers.py
+++ b/turmerictray/platform/soak/callers.py
@@ -23,8 +23,8 @@
 _MAX_DISCONNECT_DELAY_S = 0.15
 _PAUSE_S = 0.02
 _MAX_REFUSAL_PAUSE_S = 0.3
-_SHARED_PARTS = 6
-"""Number of different prompt parts that the callers share."""
+SHARED_PARTS = tuple(f"5ab{number}:1200" for number in range(6))
+"""Prompt parts that the callers share, as ``id:tokens``."""
 
 _ids = itertools.count(1)
 
@@ -114,7 +114,7 @@
         """Send a request and read its answer; return whether the connection can be reused."""
         headers = {"X_Request_Id": request.request_id}
         if request.route in STREAMS:
-            shared_part = f"5ab{self._rng.randrange(_SHARED_PARTS)}:1200"
+            shared_part = self._rng.choice(SHARED_PARTS)
             headers |= PROMPT_HEADERS | {
                 "X_Prompt_Prefix": f"{shared_part},{request.request_id[4:]}:260"
             }
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -3,6 +3,7 @@
 import signal
 from collections import defaultdict
 from collections.abc import Iterator
+from typing import NamedTuple, TypeVar
 
 from turmerictray.loadtool.history import Violation
 from turmerictray.platform.soak.record import RUN_ONCE, STREAMS, SoakRecord, SoakRequest
@@ -32,6 +33,10 @@
 _MIN_SOUND_REQUESTS = 20
 
 
+Arrival = TypeVar("Arrival", bound=tuple)
+"""Arrival of a request at a worker; the first element is its time in monotonic seconds."""
+
+
 def check_answers(record: SoakRecord, event_count: int) -> Iterator[Violation]:
     """Check that each complete answer is a worker's and belongs to its request."""
     for request in record.requests:
@@ -239,46 +244,60 @@
 ) -> Iterator[Violation]:
     """Check that a part that crashed five workers is sent to hardly any others.
 
-    Counting starts again as in :func:`check_crashing_requests`.
+    Counting starts again as in :func:`check_crashing_requests`. Sends of disturbed routers, and
+    while the store is, don't count.
     """
+    router_by_id = {request.request_id: request.router for request in record.requests}
+
+    def is_disturbed(arrival: PartArrival) -> bool:
+        router = router_by_id.get(arrival.request_id, "")
+        return record.was_disturbed(arrival.at - _SETTLE_S, arrival.at, router, "store")
+
     for part in sorted(record.crashing_parts):
         for span in _split_arrivals(record, part_arrivals(part, workers), routers):
-            later = late_sends(span)
+            later = [arrival for arrival in late_sends(span) if not is_disturbed(arrival)]
             if len(later) > _MAX_LATER_SENDS:
-                crashed = sum(ran for _, ran in span)
+                crashed = sum(arrival.ran for arrival in span)
                 detail = f"sent {len(later)} more times; {crashed} workers crashed in total"
                 yield Violation(part, "crashing-part", detail)
 
 
-def part_arrivals(part: str, workers: list[Worker]) -> list[tuple[float, bool]]:
-    """Return when prompts with a part arrived at workers, and whether each began to run."""
+class PartArrival(NamedTuple):
+    """Arrival of a prompt with a crashing part at a worker, in monotonic seconds."""
+
+    at: float
+    ran: bool
+    request_id: str
+
+
+def part_arrivals(part: str, workers: list[Worker]) -> list[PartArrival]:
+    """Return the arrivals of prompts with a part at workers, in order of time."""
     return sorted(
-        (received.received_at, received.ran)
+        PartArrival(received.received_at, received.ran, received.headers.get("X-Request-Id", ""))
         for worker in workers
         for received in worker.received_requests
         if part in shared_part_ids(received.headers.get("X-Prompt-Prefix", ""))
     )
 
 
-def late_sends(arrivals: list[tuple[float, bool]]) -> list[float]:
+def late_sends(arrivals: list[PartArrival]) -> list[PartArrival]:
     """Return the arrivals later than the routers' time to react to the fifth crash."""
-    crashes = [at for at, ran in arrivals if ran]
+    crashes = [arrival.at for arrival in arrivals if arrival.ran]
     if len(crashes) < _MAX_PART_CRASHES:
         return []
-    return [at for at, _ in arrivals if at > crashes[_MAX_PART_CRASHES - 1] + _SETTLE_S]
+    counted_from = crashes[_MAX_PART_CRASHES - 1] + _SETTLE_S
+    return [arrival for arrival in arrivals if arrival.at > counted_from]
 
 
 def check_sound_requests(record: SoakRecord, workers: list[Worker]) -> Iterator[Violation]:
     """Check that sound prompts are served while others with a crashing part are refused."""
     first = min(
-        (at for part in record.crashing_parts for at, _ in part_arrivals(part, workers)),
+        (found.at for part in record.crashing_parts for found in part_arrivals(part, workers)),
         default=None,
     )
-    last = max(
-        (r.started_at for r in record.requests if r.request_id.startswith("part")), default=0
-    )
     if first is None:
         return
+    last = max(r.started_at for r in record.requests if r.request_id.startswith("part"))
     before, after = [], []
     for request in record.requests:
         if (
@@ -305,10 +324,10 @@
 
 
 def _split_arrivals(
-    record: SoakRecord, arrivals: list[tuple[float, bool]], routers: list[str]
-) -> list[list[tuple[float, bool]]]:
+    record: SoakRecord, arrivals: list[Arrival], routers: list[str]
+) -> list[list[Arrival]]:
     """Split arrivals where no router was left that knew of the earlier ones."""
-    spans: list[list[tuple[float, bool]]] = [[]]
+    spans: list[list[Arrival]] = [[]]
     for arrival in arrivals:
         if spans[-1] and _all_lost_state(record, spans[-1][0][0], arrival[0], routers):
             spans.append([])
--- a/turmerictray/platform/soak/crashing_requests.py
+++ b/turmerictray/platform/soak/crashing_requests.py
@@ -11,6 +11,9 @@
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter
 from turmerictray.platform.standins.worker import CRASH_MARKER
 
+CRASHING_PARTS = ("c0ffee0", "c0ffee1")
+"""Ids of the prompt parts that crash workers in a run."""
+
 _ROUTES = ("plan", "recon", "ping")
 _BODIES_PER_ROUTE = 2
 """Different requests of each route in a run; later senders send the same ones again."""
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -12,7 +12,12 @@
 from turmerictray.core.logs import log_event
 from turmerictray.loadtool.event_schedule import EventSchedule
 from turmerictray.loadtool.relay import Direction
-from turmerictray.platform.soak.crashing_requests import CrashingRequestSender
+from turmerictray.platform.soak.callers import SHARED_PARTS
+from turmerictray.platform.soak.crashing_requests import (
+    CRASHING_PARTS,
+    CrashingPartSender,
+    CrashingRequestSender,
+)
 from turmerictray.platform.soak.record import (
     VERSIONS,
     ZONES,
@@ -59,6 +64,9 @@
 _COLD_CRASH_PER_S = 20.0
 """Requests a second under which cold workers crash, above the limit that routers are told."""
 
+_PART_POSITIONS = 2
+"""Number of positions of a crashing part in a prompt with one other shared part."""
+
 _EXIT_TIMEOUT_S = 12.0
 """A router still running this long after a planned stop is killed, as the platform does after the
 grace period of six seconds. The checks report it."""
@@ -368,6 +376,23 @@
         self._sender_threads.append(thread)
         thread.start()
 
+    def _send_crashing_parts(self, fault: ScheduledFault) -> None:
+        part = CRASHING_PARTS[fault.random_number % len(CRASHING_PARTS)]
+        position = fault.random_number % _PART_POSITIONS
+        sender = CrashingPartSender(
+            self.deployment,
+            self.record,
+            part,
+            SHARED_PARTS,
+            position,
+            fault.random_number,
+            self._retire_crashed,
+        )
+        ends_at = time.monotonic() + fault.duration_s
+        thread = threading.Thread(target=sender.run, args=(ends_at,), daemon=True)
+        self._sender_threads.append(thread)
+        thread.start()
+
     def _retire_crashed(self) -> None:
         """Replace crashed workers; their entries in the store expire a moment later."""
         for worker in list(self.deployment.workers):
@@ -393,6 +418,7 @@
             worker.behaviour.service_time_s,
             worker.behaviour.event_count,
         )
+        replacement.behaviour.crashing_parts = worker.behaviour.crashing_parts
         self.deployment.add_worker(replacement)
 
     def _evacuate(self, fault: ScheduledFault) -> None:
@@ -478,4 +504,5 @@
     FaultKind.STORE_RETURNS: FaultInjector._restore_store,
     FaultKind.EVACUATE: FaultInjector._evacuate,
     FaultKind.WORKERS_COLD: FaultInjector._chill_workers,
+    FaultKind.CRASHING_PART: FaultInjector._send_crashing_parts,
 }
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -13,11 +13,13 @@
 from turmerictray.loadtool.relay import Network
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.callers import SoakCaller
+from turmerictray.platform.soak.crashing_requests import CRASHING_PARTS
 from turmerictray.platform.soak.fault_injector import FaultInjector
 from turmerictray.platform.soak.record import VERSIONS, ZONES, SoakRecord
 from turmerictray.platform.soak.schedule import (
     draw_crashes_and_restores,
     draw_floods_and_joins,
+    draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
 )
@@ -48,6 +50,8 @@
         Whether to add requests that crash workers and restores of the store from a backup.
     zone_faults : bool
         Whether to add evacuations and cold engines of whole zones.
+    prompt_faults : bool
+        Whether to add prompts with a part that crashes workers.
     """
 
     seconds: float = 20.0
@@ -58,6 +62,7 @@
     floods_and_joins: bool = True
     crashes_and_restores: bool = True
     zone_faults: bool = True
+    prompt_faults: bool = True
 
 
 @dataclass
@@ -108,6 +113,7 @@
             _EVENTS_PER_STREAM,
             _SERVICE_TIME_S,
         )
+        worker.behaviour.crashing_parts = frozenset(CRASHING_PARTS)
     try:
         deployment.start()
         record = SoakRecord()
@@ -133,6 +139,8 @@
         schedule += draw_crashes_and_restores(seed, options.seconds)
     if options.zone_faults:
         schedule += draw_zone_faults(seed, options.seconds)
+    if options.prompt_faults:
+        schedule += draw_prompt_faults(seed, options.seconds)
     injector = FaultInjector(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(options.callers)
@@ -191,6 +199,10 @@
         *checks.check_crashing_requests(
             record, workers, [router.name for router in deployment.routers]
         ),
+        *checks.check_crashing_parts(
+            record, workers, [router.name for router in deployment.routers]
+        ),
+        *checks.check_sound_requests(record, workers),
         *check_config_logs(logs),
     ]
 
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -20,7 +20,8 @@
     ``HANG_UP`` sends the signal SIGHUP, ``STORE_FORGETS`` compacts the store's history and
     ``STORE_RETURNS`` restores the store from a backup. ``DEADLY`` sends a request that crashes each
     worker that starts to run it. ``EVACUATE`` evacuates an availability zone and takes it back.
-    ``WORKERS_COLD`` makes the engines of a zone cold.
+    ``WORKERS_COLD`` makes the engines of a zone cold. ``CRASHING_PART`` sends ever new prompts with
+    one part that crashes each worker that begins to answer.
     """
 
     KILL = "kill"
@@ -53,6 +54,7 @@
     STORE_RETURNS = "store_returns"
     EVACUATE = "evacuate"
     WORKERS_COLD = "workers_cold"
+    CRASHING_PART = "crashing_part"
 
 
 _FLOODS_AND_JOINS = (FaultKind.FLOOD, FaultKind.WORKERS_JOIN)
@@ -65,14 +67,18 @@
 _ZONE_FAULTS = (FaultKind.EVACUATE, FaultKind.WORKERS_COLD)
 """Faults of whole zones, with a fourth schedule for the same reason."""
 
+_PROMPT_FAULTS = (FaultKind.CRASHING_PART,)
+"""Faults of prompts, with a fifth schedule for the same reason."""
+
 _BASE_KINDS = tuple(
     kind
     for kind in FaultKind
-    if kind not in (*_FLOODS_AND_JOINS, *_CRASHES_AND_RESTORES, *_ZONE_FAULTS)
+    if kind not in (*_FLOODS_AND_JOINS, *_CRASHES_AND_RESTORES, *_ZONE_FAULTS, *_PROMPT_FAULTS)
 )
 _FLOODS_AND_JOINS_GAP_S = (2.0, 6.0)
 _CRASHES_AND_RESTORES_GAP_S = (0.5, 4.0)
 _ZONE_FAULTS_GAP_S = (1.0, 5.0)
+_PROMPT_FAULTS_GAP_S = (1.0, 4.0)
 
 
 @dataclass(frozen=True)
@@ -121,6 +127,13 @@
     return _draw(rng, seconds, first_at_s, _ZONE_FAULTS, _ZONE_FAULTS_GAP_S)
 
 
+def draw_prompt_faults(seed: int, seconds: float) -> list[ScheduledFault]:
+    """Draw senders of prompts with a crashing part, in order of time."""
+    rng = random.Random(f"prompts {seed}")
+    first_at_s = rng.uniform(*_PROMPT_FAULTS_GAP_S)
+    return _draw(rng, seconds, first_at_s, _PROMPT_FAULTS, _PROMPT_FAULTS_GAP_S)
+
+
 def _draw(
     rng: random.Random,
     seconds: float,
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -462,6 +462,6 @@
 
 
 def shared_part_ids(header: str) -> set[str]:
-    """Return the ids of a prompt's parts without its last one, as numbers in lower-case hex."""
+    """Return the ids of a prompt's parts without its last one, in one spelling."""
     ids = [part.strip().partition(":")[0] for part in header.split(",") if part.strip()]
-    return {f"{int(part_id, 16):x}" for part_id in ids[:-1]}
+    return {part_id.lower().lstrip("0") for part_id in ids[:-1]}
