Tests: one suspect prompt at a time, waiting prompts are refused, other faults beside

A store that is away and a frozen router beside a crashing part; verdicts through the scheduler's messages; explain names a held part as a cause.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Prompts with one part that crashes every worker that begins to answer, sent to any router."""
 
+import signal
 import threading
 import time
 
@@ -9,6 +10,7 @@
 from turmerictray.platform.soak.crashing_requests import CrashingPartSender
 from turmerictray.platform.soak.record import SoakRecord
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller
+from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import CrashPoint, Worker
 
 ENGINES = 12
@@ -213,6 +215,31 @@
     check_kept_back(deployment, shares)
 
 
+@pytest.mark.process
+@pytest.mark.parametrize("fault", ["store-away", "frozen-router"])
+def test_part_is_kept_back_beside_other_faults(start_deployment, fault):
+    """Guards against routers that act on what they knew before a fault of store or process."""
+    deployment = start(start_deployment)
+
+    def disturb() -> None:
+        time.sleep(4.0)
+        router, store = deployment.routers[1], deployment.store.store
+        if fault == "frozen-router":
+            router.signal(signal.SIGSTOP)
+        else:
+            store.trouble = StoreTrouble.SILENT
+        time.sleep(4.0)
+        router.signal(signal.SIGCONT)
+        store.trouble = StoreTrouble.NONE
+
+    thread = threading.Thread(target=disturb)
+    thread.start()
+    send_crashing_parts(deployment)
+    thread.join()
+    arrivals = part_arrivals(PARTS[0], deployment.workers)
+    assert len(late_sends(arrivals)) <= MAX_LATE_SENDS, len(arrivals)
+
+
 @pytest.mark.process
 def test_routers_killed_together_hold_the_part_back_again(start_deployment):
     """Guards against routers that know nothing and have to learn of the part by many crashes."""
--- a/tests/router/test_suspect_isolation.py
+++ b/tests/router/test_suspect_isolation.py
@@ -18,7 +18,9 @@
     ZoneId,
 )
 from turmerictray.core.reply import Reply
-from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint
+from turmerictray.core.timer import Tick
+from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, shared_parts
+from turmerictray.crashes.parts import HOLD_S
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
@@ -31,6 +33,8 @@
     TargetsChanged,
     TargetsListed,
 )
+from turmerictray.scheduling.messages import Ended
+from turmerictray.scheduling.scheduler import to_verdict
 
 LLM = ServiceName("llm")
 CULPRIT, BYSTANDER = RequestDigest("culprit"), RequestDigest("bystander")
@@ -149,3 +153,56 @@
 
 def known_targets(broker: Broker) -> list[TargetInfo]:
     return [load.info for load in broker.pools.unsharded(LLM).targets.loads.values()]
+
+
+def part_verdict(number: int, crashed: bool = True, isolated: bool = False) -> CrashVerdict:
+    """Return the verdict on a request that shares its prompt's first part with all others."""
+    parts = shared_parts(LLM, PROMPT)
+    return CrashVerdict(
+        crashed, Fingerprint(RequestDigest(f"p{number}"), TeamId("t"), parts), isolated
+    )
+
+
+def settle(broker: Broker, call_id: int, target: str, verdict: CrashVerdict) -> None:
+    outcome = Outcome.TARGET_ENDED if verdict.crashed else Outcome.DONE
+    broker.on_receive(Settled(call_id, LLM, TargetId(target), outcome, 0.0, verdict))
+
+
+def test_one_prompt_with_a_suspect_part_starts_at_a_time(broker):
+    """Guards against a part that crashes several engines at once although it is a suspect."""
+    for number in range(2):
+        settle(broker, 100 + number, f"x{number}", part_verdict(number))
+    first = ask(broker, 1, RequestDigest("a"))
+    second = ask(broker, 2, RequestDigest("b"))
+    assert first.result(0).isolated
+    assert not second.done()
+    settle(broker, 1, granted_target(first), part_verdict(5, crashed=False))
+    assert granted_target(second)
+    assert not second.result(0).isolated
+
+
+def test_waiting_prompts_are_refused_when_their_part_is_held(broker):
+    """Guards against prompts that wait until their deadline although they can't be served."""
+    for number in range(2):
+        settle(broker, 100 + number, f"x{number}", part_verdict(number))
+    first, second = ask(broker, 1, RequestDigest("a")), ask(broker, 2, RequestDigest("b"))
+    settle(broker, 1, granted_target(first), part_verdict(1, isolated=True))
+    broker.on_receive(Tick("expire", time.monotonic()))
+    with pytest.raises(Quarantined) as refusal:
+        second.result(0)
+    assert refusal.value.retry_after == HOLD_S
+    with pytest.raises(Quarantined):
+        ask(broker, 3, RequestDigest("c")).result(0)
+
+
+def test_verdicts_reach_the_scheduler_unchanged():
+    """Guards against crashes that a scheduler counts for another part, team or request."""
+    for verdict in (part_verdict(1, isolated=True), part_verdict(2)):
+        fingerprint = verdict.fingerprint
+        outcome = Outcome.TARGET_ENDED.value
+        parts = [part.part for part in fingerprint.parts]
+        ended = Ended(1, LLM, "e0", outcome, 0.0, fingerprint.digest, parts, "t", verdict.isolated)
+        assert to_verdict(ended) == verdict
+    assert to_verdict(Ended(1, LLM, "e0", Outcome.DONE.value, 0.0)) is None
+    answered = to_verdict(Ended(1, LLM, "e0", Outcome.DONE.value, 0.0, parts=["shared"]))
+    assert answered == CrashVerdict(False, Fingerprint(parts=shared_parts(LLM, PROMPT)))
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -40,6 +40,7 @@
     "another copy": (
         "another copy of it was running, and targets have crashed under this request before"
     ),
+    "prompt part": "targets crashed while starting prompts that share this part; it is held back",
     "quarantined": "targets crashed while starting to run it; it is no longer sent to any target",
     "queue_timeout": "it reached the maximum waiting time before a target had capacity",
     "repeats_used_up": "the retry budget was exhausted",
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -101,7 +101,7 @@
                 TargetId(msg.target),
                 Outcome(msg.outcome),
                 msg.cost,
-                _to_verdict(msg),
+                to_verdict(msg),
             )
         )
 
@@ -174,7 +174,8 @@
             )
 
 
-def _to_verdict(msg: Ended) -> CrashVerdict | None:
+def to_verdict(msg: Ended) -> CrashVerdict | None:
+    """Return what the end of a request tells about crashes; None for nothing."""
     crashed = Outcome(msg.outcome) is Outcome.TARGET_ENDED
     if not crashed and not msg.parts:
         return None
