A test of a held part does not release the request itself

The scheduler let a prompt that its router sends as a test pass without any check; a request with a quarantined digest, of which only the scheduler knows, would have been sent. The digest is checked as for any other request.

--- a/tests/crashes/test_parts.py
+++ b/tests/crashes/test_parts.py
@@ -173,6 +173,16 @@
     assert quarantine.check(prompt(CULPRIT), 0.0) is False
 
 
+def test_test_of_a_part_does_not_release_the_request_itself():
+    """Guards against a query of death that is sent as a test of one of its prompt's parts."""
+    quarantine = Quarantine()
+    deadly = prompt("system")
+    for target in range(HOLD_THRESHOLD):
+        quarantine.record_crash(deadly, TargetId(f"e{target}"), 0.0, isolated=True)
+    with pytest.raises(Quarantined):
+        quarantine.check(deadly, 0.0, is_test=True)
+
+
 def test_parts_are_counted_by_service_and_once_per_prompt():
     parts = [PromptPart(PartId(name), 100) for name in ("a", "a", "b", "own")]
     assert shared_parts(LLM, Prompt(tuple(parts), 400, 10)) == (
--- a/turmerictray/crashes/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -58,9 +58,14 @@
 
     # -- decisions -----------------------------------------------------------------------------
 
-    def check(self, fingerprint: Fingerprint, now: float) -> bool:
+    def check(self, fingerprint: Fingerprint, now: float, is_test: bool = False) -> bool:
         """Check that a request may be sent to a target.
 
+        Parameters
+        ----------
+        is_test : bool
+            Whether an earlier check found it to be a test.
+
         Returns
         -------
         bool
@@ -79,12 +84,12 @@
                 raise Quarantined(
                     f"quarantined: {fingerprint.digest} ended {count} targets", QUARANTINE_S
                 )
-            if self._parts.suspicion(fingerprint, now) is Suspicion.HELD:
+            if not is_test and self._parts.suspicion(fingerprint, now) is Suspicion.HELD:
                 if self._parts.note_refused(fingerprint, now):
                     return True
                 held = ",".join(map(str, self._parts.held_parts(fingerprint)))
                 raise Quarantined(f"quarantined: prompt part {held} ended targets", HOLD_S)
-            return False
+            return is_test
 
     def suspicion(self, fingerprint: Fingerprint, now: float) -> Suspicion:
         """Return the evidence against a request."""
@@ -117,8 +122,7 @@
         Quarantined
             The request is quarantined, or it is a suspect of which another copy runs.
         """
-        if not is_test:
-            self.check(fingerprint, now)
+        self.check(fingerprint, now, is_test)
         with self._lock:
             suspect = self._requests.find(fingerprint.digest, now)
             if suspect is None:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -163,8 +163,7 @@
             request = PendingRequest(
                 msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
             )
-            if not msg.is_test:
-                self.quarantine.check(context.fingerprint, now)
+            self.quarantine.check(context.fingerprint, now, msg.is_test)
             if msg.repeat and not pool.budget.try_spend(now):
                 raise RepeatsUsedUp("repeats_used_up", _BUDGET_RETRY_AFTER_S)
             pool.enqueue(request, now, msg.retry)
