A target found running before a connection broke may have crashed since

Cause: the check whether a target has exited used a result of up to 0.2 s before. Streams without chunks are checked at their end while crashes are likely, so a busy target was nearly always 'found running' just before it crashed; the cut stream then counted as whole and proved the part sound for ten seconds. The same held for broken answers: a reset connection 0.2 s before a crash hid the crash.

Change: a result that found the target running is used only for connections that broke before that check began. Answers of one piece without a length are checked as streams are, and the check is made once an answer, before it is passed on.

--- a/tests/crashes/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -38,16 +38,15 @@
         return True
 
     detector = TargetExitDetector(refuses)
-    assert all(detector.has_exited(TARGET, "h:1") for _ in range(20))
+    assert all(detector.has_exited(TARGET, "h:1", now) for now in range(20))
     assert len(checked) == 1
 
 
-def test_running_target_is_checked_again_later(monkeypatch):
+def test_running_target_is_checked_again_for_a_later_break(monkeypatch):
+    """Guards against a crash that is missed as the target was found running just before it."""
     answers = [False, True]
-    now = [10.0]
-    monkeypatch.setattr("time.monotonic", lambda: now[0])
+    monkeypatch.setattr("time.monotonic", lambda: 10.0)
     detector = TargetExitDetector(lambda _address: answers.pop(0))
-    assert not detector.has_exited(TARGET, "h:1")
-    assert not detector.has_exited(TARGET, "h:1")
-    now[0] += 1.0
-    assert detector.has_exited(TARGET, "h:1")
+    assert not detector.has_exited(TARGET, "h:1", 9.9)
+    assert not detector.has_exited(TARGET, "h:1", 10.0)
+    assert detector.has_exited(TARGET, "h:1", 10.01)
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -10,7 +10,6 @@
 from turmerictray.crashes.fingerprint import Fingerprint
 from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetInfo
-from turmerictray.transport.body import BodyEnd
 
 
 def _no_targets() -> frozenset[TargetId]:
@@ -59,39 +58,37 @@
         """
         if not isinstance(exc, ConnectionBroken) or ran_s > CRASH_ATTRIBUTION_S:
             return False
-        if not self._has_crashed(target):
+        if not self._has_crashed(target, now):
             return False
         self.quarantine.record_crash(fingerprint, target.id, now, isolated)
         return True
 
-    def check_closed_stream(self, target: TargetInfo, ran_s: float, now: float) -> None:
-        """Check that a stream that only the close of its connection ends was not broken off.
+    def check_closed_answer(self, target: TargetInfo, ran_s: float, now: float) -> bool:
+        """Check that an answer that only the close of its connection ends was not broken off.
 
-        A target that crashes between two events ends such a stream as if it were complete. New
+        A target that crashes between two events ends a stream as if it were complete. New
         connections are costly, so this is checked only when another crash is likely.
 
+        Returns
+        -------
+        bool
+            Whether the target was found to be running.
+
         Raises
         ------
         ConnectionBroken
             The target has crashed.
         """
-        is_suspicious = ran_s <= CRASH_ATTRIBUTION_S and self.quarantine.is_alert(now)
-        if is_suspicious and self._has_crashed(target):
-            raise ConnectionBroken(f"{target.address} crashed at the end of the stream")
-
-    def proves_sound(self, target: TargetInfo, end: BodyEnd, ran_s: float, now: float) -> bool:
-        """Return whether a complete successful answer proves that its request crashes no target.
-
-        An answer that only the close of its connection ends may have been broken off by a crash.
-        """
-        if end is not BodyEnd.CONNECTION_CLOSE or ran_s > CRASH_ATTRIBUTION_S:
-            return True
-        return self.quarantine.is_alert(now) and not self._has_crashed(target)
+        if ran_s > CRASH_ATTRIBUTION_S or not self.quarantine.is_alert(now):
+            return False
+        if self._has_crashed(target, now):
+            raise ConnectionBroken(f"{target.address} crashed at the end of the answer")
+        return True
 
-    def _has_crashed(self, target: TargetInfo) -> bool:
+    def _has_crashed(self, target: TargetInfo, now: float) -> bool:
         if target.id in self.leaving():
             return False
-        return self.ended_targets.has_exited(target.id, target.address)
+        return self.ended_targets.has_exited(target.id, target.address, now)
 
     @contextmanager
     def running(
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -16,9 +16,6 @@
 """How long a new connection must stay open for the target to count as running. When a process
 exits, its connections may break before its listening socket is closed."""
 
-_RUNNING_RESULT_TTL_S = 0.2
-"""How long a check that found the target running stays valid."""
-
 _MAX_TARGETS = 1024
 
 
@@ -41,7 +38,8 @@
     """Thread-safe check, with cached results, whether a target's process has exited.
 
     When a target exits, all requests running on it fail at the same time; because of the cache, few
-    of them need to open a connection.
+    of them need to open a connection. A check that found the target running is used for connections
+    that broke before it, not for later ones.
 
     Parameters
     ----------
@@ -54,15 +52,22 @@
         self._lock = threading.Lock()
         self._results: dict[TargetId, tuple[bool, float]] = {}
 
-    def has_exited(self, target: TargetId, address: str) -> bool:
-        """Return whether a target whose connection has just broken has exited."""
+    def has_exited(self, target: TargetId, address: str, broken_at: float) -> bool:
+        """Return whether a target has exited.
+
+        Parameters
+        ----------
+        broken_at : float
+            Monotonic time at which a connection to it broke, or ended an answer.
+        """
         with self._lock:
             exited, checked_at = self._results.get(target, (False, -math.inf))
-        if exited or time.monotonic() - checked_at < _RUNNING_RESULT_TTL_S:
+        if exited or checked_at >= broken_at:
             return exited
+        checked_at = time.monotonic()
         exited = self._refuses(address)
         with self._lock:
             if len(self._results) >= _MAX_TARGETS:
                 del self._results[next(iter(self._results))]
-            self._results[target] = (exited, time.monotonic())
+            self._results[target] = (exited, checked_at)
         return exited
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -36,8 +36,8 @@
     progress : Progress
     on_answer_start : callable
         Called when the whole answer, or the first event of a stream, has arrived.
-    check_closed_stream : callable
-        Called when the close of its connection has ended a stream; raises
+    check_closed_answer : callable
+        Called when the close of its connection has ended an answer; raises
         :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
 
     Attributes
@@ -55,14 +55,14 @@
         routed: RoutedRequest,
         progress: Progress,
         on_answer_start,
-        check_closed_stream: Callable[[], None] = lambda: None,
+        check_closed_answer: Callable[[], None] = lambda: None,
     ) -> None:
         self._exchange = exchange
         self._dialect = dialect
         self._routed = routed
         self._progress = progress
         self._on_answer_start = on_answer_start
-        self._check_closed_stream = check_closed_stream
+        self._check_closed_answer = check_closed_answer
         self.outcome = Outcome.DONE
         self.leaving = False
 
@@ -96,6 +96,8 @@
             self._relay_events(conn, head)
             return
         body = conn.read_body(self._routed.bounds.answer_deadline)
+        if conn.body_end is BodyEnd.CONNECTION_CLOSE:
+            self._check_closed_answer()
         if _is_event_stream(head):
             splitter = EventSplitter()
             splitter.feed(body)
@@ -140,7 +142,7 @@
             self._progress.record_events(events)
         splitter.check_complete(conn.body_end)
         if conn.body_end is BodyEnd.CONNECTION_CLOSE:
-            self._check_closed_stream()
+            self._check_closed_answer()
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -33,7 +33,7 @@
 from turmerictray.router.relay import AnswerRelay
 from turmerictray.router.routed_request import RoutedRequest
 from turmerictray.router.trace import RequestTrace
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import CRASH_ATTRIBUTION_S
 from turmerictray.scheduling.broker_messages import (
     Ask,
     FirstEvent,
@@ -43,6 +43,7 @@
     Withdraw,
 )
 from turmerictray.scheduling.placement_client import PlacementClient
+from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.disconnect import CancellableCall
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.pool import ConnectionPool
@@ -109,6 +110,7 @@
         self._progress = Progress(routed.route)
         self._withheld_failure: TargetFailed | None = None
         self._is_test = False
+        self._end_verified = False
         trace.progress = self._progress
 
     def run(self) -> None:
@@ -323,6 +325,7 @@
             raise CallerGone("caller gone before the request was sent")
         target = granted.target
         self._progress.begin_attempt()
+        self._end_verified = False
         relay = self._relay(granted)
         try:
             head = self._exchange_heads(conn, granted)
@@ -347,19 +350,26 @@
         finally:
             self._call.on_disconnect(None)
         self._progress.delivered_attempts += 1
-        slot.settle(relay.outcome, self._routed.cost, self._record_answer(head, target))
+        slot.settle(relay.outcome, self._routed.cost, self._record_answer(head))
         self._deps.pool.release(target.id, conn, head)
 
-    def _record_answer(self, head: AnswerHead, target: TargetInfo) -> CrashVerdict | None:
+    def _record_answer(self, head: AnswerHead) -> CrashVerdict | None:
         """Record a complete answer; return what the scheduler has to know of it."""
-        now, progress, crashes = time.monotonic(), self._progress, self._deps.crashes
-        ran_s = progress.seconds_since_first_event(now)
-        is_success = 200 <= head.status < 300
-        if not is_success or not crashes.proves_sound(target, progress.body_end, ran_s, now):
+        now = time.monotonic()
+        if not 200 <= head.status < 300 or not self._answer_proves_sound(now):
             return None
-        news = crashes.quarantine.record_answer(self._routed.fingerprint, now)
+        news = self._deps.crashes.quarantine.record_answer(self._routed.fingerprint, now)
         return CrashVerdict(False, Fingerprint(parts=news)) if news else None
 
+    def _answer_proves_sound(self, now: float) -> bool:
+        """Return whether a complete successful answer proves that its request crashes no target.
+
+        An answer that only the close of its connection ends may have been broken off by a crash.
+        """
+        is_delimited = self._progress.body_end is not BodyEnd.CONNECTION_CLOSE
+        ran_s = self._progress.seconds_since_first_event(now)
+        return is_delimited or self._end_verified or ran_s > CRASH_ATTRIBUTION_S
+
     def _settle_broken_attempt(
         self, exc: TurmerictrayError, granted: Granted, slot: "_GrantedSlot"
     ) -> None:
@@ -432,7 +442,8 @@
         def check_closed() -> None:
             now = time.monotonic()
             ran_s = self._progress.seconds_since_first_event(now)
-            self._deps.crashes.check_closed_stream(granted.target, ran_s, now)
+            crashes = self._deps.crashes
+            self._end_verified = crashes.check_closed_answer(granted.target, ran_s, now)
 
         return AnswerRelay(
             self._exchange, self._deps.dialect, routed, self._progress, note_first, check_closed
