Soak: both senders of crashing requests exchange them by one function

They sent, read and closed in two copies. An answer that is not read in time now leaves an empty answer for both; the sender by body would have ended its thread.

--- a/turmerictray/platform/soak/crashing_requests.py
+++ b/turmerictray/platform/soak/crashing_requests.py
@@ -1,5 +1,6 @@
 """Callers whose requests, or one part of whose prompts, crash each worker that runs them."""
 
+import contextlib
 import itertools
 import random
 import time
@@ -84,17 +85,18 @@
             time.monotonic(),
         )
         self._record.requests.append(request)
-        headers = {"X_Request_Id": request.request_id} | (
-            PROMPT_HEADERS if self._route != "ping" else {}
-        )
-        try:
-            caller.send(make_request("POST", target, self._body, **headers))
-        except OSError:
-            # The connection was reset before the request was sent; the answer stays empty.
-            request.ended_at = time.monotonic()
-            return
+        _exchange(caller, request, PROMPT_HEADERS if self._route != "ping" else {})
+
+
+def _exchange(caller: RawCaller, request: SoakRequest, headers: dict[str, str]) -> None:
+    """Send a request and read its answer, which stays empty if the connection breaks."""
+    data = make_request(
+        request.method, request.target, request.body, X_Request_Id=request.request_id, **headers
+    )
+    with contextlib.suppress(OSError):
+        caller.send(data)
         request.answer = caller.read()
-        request.ended_at = time.monotonic()
+    request.ended_at = time.monotonic()
 
 
 class CrashingPartSender:
@@ -164,20 +166,5 @@
         except OSError:
             request.ended_at = time.monotonic()
             return
-        try:
-            caller.send(
-                make_request(
-                    "POST",
-                    request.target,
-                    request.body,
-                    X_Request_Id=request.request_id,
-                    **headers,
-                )
-            )
-            request.answer = caller.read()
-        except OSError:
-            # The connection broke; the answer stays empty.
-            pass
-        finally:
-            request.ended_at = time.monotonic()
-            caller.close()
+        _exchange(caller, request, headers)
+        caller.close()
