Test: one unexpected exception costs a router all that it has accepted (fails)

failing_router raises exceptions from outside the code under test: in one message of an actor, in a step of a thread, in the placement of one request. test_unexpected_exceptions raises one at one of three routers under load (24 callers, streams of 0.8 s, pings) and asks that no accepted request is lost, at most the one request of the message is refused, the process goes on and is ready, the log names place, message and request, a thread's work goes on, a text that fails leaves the last good one in force, and recurring failures end the router as a drain.

One exception in any message of the broker, the peer link, the catch-up or the reload of settings lost 7 to 9 accepted requests (all that the router had in progress) and ended the process with 71; in a thread, nothing of it was logged by us, and a new text or target was not heard of any more (watch-op, watch-servers). That callers who leave are noticed after the watch has failed passes, as closed connections are also seen by writes.

--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -19,6 +19,11 @@
 _READY_PORT = 8780
 _CONTROL_PORT = 8785
 _PEER_PORT = 7400
+_MODULE = "turmerictray.platform.main"
+_FAILING_MODULE = "turmerictray.platform.standins.failing_router"
+CONTROL_FILE_ENV_VAR = "TURMERICTRAY_FAULTS_FILE"
+"""Names the file over which faults of a failing router are armed."""
+
 _START_TIMEOUT_S = 15.0
 _STOP_TIMEOUT_S = 15.0
 
@@ -122,7 +127,7 @@
         ``host:port`` of the store.
     folder : Path
         Folder for its settings and log.
-    min_retries, seeds : int
+    min_retries, seeds, fails : int, int, bool
         See :class:`LocalDeployment`.
     """
 
@@ -135,10 +140,13 @@
         folder: Path,
         min_retries: int,
         seeds: int,
+        fails: bool = False,
     ) -> None:
         self.name = f"r{number}"
         self.ip = f"{network}.{number}"
         self.log_path = folder / f"{self.name}.log"
+        self.faults_path = folder / f"{self.name}.faults"
+        self._module = _FAILING_MODULE if fails else _MODULE
         self._settings = folder / f"{self.name}.toml"
         self._store = store
         self._settings.write_text(self._settings_text(network, zone, store, min_retries, seeds))
@@ -167,10 +175,16 @@
 
     def start(self) -> None:
         """Start the process."""
-        env = {**os.environ, SETTINGS_ENV_VAR: str(self._settings)}
+        # What was armed for the last process must not fail this one.
+        self.faults_path.unlink(missing_ok=True)
+        env = {
+            **os.environ,
+            SETTINGS_ENV_VAR: str(self._settings),
+            CONTROL_FILE_ENV_VAR: str(self.faults_path),
+        }
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "turmerictray.platform.main"],
+                [sys.executable, "-m", self._module],
                 env=env,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -253,6 +267,9 @@
         are; 0 disables retries.
     seeds : int
         Number of routers, from the first, that the others contact first.
+    fails : bool
+        Whether exceptions can be raised in the routers; see
+        :mod:`turmerictray.platform.standins.failing_router`.
     network : Network or None
         Relays connections, so that a test can disturb them. Link sources are ``callers`` for
         callers' connections to routers, the router's name for its connections to the store, and
@@ -268,6 +285,7 @@
         min_retries: int = 50,
         seeds: int = 1,
         network: Network | None = None,
+        fails: bool = False,
     ) -> None:
         self.network = network
         self._relayed_addresses: dict[tuple[str, str, str], str] = {}
@@ -277,7 +295,14 @@
         loopback = find_free_network()
         self.routers = [
             LocalRouter(
-                number, loopback, DEFAULT_ZONE, self._store_for(number), folder, min_retries, seeds
+                number,
+                loopback,
+                DEFAULT_ZONE,
+                self._store_for(number),
+                folder,
+                min_retries,
+                seeds,
+                fails,
             )
             for number in range(1, routers + 1)
         ]
