--- a/tests/core/test_app.py
+++ b/tests/core/test_app.py
@@ -3,6 +3,10 @@
 import subprocess
 import sys
 
+import pytest
+
+from turmerictray.core.actor import ACTOR_FAILED_EXIT
+
 PROGRAM = """
 import os, signal, sys
 from turmerictray.core.app import Application
@@ -41,3 +45,39 @@
     )
     assert proc.returncode == 0
     assert proc.stdout.split("\n")[:3] == ["drained", "stopped second", "stopped first"]
+
+
+UNFIT_PROGRAM = """
+import sys, threading
+from turmerictray.core.actor import VitalActor
+from turmerictray.core.app import Application
+
+class Pools(VitalActor):
+    def handle(self, message):
+        raise ValueError(message)
+
+class Component:
+    def start(self):
+        ref = Pools.start()
+        for _ in range(3):
+            ref.tell(object())
+    def stop(self):
+        print("stopped")
+
+app = Application("test")
+app.unfit_timeout_s = 2.0
+app.add(Component())
+if sys.argv[1] == "hangs":
+    app.on_unfit(threading.Event().wait)
+sys.exit(app.run())
+"""
+
+
+@pytest.mark.parametrize(("way", "output"), [("stops", "stopped\n"), ("hangs", "")])
+def test_unfit_application_ends_with_the_status_of_a_failure(way, output):
+    """Guards against a process whose actor fails each time, and that goes on or never ends."""
+    proc = subprocess.run(
+        [sys.executable, "-c", UNFIT_PROGRAM, way], capture_output=True, text=True, timeout=10
+    )
+    assert proc.returncode == ACTOR_FAILED_EXIT
+    assert proc.stdout == output
--- /dev/null
+++ b/tests/scheduling/test_failed_messages.py
@@ -0,0 +1,153 @@
+"""Tests for a broker that fails to handle a message."""
+
+import time
+
+import pytest
+
+from turmerictray.admission.pool_types import Outcome
+from turmerictray.config.routes import EngineSpec, RoutingConfig, ServiceSpec
+from turmerictray.core.errors import Draining, InternalFailure
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.reply import Reply
+from turmerictray.core.supervision import Supervisor, install_supervisor
+from turmerictray.core.timer import Tick
+from turmerictray.router.active_config import ActiveConfig, RetryLimits
+from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.prompt import PartId, Prompt, PromptPart
+from turmerictray.scheduling.broker import Broker
+from turmerictray.scheduling.broker_messages import (
+    Ask,
+    OnTick,
+    RefuseWaiting,
+    Settled,
+    TargetsChanged,
+    TargetsListed,
+    TextArrived,
+)
+
+LLM, TEAM, ZONE = ServiceName("llm"), TeamId("t"), ZoneId("z")
+ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
+
+
+class Unexpected(Exception):
+    """An exception that the broker does not know."""
+
+
+def fail(*_args: object) -> None:
+    raise Unexpected
+
+
+@pytest.fixture
+def broker():
+    supervisor = Supervisor(lambda: None)
+    install_supervisor(supervisor)
+    broker = Broker(NodeId("r1"), ZONE, 1, ActiveConfig(), RetryLimits())
+    broker.on_receive(TextArrived(config(1), "test"))
+    broker.on_receive(TargetsListed(ENGINES))
+    broker.supervisor = supervisor
+    yield broker
+    install_supervisor(None)
+
+
+def config(version: int, tokens: int = 600_000) -> RoutingConfig:
+    return RoutingConfig(version, services={LLM: ServiceSpec(LLM, EngineSpec(8, tokens))})
+
+
+def ask(broker: Broker, call_id: int, tokens: int = 1000) -> Reply:
+    reply, now = Reply(), time.monotonic()
+    prompt = Prompt((PromptPart(PartId(f"p{call_id}"), tokens),), tokens, 10)
+    request_id = RequestId(str(call_id))
+    broker.on_receive(
+        Ask(call_id, request_id, TEAM, LLM, tokens, prompt, now + 5, reply, answer_deadline=now + 9)
+    )
+    return reply
+
+
+def pool_of(broker: Broker):
+    return broker.pools.unsharded(LLM)
+
+
+def test_request_whose_message_fails_is_refused_without_a_trace(broker, monkeypatch):
+    """Guards against a caller that waits for the answer to a message that failed."""
+    pool = pool_of(broker)
+    monkeypatch.setattr(pool._dispatch_order, "add", fail)
+    reply = ask(broker, 1)
+    monkeypatch.undo()
+    assert isinstance(reply.exception(0), InternalFailure)
+    assert not len(pool.queue)
+    assert ask(broker, 2).result(0).target in ENGINES
+
+
+def test_request_whose_placement_fails_is_refused_alone(broker, monkeypatch):
+    """Guards against requests that wait behind one which fails each round of grants."""
+    pool = pool_of(broker)
+    place = pool._place
+
+    def place_others(context, fraction, now):
+        return fail() if context.call_id == 1 else place(context, fraction, now)
+
+    monkeypatch.setattr(pool, "_place", place_others)
+    first, second = ask(broker, 1), ask(broker, 2)
+    assert isinstance(first.exception(0), InternalFailure)
+    assert second.result(0).target in ENGINES
+
+
+def test_target_is_not_booked_after_the_end_of_a_request_failed(broker, monkeypatch):
+    """Guards against an engine that looks busy for ever with a request that has ended."""
+    pool = pool_of(broker)
+    target = ask(broker, 1).result(0).target.id
+    monkeypatch.setattr(pool, "settle", fail)
+    broker.on_receive(Settled(1, LLM, target, Outcome.DONE, 1000.0))
+    assert not pool.targets.loads[target].running
+
+
+def test_text_that_fails_leaves_the_last_good_one_in_force(broker, monkeypatch):
+    """Guards against a configuration that is half in force, or tried again for ever."""
+    update_shards = broker.pools.update_shards
+    calls = []
+
+    def update_once_failing():
+        calls.append(1)
+        return fail() if len(calls) == 1 else update_shards()
+
+    monkeypatch.setattr(broker.pools, "update_shards", update_once_failing)
+    for _ in range(5):
+        broker.on_receive(TextArrived(config(2, tokens=10), "test"))
+    assert broker.active_config.version == 1
+    assert pool_of(broker).targets.spec == config(1).services[LLM]
+    assert not broker.supervisor.is_unfit
+    broker.on_receive(TextArrived(config(3, tokens=70_000), "test"))
+    assert broker.active_config.version == 3
+    assert pool_of(broker).targets.spec == config(3, tokens=70_000).services[LLM]
+
+
+def test_target_whose_entry_fails_does_not_keep_others_from_being_listed(broker, monkeypatch):
+    """Guards against a list of targets of which one bad entry loses the rest."""
+    update = broker._update_target
+    monkeypatch.setattr(
+        broker, "_update_target", lambda info: fail() if info.id == "bad" else update(info)
+    )
+    infos = [TargetInfo(TargetId(name), LLM, "h:9", ZONE, 8) for name in ("bad", "new")]
+    for _ in range(5):
+        broker.on_receive(TargetsChanged(infos))
+    assert "new" in pool_of(broker).targets.loads
+    assert not broker.supervisor.is_unfit
+
+
+def test_hook_that_fails_does_not_keep_others_from_running(broker):
+    """Guards against keep-alives that stop because another hook of the tick fails."""
+    ran = []
+    broker.on_receive(OnTick((fail, ran.append)))
+    broker.on_receive(Tick("expire", time.monotonic()))
+    assert ran
+
+
+def test_unfit_broker_refuses_all_that_waits_and_arrives(broker):
+    """Guards against callers that wait for a router which is about to be replaced."""
+    waiting = [ask(broker, call_id, tokens=60_000) for call_id in range(1, 9)]
+    broker.on_receive(RefuseWaiting())
+    refused = [reply for reply in waiting if isinstance(reply.exception(0), Draining)]
+    assert refused
+    assert all(reply.done() for reply in waiting)
+    assert isinstance(ask(broker, 10).exception(0), Draining)
+    assert not len(pool_of(broker).queue)
--- a/turmerictray/admission/dispatch_order.py
+++ b/turmerictray/admission/dispatch_order.py
@@ -41,6 +41,14 @@
         """Return at most ``limit`` of a team's requests, the next to be dispatched first."""
         return self._teams[team].next_requests(limit)
 
+    def request_ids(self) -> set[int]:
+        """Return the identities (:func:`id`) of the requests."""
+        return {
+            id(pending)
+            for order in self._teams.values()
+            for pending in order.next_requests(len(order))
+        }
+
     def total_work(self) -> float:
         """Return the work of all pending requests.
 
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -16,7 +16,13 @@
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.cold_targets import ColdTargets
 from turmerictray.admission.dispatch_order import OLDEST_REQUEST_INTERVAL, DispatchOrder
-from turmerictray.admission.pool_types import Dispatch, Outcome, PlacementContext, PoolState
+from turmerictray.admission.pool_types import (
+    Dispatch,
+    Outcome,
+    PlacementContext,
+    PlacementFailed,
+    PoolState,
+)
 from turmerictray.admission.team_dispatch_order import request_work
 from turmerictray.admission.throughput import Throughput
 from turmerictray.admission.window import (
@@ -304,7 +310,7 @@
             for pending in self._next_requests(team):
                 if not attempts.remaining or not should_attempt(pending.context, fraction):
                     continue
-                placement = self._place(pending.context, fraction, now)
+                placement = self._place_or_remove(pending, fraction, now)
                 if placement is None:
                     attempts.remaining -= 1
                     continue
@@ -316,6 +322,23 @@
                     heappush(teams, (self.queue.sort_key(team), team))
                 break
 
+    def _place_or_remove(
+        self, pending: PendingRequest, fraction: float, now: float
+    ) -> Placement | None:
+        """Place a request; remove it if that fails unexpectedly.
+
+        Raises
+        ------
+        PlacementFailed
+            The request was removed.
+        """
+        try:
+            return self._place(pending.context, fraction, now)
+        except Exception as exc:
+            self._remove(pending)
+            self.release(pending.context)
+            raise PlacementFailed(pending) from exc
+
     def _is_reservation_valid(self, context: PlacementContext, now: float) -> bool:
         """Return whether a request waits for a target that still accepts requests."""
         load = context.reserved_target
@@ -580,6 +603,44 @@
             self.ledger.settle(call.team, call.charged, cost)
         return call is not None
 
+    def forget_call(self, target: TargetId, call_id: int) -> None:
+        """Remove a call from a target without learning from its end."""
+        load = self.targets.loads.get(target)
+        if load is not None:
+            load.record_end(call_id)
+
+    def waiting_requests(self) -> list[PendingRequest]:
+        """Return the pending requests, team by team, oldest first."""
+        return [
+            pending
+            for team in self.queue.backlogged()
+            for pending in self.queue.waiting(team, self.queue.depth(team))
+        ]
+
+    def take_waiting(self) -> list[PendingRequest]:
+        """Remove and return all pending requests."""
+        waiting = self.waiting_requests()
+        for pending in waiting:
+            self._remove(pending)
+            self.release(pending.context)
+        return waiting
+
+    def repair_order(self) -> int:
+        """Make the dispatch order list exactly the pending requests again.
+
+        Returns
+        -------
+        int
+            Number of requests that were missing from it, or listed although they don't wait.
+        """
+        waiting = self.waiting_requests()
+        wrong = {id(pending) for pending in waiting} ^ self._dispatch_order.request_ids()
+        if wrong:
+            self._dispatch_order = DispatchOrder()
+            for pending in waiting:
+                self._dispatch_order.add(pending, front=False)
+        return len(wrong)
+
     def drop_lost_calls(self, alive: Collection[str], now: float) -> int:
         """Remove the calls of routers that are gone and calls whose end was never reported.
 
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -91,6 +91,14 @@
     placement: Placement
 
 
+class PlacementFailed(Exception):
+    """The placement of a pending request failed unexpectedly; the request was removed."""
+
+    def __init__(self, pending: PendingRequest) -> None:
+        super().__init__(f"placement of {pending.req_id}")
+        self.pending = pending
+
+
 @dataclass(frozen=True)
 class PoolState:
     """Load and progress of a pool, for operators.
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -25,6 +25,11 @@
         "starting",
         "settings_refused",
         "text_refused",
+        "text_failed",
+        "actor_failed",
+        "thread_failed",
+        "state_repaired",
+        "unfit",
     }
 )
 
@@ -32,6 +37,8 @@
     "no_config": "the router had not received a routing configuration yet",
     "no route": "no route of the active configuration matches the host and path",
     "unknown key": "no team of the active configuration has this API key",
+    "internal_failure": "the router failed unexpectedly before it had sent the request to a target",
+    "unfit": "the router failed repeatedly and was about to be replaced",
     "no_target": "no target of the service was available for another attempt",
     "backlog_full": "the team had more pending requests on this router than could be served",
     "queue_full": "the team had too many pending requests on this router",
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -3,12 +3,14 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
 import pykka
 
 from turmerictray.core.logs import close_logs, log_event
+from turmerictray.core.supervision import current_supervisor, log_failure
 
 ACTOR_FAILED_EXIT = 71
 """Exit status of a process that ends because one of its actors failed."""
@@ -57,15 +59,30 @@
 
 
 class VitalActor(BackgroundActor):
-    """An actor whose failure terminates its process.
+    """An actor that a process can't do without.
+
+    Subclasses handle messages in :meth:`handle`. A message whose handling raises an unexpected
+    exception fails alone: it is logged and counted, its sender is answered None, and the actor goes
+    on. If failures recur, the process is unfit; see
+    :class:`~turmerictray.core.supervision.Supervisor`. A process without a supervisor terminates at
+    the first failure.
 
     By default only the actor that raised stops. A router without the actor that owns its pools
     would still report that it is ready but refuse every request, and one without its peer link
-    would run isolated, until somebody notices. A terminated router is restarted within a second.
+    would run isolated, until somebody notices.
 
     Subclasses acquire their resources in :meth:`open`, not in ``on_start``.
+
+    Attributes
+    ----------
+    uncounted_messages : tuple of type
+        Messages whose failures make no process unfit: documents and reports of peers. The same ones
+        reach all routers, so that replacing each of them would help none.
     """
 
+    uncounted_messages: tuple[type, ...] = ()
+    _last_failed_message: object = None
+
     def on_start(self) -> None:
         """Acquire the actor's resources; terminate the process if that fails."""
         try:
@@ -78,23 +95,97 @@
     def open(self) -> None:
         """Acquire the actor's resources, on its own thread before the first message."""
 
+    def on_receive(self, message: object) -> object:
+        """Handle a message, and contain an unexpected exception."""
+        self._last_failed_message = None
+        try:
+            result = self.handle(message)
+        except pykka.ActorDeadError:
+            self._log_gone()
+        except Exception as exc:
+            if current_supervisor() is None:
+                raise
+            self.note_failure(message, exc)
+            self._undo(message, exc)
+        else:
+            self._note_success(message)
+            return result
+        return None
+
+    def handle(self, message: object) -> object:
+        """Handle a message; the result is the answer to whoever asked."""
+        raise NotImplementedError
+
+    def on_message_failed(self, message: object, exc: Exception) -> None:
+        """Undo what a message that failed has left, and refuse what it asked for."""
+
+    def contain(self, work: Callable[[], object], message: object) -> bool:
+        """Do a part of the work on a message; contain an exception of that part alone.
+
+        Returns
+        -------
+        bool
+            Whether the part was done.
+        """
+        try:
+            work()
+        except pykka.ActorDeadError:
+            self._log_gone()
+        except Exception as exc:
+            if current_supervisor() is None:
+                raise
+            self.note_failure(message, exc)
+            return False
+        return True
+
+    def note_failure(self, message: object, exc: BaseException) -> None:
+        """Log and count an unexpected exception that a message has caused."""
+        self._log_failure(message, exc)
+        supervisor = current_supervisor()
+        is_repeated, self._last_failed_message = self._last_failed_message is message, message
+        if supervisor is None or is_repeated or isinstance(message, self.uncounted_messages):
+            return
+        supervisor.record_failure(self._kind(message))
+
+    def _note_success(self, message: object) -> None:
+        supervisor = current_supervisor()
+        if supervisor is not None and self._last_failed_message is not message:
+            supervisor.record_success(self._kind(message))
+
+    def _undo(self, message: object, exc: Exception) -> None:
+        try:
+            self.on_message_failed(message, exc)
+        except Exception as undo_exc:  # noqa: BLE001 - the actor goes on in any case
+            self._log_failure(message, undo_exc)
+
+    def _kind(self, message: object) -> str:
+        return f"{type(self).__name__}:{type(message).__name__}"
+
+    def _log_gone(self) -> None:
+        # The actor that was asked or told has been stopped on purpose.
+        log_event("actor_gone", level="WARNING", asked_by=type(self).__name__)
+
+    def _log_failure(self, message: object, exc: BaseException) -> None:
+        part = type(self).__name__
+        log_failure(
+            "actor_failed",
+            part,
+            exc,
+            actor=part,
+            message=type(message).__name__,
+            req=getattr(message, "req_id", "-"),
+        )
+
     def on_failure(
         self,
         exception_type: type[BaseException] | None,
         exception_value: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Log the failure and terminate the process."""
+        """Terminate the process: the actor could not start, or nothing supervises it."""
         if isinstance(exception_value, pykka.ActorDeadError):
-            # The actor that was asked has been stopped on purpose, or its own failure is about to
-            # terminate the process.
-            log_event("actor_gone", level="WARNING", asked_by=type(self).__name__)
+            self._log_gone()
             return
-        log_event(
-            "actor_failed",
-            level="ERROR",
-            actor=type(self).__name__,
-            reason=repr(exception_value)[:200],
-        )
+        self._log_failure(None, exception_value)
         close_logs()
         os._exit(ACTOR_FAILED_EXIT)
--- a/turmerictray/core/app.py
+++ b/turmerictray/core/app.py
@@ -4,13 +4,16 @@
 order, also when a start fails halfway, so that every resource is released.
 """
 
+import os
 import signal
 import sys
 import threading
 from collections.abc import Callable
 from typing import Protocol
 
-from turmerictray.core.logs import log_event
+from turmerictray.core.actor import ACTOR_FAILED_EXIT
+from turmerictray.core.logs import close_logs, log_event
+from turmerictray.core.supervision import Supervisor, install_supervisor, log_thread_failures
 
 THREAD_SWITCH_INTERVAL_S = 0.0005
 """Thread switch interval of the interpreter, a tenth of its default. A thread that accepts
@@ -19,6 +22,10 @@
 senders look unresponsive."""
 
 
+_UNFIT_STOP_TIMEOUT_S = 8.0
+"""An unfit process that has not stopped after this time is terminated."""
+
+
 class Component(Protocol):
     """A component of a process that is started and stopped with it."""
 
@@ -32,10 +39,19 @@
 class Application:
     """Runs components and turns SIGTERM and SIGINT into a graceful stop.
 
+    A process whose actors or threads fail repeatedly is stopped as well.
+
     Parameters
     ----------
     name : str
         Name of the application in log events.
+
+    Attributes
+    ----------
+    supervisor : Supervisor
+        Counts the unexpected exceptions of the process's actors and threads.
+    unfit_timeout_s : float
+        Time that an unfit process may take to stop, in seconds.
     """
 
     def __init__(self, name: str) -> None:
@@ -45,6 +61,10 @@
         self._stop_requested = threading.Event()
         self._is_up = False
         self._signalled_before_up = False
+        self.supervisor = Supervisor(self._handle_unfit)
+        self.unfit_timeout_s = _UNFIT_STOP_TIMEOUT_S
+        self._exit_code = 0
+        self._on_unfit: Callable[[], None] = self.request_failed_stop
         self._on_signal: list[Callable[[], None]] = []
         self._on_reload: list[Callable[[], None]] = []
 
@@ -61,10 +81,22 @@
         """Call ``hook`` on its own thread when SIGHUP arrives."""
         self._on_reload.append(hook)
 
+    def on_unfit(self, hook: Callable[[], None]) -> None:
+        """Call ``hook`` on its own thread, once, when failures recur; it has to stop the process.
+
+        Without a hook the process stops at once.
+        """
+        self._on_unfit = hook
+
     def request_stop(self) -> None:
         """Make :meth:`run` stop all components and return."""
         self._stop_requested.set()
 
+    def request_failed_stop(self) -> None:
+        """Make :meth:`run` stop all components and return the status of a failure."""
+        self._exit_code = ACTOR_FAILED_EXIT
+        self.request_stop()
+
     def start(self) -> None:
         """Start all components in order; on failure, stop those already started."""
         try:
@@ -87,8 +119,10 @@
         log_event("app_stopped", app=self.name)
 
     def run(self) -> int:
-        """Start, wait for a stop request or a signal, stop, and return the exit code 0."""
+        """Start, wait for a stop request or a signal, stop, and return the exit code."""
         sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
+        install_supervisor(self.supervisor)
+        log_thread_failures()
         signal.signal(signal.SIGTERM, self._handle_signal)
         signal.signal(signal.SIGINT, self._handle_signal)
         # The default action of SIGHUP would terminate the process; here it only announces that the
@@ -103,7 +137,13 @@
                 pass
         finally:
             self.stop()
-        return 0
+        return self._exit_code
+
+    def _handle_unfit(self) -> None:
+        threading.Thread(target=self._on_unfit, name="unfit-hook", daemon=True).start()
+        watchdog = threading.Timer(self.unfit_timeout_s, _terminate)
+        watchdog.daemon = True
+        watchdog.start()
 
     def _handle_reload(self, signum: int, _frame: object) -> None:
         log_event("signal", app=self.name, signum=signum)
@@ -125,3 +165,10 @@
             return
         for hook in self._on_signal:
             threading.Thread(target=hook, name="signal-hook", daemon=True).start()
+
+
+def _terminate() -> None:
+    """End an unfit process whose components don't stop."""
+    log_event("unfit_stop_overdue", level="ERROR")
+    close_logs()
+    os._exit(ACTOR_FAILED_EXIT)
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -110,6 +110,10 @@
     """The router has not yet caught up with its peers' configuration."""
 
 
+class InternalFailure(AdmissionError):
+    """The handling of the request failed unexpectedly before it was sent to a target."""
+
+
 class NoTarget(AdmissionError):
     """No live target serves the requested service."""
 
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -89,6 +89,12 @@
     ["outcome"],
     registry=REGISTRY,
 )
+UNEXPECTED_EXCEPTIONS = Counter(
+    "turmerictray_unexpected_exceptions_total",
+    "Exceptions that no code expected, by actor or thread.",
+    ["part"],
+    registry=REGISTRY,
+)
 CLAIMS = Counter(
     "turmerictray_claims_total",
     "Claims on keys of non-idempotent requests, by verdict.",
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -80,10 +80,10 @@
             self._req.close()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         log_unknown_message(message)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: AskHome) -> None:
         # Waiting for the timeout with every order while a peer is down would queue the orders
         # here. After one timeout the peer is considered unreachable for a second, in which the
@@ -95,7 +95,7 @@
             self._unconfirmed_releases.append((time.monotonic(), msg.request))
         msg.reply.try_set_result(answer.vote if isinstance(answer, Voted) else Vote.UNREACHABLE)
 
-    @on_receive.register
+    @handle.register
     def _(self, _msg: Tick) -> None:
         self._repeat_releases()
         requested_at = time.monotonic()
--- a/turmerictray/orders/replica.py
+++ b/turmerictray/orders/replica.py
@@ -15,6 +15,7 @@
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.member import Member
+from turmerictray.core.supervision import SupervisedThread
 from turmerictray.core.timer import Tick
 from turmerictray.orders.messages import AskHome, HomeQuery, HomeState, Synced
 from turmerictray.orders.table import ClaimTable
@@ -62,14 +63,14 @@
         self.table = ClaimTable(node, members, time.monotonic())
         self._closing = threading.Event()
         self._rep: pynng.Rep0 | None = None
-        self._thread: threading.Thread | None = None
+        self._thread: SupervisedThread | None = None
 
     def open(self) -> None:
         try:
             self._rep = pynng.Rep0(listen=self.listen, recv_timeout=_RECV_TIMEOUT_MS)
         except pynng.NNGException as exc:
             raise PeerError(f"cannot listen on {self.listen}: {exc}") from exc
-        self._thread = threading.Thread(target=self._serve_peers, name="claims-reader", daemon=True)
+        self._thread = SupervisedThread(self._serve_peers, "claims-reader")
         self._thread.start()
 
     def on_stop(self) -> None:
@@ -78,40 +79,40 @@
             self._rep.close()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> ReplicaAnswer | None:
+    def handle(self, message: object) -> ReplicaAnswer | None:
         log_unknown_message(message)
         return None
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: AskHome) -> None:
-        vote = self.on_receive(msg.request).vote
+        vote = self.handle(msg.request).vote
         msg.reply.try_set_result(vote)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Take) -> Voted:
         return Voted(self.table.acquire(msg.key, msg.holder, self._retention_s(), time.monotonic()))
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Release) -> Voted:
         self.table.release(msg.key, msg.holder)
         return Voted(Vote.GRANTED)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Sync) -> Records:
         return Records(self.node, self.table.records_for(msg.node, time.monotonic()))
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Synced) -> None:
         answer = msg.answer
         self.table.merge_records(answer.source, answer.records, msg.requested_at, time.monotonic())
         log_event("claims_synced", peer=answer.source, records=len(answer.records))
 
-    @on_receive.register
+    @handle.register
     def _(self, _msg: HomeQuery) -> HomeState:
         vouching = self.table.is_complete(self._retention_s(), time.monotonic())
         return HomeState(len(self.table), sorted(self.table.synced), vouching)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Tick) -> None:
         self.table.expire(self._retention_s(), msg.now)
         metrics.CLAIMS_KEPT.set(len(self.table))
@@ -137,7 +138,9 @@
     def _answer(self, data: bytes) -> bytes:
         try:
             request: ReplicaRequest = REQUEST_DECODER.decode(data)
-            return ENCODER.encode(self.actor_ref.ask(request, timeout=_ASK_TIMEOUT_S))
+            answer = self.actor_ref.ask(request, timeout=_ASK_TIMEOUT_S)
+            if answer is not None:
+                return ENCODER.encode(answer)
         except msgspec.DecodeError:
             log_event("peer_bad_message", level="WARNING", size=len(data))
         except (pykka.ActorDeadError, pykka.Timeout):
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -68,24 +68,24 @@
         self.client.close()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         log_unknown_message(message)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: PeerSummary) -> None:
         self.last_heartbeat[msg.counters.node] = time.monotonic()
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: ConfigConfirmed) -> None:
         self.confirmed = msg
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Listing) -> None:
         self.unavailable = {
             name for name, state in msg.states.items() if state is not TargetState.LIVE
         }
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Tick) -> None:
         cfg = self.snapshot.current
         if cfg is None or msg.is_late() or not self._is_startup_complete():
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -119,6 +119,8 @@
         ``tcp://host:port`` of the other routers that this one contacts first.
     """
 
+    uncounted_messages = (PeerMessage,)
+
     def __init__(
         self,
         published_copy: PublishedCopy,
@@ -145,11 +147,11 @@
         self._next_confirmation_at = -math.inf
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> SilentPeers | None:
+    def handle(self, message: object) -> SilentPeers | None:
         log_unknown_message(message)
         return None
 
-    @on_receive.register
+    @handle.register
     def _(self, message: PeerMessage) -> None:
         peer, local = position_of_summary(message.summary), self._position()
         now = time.monotonic()
@@ -174,20 +176,20 @@
             self._seeds.record(message.sender.address, now)
             self._check_startup()
 
-    @on_receive.register
+    @handle.register
     def _(self, message: RoutersAlive) -> None:
         if self._startup_check is not None:
             self._startup_check.set_members(message.nodes)
 
-    @on_receive.register
+    @handle.register
     def _(self, message: CheckStartup) -> None:
         self._check_startup()
 
-    @on_receive.register
+    @handle.register
     def _(self, message: SilentPeersQuery) -> SilentPeers:
         return SilentPeers(self._seeds.silent(time.monotonic()), self._startup_check is None)
 
-    @on_receive.register
+    @handle.register
     def _(self, message: PeersProbed) -> None:
         self._accepting_seeds = {
             seed for seed, result in message.results.items() if result is Reachability.ACCEPTS
--- a/turmerictray/router/daemon.py
+++ b/turmerictray/router/daemon.py
@@ -14,7 +14,7 @@
 from turmerictray.config.load import load_settings, parse_config
 from turmerictray.config.settings import RouterSettings
 from turmerictray.config.snapshot import ConfigSnapshot
-from turmerictray.core.actor import stop_actors
+from turmerictray.core.actor import ask_with_timeout, stop_actors
 from turmerictray.core.app import Application
 from turmerictray.core.errors import ConfigError, SettingsError
 from turmerictray.core.ids import NodeId, ZoneId
@@ -42,7 +42,11 @@
 
 _EXPIRY_INTERVAL_S = 0.1
 _DRAIN_POLL_INTERVAL_S = 0.1
+_STATUS_TIMEOUT_S = 5.0
 _CLAIMS_INTERVAL_S = 0.5
+
+_UNFIT_MARGIN_S = 5.0
+"""Time beyond that of a drain in which an unfit process has to stop."""
 _ACTORS_STOP_TIMEOUT_S = 5.0
 
 
@@ -85,6 +89,8 @@
         self.app.add(_ActorsComponent(self))
         self.app.add(_FrontComponent(self))
         self.app.on_signal(self.drain_and_stop)
+        self.app.on_unfit(self._drain_unfit)
+        self.app.unfit_timeout_s = settings.drain_timeout_s + _UNFIT_MARGIN_S
 
     def start_actors(self) -> None:
         """Start all actors and subscribe the periodic ones to the timer."""
@@ -184,22 +190,33 @@
 
         Only the first call has an effect.
         """
+        if self._drain():
+            self.app.request_stop()
+
+    def _drain_unfit(self) -> None:
+        if self._drain():
+            self.app.request_failed_stop()
+
+    def _drain(self) -> bool:
+        """Drain; return False if that has begun before."""
         if not self._draining.acquire(blocking=False):
-            return
+            return False
         if self.front is not None:
             self.front.draining = True
         self.dispatcher.tell(Drain())
         state = self._wait_idle(time.monotonic() + self.settings.drain_timeout_s)
-        log_event("drain_done", inflight=state.inflight, queued=state.queued)
-        self.app.request_stop()
+        if state is not None:
+            log_event("drain_done", inflight=state.inflight, queued=state.queued)
+        return True
 
-    def _wait_idle(self, deadline: float) -> RouterStatus:
+    def _wait_idle(self, deadline: float) -> RouterStatus | None:
         # Between two attempts a request is briefly neither queued nor in flight. Stopping at that
         # moment would abort it, so two consecutive polls must find the router idle.
         idle_polls = 0
         while True:
-            state = self.dispatcher.ask(StatusQuery(), timeout=5)
-            idle_polls = idle_polls + 1 if state.inflight == 0 and state.queued == 0 else 0
+            state = ask_with_timeout(self.dispatcher, StatusQuery(), _STATUS_TIMEOUT_S)
+            is_idle = state is not None and state.inflight == 0 and state.queued == 0
+            idle_polls = idle_polls + 1 if is_idle else 0
             if idle_polls == 2 or time.monotonic() >= deadline:
                 return state
             time.sleep(_DRAIN_POLL_INTERVAL_S)
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -18,6 +18,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     Draining,
+    InternalFailure,
     NoTarget,
     QueueFull,
     QueueTimeout,
@@ -56,6 +57,9 @@
 from turmerictray.routing.table import TargetTable
 from turmerictray.routing.target import TargetState, TargetView
 
+_FAILED_RETRY_AFTER_S = 1.0
+"""Retry-After in seconds of a request whose own message failed unexpectedly."""
+
 _STARTING_RETRY_AFTER_S = 1.0
 
 INVARIANT_EXIT_STATUS = 70
@@ -133,7 +137,7 @@
         self.min_config_version = 0
 
     def on_receive(self, message: object) -> object:
-        result = self.handle(message)
+        result = super().on_receive(message)
         if self.assertions:
             try:
                 self._check_invariants()
@@ -147,6 +151,12 @@
                 os._exit(INVARIANT_EXIT_STATUS)
         return result
 
+    def on_message_failed(self, message: object, _exc: Exception) -> None:
+        if isinstance(message, Admit):
+            # The queue drops a request whose reply is complete.
+            failure = InternalFailure("internal_failure", _FAILED_RETRY_AFTER_S)
+            message.reply.try_set_exception(failure)
+
     @singledispatchmethod
     def handle(self, message: object) -> object:
         log_unknown_message(message)
--- a/turmerictray/router/fetch_config.py
+++ b/turmerictray/router/fetch_config.py
@@ -38,10 +38,10 @@
         self._http.clear()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         log_unknown_message(message)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: PeerHasNewer) -> None:
         if msg.version <= self._version:
             return
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -15,11 +15,13 @@
     CallerError,
     CallerGone,
     Draining,
+    InternalFailure,
     NoConfig,
     RouterFull,
     Starting,
     TurmerictrayError,
 )
+from turmerictray.core.supervision import report_item_failure
 from turmerictray.router.active_config import ActiveConfig
 from turmerictray.router.answers import error_answer
 from turmerictray.router.routed_request import RoutedRequest, authenticate_team
@@ -39,6 +41,8 @@
 routers that all start together need about this long; an earlier return would be refused again."""
 _DRAINING_RETRY_S = 0.05
 """Retry-After while this router drains; another router serves the caller at once."""
+_FAILED_RETRY_S = 0.1
+"""Retry-After after an unexpected exception; another router may serve the request."""
 _FULL_RETRY_S = 0.2
 """Retry-After of a full router; some of the streams in progress will have ended by then."""
 
@@ -120,6 +124,9 @@
             trace.end("caller_gone", 0, str(exc))
         except TurmerictrayError as exc:
             self._fail(exchange, exc, trace, call)
+        except Exception as exc:  # noqa: BLE001 - the caller has to get a truthful answer
+            report_item_failure("front", exc, req=trace.request_id)
+            self._fail(exchange, _to_final_error(exc, trace), trace, call)
 
     def _serve(
         self, exchange: ClientExchange, body: bytes, call: CancellableCall, trace: RequestTrace
@@ -200,3 +207,11 @@
             trace.end("caller_gone", 0, str(gone))
             return
         trace.end("refused", answer.status, f"{type(exc).__name__}: {exc}")
+
+
+def _to_final_error(exc: Exception, trace: RequestTrace) -> TurmerictrayError:
+    """Return what a caller is told of its request after an unexpected exception."""
+    failure = InternalFailure("internal_failure", _FAILED_RETRY_S)
+    failure.__cause__ = exc
+    progress = trace.progress
+    return failure if progress is None else progress.final_error(failure, timed_out=False)
--- a/turmerictray/router/front.py
+++ b/turmerictray/router/front.py
@@ -22,6 +22,7 @@
 
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core import metrics
+from turmerictray.core.actor import ask_with_timeout
 from turmerictray.core.errors import CallerError, NoConfig, TurmerictrayError
 from turmerictray.core.logs import log_event
 from turmerictray.router.answers import error_answer
@@ -30,6 +31,7 @@
 from turmerictray.router.request import read_model_request, read_service_request
 
 _NO_CONFIG_RETRY_AFTER_S = 1.0
+_STATUS_TIMEOUT_S = 5.0
 _MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 
 
@@ -82,7 +84,9 @@
                 b'{"draining": %s}' % (b"true" if self.draining else b"false"),
             )
         if path == "/status":
-            state = self.dispatcher.ask(StatusQuery(), timeout=5)
+            state = ask_with_timeout(self.dispatcher, StatusQuery(), _STATUS_TIMEOUT_S)
+            if state is None:
+                return _send(start_response, 503, b'{"error": {"type": "busy"}}')
             router_status = msgspec.structs.replace(state, orders=self.proxy.guard.state())
             return _send(start_response, 200, msgspec.json.encode(router_status))
         if path == "/admin/config":
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -161,6 +161,8 @@
             self.app.add(component)
         self.app.add(_Component(self._start_servers, self._stop_servers))
         self.app.on_signal(self.drain_and_stop)
+        self.app.on_unfit(self._drain_unfit)
+        self.app.unfit_timeout_s = settings.grace_s
 
     def run(self) -> int:
         """Run until stopped; return the exit code."""
@@ -341,18 +343,42 @@
         """Report not ready, serve arriving requests and those in progress, then stop."""
         if not self._draining.acquire(blocking=False):
             return
-        begun_at = time.monotonic()
-        self._is_draining = True
-        self._front.drain()
-        self._link.tell(Leave())
-        log_event("drain_started", in_progress=len(self._watch))
+        begun_at = self._begin_drain()
         time.sleep(_UNREADY_DETECTION_S)
         self._flow.refuse_new()
+        self._finish_drain(begun_at)
+        self.app.request_stop()
+
+    def _drain_unfit(self) -> None:
+        """Refuse what waits for a target, let the answers in progress finish, then stop."""
+        if not self._draining.acquire(blocking=False):
+            return
+        begun_at = self._begin_drain()
+        if self._flow is not None:
+            self._flow.refuse_new()
+        self._placement_client.refuse_waiting()
+        # Until the load balancer notices, callers connect; a refusal tells them more than a reset.
+        time.sleep(_UNREADY_DETECTION_S)
+        self._finish_drain(begun_at)
+        self.app.request_failed_stop()
+
+    def _begin_drain(self) -> float:
+        """Report not ready, here and to peers; return when, in monotonic seconds."""
+        self._is_draining = True
+        if self._front is not None:
+            self._front.drain()
+        try:
+            self._link.tell(Leave())
+        except pykka.ActorDeadError:
+            log_event("actor_gone", level="WARNING", asked_by="drain")
+        log_event("drain_started", in_progress=len(self._watch))
+        return time.monotonic()
+
+    def _finish_drain(self, begun_at: float) -> None:
         self._wait_idle(begun_at + self.settings.grace_s - _STOP_RESERVE_S)
         log_event(
             "drain_done", in_progress=len(self._watch), s=round(time.monotonic() - begun_at, 2)
         )
-        self.app.request_stop()
 
     def _wait_idle(self, deadline: float) -> None:
         while time.monotonic() < deadline and len(self._watch):
@@ -367,10 +393,14 @@
             and active_config.targets_listed
             and active_config.caught_up
         )
-        ready = ready and not self._is_draining and not self._is_overloaded
+        is_fit = not self.app.supervisor.is_unfit and self._actors_run()
+        ready = ready and is_fit and not self._is_draining and not self._is_overloaded
         body = msgspec.json.encode({"ready": ready, "text_version": self._active_config.version})
         return Page(200 if ready else 503, body)
 
+    def _actors_run(self) -> bool:
+        return all(actor.is_alive() for actor in (self._broker, self._catch_up, self._link))
+
     def _published_page(self, docs: PublishedDocs) -> Page:
         docs = msgspec.structs.replace(docs, **self._readers.continuity()._asdict())
         return Page(200, msgspec.json.encode(docs))
--- a/turmerictray/router/peer_prober.py
+++ b/turmerictray/router/peer_prober.py
@@ -36,10 +36,10 @@
         self._probe()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         log_unknown_message(message)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Tick) -> None:
         if not msg.is_late():
             self._probe()
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -21,6 +21,7 @@
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread
 from turmerictray.core.timer import Tick
 from turmerictray.fairness.ledger import PeerCounters
 from turmerictray.router.messages import PeerHasNewer, PeerSummary, ReportQuery
@@ -133,7 +134,7 @@
         self._closing = threading.Event()
         self.pub: pynng.Pub0 | None = None
         self.sub: pynng.Sub0 | None = None
-        self._reader: threading.Thread | None = None
+        self._reader: SupervisedThread | None = None
 
     def open(self) -> None:
         try:
@@ -144,7 +145,7 @@
         self.sub.subscribe(b"")
         for addr in self.peers.values():
             self.sub.dial(addr, block=False)
-        self._reader = threading.Thread(target=self._receive, name="peer-reader", daemon=True)
+        self._reader = SupervisedThread(self._receive, "peer-reader")
         self._reader.start()
         log_event("peer_link_started", listen=self.listen, peers=len(self.peers))
 
@@ -156,7 +157,7 @@
             if sock is not None:
                 sock.close()
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         if isinstance(message, Tick):
             if message.is_late():
                 metrics.HEARTBEATS.labels("late_tick").inc()
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -347,6 +347,11 @@
             conn.close()
             self._settle_broken_attempt(exc, granted, slot)
             raise
+        except Exception:
+            # Left open, the connection would keep the target at work on a request that is given up.
+            conn.close()
+            self._progress.record_possible_run(target.id)
+            raise
         finally:
             self._call.on_disconnect(None)
         self._progress.delivered_attempts += 1
--- a/turmerictray/router/settings_reloader.py
+++ b/turmerictray/router/settings_reloader.py
@@ -49,7 +49,7 @@
         self._link = link
         self._refused = ""
 
-    def on_receive(self, message: Tick | Reload) -> None:
+    def handle(self, message: Tick | Reload) -> None:
         """Read the settings and send the changes to the peer link and the broker."""
         try:
             settings = self._load()
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -81,11 +81,15 @@
             first = metrics.FIRST_ANSWER_TIME.labels(self.routed.service)
             first.observe(self.first_at - self.arrived)
 
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave the request."""
+        return self.head.headers.get("X-Request-Id", "-")
+
     def _fields(self) -> dict[str, object]:
         routed = self.routed
         if routed is None:
-            req_id = self.head.headers.get("X-Request-Id", "-")
-            return {"req": req_id, "method": self.head.method, "path": self.head.path[:80]}
+            return {"req": self.request_id, "method": self.head.method, "path": self.head.path[:80]}
         fields: dict[str, object] = {
             "req": routed.envelope.request_id,
             "team": routed.accounting_team,
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -73,7 +73,7 @@
     def on_stop(self) -> None:
         self.http.clear()
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         if isinstance(message, _Poll):
             self._poll()
             if self.actor_ref.is_alive():
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -50,7 +50,7 @@
     def on_stop(self) -> None:
         self.http.clear()
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         if not isinstance(message, Tick) or message.is_late():
             return
         try:
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -45,7 +45,7 @@
     def on_stop(self) -> None:
         self.http.clear()
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         if not isinstance(message, Tick) or message.is_late():
             return
         targets = ask_with_timeout(self.dispatcher, TargetsQuery(), _TARGETS_TIMEOUT_S)
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -3,12 +3,12 @@
 import math
 import time
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.cold_targets import ColdTargets
 from turmerictray.admission.pool import NO_TARGET_RETRY_S, ServicePool
-from turmerictray.admission.pool_types import Dispatch, PlacementContext
+from turmerictray.admission.pool_types import Dispatch, PlacementContext, PlacementFailed
 from turmerictray.admission.window import ENGINE_WINDOW_S
 from turmerictray.config.routes import RoutingConfig
 from turmerictray.core import metrics
@@ -16,6 +16,8 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    Draining,
+    InternalFailure,
     NoTarget,
     Quarantined,
     QueueTimeout,
@@ -55,6 +57,7 @@
     OnTick,
     PartsReadElsewhere,
     PeerHeard,
+    RefuseWaiting,
     RoutersAlive,
     ServiceHeard,
     Settled,
@@ -68,6 +71,7 @@
     Withdraw,
     ZonesEvacuated,
 )
+from turmerictray.scheduling.failed_messages import FAILED_RETRY_AFTER_S, FailedMessages
 from turmerictray.scheduling.grant_throttle import GrantThrottle
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.pool_gauges import PoolGauges
@@ -77,6 +81,9 @@
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
 
+_DRAINING_RETRY_AFTER_S = 0.05
+"""Retry-After in seconds when this process is about to be replaced; another router may serve."""
+
 _BUDGET_RETRY_AFTER_S = 0.5
 """Retry-After in seconds when a service's retry budget is used up."""
 
@@ -100,6 +107,18 @@
         Tolerance above the rate that cold targets bear; None for none.
     """
 
+    uncounted_messages = (
+        TextArrived,
+        TargetsListed,
+        TargetsChanged,
+        ZonesEvacuated,
+        PeerHeard,
+        ServiceHeard,
+        PartsReadElsewhere,
+        StreamsBegunElsewhere,
+        KeptHeard,
+    )
+
     def __init__(
         self,
         node: NodeId,
@@ -120,6 +139,7 @@
         self.cold_limits = cold_limits or ColdLimits()
         self.ledger = RecentUsage(node)
         self.pools = ServicePools(self._make_pool)
+        self._failed_messages = FailedMessages(self.pools)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
         self.send_streams_begun: SendReport | None = None
@@ -136,14 +156,20 @@
         self.gossip_usage_changes = ChangedUsage()
         self._gauges = PoolGauges()
         self._swept_revision = 0
+        self._is_closing = False
         self._parts_report_due_at = -math.inf
         self._grants = GrantThrottle(self._grant_ready, self.actor_inbox.empty)
 
     def on_receive(self, message: object) -> object:
-        result = self.handle(message)
-        self._grants.run_due()
+        result = super().on_receive(message)
+        if not self.contain(self._grants.run_due, message):
+            self._failed_messages.repair()
         return result
 
+    def on_message_failed(self, message: object, exc: Exception) -> None:
+        self._failed_messages.undo(message, exc)
+        self._failed_messages.repair()
+
     @singledispatchmethod
     def handle(self, message: object) -> object:
         """Handle a message; requests that it makes grantable wait for the next grant round."""
@@ -154,6 +180,9 @@
 
     @handle.register
     def _(self, msg: Ask) -> None:
+        if self._is_closing:
+            msg.reply.try_set_exception(_draining())
+            return
         now = time.monotonic()
         pool = self.pools.for_shard(msg.service, msg.shard)
         if not msg.retry:
@@ -172,6 +201,13 @@
             return
         self._grants.request_round(pool, now)
 
+    @handle.register
+    def _(self, _msg: RefuseWaiting) -> None:
+        self._is_closing = True
+        for pool in self.pools.all():
+            for request in pool.take_waiting():
+                request.reply.try_set_exception(_draining())
+
     def _placement_context(self, msg: Ask, now: float) -> PlacementContext:
         return PlacementContext(
             msg.call_id,
@@ -251,10 +287,27 @@
                 self._grants.request_round(pool, now)
 
     def _grant_ready(self, pool: ServicePool, now: float) -> None:
-        for sent in pool.dispatch_ready(now):
-            self._grant(pool, sent, now)
+        while not self._grant_until_failure(pool, now):
+            pass
         metrics.QUEUED.set(sum(len(pool.queue) for pool in self.pools.all()))
 
+    def _grant_until_failure(self, pool: ServicePool, now: float) -> bool:
+        """Grant what can be granted; return whether no placement failed.
+
+        A request whose placement fails is refused alone. Left in the queue, it would fail each
+        round, and the requests behind it would wait until their deadlines.
+        """
+        try:
+            for sent in pool.dispatch_ready(now):
+                self._grant(pool, sent, now)
+        except PlacementFailed as exc:
+            request = exc.pending
+            self.note_failure(request, exc.__cause__)
+            refusal = InternalFailure("internal_failure", FAILED_RETRY_AFTER_S)
+            request.reply.try_set_exception(refusal)
+            return False
+        return True
+
     def _grant(self, pool: ServicePool, sent: Dispatch, now: float) -> None:
         request, placement = sent.pending, sent.placement
         granted = Granted(
@@ -288,7 +341,7 @@
                 self._grants.request_round(pool, msg.now)
         if not msg.is_late():
             for hook in self.tick_hooks:
-                hook(msg.now)
+                self.contain(partial(hook, msg.now), msg)
             self._report_parts_read(msg.now)
             if self.send_streams_begun is not None:
                 self._resumptions.report(self._recent_versions, self.send_streams_begun, msg.now)
@@ -350,10 +403,16 @@
 
     @handle.register
     def _(self, msg: TextArrived) -> None:
-        if not self.active_config.activate_if_newer(msg.config):
+        config, previous = msg.config, self.active_config.current
+        if config.version == self._failed_messages.refused_text_version:
             return
-        config = msg.config
-        self._apply_config(config)
+        if not self.active_config.activate_if_newer(config):
+            return
+        try:
+            self._apply_config(config)
+        except Exception:
+            self._restore_config(previous)
+            raise
         log_event(
             "text_in_force",
             version=config.version,
@@ -369,6 +428,12 @@
         self.active_config.shards = self.pools.update_shards()
         metrics.CONFIG_VERSION.set(config.version)
 
+    def _restore_config(self, previous: RoutingConfig | None) -> None:
+        """Put the last configuration in force again after the application of a newer one failed."""
+        self.active_config.current = previous
+        if previous is not None:
+            self._apply_config(previous)
+
     @handle.register
     def _(self, msg: StartupState) -> None:
         self.active_config.set_startup(msg.may_serve, msg.confirmed)
@@ -379,8 +444,7 @@
         for pool in self.pools.all_unsharded():
             for target in set(pool.targets.loads) - listed_ids:
                 self._remove_target(pool, target)
-        for info in msg.targets:
-            self._update_target(info)
+        self._update_targets(msg.targets, msg)
         self.active_config.targets_listed = True
         self.active_config.shards = self.pools.update_shards()
         self._refuse_unservable()
@@ -392,8 +456,7 @@
             for pool in self.pools.all_unsharded():
                 if target in pool.targets.loads:
                     self._remove_target(pool, target)
-        for info in msg.changed:
-            self._update_target(info)
+        self._update_targets(msg.changed, msg)
         self.active_config.shards = self.pools.update_shards()
         self._refuse_unservable()
         self._schedule_all_grants()
@@ -441,6 +504,10 @@
                 )
                 request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
+    def _update_targets(self, infos: list[TargetInfo], msg: object) -> None:
+        for info in infos:
+            self.contain(partial(self._update_target, info), msg)
+
     def _update_target(self, info: TargetInfo) -> None:
         for old_pool in self.pools.all_unsharded():
             if old_pool.name != info.service and info.id in old_pool.targets.loads:
@@ -611,6 +678,7 @@
             "text_version": self.active_config.version,
             "routers": self.fleet_size,
             "evacuated_zones": sorted(self.evacuated_zones),
+            "refused_text_version": self._failed_messages.refused_text_version,
             "services": {pool.name: pool.describe(now) for pool in self.pools.all_unsharded()},
         }
 
@@ -638,6 +706,10 @@
         return pool
 
 
+def _draining() -> Draining:
+    return Draining("unfit", _DRAINING_RETRY_AFTER_S)
+
+
 def _timeout_reason(request: PendingRequest, pool: ServicePool, now: float) -> str:
     """Describe for the log why a request's queue wait timed out."""
     waited_for = request.context.last_reserved_target
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -139,6 +139,11 @@
     service: ServiceName
 
 
+@dataclass(frozen=True)
+class RefuseWaiting:
+    """This process is about to be replaced: no request is granted a target any more."""
+
+
 @dataclass(frozen=True)
 class FirstEvent:
     """The first event of an answer arrived ``took_s`` seconds after the request was sent.
--- /dev/null
+++ b/turmerictray/scheduling/failed_messages.py
@@ -0,0 +1,66 @@
+"""What the broker undoes after a message whose handling has failed."""
+
+from functools import singledispatchmethod
+
+from turmerictray.admission.pool_repair import repair_pools
+from turmerictray.core.errors import InternalFailure
+from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import place_of
+from turmerictray.scheduling.broker_messages import Ask, Settled, TextArrived
+from turmerictray.scheduling.service_pools import ServicePools
+
+FAILED_RETRY_AFTER_S = 0.1
+"""Retry-After in seconds of a request whose own message failed; another router may serve it."""
+
+
+class FailedMessages:
+    """Removes what a failed message has left in the pools, and refuses what it asked for.
+
+    Parameters
+    ----------
+    pools : ServicePools
+
+    Attributes
+    ----------
+    refused_text_version : int
+        Newest version of the routing configuration whose application failed; 0 for none.
+    """
+
+    def __init__(self, pools: ServicePools) -> None:
+        self._pools = pools
+        self.refused_text_version = 0
+
+    @singledispatchmethod
+    def undo(self, message: object, exc: Exception) -> None:
+        """Undo what a message of the given type may have left."""
+
+    @undo.register
+    def _(self, message: Ask, _exc: Exception) -> None:
+        message.reply.try_set_exception(InternalFailure("internal_failure", FAILED_RETRY_AFTER_S))
+        for pool in self._pools.for_service(message.service):
+            pool.withdraw(message.call_id)
+
+    @undo.register
+    def _(self, message: Settled, _exc: Exception) -> None:
+        # A booking that is never settled would make the target look busy.
+        self._pools.unsharded(message.service).forget_call(message.target, message.call_id)
+
+    @undo.register
+    def _(self, message: TextArrived, exc: Exception) -> None:
+        version = message.config.version
+        self.refused_text_version = max(self.refused_text_version, version)
+        log_event(
+            "text_failed",
+            level="ERROR",
+            version=version,
+            source=message.source,
+            place=place_of(exc),
+            reason=repr(exc)[:200],
+        )
+
+    def repair(self) -> None:
+        """Restore what must hold in the pools, whatever has failed halfway."""
+        for unsharded in self._pools.all_unsharded():
+            found = repair_pools(self._pools.for_service(unsharded.name))
+            if found:
+                log_event("state_repaired", level="WARNING", service=unsharded.name, found=found)
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -16,6 +16,7 @@
     CallerGone,
     CannotResume,
     Draining,
+    InternalFailure,
     NoTarget,
     QueueFull,
     WontBeServed,
@@ -37,6 +38,7 @@
     Ask,
     FirstEvent,
     Granted,
+    RefuseWaiting,
     Settled,
     TargetLeaving,
     Withdraw,
@@ -65,7 +67,10 @@
 
 _SHARD_FULL_ERRORS = frozenset({QueueFull.__name__, WontBeServed.__name__})
 
-_UNKNOWN_ERRORS = frozenset({NoTarget.__name__, CannotResume.__name__})
+_UNKNOWN_ERRORS = frozenset(
+    error.__name__ for error in (NoTarget, CannotResume, Draining, InternalFailure)
+)
+"""Refusals of a scheduler that say nothing of what this router can do itself."""
 
 _DRAINING_RETRY_AFTER_S = 0.05
 """Retry-After in seconds when this router stops; another router can serve the caller at once."""
@@ -216,6 +221,18 @@
         if scheduler is not None:
             self._link.send(scheduler.scheduling_address, LeavingSeen(msg.service, msg.target))
 
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that wait for a target, here or at a scheduler."""
+        with self._lock:
+            calls = list(self._remote_calls.values())
+        for call in calls:
+            if self._claim(call):
+                withdrawn = PlaceWithdrawn(call.ask.call_id, call.ask.service)
+                self._link.send(call.scheduler.scheduling_address, withdrawn)
+                refusal = Draining("unfit", _DRAINING_RETRY_AFTER_S)
+                call.ask.reply.try_set_exception(refusal)
+        self._send_to_broker(RefuseWaiting())
+
     def send_usage_report(
         self, service: ServiceName, shard_count: int, report: ServiceGiven
     ) -> None:
