Threads: work that raises is begun again, and the log tells its place

Cause: threads that are no actors had no handler, and nothing noticed their end. Class: the same as for actors, one unexpected exception. SupervisedThread logs it (thread_failed, place), counts it and begins the work again; receivers and the fast path contain each message or request by itself. A subscriber that stops between two ticks no longer ends the timer thread. A log line that can't be encoded no longer ends the log's thread. A configuration that can't be decoded for a reason that nobody expects is refused like an invalid one, so that it ends neither the reader nor the actor that fetches it from peers.

--- a/tests/transport/test_fast_path.py
+++ b/tests/transport/test_fast_path.py
@@ -114,3 +114,27 @@
     assert answer.elapsed_s < 1.0
     for sock in slow:
         sock.close()
+
+
+class FailingFastPath:
+    """Raises what the server does not expect."""
+
+    def is_active(self, read_delay_s):
+        return True
+
+    def answer(self, head, read_delay_s):
+        raise ValueError("not expected")
+
+
+def test_request_is_served_when_the_fast_path_raises():
+    """Guards against a connection that is accepted and never answered."""
+    front = FrontServer(
+        "127.0.0.1", 0, lambda exchange: exchange.answer(200, [], b"ok"), 8, FailingFastPath()
+    )
+    front.start()
+    try:
+        caller = RawCaller(front._server.bind_addr)
+        assert caller.request("POST", "/a", b"12345").body == b"ok"
+        caller.close()
+    finally:
+        front.stop()
--- a/turmerictray/core/log_sink.py
+++ b/turmerictray/core/log_sink.py
@@ -57,7 +57,8 @@
     def _run(self) -> None:
         while (line := self._lines.get()) is not None:
             lines, closed = self._collect_batch(line)
-            _write_all(self._fd, "".join(lines).encode())
+            # A caller's header may hold what can't be encoded; the thread must outlive such a line.
+            _write_all(self._fd, "".join(lines).encode(errors="backslashreplace"))
             if closed:
                 return
 
--- a/turmerictray/core/receive.py
+++ b/turmerictray/core/receive.py
@@ -4,10 +4,12 @@
 import time
 from collections.abc import Callable
 
+import pykka
 import pynng
 
 from turmerictray.core import metrics
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread, report_item_failure
 
 _ERROR_PAUSE_S = 0.1
 """Pause after a socket error, so that a persistent error does not cause a busy loop."""
@@ -44,7 +46,7 @@
         self, address: str, name: str, buffer: int, receive: Callable[[pynng.Pull0], None]
     ) -> None:
         self._pull = pynng.Pull0(listen=address, recv_buffer_size=buffer)
-        self._thread = threading.Thread(target=receive, args=(self._pull,), name=name, daemon=True)
+        self._thread = SupervisedThread(receive, name, (self._pull,))
         self._thread.start()
 
     def close(self) -> None:
@@ -79,4 +81,10 @@
             time.sleep(_ERROR_PAUSE_S)
             continue
         metrics.count_control_bytes(channel, 0, len(data))
-        on_data(data)
+        try:
+            on_data(data)
+        except pykka.ActorDeadError:
+            # The process is stopping, and the receiving actor has ended before its socket.
+            log_event("message_dropped", level="DEBUG", channel=channel)
+        except Exception as exc:  # noqa: BLE001 - the next message must be received
+            report_item_failure(threading.current_thread().name, exc)
--- a/turmerictray/core/timer.py
+++ b/turmerictray/core/timer.py
@@ -11,6 +11,8 @@
 
 import pykka
 
+from turmerictray.core.supervision import SupervisedThread
+
 _MAX_SLEEP_S = 0.1
 """Upper bound on a sleep, so that a new subscription is noticed in time."""
 
@@ -60,7 +62,7 @@
         self._subs: list[_Subscription] = []
         self._lock = threading.Lock()
         self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="timer", daemon=True)
+        self._thread = SupervisedThread(self._run, "timer")
 
     def subscribe(self, ref: pykka.ActorRef, name: str, period: float) -> None:
         """Send ``Tick(name, now)`` to ``ref`` every ``period`` seconds.
@@ -102,5 +104,12 @@
                 if now + _COALESCE_S < sub.due:
                     continue
                 sub.due = now + sub.period
-                if sub.ref.is_alive():
-                    sub.ref.tell(Tick(sub.name, now))
+                self._send(sub, now)
+
+    def _send(self, sub: _Subscription, now: float) -> None:
+        try:
+            sub.ref.tell(Tick(sub.name, now))
+        except pykka.ActorDeadError:
+            # The subscriber has finished its work.
+            with self._lock:
+                self._subs.remove(sub)
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -11,6 +11,7 @@
 from turmerictray.core.errors import ConfigError, HistoryGone, StoreUnavailable
 from turmerictray.core.ids import ZoneId
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread, log_failure
 from turmerictray.platform.documents import decode_routing_config
 from turmerictray.platform.entries import (
     TARGETS_PREFIX,
@@ -139,7 +140,7 @@
         self._era: int | None = None
         self._lost = False
         self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=f"watch-{prefix}", daemon=True)
+        self._thread = SupervisedThread(self._run, f"watch-{prefix}")
 
     def start(self) -> None:
         """Start reading."""
@@ -306,6 +307,9 @@
         except ConfigError as exc:
             log_event("text_refused", level="ERROR", source=source, reason=exc.reason[:200])
             return
+        except Exception as exc:  # noqa: BLE001 - the last good configuration stays in force
+            log_failure("text_refused", "configuration", exc, source=source)
+            return
         self._broker.tell(TextArrived(config, source))
         # Only after the message is sent: whoever sees the new version can rely on the broker to
         # process the configuration before any message sent from then on.
--- a/turmerictray/router/server.py
+++ b/turmerictray/router/server.py
@@ -7,6 +7,7 @@
 
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread
 from turmerictray.transport.strict_server import HeadDeadlines, StrictServerMixin
 
 _LIMITS_CHECK_INTERVAL_S = 0.25
@@ -56,10 +57,8 @@
         self._limits = limits
         self.server.apply_limits(limits())
         self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._serve, name=f"http-{name}", daemon=True)
-        self._limits_thread = threading.Thread(
-            target=self._enforce_limits, name=f"heads-{name}", daemon=True
-        )
+        self._thread = SupervisedThread(self._serve, f"http-{name}")
+        self._limits_thread = SupervisedThread(self._enforce_limits, f"heads-{name}")
 
     def start(self) -> None:
         """Bind the port and serve on a background thread."""
--- a/turmerictray/transport/admin.py
+++ b/turmerictray/transport/admin.py
@@ -1,6 +1,5 @@
 """A small HTTP server for readiness, metrics and operators."""
 
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,6 +8,7 @@
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.errors import CallerError, CallerGone
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread
 from turmerictray.transport.exchange import ClientExchange, RequestHead
 from turmerictray.transport.strict_server import HeadDeadlines, StrictServerMixin
 
@@ -93,9 +93,7 @@
 
     def __init__(self, host: str, port: int, pages: dict[str, PageSource | QueryPage]) -> None:
         self._server = _PageServer(host, port, pages)
-        self._thread = threading.Thread(
-            target=self._server.serve, name=f"admin-{port}", daemon=True
-        )
+        self._thread = SupervisedThread(self._server.serve, f"admin-{port}")
 
     def start(self) -> None:
         """Bind the port and serve on a background thread."""
--- a/turmerictray/transport/disconnect.py
+++ b/turmerictray/transport/disconnect.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread
 
 _SCAN_INTERVAL_S = 0.1
 """Interval between two scans of the callers' connections. A disconnect reaches the target within
@@ -85,7 +86,7 @@
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._on_scan = on_scan
-        self._thread = threading.Thread(target=self._run, name="hang-up-watch", daemon=True)
+        self._thread = SupervisedThread(self._run, "hang-up-watch")
 
     def start(self) -> None:
         """Start the scanning thread."""
--- a/turmerictray/transport/probe.py
+++ b/turmerictray/transport/probe.py
@@ -5,6 +5,7 @@
 import time
 
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread
 
 _PROBE_INTERVAL_S = 0.5
 
@@ -43,7 +44,7 @@
         self._started_at: float | None = None
         self._last_delay_s = 0.0
         self._is_overloaded = False
-        self._thread = threading.Thread(target=self._run, name="front-probe", daemon=True)
+        self._thread = SupervisedThread(self._run, "front-probe")
 
     def start(self) -> None:
         """Start probing, twice a second."""
--- a/turmerictray/transport/read_limiter.py
+++ b/turmerictray/transport/read_limiter.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Hashable
 
+from turmerictray.core.supervision import SupervisedThread
+
 _MAX_CONCURRENT_READS = 2
 """Each runnable thread wakes up every switch interval to request the interpreter lock (GIL);
 hundreds of runnable threads spend most of the processor's time on that alone."""
@@ -44,7 +46,7 @@
         self._lease_ends_at: OrderedDict[Hashable, float] = OrderedDict()
         self._changed = threading.Condition()
         self._stopped = False
-        self._thread = threading.Thread(target=self._run, name="read-turns", daemon=True)
+        self._thread = SupervisedThread(self._run, "read-turns")
 
     def start(self) -> None:
         """Start the thread that frees slots with an expired lease."""
--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -1,7 +1,6 @@
 """The HTTP server that hands each request to a handler as a :class:`ClientExchange`."""
 
 import socket
-import threading
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -10,6 +9,7 @@
 
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import SupervisedThread, report_item_failure
 from turmerictray.transport.exchange import ClientExchange, RequestHead
 from turmerictray.transport.fast_path import is_complete_request, peek_received, try_fast_path
 from turmerictray.transport.strict_server import HeadDeadlines, StrictServerMixin
@@ -127,9 +127,13 @@
         return True
 
     def _try_fast_path(self, sock: socket.socket, read_delay_s: float) -> bool:
-        if not self.fast_path.is_active(read_delay_s):
+        try:
+            if not self.fast_path.is_active(read_delay_s):
+                return False
+            return try_fast_path(sock, partial(self.fast_path.answer, read_delay_s=read_delay_s))
+        except Exception as exc:  # noqa: BLE001 - the request is served the regular way
+            report_item_failure("fast-path", exc)
             return False
-        return try_fast_path(sock, partial(self.fast_path.answer, read_delay_s=read_delay_s))
 
     def accept_connection(self) -> None:
         """Accept a connection and try the fast path.
@@ -181,7 +185,7 @@
         fast_path: FastPath | None = None,
     ) -> None:
         self._server = _Server(host, port, handler, threads, fast_path or _NoFastPath())
-        self._thread = threading.Thread(target=self._serve, name=f"front-{port}", daemon=True)
+        self._thread = SupervisedThread(self._serve, f"front-{port}")
         self.apply_limits(FrontLimits())
 
     def apply_limits(self, limits: FrontLimits) -> None:
