--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -70,17 +70,27 @@
         self.address = address
         self.connected_at = time.monotonic()
         self._sock = pynng.Push0(send_buffer_size=2)
-        self._sock.dial(address, block=False)
+        self._is_dialled = False
+        try:
+            self._sock.dial(address, block=False)
+            self._is_dialled = True
+        except pynng.NNGException as exc:
+            log_event("peer_dial_failed", level="WARNING", to=address, exc=exc)
 
     def send(self, data: bytes) -> bool:
         """Send without blocking; return whether the message was sent.
 
         Messages are not queued, since a delayed summary would be out of date.
         """
+        if not self._is_dialled:
+            return False
         try:
             self._sock.send(data, block=False)
         except pynng.TryAgain:
             return False
+        except pynng.NNGException as exc:
+            log_event("peer_send_failed", level="WARNING", to=self.address, exc=exc)
+            return False
         return True
 
     def close(self) -> None:
@@ -130,6 +140,8 @@
         Source of the crash reports to send.
     """
 
+    uncounted_messages = (_Received,)
+
     def __init__(
         self,
         node: NodeId,
@@ -178,11 +190,11 @@
             self._receiver.close()
 
     @singledispatchmethod
-    def on_receive(self, message: object) -> object:
+    def handle(self, message: object) -> object:
         log_unknown_message(message)
         return None
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Tick) -> None:
         if msg.is_late():
             return
@@ -193,7 +205,7 @@
         self._update_size(now)
         self._publish_members(now)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: _Received) -> None:
         try:
             message = msgspec.msgpack.decode(msg.data, type=PeerMessage)
@@ -213,11 +225,11 @@
             self._on_peer(message)
         self._update_size(now)
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Reseed) -> None:
         self.seeds = msg.seeds
 
-    @on_receive.register
+    @handle.register
     def _(self, msg: Leave) -> None:
         self._leaving = True
         self._send_all(time.monotonic())
