Test: a prompt of impossible length fails the broker (fails)

X-Token-Count and X-Prompt-Prefix are read with int() and no bound. A request with a count of 400 digits reaches the broker of whichever router schedules it, whose handler of Ask raises:

File "turmerictray/routing/model.py", line 65, in first_event_s return self.first_s + tokens / self.read_per_s OverflowError: int too large to convert to float

With the output count it is raised in a round of grants, after the request has left the queue:

File "turmerictray/fairness/recent_usage.py", line 96, in charge self._local[team] += tokens OverflowError: int too large to convert to float

A negative count makes the pool's measured throughput negative.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -63,6 +63,16 @@
     assert read(Connection="keep-alive, X-Other").request_id == "a1"
 
 
+@pytest.mark.parametrize("tokens", ["9" * 400, "-5000", str(1 << 62)])
+@pytest.mark.parametrize(
+    ("count", "prefix"), [("{},10", "a:1000"), ("1000,{}", "a:1000"), ("1000,10", "a:{}")]
+)
+def test_impossible_token_count_is_refused(tokens, count, prefix):
+    """Guards against a broker that fails on a prompt length that no float can hold."""
+    with pytest.raises(CallerError):
+        read(X_Token_Count=count.format(tokens), X_Prompt_Prefix=prefix.format(tokens))
+
+
 def test_part_ids_are_equal_however_they_are_written():
     """Guards against a crashing part that is new to the routers in each spelling."""
     prompts = [
