Headers: a number of tokens has bounds

Such a request is answered 400 at the front now, before it is queued or sent to a scheduler; the limit of 2**31 tokens keeps every sum and estimate, and each number in a message between routers, within 64 bits.

--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -56,6 +56,12 @@
 """Status with which a process refuses a request that was meant for another instance."""
 _BEARER_PREFIX = "bearer "
 
+_MAX_TOKENS = 1 << 31
+"""Upper limit on a number of tokens in a header, far above what any engine holds.
+
+Beyond it, sums and estimates could exceed what the messages between routers can hold.
+"""
+
 
 class PlatformDialect:
     """Reads and writes the platform's headers; see :class:`turmerictray.router.dialect.Dialect`."""
@@ -181,7 +187,19 @@
     try:
         input_tokens, _, output_tokens = count.partition(",")
         items = [item.strip().rpartition(":") for item in (parts or "").split(",") if item.strip()]
-        prompt_parts = tuple(PromptPart(to_part_id(name), int(tokens)) for name, _, tokens in items)
-        return Prompt(prompt_parts, int(input_tokens), int(output_tokens or 0))
+        prompt_parts = tuple(
+            PromptPart(to_part_id(name), _parse_tokens(tokens)) for name, _, tokens in items
+        )
+        return Prompt(
+            prompt_parts, _parse_tokens(input_tokens), _parse_tokens(output_tokens or "0")
+        )
     except ValueError:
         raise CallerError(f"{_TOKEN_COUNT} or {_PROMPT_PREFIX} can't be read") from None
+
+
+def _parse_tokens(text: str) -> int:
+    """Return a number of tokens; raise :class:`ValueError` if it is not one."""
+    tokens = int(text)
+    if not 0 <= tokens <= _MAX_TOKENS:
+        raise ValueError(f"{tokens} is not a number of tokens")
+    return tokens
