Test: settings that can't be decoded fail the reload (fails)

The settings are read again each second by an actor. A file that is not UTF-8, for example one that is read while a name of several bytes per letter is being written, or that holds a number of thousands of digits, is not refused: load_node_file raises

UnicodeDecodeError: 'utf-8' codec can't decode byte 0xf6 in position 10: invalid start byte ValueError: Exceeds the limit (4300 digits) for integer string conversion

and build_gateway_settings, for a port of other digits than 0 to 9,

ValueError: invalid literal for int() with base 10: '\u00b2'

where SettingsReloader expects SettingsError.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -58,6 +58,21 @@
         build_gateway_settings(load(tmp_path, GOOD.replace("10.1.0.33:8783", "10.1.0.33")))
 
 
+@pytest.mark.parametrize("data", [b'node = "fr\xf6"', b"slots = " + b"9" * 5000])
+def test_unreadable_file_is_refused(tmp_path, data):
+    """Guards against a reload that fails on a file which is just being written, or damaged."""
+    path = tmp_path / "node.toml"
+    path.write_bytes(data)
+    with pytest.raises(SettingsError, match="node.toml"):
+        load_node_file(str(path))
+
+
+def test_port_of_other_digits_is_refused(tmp_path):
+    """Guards against a reload that fails on a port that looks like a number."""
+    with pytest.raises(SettingsError, match="host:port"):
+        build_gateway_settings(load(tmp_path, GOOD.replace("10.1.0.33:8783", "10.1.0.33:\u00b2")))
+
+
 def test_missing_file_is_refused():
     with pytest.raises(SettingsError):
         load_node_file("/nowhere/node.toml")
