Settings: a file that can't be decoded is refused

load_node_file refuses whatever makes the file unreadable, not only invalid TOML and fields, and a port consists of ASCII digits. The reload then keeps the settings in force and logs settings_refused, as for every other invalid file.

--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -81,7 +81,8 @@
         with open(source, "rb") as fh:
             raw = tomllib.load(fh)
         return msgspec.convert(raw, NodeFile, strict=False)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+    except (OSError, ValueError) as exc:
+        # Invalid TOML and fields, but also text that is not UTF-8, raise subclasses of ValueError.
         raise SettingsError(source or f"${SETTINGS_ENV_VAR}", str(exc)) from exc
 
 
@@ -120,6 +121,6 @@
 
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise SettingsError(SETTINGS_ENV_VAR, f"{text!r} is not host:port")
     return Address(host, int(port))
