Engines: a listing with an impossible length is refused

The lengths in an engine's listing have the same bounds as those in a caller's headers. The engine then counts as one that could not be asked, as for every other answer that can't be read.

--- a/turmerictray/platform/engines.py
+++ b/turmerictray/platform/engines.py
@@ -1,11 +1,13 @@
 """Client for the API with which an engine lists its cached prompt parts."""
 
+from typing import Annotated
+
 import msgspec
 import urllib3
 
 from turmerictray.core.errors import EngineError
 from turmerictray.platform.documents import target_id
-from turmerictray.platform.headers import to_part_id
+from turmerictray.platform.headers import MAX_TOKENS, to_part_id
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PromptPart
 
@@ -13,11 +15,14 @@
 """Time limit of a request; a healthy engine answers within a few milliseconds."""
 
 
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
+
 class _Listing(msgspec.Struct, frozen=True):
     # Start time of the engine's process in Unix milliseconds, as in its entry.
     born: int | msgspec.UnsetType = msgspec.UNSET
     # Each item is [empty string, part id, number of cached tokens, model].
-    held: list[tuple[str, str, int, str]] = []
+    held: list[tuple[str, str, _Tokens, str]] = []
 
 
 def list_cached_parts(engine: TargetInfo) -> list[PromptPart]:
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -56,8 +56,8 @@
 """Status with which a process refuses a request that was meant for another instance."""
 _BEARER_PREFIX = "bearer "
 
-_MAX_TOKENS = 1 << 31
-"""Upper limit on a number of tokens in a header, far above what any engine holds.
+MAX_TOKENS = 1 << 31
+"""Upper limit on a number of tokens of a prompt or a part, far above what any engine holds.
 
 Beyond it, sums and estimates could exceed what the messages between routers can hold.
 """
@@ -200,6 +200,6 @@
 def _parse_tokens(text: str) -> int:
     """Return a number of tokens; raise :class:`ValueError` if it is not one."""
     tokens = int(text)
-    if not 0 <= tokens <= _MAX_TOKENS:
+    if not 0 <= tokens <= MAX_TOKENS:
         raise ValueError(f"{tokens} is not a number of tokens")
     return tokens
