Test: a request whose dispatch fails is left without an answer (fails)

A request whose placement raises is refused alone. One step later this does not hold: after it has left the queue, an exception while its dispatch is recorded, or while the grant is put together, leaves it neither queued nor answered. Its caller waits until the queue deadline, the target may stay booked, and the requests behind it wait for the next round.

--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -92,6 +92,20 @@
     assert second.result(0).target in ENGINES
 
 
+@pytest.mark.parametrize("part", ["ledger.charge", "targets.note_read", "backlog_s"])
+def test_request_whose_dispatch_fails_is_refused_alone(broker, monkeypatch, part):
+    """Guards against a request that is neither queued nor answered, and a target booked for it."""
+    pool = pool_of(broker)
+    *owner, name = part.split(".")
+    work = getattr(pool, owner[0]) if owner else pool
+    monkeypatch.setattr(work, name, fail)
+    first = ask(broker, 1)
+    monkeypatch.undo()
+    assert isinstance(first.exception(0), InternalFailure)
+    assert not any(load.running for load in pool.targets.loads.values())
+    assert ask(broker, 2).result(0).target in ENGINES
+
+
 def test_target_is_not_booked_after_the_end_of_a_request_failed(broker, monkeypatch):
     """Guards against an engine that looks busy for ever with a request that has ended."""
     pool = pool_of(broker)
