Broker: a request whose dispatch fails is refused alone

What a dispatch has recorded is undone, the booking of the target included, and the request is refused like one whose placement fails: the round goes on with the others. The same holds for a grant that can't be put together.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -315,7 +315,7 @@
                     attempts.remaining -= 1
                     continue
                 self._remove(pending)
-                self._record_dispatch(pending, placement, now)
+                self._record_or_undo(pending, placement, now)
                 available.note_sent(placement.load)
                 yield Dispatch(pending, placement)
                 if self.queue.depth(team):
@@ -339,6 +339,20 @@
             self.release(pending.context)
             raise PlacementFailed(pending) from exc
 
+    def _record_or_undo(self, pending: PendingRequest, placement: Placement, now: float) -> None:
+        """Record the dispatch of a request; undo it if that fails unexpectedly.
+
+        Raises
+        ------
+        PlacementFailed
+            The request is not dispatched.
+        """
+        try:
+            self._record_dispatch(pending, placement, now)
+        except Exception as exc:
+            self._end(placement.load, pending.context.call_id, 0.0)
+            raise PlacementFailed(pending) from exc
+
     def _is_reservation_valid(self, context: PlacementContext, now: float) -> bool:
         """Return whether a request waits for a target that still accepts requests."""
         load = context.reserved_target
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -92,7 +92,7 @@
 
 
 class PlacementFailed(Exception):
-    """The placement of a pending request failed unexpectedly; the request was removed."""
+    """The placement or dispatch of a pending request failed unexpectedly; it was removed."""
 
     def __init__(self, pending: PendingRequest) -> None:
         super().__init__(f"placement of {pending.req_id}")
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -309,17 +309,12 @@
         return True
 
     def _grant(self, pool: ServicePool, sent: Dispatch, now: float) -> None:
-        request, placement = sent.pending, sent.placement
-        granted = Granted(
-            placement.load.info,
-            placement.expected_s,
-            placement.miss_tokens,
-            placement.ahead_tokens,
-            fetch_from=placement.source.address if placement.source else "",
-            backlog_s=pool.backlog_s(),
-            isolated=request.context.isolated,
-        )
-        if not request.reply.try_set_result(granted):
+        try:
+            granted = _to_granted(pool, sent)
+        except Exception as exc:
+            pool.cancel_dispatch(sent)
+            raise PlacementFailed(sent.pending) from exc
+        if not sent.pending.reply.try_set_result(granted):
             # The caller's thread stopped waiting concurrently. A booking that is never settled
             # would make the target look busy indefinitely.
             pool.cancel_dispatch(sent)
@@ -706,6 +701,19 @@
         return pool
 
 
+def _to_granted(pool: ServicePool, sent: Dispatch) -> Granted:
+    placement = sent.placement
+    return Granted(
+        placement.load.info,
+        placement.expected_s,
+        placement.miss_tokens,
+        placement.ahead_tokens,
+        fetch_from=placement.source.address if placement.source else "",
+        backlog_s=pool.backlog_s(),
+        isolated=sent.pending.context.isolated,
+    )
+
+
 def _draining() -> Draining:
     return Draining("unfit", _DRAINING_RETRY_AFTER_S)
 
