Test: a configuration's version can end the gossip of the fleet (fails)

JSON holds integers of any size, a message between routers 64 bits. A configuration whose version is larger goes into force at every router, and from then on no router can encode its summary:

OverflowError: can't serialize ints < -2**63 or > 2**64 - 1

raised in the peer link in each gossip period. Before exceptions were contained, this ended all routers with status 71, at once and after each restart; since then the peer link's ticks fail until the process is unfit.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -60,6 +60,13 @@
     assert field in caught.value.reason
 
 
+@pytest.mark.parametrize("version", [10**20, 1 << 64])
+def test_version_that_no_message_can_hold_is_refused(version):
+    """Guards against a configuration that ends the gossip of the whole fleet."""
+    with pytest.raises(ConfigError, match="version"):
+        decode_routing_config(encode(default_config(version)))
+
+
 def test_route_without_service_is_refused():
     config = default_config(1)
     del config["routes"][0]["service"]
