Configuration: a version has at most 63 bits

A larger one is refused like any other field that can't be read: the configuration in force stays, and text_refused names the field.

--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -39,6 +39,9 @@
 A larger value in an entry would make that target attract all requests.
 """
 
+_MAX_VERSION = (1 << 63) - 1
+"""Upper limit on a configuration's version; the messages between routers hold 64 bits."""
+
 
 class _Backend(msgspec.Struct, frozen=True):
     service: str
@@ -93,7 +96,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(le=_MAX_VERSION)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
