Test: a configuration's numbers can fail the brokers of the fleet (fails)

Numbers may be written as text, so that "nan" and "inf" are read as floats, and integers have any size. Such a configuration goes into force at every router. Seen with a broker that was given one:

timeout_ms "nan": 9 of 11 requests leave the queue at the next tick without any answer, and stay in the dispatch order cold_per_s "inf", with a cold target, in each round of grants: routing/cold.py:81 OverflowError: cannot convert float infinity to integer kv_tokens of 400 digits, with engines listed, at the text; without, at each engine that is listed: routing/pool_targets.py:159 and :90 OverflowError: int too large to convert to float tokens_per_s "inf" at the first requests: routing/load.py:412 ValueError: cannot convert float NaN to integer tokens_per_s "nan", when the state is asked for: admission/pool.py:699 ValueError: cannot convert float NaN to integer

Seen here: the new cases fail with DID NOT RAISE ConfigError.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,6 +67,32 @@
         decode_routing_config(encode(default_config(version)))
 
 
+@pytest.mark.parametrize(
+    ("part", "field", "value"),
+    [
+        ("routes", "timeout_ms", "nan"),
+        ("routes", "target_latency_ms", "inf"),
+        ("routes", "max_attempts", 10**400),
+        ("services", "cold_per_s", "inf"),
+        ("services", "cold_s", 1e300),
+        ("engine", "kv_tokens", 10**400),
+        ("engine", "link_mbps", "nan"),
+        ("limits", "tokens_per_s", "inf"),
+        ("limits", "tokens_per_s", "nan"),
+    ],
+)
+def test_number_that_no_computation_can_hold_is_refused(part, field, value):
+    """Guards against a configuration with which the brokers of the whole fleet fail."""
+    config = default_config(1)
+    engine = {"slots": 8, "kv_tokens": 600_000}
+    config["services"].insert(0, {"name": "other", "engine": engine})
+    config["limits"] = {}
+    item = engine if part == "engine" else config[part]
+    (item[0] if isinstance(item, list) else item)[field] = value
+    with pytest.raises(ConfigError, match=field):
+        decode_routing_config(encode(config))
+
+
 def test_route_without_service_is_refused():
     config = default_config(1)
     del config["routes"][0]["service"]
