Configuration: its numbers have bounds

Numbers outside +-10**15, and those that are none, are refused as for every other invalid field: the configuration in force stays, and text_refused names the field. The bounds are far outside whatever a deployment uses, and no sum or product of such numbers in the broker overflows.

--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -43,9 +43,20 @@
 """Upper limit on a configuration's version; the messages between routers hold 64 bits."""
 
 
+_MAX_NUMBER = 10**15
+"""Upper limit on the magnitude of a configuration's numbers, so that no computation overflows.
+
+Lenient decoding also reads ``"nan"`` and ``"inf"``, which are outside any bounds.
+"""
+
+_Number = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_NonNegative = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Integer = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
+
 class _Backend(msgspec.Struct, frozen=True):
     service: str
-    weight: float = 1.0
+    weight: _Number = 1.0
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -53,40 +64,40 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    timeout_ms: float
-    target_latency_ms: float
+    timeout_ms: _Number
+    target_latency_ms: _Number
     # A route has either a single service or several weighted backends.
     service: str | None = None
     backends: list[_Backend] = []
-    priority: int = 1
-    max_attempts: int = 1
+    priority: _Integer = 1
+    max_attempts: _Integer = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 1000.0
+    gap_aim_ms: _Number = 1000.0
     allowed_regions: list[str] = []
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int
-    kv_tokens: int
+    slots: _Integer
+    kv_tokens: _Integer
     # Size of a cached token in bytes, and bandwidth of the links between engines in Mbit/s.
-    kv_bytes: float = 0.0
-    link_mbps: float = 0.0
+    kv_bytes: _Number = 0.0
+    link_mbps: _Number = 0.0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
     engine: _Engine | None = None
-    cold_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_s: _NonNegative = 0.0
+    cold_per_s: _NonNegative = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 75_000.0
-    tokens_per_s: float = 0.0
+    max_header_bytes: _Integer = 16384
+    max_body_bytes: _Integer = 4 << 20
+    header_timeout_ms: _Number = 3000.0
+    idle_timeout_ms: _Number = 75_000.0
+    tokens_per_s: _Number = 0.0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
