Containment: poisoned placements count for nothing, failed rounds and texts do

- A request whose placement raises, sent three times, made its scheduler unfit although others were served in between; refused with InternalFailure it went to the next one: it would have ended one scheduler after the other.
Its failure is logged and counted in the metric, and nothing else.
- A broker whose every round of grants failed was never unfit, as the message before each round counted as a success of the same kind.
Rounds are a kind of their own.
- A text that failed once was never tried again, though the cause may have been the state at that moment: a router would have kept a revoked key.
It is tried again after 1, 2, 4 s and so on.
- A repair that failed ended the process; a booking that failed left a request neither queued nor answered; one pool that failed kept others from being refused by an unfit broker; a first event that failed lost the record of its stream's version.

--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -121,6 +121,68 @@
     assert pool_of(broker).targets.spec == config(3, tokens=70_000).services[LLM]
 
 
+def test_text_that_failed_once_is_tried_again(broker, monkeypatch):
+    """Guards against a router that keeps an old text, as its state failed it at one moment."""
+    update_shards, calls = broker.pools.update_shards, []
+
+    def update_once_failing():
+        calls.append(1)
+        return fail() if len(calls) == 1 else update_shards()
+
+    monkeypatch.setattr(broker.pools, "update_shards", update_once_failing)
+    broker.on_receive(TextArrived(config(2), "test"))
+    assert broker.active_config.version == 1
+    now = time.monotonic()
+    assert broker._failed_texts.due(now + 0.9) is None
+    later = broker._failed_texts.due(now + 1.1)
+    monkeypatch.setattr("time.monotonic", lambda: now + 1.1)
+    broker.on_receive(later)
+    assert broker.active_config.version == 2
+    assert broker._failed_texts.due(now + 99) is None
+
+
+def test_placement_that_always_fails_leaves_the_router_fit(broker, monkeypatch):
+    """Guards against one request, sent again and again, that ends one scheduler after the other."""
+    pool = pool_of(broker)
+    place = pool._place
+
+    def place_others(context, fraction, now):
+        return fail() if context.call_id >= 100 else place(context, fraction, now)
+
+    monkeypatch.setattr(pool, "_place", place_others)
+    for number in range(5):
+        assert isinstance(ask(broker, 100 + number).exception(0), InternalFailure)
+        target = ask(broker, number).result(0).target.id
+        broker.on_receive(Settled(number, LLM, target, Outcome.DONE, 1000.0))
+    assert not broker.supervisor.is_unfit
+
+
+def test_router_that_can_grant_nothing_is_unfit(broker, monkeypatch):
+    """Guards against a scheduler that is ready, and whose every round of grants fails."""
+    monkeypatch.setattr(pool_of(broker).ledger, "excess_usage", fail)
+    for number in range(4):
+        assert not ask(broker, number).done()
+        broker.on_receive(Tick("expire", time.monotonic()))
+    assert broker.supervisor.is_unfit
+
+
+def test_failed_repair_does_not_end_the_broker(broker, monkeypatch):
+    pool = pool_of(broker)
+    monkeypatch.setattr(pool.ledger, "excess_usage", fail)
+    monkeypatch.setattr(pool, "repair_order", fail)
+    ask(broker, 1)
+    monkeypatch.undo()
+    assert ask(broker, 2).result(0).target in ENGINES
+
+
+def test_request_whose_booking_fails_leaves_no_booking(broker, monkeypatch):
+    """Guards against a request that is neither queued nor granted, and an engine booked for it."""
+    pool = pool_of(broker)
+    monkeypatch.setattr(pool._throughput, "note_sent", fail)
+    assert isinstance(ask(broker, 1).exception(0), InternalFailure)
+    assert not any(load.running for load in pool.targets.loads.values())
+
+
 def test_target_whose_entry_fails_does_not_keep_others_from_being_listed(broker, monkeypatch):
     """Guards against a list of targets of which one bad entry loses the rest."""
     update = broker._update_target
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -310,34 +310,39 @@
             for pending in self._next_requests(team):
                 if not attempts.remaining or not should_attempt(pending.context, fraction):
                     continue
-                placement = self._place_or_remove(pending, fraction, now)
+                placement = self._dispatch_or_remove(pending, fraction, now)
                 if placement is None:
                     attempts.remaining -= 1
                     continue
-                self._remove(pending)
-                self._record_dispatch(pending, placement, now)
                 available.note_sent(placement.load)
                 yield Dispatch(pending, placement)
                 if self.queue.depth(team):
                     heappush(teams, (self.queue.sort_key(team), team))
                 break
 
-    def _place_or_remove(
+    def _dispatch_or_remove(
         self, pending: PendingRequest, fraction: float, now: float
     ) -> Placement | None:
-        """Place a request; remove it if that fails unexpectedly.
+        """Place a request and book it; return None if it has to wait.
 
         Raises
         ------
         PlacementFailed
-            The request was removed.
+            That failed unexpectedly; the request was removed without a trace.
         """
+        placement = None
         try:
-            return self._place(pending.context, fraction, now)
+            placement = self._place(pending.context, fraction, now)
+            if placement is not None:
+                self._remove(pending)
+                self._record_dispatch(pending, placement, now)
         except Exception as exc:
             self._remove(pending)
             self.release(pending.context)
+            if placement is not None:
+                placement.load.record_end(pending.context.call_id)
             raise PlacementFailed(pending) from exc
+        return placement
 
     def _is_reservation_valid(self, context: PlacementContext, now: float) -> bool:
         """Return whether a request waits for a target that still accepts requests."""
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -108,7 +108,8 @@
             self.note_failure(message, exc)
             self._undo(message, exc)
         else:
-            self._note_success(message)
+            if self._last_failed_message is not message:
+                self.note_success(self._kind(message))
             return result
         return None
 
@@ -119,9 +120,16 @@
     def on_message_failed(self, message: object, exc: Exception) -> None:
         """Undo what a message that failed has left, and refuse what it asked for."""
 
-    def contain(self, work: Callable[[], object], message: object) -> bool:
+    def contain(self, work: Callable[[], object], message: object, kind: str | None = None) -> bool:
         """Do a part of the work on a message; contain an exception of that part alone.
 
+        Parameters
+        ----------
+        work : callable
+        message : object
+        kind : str or None
+            Kind of work under which a failure counts; None for that of the message.
+
         Returns
         -------
         bool
@@ -134,29 +142,30 @@
         except Exception as exc:
             if current_supervisor() is None:
                 raise
-            self.note_failure(message, exc)
+            self.note_failure(message, exc, kind)
             return False
         return True
 
-    def note_failure(self, message: object, exc: BaseException) -> None:
+    def note_failure(self, message: object, exc: BaseException, kind: str | None = None) -> None:
         """Log and count an unexpected exception that a message has caused."""
-        self._log_failure(message, exc)
+        self.log_failed(message, exc)
         supervisor = current_supervisor()
         is_repeated, self._last_failed_message = self._last_failed_message is message, message
         if supervisor is None or is_repeated or isinstance(message, self.uncounted_messages):
             return
-        supervisor.record_failure(self._kind(message))
+        supervisor.record_failure(kind or self._kind(message))
 
-    def _note_success(self, message: object) -> None:
+    def note_success(self, kind: str) -> None:
+        """Record that work of a kind was done."""
         supervisor = current_supervisor()
-        if supervisor is not None and self._last_failed_message is not message:
-            supervisor.record_success(self._kind(message))
+        if supervisor is not None:
+            supervisor.record_success(kind)
 
     def _undo(self, message: object, exc: Exception) -> None:
         try:
             self.on_message_failed(message, exc)
         except Exception as undo_exc:  # noqa: BLE001 - the actor goes on in any case
-            self._log_failure(message, undo_exc)
+            self.log_failed(message, undo_exc)
 
     def _kind(self, message: object) -> str:
         return f"{type(self).__name__}:{type(message).__name__}"
@@ -165,7 +174,8 @@
         # The actor that was asked or told has been stopped on purpose.
         log_event("actor_gone", level="WARNING", asked_by=type(self).__name__)
 
-    def _log_failure(self, message: object, exc: BaseException) -> None:
+    def log_failed(self, message: object, exc: BaseException) -> None:
+        """Log an unexpected exception that a message, or a request, has caused."""
         part = type(self).__name__
         log_failure(
             "actor_failed",
@@ -186,6 +196,6 @@
         if isinstance(exception_value, pykka.ActorDeadError):
             self._log_gone()
             return
-        self._log_failure(None, exception_value)
+        self.log_failed(None, exception_value)
         close_logs()
         os._exit(ACTOR_FAILED_EXIT)
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -72,6 +72,7 @@
     ZonesEvacuated,
 )
 from turmerictray.scheduling.failed_messages import FAILED_RETRY_AFTER_S, FailedMessages
+from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.grant_throttle import GrantThrottle
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.pool_gauges import PoolGauges
@@ -81,6 +82,9 @@
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
 
+_GRANT_ROUNDS = "Broker:grants"
+"""Kind of work under which failed rounds of grants are counted."""
+
 _DRAINING_RETRY_AFTER_S = 0.05
 """Retry-After in seconds when this process is about to be replaced; another router may serve."""
 
@@ -139,7 +143,8 @@
         self.cold_limits = cold_limits or ColdLimits()
         self.ledger = RecentUsage(node)
         self.pools = ServicePools(self._make_pool)
-        self._failed_messages = FailedMessages(self.pools)
+        self._failed_texts = FailedTexts()
+        self._failed_messages = FailedMessages(self.pools, self._failed_texts)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
         self.send_streams_begun: SendReport | None = None
@@ -162,8 +167,8 @@
 
     def on_receive(self, message: object) -> object:
         result = super().on_receive(message)
-        if not self.contain(self._grants.run_due, message):
-            self._failed_messages.repair()
+        if not self.contain(self._grants.run_due, message, _GRANT_ROUNDS):
+            self.contain(self._failed_messages.repair, message)
         return result
 
     def on_message_failed(self, message: object, exc: Exception) -> None:
@@ -205,8 +210,12 @@
     def _(self, _msg: RefuseWaiting) -> None:
         self._is_closing = True
         for pool in self.pools.all():
-            for request in pool.take_waiting():
-                request.reply.try_set_exception(_draining())
+            self.contain(partial(self._refuse_all, pool), _msg)
+
+    @staticmethod
+    def _refuse_all(pool: ServicePool) -> None:
+        for request in pool.take_waiting():
+            request.reply.try_set_exception(_draining())
 
     def _placement_context(self, msg: Ask, now: float) -> PlacementContext:
         return PlacementContext(
@@ -258,9 +267,9 @@
     def _(self, msg: FirstEvent) -> None:
         pool = self.pools.unsharded(msg.service)
         now = time.monotonic()
-        pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
         if msg.stream is not None:
             self._resumptions.record(msg.service, msg.stream, msg.version, now)
+        pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
         self._schedule_grants(msg.service, now)
 
     @handle.register
@@ -289,20 +298,22 @@
     def _grant_ready(self, pool: ServicePool, now: float) -> None:
         while not self._grant_until_failure(pool, now):
             pass
+        self.note_success(_GRANT_ROUNDS)
         metrics.QUEUED.set(sum(len(pool.queue) for pool in self.pools.all()))
 
     def _grant_until_failure(self, pool: ServicePool, now: float) -> bool:
         """Grant what can be granted; return whether no placement failed.
 
         A request whose placement fails is refused alone. Left in the queue, it would fail each
-        round, and the requests behind it would wait until their deadlines.
+        round, and the requests behind it would wait until their deadlines. Its failure counts for
+        nothing else: sent again and again, it would end one scheduler after the other.
         """
         try:
             for sent in pool.dispatch_ready(now):
                 self._grant(pool, sent, now)
         except PlacementFailed as exc:
             request = exc.pending
-            self.note_failure(request, exc.__cause__)
+            self.log_failed(request, exc.__cause__)
             refusal = InternalFailure("internal_failure", FAILED_RETRY_AFTER_S)
             request.reply.try_set_exception(refusal)
             return False
@@ -331,12 +342,12 @@
             self._expire_overdue_prefills(pool, msg.now)
             pool.drop_lost_calls(self.live_routers, msg.now)
         self._refuse_quarantined(msg.now)
+        text = self._failed_texts.due(msg.now)
+        if text is not None:
+            self.actor_ref.tell(text)
         for pool in self.pools.all():
             for request in pool.expire(msg.now):
-                timeout_reason = _timeout_reason(request, pool, msg.now)
-                request.reply.try_set_exception(
-                    QueueTimeout(timeout_reason, pool.expected_wait_s(request))
-                )
+                self.contain(partial(_refuse_expired, request, pool, msg.now), msg)
             if len(pool.queue):
                 self._grants.request_round(pool, msg.now)
         if not msg.is_late():
@@ -404,7 +415,7 @@
     @handle.register
     def _(self, msg: TextArrived) -> None:
         config, previous = msg.config, self.active_config.current
-        if config.version == self._failed_messages.refused_text_version:
+        if not self._failed_texts.may_try(config.version, time.monotonic()):
             return
         if not self.active_config.activate_if_newer(config):
             return
@@ -413,6 +424,7 @@
         except Exception:
             self._restore_config(previous)
             raise
+        self._failed_texts.note_applied(config.version)
         log_event(
             "text_in_force",
             version=config.version,
@@ -678,7 +690,7 @@
             "text_version": self.active_config.version,
             "routers": self.fleet_size,
             "evacuated_zones": sorted(self.evacuated_zones),
-            "refused_text_version": self._failed_messages.refused_text_version,
+            "refused_text_version": self._failed_texts.version,
             "services": {pool.name: pool.describe(now) for pool in self.pools.all_unsharded()},
         }
 
@@ -710,6 +722,11 @@
     return Draining("unfit", _DRAINING_RETRY_AFTER_S)
 
 
+def _refuse_expired(request: PendingRequest, pool: ServicePool, now: float) -> None:
+    reason = _timeout_reason(request, pool, now)
+    request.reply.try_set_exception(QueueTimeout(reason, pool.expected_wait_s(request)))
+
+
 def _timeout_reason(request: PendingRequest, pool: ServicePool, now: float) -> str:
     """Describe for the log why a request's queue wait timed out."""
     waited_for = request.context.last_reserved_target
--- a/turmerictray/scheduling/failed_messages.py
+++ b/turmerictray/scheduling/failed_messages.py
@@ -1,5 +1,6 @@
 """What the broker undoes after a message whose handling has failed."""
 
+import time
 from functools import singledispatchmethod
 
 from turmerictray.admission.pool_repair import repair_pools
@@ -7,6 +8,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import place_of
 from turmerictray.scheduling.broker_messages import Ask, Settled, TextArrived
+from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.service_pools import ServicePools
 
 FAILED_RETRY_AFTER_S = 0.1
@@ -19,16 +21,13 @@
     Parameters
     ----------
     pools : ServicePools
-
-    Attributes
-    ----------
-    refused_text_version : int
-        Newest version of the routing configuration whose application failed; 0 for none.
+    texts : FailedTexts
+        Remembers a routing configuration that has failed.
     """
 
-    def __init__(self, pools: ServicePools) -> None:
+    def __init__(self, pools: ServicePools, texts: FailedTexts) -> None:
         self._pools = pools
-        self.refused_text_version = 0
+        self._texts = texts
 
     @singledispatchmethod
     def undo(self, message: object, exc: Exception) -> None:
@@ -47,12 +46,11 @@
 
     @undo.register
     def _(self, message: TextArrived, exc: Exception) -> None:
-        version = message.config.version
-        self.refused_text_version = max(self.refused_text_version, version)
+        self._texts.note_failure(message, time.monotonic())
         log_event(
             "text_failed",
             level="ERROR",
-            version=version,
+            version=message.config.version,
             source=message.source,
             place=place_of(exc),
             reason=repr(exc)[:200],
