Placement client: no record is left of a request that could not be sent

Found by the reviewer: when a message could not be encoded, the caller was refused (503, not run) and the record stayed; 0.15 s later the request was placed at the local broker, and a target booked for nobody. It never ran. test_request_that_could_not_be_encoded_is_not_placed_later failed before.

--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -359,3 +359,17 @@
     pair.client.request_silence_check(now + 0.05)
     pair.client.request_silence_check(now + 2.0)
     assert [m.sent_at for m in pair.to_scheduler.sent if isinstance(m, LookNow)] == [now, now + 2.0]
+
+
+def test_request_that_could_not_be_encoded_is_not_placed_later(pair, monkeypatch):
+    """Guards against a target that is granted to a request whose caller was refused."""
+
+    def send(_address, _message):
+        raise OverflowError("not expected")
+
+    monkeypatch.setattr(pair.to_scheduler, "send", send)
+    with pytest.raises(OverflowError):
+        pair.ask()
+    monkeypatch.undo()
+    pair.client.handle_message(LookNow(time.monotonic() + 1))
+    assert not pair.local_broker.asks()
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -296,12 +296,16 @@
             ask.resumes,
             ask.is_test,
         )
-        if self._link.send(scheduler.scheduling_address, request):
-            return True
-        with self._lock:
-            self._remote_calls.pop(ask.call_id, None)
-        self._choice.mark_unresponsive(scheduler.node)
-        return False
+        sent = False
+        try:
+            sent = self._link.send(scheduler.scheduling_address, request)
+        finally:
+            # Also after an exception: the caller is refused, and must not be placed afterwards.
+            if not sent:
+                self._drop_call(ask.call_id)
+        if not sent:
+            self._choice.mark_unresponsive(scheduler.node)
+        return sent
 
     def _send_ended(self, call: _RemoteCall, msg: Settled) -> None:
         ended = Ended(msg.call_id, msg.service, msg.target, msg.outcome.value, msg.cost)
