--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -119,6 +119,17 @@
             # A slow sender occupies a thread, but must not occupy a read slot.
             self.requests.put(conn)
 
+    def put_conn(self, conn: HTTPConnection) -> None:
+        """Keep a connection for its next request.
+
+        An exception here would end the worker thread, and with it the whole server.
+        """
+        try:
+            super().put_conn(conn)
+        except Exception as exc:  # noqa: BLE001 - one connection must not end all others
+            report_item_failure("front", exc)
+            conn.close()
+
     def _answer_on_fast_path(self, conn: HTTPConnection, waited_s: float) -> bool:
         """Answer a connection's request on the fast path if possible, and close the connection."""
         if not self._try_fast_path(conn.socket, waited_s):
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -10,6 +10,7 @@
 
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import report_item_failure
 from turmerictray.transport.framing import StrictRequest
 
 _READ_TIMEOUT_MARGIN_S = 0.5
@@ -89,7 +90,16 @@
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def close(self) -> None:
-        """Close the connection, with a reset if that was set."""
+        """Close the connection, with a reset if that was set.
+
+        An exception here would end the worker thread, and with it the whole server.
+        """
+        try:
+            self._close()
+        except Exception as exc:  # noqa: BLE001 - one connection must not end all others
+            report_item_failure("front", exc)
+
+    def _close(self) -> None:
         if not self._resets:
             super().close()
             return
