Product's own path: one request, one text, one answer of a service fail alone

Found by the reviewer, each with a test that failed before: a request whose placement raises at the head of a queue had all later ones refused; a configuration that failed halfway left dispatcher and front with different ones; an unexpected exception in the reader of configurations ended its reading for good, while the router was ready; a number of tokens beyond 64 bits, or negative, was taken (test_request).

--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -224,10 +224,18 @@
 
     @handle.register
     def _(self, msg: ConfigApplied) -> None:
+        previous = self.config.current
         if not self.config.offer(msg.cfg):
             log_event("config_ignored", version=msg.cfg.version, in_force=self.config.version)
             return
-        self._apply_config(msg.cfg)
+        try:
+            self._apply_config(msg.cfg)
+        except Exception:
+            # The last good one stays in force as a whole.
+            self.config.current = previous
+            if previous is not None:
+                self._apply_config(previous)
+            raise
         log_event("config_in_force", version=msg.cfg.version)
         self._update_startup(time.monotonic())
         self._grant_free_slots()
@@ -384,7 +392,11 @@
     def _grant_next(self, queue: FairQueue, targets: list[TargetView]) -> bool:
         for team in queue.teams_by_usage():
             placement = queue.peek_head(team).context
-            view = choose_target(targets, placement.prefix_key, placement.exclude)
+            try:
+                view = choose_target(targets, placement.prefix_key, placement.exclude)
+            except Exception as exc:  # noqa: BLE001 - the requests behind it must not wait for it
+                self._refuse_failed(queue.pop_from(team), exc)
+                return True
             if view is not None:
                 self._grant_or_refuse(queue.pop_from(team), view)
                 return True
@@ -394,6 +406,11 @@
             # them before. Other teams' requests may still use them.
         return False
 
+    def _refuse_failed(self, pending: PendingRequest, exc: Exception) -> None:
+        self.log_failed(pending, exc)
+        self.hold.release(pending.team)
+        pending.reply.try_set_exception(InternalFailure("internal_failure", _FAILED_RETRY_AFTER_S))
+
     def _grant_or_refuse(self, pending: PendingRequest, view: TargetView) -> None:
         # A slot may become free between a request's deadline and the next expiry tick.
         if pending.deadline > time.monotonic():
--- a/turmerictray/router/request.py
+++ b/turmerictray/router/request.py
@@ -3,6 +3,7 @@
 import hashlib
 import uuid
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -14,11 +15,15 @@
 _CHARS_PER_TOKEN = 4
 
 
+_MAX_TOKENS = 1 << 31
+"""Upper limit on the tokens that a caller may ask for, far above what any engine holds."""
+
+
 class _ModelBody(msgspec.Struct):
     model: str | None = None
     messages: list[dict] | None = None
     prompt: str | None = None
-    max_tokens: int | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=0, le=_MAX_TOKENS)] | None = None
     stream: bool = False
 
 
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -74,10 +74,12 @@
         self.http.clear()
 
     def handle(self, message: object) -> None:
-        if isinstance(message, _Poll):
-            self._poll()
-            if self.actor_ref.is_alive():
-                self.actor_ref.tell(_Poll())
+        if not isinstance(message, _Poll):
+            return
+        if not self.contain(self._poll, message):
+            self._back_off("unexpected exception")
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(_Poll())
 
     def _poll(self) -> None:
         # If-None-Match names the revision of the service's last answer, even if that was rejected
@@ -108,7 +110,7 @@
             return
         self.failures = 0
         etag = resp.headers.get("ETag", "").strip('"')
-        if etag.isdigit():
+        if etag.isdecimal():
             self.last_revision = int(etag)
             self.placer.tell(ConfigConfirmed(self.last_revision, requested_at))
         previous = self.version
