Test: routers don't act on what targets say of themselves in answers (fails)

The stand-in worker says in all its answers that it leaves, in any letter case; refuses as full, for all or some requests, with a Retry-After; falls silent and goes on.

--- /dev/null
+++ b/tests/platform/test_silent_targets.py
@@ -0,0 +1,42 @@
+"""Sound targets that send nothing for a second or two, and go on."""
+
+import time
+
+import pytest
+
+from tests.platform.test_target_notices import Load, ask_rest
+from turmerictray.platform.standins.local import LocalDeployment
+
+pytestmark = pytest.mark.process
+
+SILENCES_S = (1.3, 2.0)
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Start three routers, four engines and four workers of the plain service."""
+    found = LocalDeployment(tmp_path, routers=3, apps=4, engines=4)
+    found.start()
+    yield found
+    found.stop()
+
+
+@pytest.mark.parametrize("route", ["ping", "plan"])
+def test_silent_targets_lose_no_request_amid_a_drain_and_a_rest(deployment, route):
+    """Guards against sound targets that are suspected, or whose answers are cut, for a silence."""
+    service = "app" if route == "ping" else "llm"
+    workers = deployment.of_service(service)
+    with Load(deployment.routers, route, callers=12) as load:
+        time.sleep(0.5)
+        for worker, silence_s in zip(workers, SILENCES_S * 2, strict=True):
+            worker.behaviour.silent_until = time.monotonic() + silence_s
+            time.sleep(silence_s)
+        ask_rest(workers[:1], "2")
+        deployment.publish(workers[1], "draining")
+        workers[2].behaviour.silent_until = time.monotonic() + SILENCES_S[1]
+        time.sleep(2.5)
+    assert not load.refused(0.0)
+    logs = "".join(router.log_path.read_text() for router in deployment.routers)
+    assert not any(
+        event in logs for event in ("request_suspected", "crash_attributed", "part_held")
+    )
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -79,6 +80,8 @@
         Whether the router closed the connection before the end of the answer.
     received_at : float
         Monotonic time.
+    rest_asked : str or None
+        The ``Retry-After`` with which the worker refused it because it was full.
     """
 
     method: str
@@ -88,6 +91,7 @@
     ran: bool = False
     client_disconnected: bool = False
     received_at: float = field(default_factory=time.monotonic)
+    rest_asked: str | None = None
 
 
 @dataclass
@@ -122,6 +126,14 @@
         Whether streams are framed in chunks; otherwise the connection ends them.
     faults : deque of WorkerFault
         Faults of the next requests, one each.
+    leaving_header : str
+        Name of the header with which all answers say that the worker leaves; empty for none.
+    is_full_for : callable or None
+        Tells whether a request is refused because the worker is full; None for never.
+    rest_asked : str or None
+        ``Retry-After`` of such a refusal.
+    silent_until : float
+        The worker sends nothing until this monotonic time.
     """
 
     service_time_s: float = 0.0
@@ -137,6 +149,10 @@
     crash_point: CrashPoint = CrashPoint.AFTER_HEAD
     is_chunked: bool = True
     faults: deque[WorkerFault] = field(default_factory=deque)
+    leaving_header: str = ""
+    is_full_for: Callable[[ReceivedRequest], bool] | None = None
+    rest_asked: str | None = None
+    silent_until: float = 0.0
 
 
 class Worker:
@@ -315,8 +331,25 @@
             self._send_answer(421, b"", [("X-Instance-Id", self.worker.id)], signed=False)
             return
         self.worker.note_arrival()
+        if self._refuses(request):
+            return
         self._run(request, self._next_fault(headers))
 
+    def _refuses(self, request: ReceivedRequest) -> bool:
+        """Refuse a request if the worker is full for it."""
+        behaviour = self.worker.behaviour
+        if behaviour.is_full_for is None or not behaviour.is_full_for(request):
+            return False
+        extra = [("X-Not-Executed", "1")]
+        if behaviour.rest_asked is not None:
+            request.rest_asked = behaviour.rest_asked
+            extra.append(("Retry-After", behaviour.rest_asked))
+        self._send_answer(503, b"full", extra, signed=False)
+        return True
+
+    def _wait_while_silent(self) -> None:
+        time.sleep(max(0.0, self.worker.behaviour.silent_until - time.monotonic()))
+
     def _next_fault(self, headers: dict[str, str]) -> WorkerFault:
         behaviour = self.worker.behaviour
         if behaviour.faults:
@@ -411,6 +444,7 @@
         self._reset()
 
     def _send_chunk(self, data: bytes) -> None:
+        self._wait_while_silent()
         if not self._chunked:
             self.wfile.write(data)
             return
@@ -449,11 +483,14 @@
         self.wfile.write(body)
 
     def _send_head(self, status: int, headers, signed: bool = True, request_id=None) -> None:
+        self._wait_while_silent()
         self.send_response(status)
         received_id = self.headers.get("X-Request-Id")
         self.send_header("X-Request-Id", request_id or received_id or "-")
         if signed:
             self.send_header("X-Server-Seal", f"seal.{self.worker.id}")
+        if self.worker.behaviour.leaving_header:
+            self.send_header(self.worker.behaviour.leaving_header, "1")
         if self.worker.behaviour.keep_alive_s is not None:
             self.send_header("Keep-Alive", f"timeout={self.worker.behaviour.keep_alive_s}")
         for name, value in headers:
