--- /dev/null
+++ b/tests/admission/test_resting_targets.py
@@ -0,0 +1,128 @@
+"""A pool whose targets have asked this router, or another, to rest."""
+
+import time
+from concurrent.futures import Future
+
+import pytest
+
+from turmerictray.admission.budget import RetryBudget
+from turmerictray.admission.pool import ServicePool
+from turmerictray.admission.pool_types import PlacementContext
+from turmerictray.config.routes import EngineSpec, ServiceSpec
+from turmerictray.core.errors import NoTarget, TargetsResting
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.fairness.queue import PendingRequest
+from turmerictray.fairness.recent_usage import RecentUsage
+from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.prompt import PartId, Prompt, PromptPart
+from turmerictray.routing.target_notices import LOCAL_ROUTER
+
+LLM, ZONE, TEAM = ServiceName("llm"), ZoneId("z"), TeamId("t")
+ENGINES = [TargetId("e1"), TargetId("e2")]
+NOW = 50.0
+
+
+@pytest.fixture(params=[True, False], ids=["engines", "plain"])
+def pool(request):
+    return make_pool(request.param)
+
+
+def make_pool(has_engines: bool) -> ServicePool:
+    pool = ServicePool(LLM, ZONE, RecentUsage(NodeId("r1"), lambda: NOW), RetryBudget(0.2, 50, 10))
+    pool.targets.set_spec(ServiceSpec(LLM, EngineSpec(64, 600_000) if has_engines else None))
+    for engine in ENGINES:
+        pool.targets.add_or_update(TargetInfo(engine, LLM, "h:1", ZONE, 64))
+    pool.has_engines = has_engines
+    return pool
+
+
+def enqueue(pool: ServicePool, call_id: int, router: str = "", wait_s: float = 5.0):
+    prompt = Prompt((PromptPart(PartId(f"p{call_id}"), 100),), 100, 10)
+    context = PlacementContext(call_id, prompt if pool.has_engines else None, origin=NodeId(router))
+    pending = PendingRequest(
+        RequestId(str(call_id)), TEAM, prompt.cost, NOW + wait_s, Future(), context
+    )
+    pool.enqueue(pending, NOW)
+    return pending
+
+
+def targets_of_dispatches(pool: ServicePool, now: float = NOW) -> list[TargetId]:
+    return [dispatch.placement.load.info.id for dispatch in pool.dispatch_ready(now)]
+
+
+def test_others_get_the_requests_of_a_resting_target(pool):
+    """Guards against a target that has turned requests away and, looking idle, draws the next."""
+    pool.notices.note_rest(ENGINES[0], 3.0, LOCAL_ROUTER, NOW)
+    for call_id in range(4):
+        enqueue(pool, call_id)
+        for _ in targets_of_dispatches(pool):
+            pool.targets.record_first_event(ENGINES[1], call_id, 0.1)
+    assert not len(pool.queue)
+    assert not pool.targets.loads[ENGINES[0]].running
+
+
+def test_request_is_refused_if_all_rest_until_after_its_deadline(pool):
+    """Guards against a caller who waits for targets that are known to rest."""
+    for engine in ENGINES:
+        pool.notices.note_rest(engine, 20.0, LOCAL_ROUTER, NOW)
+    with pytest.raises(TargetsResting) as refused:
+        enqueue(pool, 1)
+    assert refused.value.retry_after == pytest.approx(20.0)
+
+
+def test_request_waits_for_the_first_end_of_a_rest(pool):
+    """Guards against a refusal while there is time, and a try that is known to be in vain."""
+    for engine, rest_s in zip(ENGINES, (2.0, 20.0), strict=True):
+        pool.notices.note_rest(engine, rest_s, LOCAL_ROUTER, NOW)
+    enqueue(pool, 1)
+    assert not targets_of_dispatches(pool, NOW + 1.9)
+    assert targets_of_dispatches(pool, NOW + 2.1) == ENGINES[:1]
+
+
+def test_other_routers_are_placed_where_one_was_turned_away(pool):
+    """Guards against one router's rest that takes a target from all."""
+    pool.notices.note_rest(ENGINES[0], 20.0, NodeId("r2"), NOW)
+    pool.notices.note_rest(ENGINES[1], 20.0, NodeId("r2"), NOW)
+    enqueue(pool, 1, router="r3")
+    assert len(targets_of_dispatches(pool, NOW + 0.6)) == 1
+    with pytest.raises(TargetsResting):
+        enqueue(pool, 2, router="r2")
+
+
+def test_pending_request_leaves_a_target_that_begins_to_rest():
+    """Guards against a request that waits for an engine which has turned its router away."""
+    pool = make_pool(has_engines=True)
+    loads = pool.targets.loads
+    pending = enqueue(pool, 1)
+    placement = pool._place(pending.context, 1.0, NOW)
+    pool._reserve(pending.context, placement)
+    reserved = pending.context.reserved_target.info.id
+    pool.notices.note_rest(reserved, 20.0, LOCAL_ROUTER, NOW)
+    other = next(engine for engine in ENGINES if engine != reserved)
+    assert targets_of_dispatches(pool) == [other]
+    assert not loads[reserved].reserved
+
+
+def test_requests_are_refused_when_all_targets_leave(pool):
+    """Guards against callers who wait, until their deadline, for targets that all leave."""
+    pending = None
+    for engine in ENGINES:
+        pool.notices.note_rest(engine, 1.0, LOCAL_ROUTER, NOW)
+    pending = enqueue(pool, 1)
+    for engine in ENGINES:
+        pool.targets.mark_leaving(engine)
+    assert pool.take_unservable() == [pending]
+    with pytest.raises(NoTarget, match="targets_leaving"):
+        enqueue(pool, 2)
+
+
+def test_decision_beside_many_rests_takes_little_time(pool):
+    for number in range(100):
+        target = TargetId(f"x{number}")
+        pool.targets.add_or_update(TargetInfo(target, LLM, "h:1", ZONE, 64))
+        pool.notices.note_rest(target, 20.0, LOCAL_ROUTER, NOW)
+    started_at = time.perf_counter()
+    for call_id in range(50):
+        enqueue(pool, call_id)
+    list(pool.dispatch_ready(NOW))
+    assert time.perf_counter() - started_at < 2.0
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -35,3 +35,16 @@
     views[1].note_unreachable(0.0)
     views[1].expire_suspicion(1.0)
     assert choose_target(views, "prompt", frozenset({"e0"})).id == "e1"
+
+
+def test_resting_target_is_left_alone_until_its_time_has_passed():
+    """Guards against a full target that looks idle and draws the next request."""
+    views = [view("e0"), view("e1")]
+    views[0].note_rest(3.0, 10.0)
+    views[0].note_rest(1.0, 10.5)
+    views[0].expire_rest(12.9)
+    assert {choose_target(views, f"prompt {n}").id for n in range(30)} == {"e1"}
+    views[1].note_rest(9.0, 10.0)
+    assert choose_target(views, None) is None
+    views[0].expire_rest(13.0)
+    assert choose_target(views, None).id == "e0"
--- /dev/null
+++ b/tests/routing/test_target_notices.py
@@ -0,0 +1,103 @@
+"""What is known of targets from their answers."""
+
+import math
+
+import pytest
+
+from turmerictray.core.ids import NodeId, ServiceName, TargetId, ZoneId
+from turmerictray.routing.load import TargetInfo, TargetLoad
+from turmerictray.routing.prefix_cache import PrefixCacheModel
+from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices
+
+TARGET, OTHER = TargetId("e1"), NodeId("r2")
+NOW = 100.0
+
+
+@pytest.fixture
+def notices():
+    return TargetNotices()
+
+
+def may_place(notices: TargetNotices, router: NodeId, now: float) -> bool:
+    return notices.next_at(TARGET, router, now) <= now
+
+
+def test_leaving_target_is_left_alone_for_good(notices):
+    """Guards against an entry that undoes what a target has said of itself."""
+    assert notices.note_leaving(TARGET)
+    assert not notices.note_leaving(TARGET)
+    notices.forget(TARGET)
+    assert notices.is_leaving(TARGET)
+    assert not notices.may_send(TARGET, NOW + 1e6)
+    assert notices.next_at(TARGET, LOCAL_ROUTER, NOW) == math.inf
+    assert notices.leaving_among([TargetId("e0"), TARGET], 9) == [TARGET]
+
+
+def test_router_that_was_turned_away_sends_nothing_until_the_end(notices):
+    assert notices.note_rest(TARGET, 3.0, LOCAL_ROUTER, NOW)
+    assert not notices.may_send(TARGET, NOW + 2.9)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 2.9)
+    assert notices.may_send(TARGET, NOW + 3.0)
+    assert may_place(notices, LOCAL_ROUTER, NOW + 3.0)
+
+
+def test_latest_end_counts(notices):
+    """Guards against a shorter rest, told later, that ends a longer one."""
+    notices.note_rest(TARGET, 3.0, LOCAL_ROUTER, NOW)
+    assert not notices.note_rest(TARGET, 1.0, LOCAL_ROUTER, NOW + 0.5)
+    assert not notices.may_send(TARGET, NOW + 2.9)
+
+
+def test_end_of_a_rest_lets_one_request_through_until_it_is_served(notices):
+    """Guards against all waiting requests that meet a target at the end of its rest."""
+    notices.note_rest(TARGET, 2.0, LOCAL_ROUTER, NOW)
+    sent_at = NOW + 2.0
+    notices.note_sent(TARGET, sent_at)
+    assert not may_place(notices, LOCAL_ROUTER, sent_at + 0.1)
+    notices.note_served(TARGET, sent_at, sent_at + 0.2)
+    assert may_place(notices, LOCAL_ROUTER, sent_at + 0.2)
+    notices.note_sent(TARGET, sent_at + 0.2)
+    assert may_place(notices, LOCAL_ROUTER, sent_at + 0.2)
+
+
+def test_trial_without_an_answer_keeps_others_away_for_a_while_only(notices):
+    notices.note_rest(TARGET, 2.0, LOCAL_ROUTER, NOW)
+    notices.note_sent(TARGET, NOW + 2.0)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 2.9)
+    assert may_place(notices, LOCAL_ROUTER, NOW + 3.1)
+
+
+def test_answer_to_an_earlier_request_is_no_sign_that_a_target_serves_again(notices):
+    """Guards against a full target that looks free because of what it had accepted before."""
+    notices.note_rest(TARGET, 2.0, LOCAL_ROUTER, NOW)
+    notices.note_served(TARGET, NOW - 0.5, NOW + 0.1)
+    notices.note_sent(TARGET, NOW + 2.0)
+    notices.note_served(TARGET, NOW - 0.2, NOW + 2.1)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 2.1)
+
+
+def test_target_that_turned_one_router_away_is_tried_by_others_with_one_request(notices):
+    """Guards against a target that is full for one router and idle for all."""
+    notices.note_rest(TARGET, 3.0, OTHER, NOW)
+    assert notices.may_send(TARGET, NOW)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 0.1)
+    assert may_place(notices, LOCAL_ROUTER, NOW + 0.6)
+    notices.note_sent(TARGET, NOW + 0.6)
+    notices.note_served(TARGET, NOW + 0.6, NOW + 0.7)
+    assert may_place(notices, LOCAL_ROUTER, NOW + 0.7)
+    assert not may_place(notices, OTHER, NOW + 0.7)
+
+
+def test_rest_of_a_target_that_is_gone_is_forgotten(notices):
+    notices.note_rest(TARGET, 3.0, LOCAL_ROUTER, NOW)
+    notices.forget(TARGET)
+    assert notices.may_send(TARGET, NOW)
+
+
+def test_only_resting_targets_are_excluded(notices):
+    infos = [TargetInfo(TargetId(name), ServiceName("llm"), "h:1", ZoneId("z"), 8) for name in "ab"]
+    loads = [TargetLoad(info, PrefixCacheModel(1000)) for info in infos]
+    assert notices.exclude_resting(loads, LOCAL_ROUTER, NOW) == loads
+    notices.note_rest(infos[0].id, 3.0, LOCAL_ROUTER, NOW)
+    assert notices.exclude_resting(loads, LOCAL_ROUTER, NOW) == loads[1:]
+    assert notices.resting_count(NOW) == 1
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -32,7 +32,7 @@
     window_fraction,
 )
 from turmerictray.config.routes import ServiceSpec
-from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
+from turmerictray.core.errors import NoTarget, QueueFull, TargetsResting, WontBeServed
 from turmerictray.core.ids import (
     ServiceName,
     TargetId,
@@ -53,6 +53,7 @@
     place_prompt,
 )
 from turmerictray.routing.pool_targets import PoolTargets, ShardTargets
+from turmerictray.routing.target_notices import TargetNotices
 
 _MAX_PENDING_PER_TEAM = 256
 """Maximum pending requests of one team; more than can be served within any latency objective. Where
@@ -119,6 +120,8 @@
         Evidence on requests that crash their targets; None for none.
     cold_targets : ColdTargets or None
         Limits the requests to cold targets; None for no tolerance above their configured rate.
+    notices : TargetNotices or None
+        What targets have said of themselves; None for an empty record.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         targets: PoolTargets | ShardTargets | None = None,
         crashes: Quarantine | None = None,
         cold_targets: ColdTargets | None = None,
+        notices: TargetNotices | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -138,6 +142,7 @@
         self.budget = budget
         self.crashes = crashes or Quarantine()
         self.cold_targets = cold_targets or ColdTargets()
+        self.notices = notices or TargetNotices()
         self._place_prompt = place
         self.targets = PoolTargets(ServiceSpec(name)) if targets is None else targets
         self.queue = FairQueue(ledger, _MAX_PENDING_PER_TEAM, 0.0)
@@ -175,10 +180,10 @@
         context: PlacementContext = pending.context
         loads = self._candidates(context, now)
         if not loads:
-            reason = "no_target" if context.version is None else "no_target_of_version"
-            raise NoTarget(reason, NO_TARGET_RETRY_S)
+            raise NoTarget(self._missing_reason(context), NO_TARGET_RETRY_S)
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
+        self._check_rests(pending, loads, now)
         wait = self.expected_wait_s(pending)
         if (
             not retry
@@ -193,6 +198,19 @@
             raise QueueFull(exc.reason, wait) from exc
         self._dispatch_order.add(pending, front=retry)
 
+    def _missing_reason(self, context: PlacementContext) -> str:
+        if context.version is not None:
+            return "no_target_of_version"
+        phases = {load.info.phase for load in self.targets.loads.values()}
+        return "targets_leaving" if phases == {TargetPhase.LEAVING} else "no_target"
+
+    def _check_rests(self, pending: PendingRequest, loads: list[TargetLoad], now: float) -> None:
+        """Refuse a request if all its targets rest until after its deadline."""
+        router = pending.context.origin
+        next_at = min(self.notices.next_at(load.info.id, router, now) for load in loads)
+        if next_at > pending.deadline:
+            raise TargetsResting("targets_resting", next_at - now)
+
     def _has_idle_engine(
         self, loads: list[TargetLoad], context: PlacementContext, now: float
     ) -> bool:
@@ -209,6 +227,8 @@
         spec, own_path = self.targets.spec, context.own_path
         if load.is_avoided(now) or self.cold_targets.is_resting(load, spec, now, own_path):
             return False
+        if self.notices.next_at(load.info.id, context.origin, now) > now:
+            return False
         snapshot = load.load_snapshot(now, self.targets.model.read_per_s)
         return not snapshot.unread_tokens and snapshot.running < load.info.slots
 
@@ -348,7 +368,11 @@
         """Return whether a request waits for a target that still accepts requests."""
         load = context.reserved_target
         is_current = self.targets.loads.get(load.info.id) is load
-        return is_current and load.info.phase is TargetPhase.READY and not load.is_avoided(now)
+        may_serve = load.info.phase is TargetPhase.READY and not load.is_avoided(now)
+        return is_current and may_serve and self._may_place(load, context, now)
+
+    def _may_place(self, load: TargetLoad, context: PlacementContext, now: float) -> bool:
+        return self.notices.next_at(load.info.id, context.origin, now) <= now
 
     def _unreserved_since(self, available: AvailableTargets, now: float) -> float:
         """Return when an engine for which no request waits last became available.
@@ -393,6 +417,7 @@
         context.last_attempt_at = now
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
+        loads = self.notices.exclude_resting(loads, context.origin, now)
         suspicion = self.crashes.suspicion(context.fingerprint, now)
         if suspicion is Suspicion.HELD and not context.is_test:
             return None
@@ -502,21 +527,21 @@
     def take_unservable(self) -> list[PendingRequest]:
         """Remove and return the pending requests that no target will run.
 
-        These are all if operators have evacuated all targets, and those that need a software
-        version of which no target is left. Other targets that are missing usually return within
-        the requests' deadlines.
+        These are all if every target leaves or is evacuated, and those that need a software version
+        of which no target is left. Targets that are missing usually return within the requests'
+        deadlines.
         """
         if not len(self.queue):
             return []
         infos = [load.info for load in self.targets.loads.values()]
         phases = {info.phase for info in infos}
-        all_evacuated = TargetPhase.READY not in phases and TargetPhase.EVACUATED in phases
+        none_left = bool(phases) and TargetPhase.READY not in phases
         versions = {info.version for info in infos if info.phase is TargetPhase.READY}
         requests = [
             pending
             for team in self.queue.backlogged()
             for pending in self.queue.waiting(team, self.queue.depth(team))
-            if all_evacuated
+            if none_left
             or pending.context.version is not None
             and pending.context.version not in versions
         ]
@@ -559,6 +584,7 @@
             context.fingerprint,
         )
         placement.load.record_sent(context.call_id, read, call)
+        self.notices.note_sent(placement.load.info.id, now)
         if context.prompt is not None:
             placement.load.prefix_cache.note_read(context.prompt)
             self.targets.note_read(placement.load.info.id, context.prompt)
@@ -688,5 +714,11 @@
         return {
             "waiting": len(self.queue),
             "read_tokens_per_s": round(self.targets.model.read_per_s),
-            "targets": self.targets.describe(now),
+            "targets": self._describe_targets(now),
         }
+
+    def _describe_targets(self, now: float) -> dict[str, object]:
+        described = self.targets.describe(now)
+        for target, fields in described.items():
+            fields["rest_s"] = round(self.notices.rest_left_s(target, now), 2)
+        return described
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -29,6 +29,8 @@
         "actor_failed",
         "thread_failed",
         "state_repaired",
+        "target_leaving",
+        "target_resting",
         "unfit",
     }
 )
@@ -39,6 +41,8 @@
     "unknown key": "no team of the active configuration has this API key",
     "internal_failure": "the router failed unexpectedly before it had sent the request to a target",
     "unfit": "the router failed repeatedly and was about to be replaced",
+    "targets_resting": "all targets had turned this router away and asked it to rest for longer",
+    "targets_leaving": "all targets of the service had said that they leave",
     "no_target": "no target of the service was available for another attempt",
     "backlog_full": "the team had more pending requests on this router than could be served",
     "queue_full": "the team had too many pending requests on this router",
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -118,6 +118,10 @@
     """No live target serves the requested service."""
 
 
+class TargetsResting(AdmissionError):
+    """All targets that could run the request have asked this router to rest for longer."""
+
+
 class CannotResume(AdmissionError):
     """It is not known which software version began the stream that the caller takes up.
 
@@ -216,12 +220,15 @@
         The target's HTTP status.
     body : bytes
         The target's answer.
+    rest_s : float
+        Seconds for which the target wants no further requests; 0 if it does not say.
     """
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(self, status: int, body: bytes, rest_s: float = 0.0) -> None:
         super().__init__(f"target answered {status}")
         self.status = status
         self.body = body
+        self.rest_s = rest_s
 
 
 class EngineError(TurmerictrayError):
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -35,6 +35,11 @@
     "Availability zones to whose targets nothing is sent.",
     registry=REGISTRY,
 )
+RESTING_TARGETS = Gauge(
+    "turmerictray_resting_targets",
+    "Targets that have turned this router away and asked it to rest.",
+    registry=REGISTRY,
+)
 QUARANTINED = Gauge(
     "turmerictray_quarantined",
     "Requests that are sent to no target, as targets ended under them.",
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -87,6 +87,8 @@
         knows; revision 0 for none.
     uninterrupted_s : float
         Seconds for which the store has answered all reads of the router; 0 if it does not read.
+    leaving : list of str
+        Targets that have said in answers that they leave, while they are still listed.
     """
 
     node: str
@@ -103,6 +105,7 @@
     zones_revision: int = 0
     zones_era: int = 0
     uninterrupted_s: float = 0.0
+    leaving: list[str] = []
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -1,13 +1,16 @@
 """The platform's request and response headers, as a dialect of the router."""
 
 import math
+import time
 
 from turmerictray.core.errors import CallerError
 from turmerictray.core.ids import RequestId, TeamId
 from turmerictray.router.dialect import AnswerFlags, Envelope
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
+from turmerictray.routing.target_notices import TargetReport
 from turmerictray.transport.exchange import HOP_BY_HOP, Header, RequestHead
+from turmerictray.transport.retry_after import parse_retry_after_s
 from turmerictray.transport.target_conn import AnswerHead
 
 _REQUEST_ID = "X-Request-Id"
@@ -22,6 +25,9 @@
 _MODEL = "X-Model"
 _PROMPT_PREFIX = "X-Prompt-Prefix"
 _FETCH_FROM = "Kv-Fetch"
+_LEAVING = "Server-Leaving"
+_LEAVING_YES = "1"
+_RETRY_AFTER = "Retry-After"
 
 _ROUTER_ONLY_HEADERS = frozenset(
     name.lower()
@@ -52,6 +58,7 @@
 A caller must not list them in ``Connection``, which would remove them on the way.
 """
 
+_HTTP_UNAVAILABLE = 503
 _HTTP_MISDIRECTED = 421
 """Status with which a process refuses a request that was meant for another instance."""
 _BEARER_PREFIX = "bearer "
@@ -121,11 +128,18 @@
         """Read the flags in the head of a target's response."""
         echoed = answer.get(_REQUEST_ID)
         wrong_instance = answer.status == _HTTP_MISDIRECTED
+        not_run = wrong_instance or answer.get(_NOT_EXECUTED) is not None
+        is_genuine = answer.get(_SIGNATURE) is not None
+        is_own = is_genuine and echoed in (None, envelope.request_id)
+        is_own = is_own or (not_run and echoed == envelope.request_id)
         return AnswerFlags(
-            not_run=wrong_instance or answer.get(_NOT_EXECUTED) is not None,
+            not_run=not_run,
             matches_request=echoed is None or echoed == envelope.request_id,
-            is_genuine=answer.get(_SIGNATURE) is not None,
-            leaving=wrong_instance,
+            is_genuine=is_genuine,
+            report=TargetReport(
+                leaving=wrong_instance or (is_own and answer.get(_LEAVING) == _LEAVING_YES),
+                rest_s=_rest_s(answer) if is_own and not_run else 0.0,
+            ),
         )
 
     def answer_headers(self, answer: AnswerHead) -> list[Header]:
@@ -141,6 +155,13 @@
         return ("Retry-After", f"{seconds:.2f}")
 
 
+def _rest_s(answer: AnswerHead) -> float:
+    """Return for how many seconds a target that refuses a request wants no others; 0 if unsaid."""
+    if answer.status != _HTTP_UNAVAILABLE:
+        return 0.0
+    return parse_retry_after_s(answer.get(_RETRY_AFTER), time.time())
+
+
 def _check_connection_header(connection: str) -> None:
     """Check that ``Connection`` lists no header that the target requires."""
     for name in connection.split(","):
--- a/turmerictray/router/dialect.py
+++ b/turmerictray/router/dialect.py
@@ -10,6 +10,7 @@
 from turmerictray.core.ids import RequestId, TeamId
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import Prompt
+from turmerictray.routing.target_notices import NOTHING_REPORTED, TargetReport
 from turmerictray.transport.exchange import Header, RequestHead
 from turmerictray.transport.target_conn import AnswerHead
 
@@ -55,14 +56,15 @@
         Whether the answer belongs to the request that was sent.
     is_genuine : bool
         Whether the answer carries the signature that targets add to their answers.
-    leaving : bool
-        Whether the target accepts no more requests on this connection and will close it.
+    report : TargetReport
+        What the answer tells of its target. Only an answer that surely comes from the target, to
+        this request, tells anything.
     """
 
     not_run: bool
     matches_request: bool
     is_genuine: bool
-    leaving: bool
+    report: TargetReport = NOTHING_REPORTED
 
 
 class Dialect(Protocol):
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -217,6 +217,9 @@
             if not msg.target_reached:
                 view.note_unreachable(time.monotonic())
                 log_event("target_unreachable", target=view.id, failures=view.failures)
+            if msg.rest_s:
+                view.note_rest(msg.rest_s, time.monotonic())
+                log_event("target_resting", target=view.id, rest_s=round(msg.rest_s, 2))
         self.hold.release(msg.team)
         self.ledger.settle(msg.team, msg.estimated_cost, msg.cost)
         metrics.TOKENS.labels(msg.team).inc(msg.cost)
@@ -280,6 +283,7 @@
         self._update_startup(msg.now)
         for view in self.table.targets.values():
             view.expire_suspicion(msg.now)
+            view.expire_rest(msg.now)
         self._expire(msg.now)
         self._update_claims()
         self._grant_free_slots()
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -38,6 +38,7 @@
 from turmerictray.router.settings_reloader import SETTINGS_POLL_S, Reload, SettingsReloader
 from turmerictray.router.startup_check import StartupCheck
 from turmerictray.router.store_readers import StoreReaderSelection
+from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     BrokerQuery,
@@ -142,6 +143,7 @@
         self._timer = TimerService()
         self._connections = ConnectionPool()
         self._quarantine = Quarantine()
+        self._notices = TargetNotices()
         self._watch = DisconnectMonitor(self._on_scan)
         self._flow: RequestFlow | None = None
         self._early_refusals: EarlyRefusals | None = None
@@ -180,6 +182,7 @@
             s.retry_limits,
             self._quarantine,
             s.cold_limits,
+            self._notices,
         )
         self._timer.subscribe(self._broker, "expire", _EXPIRY_INTERVAL_S)
         choice = SchedulerChoice(s.node, s.zone)
@@ -242,7 +245,13 @@
         self._scheduling_link = SchedulingLink(f"tcp://{s.calls}", self._handle_scheduling_message)
         self._scheduler = Scheduler(s.node, self._broker, self._scheduling_link)
         self._placement_client = PlacementClient(
-            s.node, s.zone, self._broker, self._active_config, choice, self._scheduling_link
+            s.node,
+            s.zone,
+            self._broker,
+            self._active_config,
+            choice,
+            self._scheduling_link,
+            self._notices,
         )
         self._scheduling_link.start()
         hooks = (
@@ -305,6 +314,7 @@
             self._connections,
             crashes=crashes,
             is_outdated=self._active_config.is_outdated,
+            notices=self._notices,
         )
         self._flow = RequestFlow(deps, self._active_config, self._watch, s.threads)
         self._early_refusals = EarlyRefusals(deps, self._active_config)
--- a/turmerictray/router/messages.py
+++ b/turmerictray/router/messages.py
@@ -98,6 +98,8 @@
         Actual cost in tokens.
     target_reached : bool
         False if no connection to the target could be opened.
+    rest_s : float
+        Seconds for which the target, which refused the request, wants no others; 0 for none.
     """
 
     req_id: RequestId
@@ -106,6 +108,7 @@
     estimated_cost: float
     cost: float
     target_reached: bool = True
+    rest_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -187,7 +187,8 @@
                 req.idempotent,
             )
         except (NotSent, UpstreamRefused) as exc:
-            self._release_slot(req, grant, 0.0, target_reached=isinstance(exc, UpstreamRefused))
+            is_refused = isinstance(exc, UpstreamRefused)
+            self._release_slot(req, grant, 0.0, is_refused, exc.rest_s if is_refused else 0.0)
             log_event(
                 "not_sent",
                 req=req.req_id,
@@ -332,10 +333,23 @@
         return data
 
     def _release_slot(
-        self, req: CallerRequest, grant: Grant, cost: float, target_reached: bool = True
+        self,
+        req: CallerRequest,
+        grant: Grant,
+        cost: float,
+        target_reached: bool = True,
+        rest_s: float = 0.0,
     ) -> None:
         self.dispatcher.tell(
-            Finished(req.req_id, req.team, grant.target, req.estimated_cost, cost, target_reached)
+            Finished(
+                req.req_id,
+                req.team,
+                grant.target,
+                req.estimated_cost,
+                cost,
+                target_reached,
+                rest_s,
+            )
         )
 
     def _report_load(self, grant: Grant, headers) -> None:
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -8,6 +8,7 @@
 from turmerictray.router.dialect import AnswerFlags, Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.routing.target_notices import NOTHING_REPORTED, TargetReport
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter
 from turmerictray.transport.exchange import ClientExchange
@@ -39,13 +40,13 @@
     check_closed_answer : callable
         Called when the close of its connection has ended an answer; raises
         :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
+    on_report : callable
+        Called with what the head of the answer tells of its target, if it tells anything.
 
     Attributes
     ----------
     outcome : Outcome
         Outcome of the attempt, valid once the answer was relayed.
-    leaving : bool
-        Whether the target takes no further requests on this connection.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         progress: Progress,
         on_answer_start,
         check_closed_answer: Callable[[], None] = lambda: None,
+        on_report: Callable[[TargetReport], None] = lambda report: None,
     ) -> None:
         self._exchange = exchange
         self._dialect = dialect
@@ -63,8 +65,8 @@
         self._progress = progress
         self._on_answer_start = on_answer_start
         self._check_closed_answer = check_closed_answer
+        self._on_report = on_report
         self.outcome = Outcome.DONE
-        self.leaving = False
 
     def relay_answer(self, conn: TargetConnection, head: AnswerHead, is_last_attempt: bool) -> None:
         """Relay the answer that begins with ``head`` to the caller.
@@ -89,7 +91,9 @@
             The caller's connection was closed.
         """
         flags = self._dialect.read_answer(head, self._routed.envelope)
-        self.leaving = flags.leaving
+        # Before the body is read: the rest of a stream takes seconds.
+        if flags.report != NOTHING_REPORTED:
+            self._on_report(flags.report)
         self._check(head, flags)
         self._progress.body_end = conn.body_end
         if _is_event_stream(head) and head.status < 300:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -5,6 +5,7 @@
 from concurrent.futures import TimeoutError as FutureTimeout
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 
 from turmerictray.admission.backlog import TeamBacklog
 from turmerictray.admission.pool import NO_TARGET_RETRY_S
@@ -24,6 +25,7 @@
     TurmerictrayError,
     WontBeServed,
 )
+from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_request
 from turmerictray.core.reply import Reply
 from turmerictray.crashes.evidence import CrashEvidence
@@ -34,12 +36,14 @@
 from turmerictray.router.routed_request import RoutedRequest
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S
+from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices, TargetReport
 from turmerictray.scheduling.broker_messages import (
     Ask,
     FirstEvent,
     Granted,
     Settled,
     TargetLeaving,
+    TargetResting,
     Withdraw,
 )
 from turmerictray.scheduling.placement_client import PlacementClient
@@ -59,6 +63,10 @@
 _STARTING_RETRY_S = 0.5
 """Retry-After while newer documents are fetched from a peer."""
 
+_FULL_STATUSES = frozenset({429, 503})
+_UNASKED_REST_S = 0.3
+"""Rest of a target that refuses a request as full without asking for a time, in seconds."""
+
 _SILENCE_FACTOR = 4.0
 _MIN_SILENCE_S = 2.0
 """A target that has not begun to answer after four times the expected time, and at least this many
@@ -80,6 +88,7 @@
     backlog: TeamBacklog = field(default_factory=TeamBacklog)
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
     is_outdated: Callable[[int], bool] = lambda _version: False
+    notices: TargetNotices = field(default_factory=TargetNotices)
 
 
 class RequestRun:
@@ -209,6 +218,7 @@
             fingerprint, now = self._routed.fingerprint, time.monotonic()
             with self._deps.crashes.running(fingerprint, now, self._is_test):
                 conn = self._connect(granted, slot)
+                self._check_notices(granted, conn, slot)
                 self._send(conn, granted, slot)
         except Quarantined as exc:
             slot.settle(Outcome.NOT_RUN, 0.0)
@@ -217,6 +227,37 @@
             # Release the slot after any failure; otherwise this router would lose it for good.
             slot.settle(Outcome.FAILED, self._routed.cost)
 
+    def _check_notices(
+        self, granted: Granted, conn: TargetConnection, slot: "_GrantedSlot"
+    ) -> None:
+        """Give a grant back whose target has said meanwhile that it leaves or wants to rest."""
+        if self._deps.notices.may_send(granted.target.id, time.monotonic()):
+            return
+        conn.close()
+        slot.settle(Outcome.NOT_RUN, 0.0)
+        raise NotSent("target leaves or rests")
+
+    def _note_report(self, target: TargetId, report: TargetReport) -> None:
+        """Act on what an answer tells of its target, and tell the schedulers."""
+        if report.leaving and self._deps.notices.note_leaving(target):
+            self._deps.placement_client.tell(TargetLeaving(self._routed.service, target))
+        if report.rest_s:
+            self._note_rest(target, report.rest_s)
+
+    def _note_refusal(self, target: TargetId, status: int) -> None:
+        """Let a full target rest briefly that hasn't said for how long.
+
+        It has nothing of the refused request to do, so it would look idle and be sent the next one.
+        """
+        if status in _FULL_STATUSES and self._deps.notices.may_send(target, time.monotonic()):
+            self._note_rest(target, _UNASKED_REST_S)
+
+    def _note_rest(self, target: TargetId, rest_s: float) -> None:
+        notices, now = self._deps.notices, time.monotonic()
+        if notices.note_rest(target, rest_s, LOCAL_ROUTER, now):
+            client = self._deps.placement_client
+            client.tell(TargetResting(self._routed.service, target, rest_s))
+
     def _check_current(self, granted: Granted) -> None:
         """Refuse a request whose routing turned out to be outdated while it waited."""
         if self._progress.answer_started or not self._deps.is_outdated(self._routed.text_version):
@@ -333,8 +374,7 @@
         except TargetBusy:
             self._progress.record_not_run(target.id)
             slot.settle(Outcome.NOT_RUN, 0.0)
-            if relay.leaving:
-                self._deps.placement_client.tell(TargetLeaving(self._routed.service, target.id))
+            self._note_refusal(target.id, head.status)
             self._deps.pool.release(target.id, conn, head)
             raise
         except TargetFailed as exc:
@@ -451,7 +491,13 @@
             self._end_verified = crashes.check_closed_answer(granted.target, ran_s, now)
 
         return AnswerRelay(
-            self._exchange, self._deps.dialect, routed, self._progress, note_first, check_closed
+            self._exchange,
+            self._deps.dialect,
+            routed,
+            self._progress,
+            note_first,
+            check_closed,
+            partial(self._note_report, granted.target.id),
         )
 
 
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -5,6 +5,7 @@
 opened, and :class:`OutcomeUnknown` is raised for every later failure.
 """
 
+import time
 from collections.abc import Iterator
 
 import urllib3
@@ -14,6 +15,7 @@
 from turmerictray.transport.answer_reader import StrictResponse
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter
+from turmerictray.transport.retry_after import parse_retry_after_s
 
 _STREAM_CHUNK_BYTES = 4096
 
@@ -100,7 +102,8 @@
         if resp.status == 503 and resp.headers.get("X-Not-Run") == "1":
             data = resp.read()
             resp.release_conn()
-            raise UpstreamRefused(resp.status, data)
+            rest_s = parse_retry_after_s(resp.headers.get("Retry-After"), time.time())
+            raise UpstreamRefused(resp.status, data, rest_s)
         return resp
 
     def stream(self, resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
--- a/turmerictray/routing/choice.py
+++ b/turmerictray/routing/choice.py
@@ -20,7 +20,7 @@
 def _eligible_targets(targets: list[TargetView], exclude: frozenset[str]) -> list[TargetView]:
     # Progressively weaker filters: waiting for a target that never recovers would hold the request
     # until its queue timeout although another target has a free slot.
-    live = [tgt for tgt in targets if tgt.state is TargetState.LIVE]
+    live = [tgt for tgt in targets if tgt.state is TargetState.LIVE and tgt.rest_until is None]
     trusted = [tgt for tgt in live if tgt.suspect_until is None]
     untried = [tgt for tgt in live if tgt.id not in exclude]
     trusted_untried = [tgt for tgt in trusted if tgt.id not in exclude]
--- a/turmerictray/routing/target.py
+++ b/turmerictray/routing/target.py
@@ -41,6 +41,8 @@
         Consecutive connections that were refused or timed out.
     suspect_until : float or None
         Monotonic time, in seconds, until which other targets are preferred after a failure.
+    rest_until : float or None
+        Monotonic time, in seconds, until which the target wants no requests of this router.
     """
 
     id: TargetId
@@ -58,6 +60,7 @@
     allocated_slots: int | None = None
     failures: int = 0
     suspect_until: float | None = None
+    rest_until: float | None = None
     history: deque = field(default_factory=lambda: deque(maxlen=_HISTORY_LENGTH))
 
     def note_unreachable(self, now: float) -> None:
@@ -81,6 +84,15 @@
         if self.suspect_until is not None and now >= self.suspect_until:
             self.suspect_until = None
 
+    def note_rest(self, rest_s: float, now: float) -> None:
+        """Send nothing to the target for ``rest_s`` seconds, as it has asked."""
+        self.rest_until = max(now + rest_s, self.rest_until or 0.0)
+
+    def expire_rest(self, now: float) -> None:
+        """End the target's rest once its time has passed."""
+        if self.rest_until is not None and now >= self.rest_until:
+            self.rest_until = None
+
     def set_inflight(self, value: int) -> None:
         """Set this router's in-flight count and record the time of the change."""
         self.inflight = value
--- /dev/null
+++ b/turmerictray/routing/target_notices.py
@@ -0,0 +1,214 @@
+"""What targets say of themselves in their answers: that they leave, or want to rest.
+
+All times are passed in as arguments, so that decisions can be tested without waiting.
+"""
+
+import math
+import threading
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from turmerictray.core.ids import NodeId, TargetId
+from turmerictray.routing.load import TargetLoad
+
+_TRIAL_INTERVAL_S = 0.5
+"""Time from a refusal until another router's request may show whether the target is full for all,
+or only for the router that it has turned away."""
+
+_TRIAL_TIMEOUT_S = 1.0
+"""A trial of which nothing was heard for this long doesn't keep others from the target."""
+
+_CLOCK_SLACK_S = 0.02
+"""Time that a send may be reckoned too early, as its age is known from another router's message."""
+
+_MIN_EXTENSION_S = 0.25
+"""A rest that ends later by less than this is not passed on to schedulers again."""
+
+_MAX_LEAVING = 4096
+"""How many leaving targets are remembered; the oldest are forgotten first."""
+
+LOCAL_ROUTER = NodeId("")
+"""Stands for the local router, as in the requests that it places itself."""
+
+
+@dataclass(frozen=True)
+class TargetReport:
+    """What an answer tells of its target.
+
+    Attributes
+    ----------
+    leaving : bool
+        The target takes no more requests; only a new incarnation at its address does.
+    rest_s : float
+        Seconds for which the target wants no more requests of this router; 0 for none.
+    """
+
+    leaving: bool = False
+    rest_s: float = 0.0
+
+
+NOTHING_REPORTED = TargetReport()
+
+
+@dataclass
+class _Rest:
+    """Rests of a target by router, and the trial after which it serves again.
+
+    Attributes
+    ----------
+    until : dict of NodeId to float
+    is_open : bool
+        Whether the target has served a router since it last turned one away.
+    trial_from : float
+        Time from which a request may be sent as a trial.
+    trial_began_at : float
+        When the last trial began, in monotonic seconds.
+    """
+
+    until: dict[NodeId, float] = field(default_factory=dict)
+    is_open: bool = False
+    trial_from: float = 0.0
+    trial_began_at: float = -math.inf
+
+    def next_at(self, router: NodeId, now: float) -> float:
+        """Return from when on a request of a router may be sent."""
+        rest_until = self.until.get(router, -math.inf)
+        if self.is_open:
+            return rest_until
+        trial_from = self.trial_from
+        if now < self.trial_began_at + _TRIAL_TIMEOUT_S:
+            trial_from = max(trial_from, self.trial_began_at + _TRIAL_TIMEOUT_S)
+        return max(rest_until, trial_from)
+
+
+class TargetNotices:
+    """What this router knows of targets from answers, its own and those of other routers.
+
+    Every part that sends something to a target, or chooses one, asks here first. A rest concerns a
+    router and a target: the target may be full for one router only. Others may try it, with one
+    request at a time until one is served. So does the router itself at the end of its rest.
+
+    Safe for use by many threads.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._leaving: OrderedDict[TargetId, None] = OrderedDict()
+        self._rests: dict[TargetId, _Rest] = {}
+
+    # -- notices -------------------------------------------------------------------------------
+
+    def note_leaving(self, target: TargetId) -> bool:
+        """Record that a target leaves; return whether that is news."""
+        with self._lock:
+            if target in self._leaving:
+                return False
+            self._leaving[target] = None
+            if len(self._leaving) > _MAX_LEAVING:
+                self._leaving.popitem(last=False)
+            return True
+
+    def note_rest(self, target: TargetId, rest_s: float, router: NodeId, now: float) -> bool:
+        """Record that a target has turned a router away; return whether that is news.
+
+        Parameters
+        ----------
+        target : TargetId
+        rest_s : float
+            Seconds from now for which it wants no request of the router.
+        router : NodeId
+            :data:`LOCAL_ROUTER` for this router.
+        now : float
+            Monotonic seconds.
+        """
+        until = now + rest_s
+        with self._lock:
+            rest = self._rests.setdefault(target, _Rest())
+            rest.is_open = False
+            rest.trial_began_at = -math.inf
+            rest.trial_from = now + min(_TRIAL_INTERVAL_S, rest_s)
+            before = rest.until.get(router, -math.inf)
+            rest.until[router] = max(before, until)
+            return until > max(before, now) + _MIN_EXTENSION_S
+
+    def note_sent(self, target: TargetId, now: float) -> None:
+        """Record that a request is sent; it is a trial if the target has turned one away."""
+        rest = self._rests.get(target)
+        if rest is not None and not rest.is_open:
+            with self._lock:
+                rest.trial_began_at = now
+
+    def note_served(self, target: TargetId, sent_at: float, now: float) -> None:
+        """Record that a target serves a request that was sent to it at ``sent_at``.
+
+        One that was sent before the target turned others away shows nothing.
+        """
+        if target not in self._rests:
+            return
+        with self._lock:
+            rest = self._rests.get(target)
+            if rest is None or sent_at < rest.trial_began_at - _CLOCK_SLACK_S:
+                return
+            if rest.trial_began_at == -math.inf:
+                return
+            rest.is_open = True
+            rest.until = {router: until for router, until in rest.until.items() if until > now}
+            if not rest.until:
+                del self._rests[target]
+
+    def forget(self, target: TargetId) -> None:
+        """Forget the rests of a target that is gone; that it was leaving is remembered."""
+        with self._lock:
+            self._rests.pop(target, None)
+
+    # -- questions -----------------------------------------------------------------------------
+
+    def is_leaving(self, target: TargetId) -> bool:
+        """Return whether a target has said that it leaves."""
+        return target in self._leaving
+
+    def leaving_among(self, targets: Iterable[TargetId], max_count: int) -> list[TargetId]:
+        """Return at most ``max_count`` of ``targets`` that have said that they leave."""
+        if not self._leaving:
+            return []
+        return [target for target in targets if target in self._leaving][:max_count]
+
+    def may_send(self, target: TargetId, now: float) -> bool:
+        """Return whether this router may send something to a target now."""
+        if target in self._leaving:
+            return False
+        rest = self._rests.get(target)
+        return rest is None or now >= rest.until.get(LOCAL_ROUTER, -math.inf)
+
+    def next_at(self, target: TargetId, router: NodeId, now: float) -> float:
+        """Return from when on a request of a router may be placed on a target.
+
+        The result is in the past if it may be placed now, and infinite for a leaving target.
+        """
+        if target in self._leaving:
+            return math.inf
+        if target not in self._rests:
+            return -math.inf
+        with self._lock:
+            rest = self._rests.get(target)
+            return -math.inf if rest is None else rest.next_at(router, now)
+
+    def exclude_resting(
+        self, loads: list[TargetLoad], router: NodeId, now: float
+    ) -> list[TargetLoad]:
+        """Return the targets on which a request of a router may be placed now."""
+        if not self._rests:
+            return loads
+        return [load for load in loads if self.next_at(load.info.id, router, now) <= now]
+
+    def rest_left_s(self, target: TargetId, now: float) -> float:
+        """Return the seconds for which this router sends nothing to a target; 0 for none."""
+        rest = self._rests.get(target)
+        until = -math.inf if rest is None else rest.until.get(LOCAL_ROUTER, -math.inf)
+        return max(0.0, until - now)
+
+    def resting_count(self, now: float) -> int:
+        """Return the number of targets to which this router sends nothing for a while."""
+        with self._lock:
+            return sum(rest.until.get(LOCAL_ROUTER, 0.0) > now for rest in self._rests.values())
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial, singledispatchmethod
 
 from turmerictray.admission.budget import RetryBudget
@@ -45,6 +46,7 @@
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
+from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker_messages import (
     Ask,
     BrokerQuery,
@@ -65,6 +67,7 @@
     StreamsBegunElsewhere,
     SummaryQuery,
     TargetLeaving,
+    TargetResting,
     TargetsChanged,
     TargetsListed,
     TextArrived,
@@ -85,6 +88,9 @@
 _GRANT_ROUNDS = "Broker:grants"
 """Kind of work under which failed rounds of grants are counted."""
 
+_MAX_REPORTED_LEAVING = 64
+"""Maximum number of leaving targets in a message to peers, which bounds its size."""
+
 _DRAINING_RETRY_AFTER_S = 0.05
 """Retry-After in seconds when this process is about to be replaced; another router may serve."""
 
@@ -109,6 +115,8 @@
         Records of requests that crashed targets; None starts with an empty one.
     cold_limits : ColdLimits or None
         Tolerance above the rate that cold targets bear; None for none.
+    notices : TargetNotices or None
+        What targets have said of themselves; None for an empty record.
     """
 
     uncounted_messages = (
@@ -132,6 +140,7 @@
         retry_limits: RetryLimits,
         quarantine: Quarantine | None = None,
         cold_limits: ColdLimits | None = None,
+        notices: TargetNotices | None = None,
     ) -> None:
         super().__init__()
         self.node = node
@@ -141,6 +150,7 @@
         self.retry_limits = retry_limits
         self.quarantine = quarantine or Quarantine()
         self.cold_limits = cold_limits or ColdLimits()
+        self.notices = notices or TargetNotices()
         self.ledger = RecentUsage(node)
         self.pools = ServicePools(self._make_pool)
         self._failed_texts = FailedTexts()
@@ -270,6 +280,7 @@
         if msg.stream is not None:
             self._resumptions.record(msg.service, msg.stream, msg.version, now)
         pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
+        self.notices.note_served(msg.target, now - msg.took_s, now)
         self._schedule_grants(msg.service, now)
 
     @handle.register
@@ -475,8 +486,38 @@
 
     @handle.register
     def _(self, msg: TargetLeaving) -> None:
-        self.pools.unsharded(msg.service).targets.mark_leaving(msg.target)
-        self._mark_leaving(msg.target)
+        self._note_leaving(msg.target, "answer")
+
+    @handle.register
+    def _(self, msg: TargetResting) -> None:
+        now = time.monotonic()
+        if msg.router:
+            self.notices.note_rest(msg.target, msg.rest_s, msg.router, now)
+        log_event(
+            "target_resting",
+            level="WARNING",
+            target=msg.target,
+            service=msg.service,
+            rest_s=round(msg.rest_s, 2),
+            router=msg.router or self.node,
+        )
+        metrics.RESTING_TARGETS.set(self.notices.resting_count(now))
+        self._schedule_grants(msg.service, now)
+
+    def _note_leaving(self, target: TargetId, source: str) -> None:
+        """Take a target out of use that has said, here or to another router, that it leaves."""
+        self.notices.note_leaving(target)
+        if target in self.active_config.announced_leaving:
+            return
+        for pool in self.pools.all_unsharded():
+            if target not in pool.targets.loads:
+                continue
+            pool.targets.mark_leaving(target)
+            self._mark_leaving(target)
+            log_event("target_leaving", target=target, service=pool.name, source=source)
+            self.active_config.shards = self.pools.update_shards()
+            self._refuse_unservable()
+            self._schedule_all_grants()
 
     def _mark_leaving(self, target: TargetId) -> None:
         self.active_config.unavailable_targets = self.active_config.unavailable_targets | {target}
@@ -511,9 +552,7 @@
     def _refuse_unservable(self) -> None:
         for pool in self.pools.all():
             for request in pool.take_unservable():
-                reason = (
-                    "zone_evacuated" if request.context.version is None else "no_target_of_version"
-                )
+                reason = _unservable_reason(request, pool)
                 request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
     def _update_targets(self, infos: list[TargetInfo], msg: object) -> None:
@@ -524,6 +563,9 @@
         for old_pool in self.pools.all_unsharded():
             if old_pool.name != info.service and info.id in old_pool.targets.loads:
                 self._remove_target(old_pool, info.id)
+        if info.phase is TargetPhase.READY and self.notices.is_leaving(info.id):
+            # The entry is older than what the target has said, whenever it is read.
+            info = replace(info, phase=TargetPhase.LEAVING)
         pool = self.pools.unsharded(info.service)
         previous = pool.targets.loads.get(info.id)
         pool.targets.add_or_update(info, time.monotonic())
@@ -554,6 +596,7 @@
         # Not added to the announced targets: the entry of a crashed target may be removed before
         # the answers that the crash interrupted have failed, so removal is no announcement.
         pool.targets.remove(target, time.monotonic())
+        self.notices.forget(TargetId(target))
         self.active_config.unavailable_targets = self.active_config.unavailable_targets | {
             TargetId(target)
         }
@@ -582,6 +625,8 @@
                 )
         self.ledger.merge(summary.node, summary.incarnation, summary.service)
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
+        for target in map(TargetId, summary.leaving):
+            self._note_leaving(target, f"peer:{node}")
         self._schedule_all_grants()
 
     @handle.register
@@ -665,8 +710,12 @@
             waiting=sorted({team for pool in self.pools.all() for team in pool.backlogged()}),
             reads=self._collect_reads(),
             caught_up=self.active_config.confirmed,
+            leaving=self.notices.leaving_among(self._known_targets(), _MAX_REPORTED_LEAVING),
         )
 
+    def _known_targets(self) -> list[TargetId]:
+        return [target for pool in self.pools.all_unsharded() for target in pool.targets.loads]
+
     def _collect_reads(self) -> list[PartRead]:
         reads = {}
         for pool in self.pools.all_unsharded():
@@ -709,6 +758,7 @@
             budget,
             crashes=self.quarantine,
             cold_targets=ColdTargets(self.cold_limits, self._is_owner),
+            notices=self.notices,
         )
         self._set_fleet_size(pool)
         pool.targets.set_evacuated(self.evacuated_zones)
@@ -718,6 +768,13 @@
         return pool
 
 
+def _unservable_reason(request: PendingRequest, pool: ServicePool) -> str:
+    if request.context.version is not None:
+        return "no_target_of_version"
+    phases = {load.info.phase for load in pool.targets.loads.values()}
+    return "zone_evacuated" if TargetPhase.EVACUATED in phases else "targets_leaving"
+
+
 def _draining() -> Draining:
     return Draining("unfit", _DRAINING_RETRY_AFTER_S)
 
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -182,6 +182,24 @@
     target: TargetId
 
 
+@dataclass(frozen=True)
+class TargetResting:
+    """A target has turned a request away and wants no more of the router for a while.
+
+    Attributes
+    ----------
+    rest_s : float
+        Seconds from now.
+    router : NodeId
+        Router that was turned away; empty for this router, which has noted the rest already.
+    """
+
+    service: ServiceName
+    target: TargetId
+    rest_s: float
+    router: NodeId = NodeId("")
+
+
 @dataclass(frozen=True)
 class TextArrived:
     """A routing configuration was read; it takes effect if its version is newer.
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -121,6 +121,15 @@
     target: str
 
 
+class RestSeen(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Report that a target turned a router away and asked it to rest for ``rest_s`` seconds."""
+
+    service: str
+    target: str
+    router: str
+    rest_s: float
+
+
 class PlaceGranted(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Grant of an engine; see :class:`turmerictray.scheduling.broker_messages.Granted`.
 
@@ -232,6 +241,7 @@
     | FirstSeen
     | Ended
     | LeavingSeen
+    | RestSeen
     | PlaceGranted
     | PlaceRefused
     | StillWaiting
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -33,6 +33,7 @@
 from turmerictray.membership.messages import MemberEntry
 from turmerictray.router.active_config import ActiveConfig
 from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.backlogs import Backlogs
 from turmerictray.scheduling.broker_messages import (
     Ask,
@@ -41,6 +42,7 @@
     RefuseWaiting,
     Settled,
     TargetLeaving,
+    TargetResting,
     Withdraw,
 )
 from turmerictray.scheduling.choice import SchedulerChoice
@@ -55,6 +57,8 @@
     PlaceRefused,
     PlaceRequest,
     PlaceWithdrawn,
+    RestSeen,
+    SchedulingMessage,
     ServiceGiven,
     StillWaiting,
     StreamsBegun,
@@ -111,6 +115,8 @@
     active_config : ActiveConfig
     choice : SchedulerChoice
     link : SchedulingLink
+    notices : TargetNotices or None
+        What targets have said of themselves; None for an empty record.
     """
 
     def __init__(
@@ -121,6 +127,7 @@
         active_config: ActiveConfig,
         choice: SchedulerChoice,
         link: SchedulingLink,
+        notices: TargetNotices | None = None,
     ) -> None:
         self._node = node
         self._zone = zone
@@ -128,6 +135,7 @@
         self._active_config = active_config
         self._choice = choice
         self._link = link
+        self._notices = notices or TargetNotices()
         self._lock = threading.Lock()
         self._remote_calls: dict[int, _RemoteCall] = {}
         self._backlogs = Backlogs()
@@ -216,10 +224,20 @@
     @tell.register
     def _(self, msg: TargetLeaving) -> None:
         self._send_to_broker(msg)
-        shard = self._shards(msg.service).shard_of(msg.target)
-        scheduler = self._choice.scheduler(msg.service, shard)
-        if scheduler is not None:
-            self._link.send(scheduler.scheduling_address, LeavingSeen(msg.service, msg.target))
+        self._inform_schedulers(msg.service, LeavingSeen(msg.service, msg.target))
+
+    @tell.register
+    def _(self, msg: TargetResting) -> None:
+        self._send_to_broker(msg)
+        rest = RestSeen(msg.service, msg.target, self._node, msg.rest_s)
+        self._inform_schedulers(msg.service, rest)
+
+    def _inform_schedulers(self, service: ServiceName, msg: SchedulingMessage) -> None:
+        """Send a message to all routers that schedule a service's engines, or may do so soon."""
+        if service not in self._active_config.shards:
+            return
+        for entry in self._choice.informed_members(service, self._shards(service).count):
+            self._link.send(entry.scheduling_address, msg)
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that wait for a target, here or at a scheduler."""
@@ -362,6 +380,10 @@
             self._return_grant(msg)
             self._drop_call(msg.call_id)
             self._place_locally(call.ask)
+        elif not self._notices.may_send(TargetId(msg.target), time.monotonic()):
+            self._return_grant(msg)
+            self._drop_call(msg.call_id)
+            self._place_elsewhere(call, msg.target)
         elif not call.ask.reply.try_set_result(_to_granted(msg)):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
@@ -442,6 +464,11 @@
             # The next scheduler keeps the records of streams that this router lacks.
             self._request_placement(call.ask, (call.ask.shard, *call.fallback_shards))
 
+    def _place_elsewhere(self, call: _RemoteCall, target: str) -> None:
+        """Ask the scheduler for another target; it may not know yet what this one has said."""
+        ask = replace(call.ask, exclude=call.ask.exclude | {target})
+        self._request_placement(ask, (call.ask.shard, *call.fallback_shards))
+
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
             self._remote_calls.pop(call_id, None)
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -31,6 +31,7 @@
     Settled,
     StreamsBegunElsewhere,
     TargetLeaving,
+    TargetResting,
     Withdraw,
 )
 from turmerictray.scheduling.link import SchedulingLink
@@ -43,6 +44,7 @@
     PlaceRefused,
     PlaceRequest,
     PlaceWithdrawn,
+    RestSeen,
     ServiceGiven,
     StillWaiting,
     StreamsBegun,
@@ -109,6 +111,11 @@
     def _(self, msg: LeavingSeen) -> None:
         self._broker.tell(TargetLeaving(ServiceName(msg.service), TargetId(msg.target)))
 
+    @handle_message.register
+    def _(self, msg: RestSeen) -> None:
+        service, target = ServiceName(msg.service), TargetId(msg.target)
+        self._broker.tell(TargetResting(service, target, msg.rest_s, NodeId(msg.router)))
+
     @handle_message.register
     def _(self, msg: ServiceGiven) -> None:
         self._broker.tell(ServiceHeard(msg))
--- a/turmerictray/scheduling/service_pools.py
+++ b/turmerictray/scheduling/service_pools.py
@@ -104,4 +104,5 @@
         targets=targets,
         crashes=unsharded.crashes,
         cold_targets=unsharded.cold_targets,
+        notices=unsharded.notices,
     )
