Rests: slow first events, requests with nowhere to go, trials

- A target whose first events take longer than a second never served fully again: each trial began before the one before was answered, and then counted for nothing.
Any first event of a request sent after the last refusal shows that the target serves.
- Requests that could go only to a resting engine were tried in every round of grants and used up its attempts, so that others waited beside an idle engine.
- A request with less than a second left was refused during another's trial; one that waited was not refused when all began to rest beyond its deadline; a rest was forgotten with a brief absence of the target's entry.

--- a/tests/admission/test_resting_targets.py
+++ b/tests/admission/test_resting_targets.py
@@ -126,3 +126,52 @@
         enqueue(pool, call_id)
     list(pool.dispatch_ready(NOW))
     assert time.perf_counter() - started_at < 2.0
+
+
+def test_request_is_not_refused_for_the_trial_of_a_target_that_rests_no_more(pool):
+    """Guards against a refusal while another request shows that a target serves again."""
+    pool.targets.remove(ENGINES[1])
+    pool.notices.note_rest(ENGINES[0], 0.3, LOCAL_ROUTER, NOW - 0.4)
+    enqueue(pool, 1)
+    assert targets_of_dispatches(pool) == ENGINES[:1]
+    enqueue(pool, 2, wait_s=0.6)
+
+
+def test_waiting_request_is_refused_when_all_begin_to_rest_for_longer(pool):
+    """Guards against a caller who waits until the deadline for targets that rest beyond it."""
+    for engine in ENGINES:
+        pool.notices.note_rest(engine, 2.0, LOCAL_ROUTER, NOW)
+    pending = enqueue(pool, 1)
+    assert not pool.take_resting(NOW)
+    for engine in ENGINES:
+        pool.notices.note_rest(engine, 600.0, LOCAL_ROUTER, NOW + 0.1)
+    ((taken, wait_s),) = pool.take_resting(NOW + 0.1)
+    assert taken is pending
+    assert wait_s == pytest.approx(600.0)
+
+
+def test_requests_for_a_resting_engine_keep_no_other_from_an_idle_one():
+    """Guards against rounds of grants that are used up by requests which can go nowhere."""
+    pool = make_pool(has_engines=True)
+    resting, idle = ENGINES
+
+    def ask(call_id: int, team: str, exclude: TargetId) -> PendingRequest:
+        prompt = Prompt((PromptPart(PartId(f"p{call_id}"), 100),), 100, 10)
+        context = PlacementContext(call_id, prompt, exclude=frozenset({exclude}))
+        pending = PendingRequest(
+            RequestId(str(call_id)), TeamId(team), prompt.cost, NOW + 5, Future(), context
+        )
+        pool.enqueue(pending, NOW)
+        return pending
+
+    for number in range(30):
+        context = ask(number, f"t{number:02}", idle).context
+        pool._reserve(context, pool._place(context, 1.0, NOW))
+    pool.notices.note_rest(resting, 3.0, LOCAL_ROUTER, NOW)
+    ask(99, "zz", resting)
+    sent = [
+        dispatch.pending.context.call_id
+        for number in range(3)
+        for dispatch in pool.dispatch_ready(NOW + 0.01 * number)
+    ]
+    assert sent == [99]
--- a/tests/routing/test_target_notices.py
+++ b/tests/routing/test_target_notices.py
@@ -26,7 +26,6 @@
     """Guards against an entry that undoes what a target has said of itself."""
     assert notices.note_leaving(TARGET)
     assert not notices.note_leaving(TARGET)
-    notices.forget(TARGET)
     assert notices.is_leaving(TARGET)
     assert not notices.may_send(TARGET, NOW + 1e6)
     assert notices.next_at(TARGET, LOCAL_ROUTER, NOW) == math.inf
@@ -88,10 +87,28 @@
     assert not may_place(notices, OTHER, NOW + 0.7)
 
 
-def test_rest_of_a_target_that_is_gone_is_forgotten(notices):
-    notices.note_rest(TARGET, 3.0, LOCAL_ROUTER, NOW)
-    notices.forget(TARGET)
-    assert notices.may_send(TARGET, NOW)
+@pytest.mark.parametrize("first_event_s", [0.9, 1.2, 3.0])
+def test_target_whose_first_events_take_long_serves_fully_again(notices, first_event_s):
+    """Guards against a busy target that is given one request a second for ever."""
+    notices.note_rest(TARGET, 0.3, LOCAL_ROUTER, NOW)
+    sent_at, now, placed = [], NOW, 0
+    while now < NOW + 20:
+        now += 0.01
+        for at in [at for at in sent_at if now >= at + first_event_s]:
+            sent_at.remove(at)
+            notices.note_served(TARGET, at, now)
+        if may_place(notices, LOCAL_ROUTER, now):
+            notices.note_sent(TARGET, now)
+            sent_at.append(now)
+            placed += 1
+    assert placed > 1000
+
+
+def test_rests_that_ended_long_ago_are_forgotten_if_there_are_many(notices):
+    for number in range(3000):
+        notices.note_rest(TargetId(f"t{number}"), 1.0, LOCAL_ROUTER, NOW + number)
+    assert len(notices._rests) <= 1024
+    assert not notices.may_send(TargetId("t2999"), NOW + 2999.5)
 
 
 def test_only_resting_targets_are_excluded(notices):
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -206,10 +206,13 @@
 
     def _check_rests(self, pending: PendingRequest, loads: list[TargetLoad], now: float) -> None:
         """Refuse a request if all its targets rest until after its deadline."""
+        rest_end = self._first_rest_end(pending, loads)
+        if rest_end > pending.deadline:
+            raise TargetsResting("targets_resting", rest_end - now)
+
+    def _first_rest_end(self, pending: PendingRequest, loads: list[TargetLoad]) -> float:
         router = pending.context.origin
-        next_at = min(self.notices.next_at(load.info.id, router, now) for load in loads)
-        if next_at > pending.deadline:
-            raise TargetsResting("targets_resting", next_at - now)
+        return min(self.notices.rest_end(load.info.id, router) for load in loads)
 
     def _has_idle_engine(
         self, loads: list[TargetLoad], context: PlacementContext, now: float
@@ -332,7 +335,7 @@
                     continue
                 placement = self._dispatch_or_remove(pending, fraction, now)
                 if placement is None:
-                    attempts.remaining -= 1
+                    attempts.remaining -= pending.context.had_targets
                     continue
                 available.note_sent(placement.load)
                 yield Dispatch(pending, placement)
@@ -418,6 +421,11 @@
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
         loads = self.notices.exclude_resting(loads, context.origin, now)
+        context.had_targets = bool(loads)
+        if not loads:
+            # It is tried again when the time has come, instead of in each round.
+            self.release(context)
+            return None
         suspicion = self.crashes.suspicion(context.fingerprint, now)
         if suspicion is Suspicion.HELD and not context.is_test:
             return None
@@ -550,6 +558,24 @@
             self.release(pending.context)
         return requests
 
+    def take_resting(self, now: float) -> list[tuple[PendingRequest, float]]:
+        """Remove the pending requests whose targets all rest until after their deadline.
+
+        Returns
+        -------
+        list of (PendingRequest, float)
+            With the seconds until the first of these rests ends.
+        """
+        taken = []
+        for pending in self.waiting_requests():
+            loads = self._candidates(pending.context, now)
+            rest_end = self._first_rest_end(pending, loads) if loads else -math.inf
+            if rest_end > pending.deadline:
+                self._remove(pending)
+                self.release(pending.context)
+                taken.append((pending, rest_end - now))
+        return taken
+
     def take_held(self, now: float) -> list[PendingRequest]:
         """Remove and return the pending requests that must not be sent to any target."""
         held = [
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -58,6 +58,8 @@
         Target that the request waited for last, even if it no longer waits.
     last_attempt_at : float
         Monotonic seconds of the last placement attempt.
+    had_targets : bool
+        Whether any target could be considered in the last placement attempt.
     home_zones : frozenset of ZoneId or None
     version : SoftwareVersion or None
     own_path, is_test : bool
@@ -77,6 +79,7 @@
     reserved_target: TargetLoad | None = None
     last_reserved_target: TargetLoad | None = None
     last_attempt_at: float = -math.inf
+    had_targets: bool = True
     home_zones: frozenset[ZoneId] | None = None
     version: SoftwareVersion | None = None
     own_path: bool = False
--- a/turmerictray/routing/target_notices.py
+++ b/turmerictray/routing/target_notices.py
@@ -20,11 +20,16 @@
 """A trial of which nothing was heard for this long doesn't keep others from the target."""
 
 _CLOCK_SLACK_S = 0.02
-"""Time that a send may be reckoned too early, as its age is known from another router's message."""
+"""Time that a send may be reckoned too late, as its age is known from another router's message."""
 
 _MIN_EXTENSION_S = 0.25
 """A rest that ends later by less than this is not passed on to schedulers again."""
 
+_MAX_RESTS = 1024
+_REST_RETENTION_S = 60.0
+"""From this many targets on, those whose rests ended this long ago are forgotten. Most of them are
+gone; the others are taken to serve."""
+
 _MAX_LEAVING = 4096
 """How many leaving targets are remembered; the oldest are forgotten first."""
 
@@ -60,6 +65,8 @@
     until : dict of NodeId to float
     is_open : bool
         Whether the target has served a router since it last turned one away.
+    refused_at : float
+        When the target last turned a router away.
     trial_from : float
         Time from which a request may be sent as a trial.
     trial_began_at : float
@@ -68,6 +75,7 @@
 
     until: dict[NodeId, float] = field(default_factory=dict)
     is_open: bool = False
+    refused_at: float = -math.inf
     trial_from: float = 0.0
     trial_began_at: float = -math.inf
 
@@ -124,14 +132,27 @@
         """
         until = now + rest_s
         with self._lock:
+            self._drop_old(now)
             rest = self._rests.setdefault(target, _Rest())
             rest.is_open = False
+            rest.refused_at = now
             rest.trial_began_at = -math.inf
             rest.trial_from = now + min(_TRIAL_INTERVAL_S, rest_s)
             before = rest.until.get(router, -math.inf)
             rest.until[router] = max(before, until)
             return until > max(before, now) + _MIN_EXTENSION_S
 
+    def _drop_old(self, now: float) -> None:
+        """Forget the targets that have long been free to serve, if there are many."""
+        if len(self._rests) < _MAX_RESTS:
+            return
+        oldest = now - _REST_RETENTION_S
+        self._rests = {
+            target: rest
+            for target, rest in self._rests.items()
+            if max(rest.until.values()) > oldest
+        }
+
     def note_sent(self, target: TargetId, now: float) -> None:
         """Record that a request is sent; it is a trial if the target has turned one away."""
         rest = self._rests.get(target)
@@ -148,20 +169,13 @@
             return
         with self._lock:
             rest = self._rests.get(target)
-            if rest is None or sent_at < rest.trial_began_at - _CLOCK_SLACK_S:
-                return
-            if rest.trial_began_at == -math.inf:
+            if rest is None or sent_at < rest.refused_at + _CLOCK_SLACK_S:
                 return
             rest.is_open = True
             rest.until = {router: until for router, until in rest.until.items() if until > now}
             if not rest.until:
                 del self._rests[target]
 
-    def forget(self, target: TargetId) -> None:
-        """Forget the rests of a target that is gone; that it was leaving is remembered."""
-        with self._lock:
-            self._rests.pop(target, None)
-
     # -- questions -----------------------------------------------------------------------------
 
     def is_leaving(self, target: TargetId) -> bool:
@@ -194,6 +208,11 @@
             rest = self._rests.get(target)
             return -math.inf if rest is None else rest.next_at(router, now)
 
+    def rest_end(self, target: TargetId, router: NodeId) -> float:
+        """Return until when a target wants nothing of a router, in monotonic seconds."""
+        rest = self._rests.get(target)
+        return -math.inf if rest is None else rest.until.get(router, -math.inf)
+
     def exclude_resting(
         self, loads: list[TargetLoad], router: NodeId, now: float
     ) -> list[TargetLoad]:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -23,6 +23,7 @@
     Quarantined,
     QueueTimeout,
     RepeatsUsedUp,
+    TargetsResting,
 )
 from turmerictray.core.ids import (
     NodeId,
@@ -502,6 +503,9 @@
             router=msg.router or self.node,
         )
         metrics.RESTING_TARGETS.set(self.notices.resting_count(now))
+        for pool in self.pools.for_service(msg.service):
+            for request, wait_s in pool.take_resting(now):
+                request.reply.try_set_exception(TargetsResting("targets_resting", wait_s))
         self._schedule_grants(msg.service, now)
 
     def _note_leaving(self, target: TargetId, source: str) -> None:
@@ -596,7 +600,6 @@
         # Not added to the announced targets: the entry of a crashed target may be removed before
         # the answers that the crash interrupted have failed, so removal is no announcement.
         pool.targets.remove(target, time.monotonic())
-        self.notices.forget(TargetId(target))
         self.active_config.unavailable_targets = self.active_config.unavailable_targets | {
             TargetId(target)
         }
