Soak: a disturbance begins before what it cuts

Cause: the fault injector recorded kills, pauses, worker crashes and broken links after it had made them, and a kill waits for the end of the process; the crash of a worker by a request was recorded when its caller had its answer. What was cut ended before the record began. The start is now taken before, the ends are as they were, and a worker notes when it crashed.

--- /dev/null
+++ b/tests/platform/soak/test_fault_injector.py
@@ -0,0 +1,54 @@
+"""Tests of what the fault injector records."""
+
+import time
+from types import SimpleNamespace
+from unittest.mock import MagicMock
+
+import pytest
+
+from turmerictray.platform.soak.fault_injector import FaultInjector
+from turmerictray.platform.soak.record import SoakRecord
+from turmerictray.platform.soak.schedule import FaultKind, ScheduledFault
+from turmerictray.platform.standins.worker import Worker
+
+
+class StubRouter:
+    """A router that takes a while to be killed, and whose process may have ended by itself."""
+
+    name, pid = "r1", 7
+
+    def __init__(self, exit_code: int | None = None) -> None:
+        self.exit_code = exit_code
+        self.killed_at = 0.0
+
+    def stop(self) -> None:
+        self.killed_at = time.monotonic()
+        time.sleep(0.02)
+
+    def start(self) -> None:
+        self.exit_code = None
+
+
+def run(router: StubRouter, *kinds: FaultKind) -> SoakRecord:
+    deployment = MagicMock(routers=[router], store=SimpleNamespace(store=SimpleNamespace()))
+    schedule = [ScheduledFault(0.1 * n, 0.0, kind, 0) for n, kind in enumerate(kinds)]
+    injector = FaultInjector(deployment, schedule, SoakRecord())
+    injector.start()
+    injector.finish()
+    return injector.record
+
+
+@pytest.mark.parametrize("kind", [FaultKind.KILL, FaultKind.KILL_ALL])
+def test_disturbance_begins_before_the_router_is_killed(kind):
+    """Guards against requests that a kill cut before its record began."""
+    router = StubRouter()
+    record = run(router, kind)
+    assert record.was_disturbed(router.killed_at, router.killed_at, "r1")
+
+
+def test_disturbance_begins_with_the_crash_of_a_worker():
+    """Guards against requests that a crash cut before somebody noticed it."""
+    worker = Worker("w", "app").start()
+    before = time.monotonic()
+    worker.crash()
+    assert before <= worker.crashed_at <= time.monotonic()
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -160,9 +160,13 @@
         self.record.fault_counts[fault.kind.value] += 1
         _ACTIONS[fault.kind](self, fault)
 
-    def _record_disturbance(self, component: str, fault: ScheduledFault) -> None:
+    def _record_disturbance(
+        self, component: str, fault: ScheduledFault, since: float | None = None
+    ) -> None:
+        """Record a disturbance that began at ``since``, by default now, and lasts from now on."""
         now = time.monotonic()
-        self.record.disturbances.append(Disturbance(component, now, now + fault.duration_s))
+        started_at = now if since is None else since
+        self.record.disturbances.append(Disturbance(component, started_at, now + fault.duration_s))
 
     # -- routers -------------------------------------------------------------------------------
 
@@ -185,8 +189,9 @@
         self, router: LocalRouter, fault: ScheduledFault, terminate: Callable[[], None]
     ) -> None:
         self._unavailable.add(router.name)
+        since = time.monotonic()
         terminate()
-        self._record_disturbance(router.name, fault)
+        self._record_disturbance(router.name, fault, since)
         self._timer.run_after(
             min(fault.duration_s, _RESTART_DELAY_S), lambda: self._restart_router(router)
         )
@@ -221,8 +226,9 @@
         if router is None:
             return
         self._unavailable.add(router.name)
+        since = time.monotonic()
         router.signal(signal.SIGSTOP)
-        self._record_disturbance(router.name, fault)
+        self._record_disturbance(router.name, fault, since)
         self._timer.run_after(fault.duration_s, lambda: self._resume(router))
 
     def _resume(self, router: LocalRouter) -> None:
@@ -306,12 +312,13 @@
     def _disturb_worker_link(self, fault: ScheduledFault) -> None:
         worker, network = self._select_worker(fault), self.deployment.network
         ends = ({"routers"}, {worker.id})
+        since = time.monotonic()
         if fault.kind is FaultKind.WORKER_DELAYED:
             network.delay(*ends, _LINK_DELAY_S)
         else:
             back_only = fault.kind is FaultKind.WORKER_CUT_BACK
             network.partition(*ends, (Direction.BACKWARD,) if back_only else tuple(Direction))
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
         self._timer.run_after(fault.duration_s, lambda: network.restore_links(*ends))
 
     def _break_worker_connections(self, fault: ScheduledFault) -> None:
@@ -321,14 +328,16 @@
             if fault.kind is FaultKind.WORKER_SILENCED
             else network.reset_connections
         )
+        since = time.monotonic()
         break_connections({"routers"}, {self._select_worker(fault).id})
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
 
     def _add_answer_faults(self, fault: ScheduledFault) -> None:
         rng = random.Random(fault.random_number)
         faults = rng.choices(_MISLEADING_ANSWERS + _BROKEN_ANSWERS, k=_FAULTS_PER_WORKER)
+        since = time.monotonic()
         self._select_worker(fault).behaviour.faults.extend(faults)
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
 
     def _retire_worker(self, fault: ScheduledFault) -> None:
         worker = self._select_worker(fault)
@@ -342,12 +351,13 @@
     def _crash_worker(self, fault: ScheduledFault) -> None:
         worker = self._select_worker(fault)
         self._start_replacement(worker)
+        since = time.monotonic()
         worker.stop()
         self.deployment.network.reset_connections({"routers"}, {worker.id})
         self.record.retired_workers[worker.id] = RetiredWorker(
             worker.id, time.monotonic(), crashed=True
         )
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
         self._timer.run_after(fault.duration_s, lambda: self.deployment.withdraw(worker))
 
     def _add_workers(self, fault: ScheduledFault) -> None:
@@ -399,7 +409,7 @@
             if worker.crashed.is_set() and worker.id not in self.record.retired_workers:
                 now = time.monotonic()
                 self.record.retired_workers[worker.id] = RetiredWorker(worker.id, now, crashed=True)
-                self.record.disturbances.append(Disturbance("worker", now, now))
+                self.record.disturbances.append(Disturbance("worker", worker.crashed_at, now))
                 self._start_replacement(worker)
                 self._timer.run_after(
                     _ENTRY_EXPIRY_S, lambda worker=worker: self.deployment.withdraw(worker)
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -179,6 +179,8 @@
         Prompt tokens prefilled so far.
     listing_count : int
         Times that a router has listed the cache.
+    crashed_at : float or None
+        Monotonic time of the crash, if it has crashed.
     crashed_cold : bool
         Whether the worker crashed under too many requests while it was cold.
     """
@@ -196,6 +198,7 @@
         self.listing_count = 0
         self.closing = threading.Event()
         self.crashed = threading.Event()
+        self.crashed_at: float | None = None
         self.crashed_cold = False
         self._cold_until = self._fragile_from = -math.inf
         self._cold_arrivals: deque[float] = deque()
@@ -235,6 +238,7 @@
     def crash(self) -> None:
         """Stop abruptly: all connections are broken and new ones refused."""
         if not self.crashed.is_set():
+            self.crashed_at = time.monotonic()
             self.crashed.set()
             self._server.abort()
 
