Soak: exceptions are raised in actors and threads of routers

What guards against it were single exceptions under load alone; none was raised beside kills, pauses, drains, cuts and floods.

draw_internal_faults has a random stream of its own, so that seeds keep their other schedules. Each INTERNAL_FAULT raises one exception in a drawn message, thread or placement of a drawn router. On by default; SoakOptions.internal_faults, soak --no-internal-faults.

Checks: a request at the router from the fault until two seconds after gets a whole answer or a refusal, unless the router was disturbed or stopped (a disturbed worker excuses a cut stream, not a missing status); no router process ends by itself, of which the injector takes notice before each fault and at the end. Earlier seeds of test_soak are run without these faults, as with the kinds before.

--- a/tests/platform/soak/test_checks.py
+++ b/tests/platform/soak/test_checks.py
@@ -6,6 +6,7 @@
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.record import (
     Disturbance,
+    InternalFault,
     RetiredWorker,
     RouterExit,
     SoakRecord,
@@ -222,3 +223,60 @@
     record.requests += [make_prompt(number, 110.0, status) for number in range(20)]
     record.requests.append(SoakRequest("part0", "plan", "r1", "POST", "/plan/1", b"", 120.0))
     assert rules(checks.check_sound_requests(record, [worker])) == found
+
+
+def make_lost(status: int) -> SoakRequest:
+    return make_request_with_answer(status=status, complete=False)
+
+
+def find_lost(request: SoakRequest, fault: InternalFault, **records) -> list[str]:
+    record = SoakRecord(requests=[request], internal_faults=[fault], **records)
+    return rules(checks.check_internal_faults(record))
+
+
+@pytest.mark.parametrize("status", [0, 200])
+@pytest.mark.parametrize(
+    ("router", "armed_at", "found"),
+    [
+        ("r1", 100.1, ["lost"]),
+        ("r1", 98.5, ["lost"]),
+        ("r1", 97.5, []),
+        ("r1", 100.3, []),
+        ("r2", 100.1, []),
+    ],
+)
+def test_request_lost_beside_internal_fault_is_found(status, router, armed_at, found):
+    assert find_lost(make_lost(status), InternalFault(router, "timer", armed_at)) == found
+
+
+def test_answered_and_abandoned_requests_are_not_lost():
+    fault = InternalFault("r1", "timer", 100.1)
+    for request in (make_request(status=503), make_request(disconnected_at=100.15)):
+        assert not find_lost(request, fault)
+
+
+@pytest.mark.parametrize(
+    ("component", "status", "found"),
+    [
+        ("r1", 0, []),
+        ("worker", 200, []),
+        ("worker", 0, ["lost"]),
+        ("store", 200, ["lost"]),
+        ("r2", 200, ["lost"]),
+    ],
+)
+def test_only_disturbances_that_may_cut_an_answer_excuse_it(component, status, found):
+    fault = InternalFault("r1", "timer", 100.1)
+    disturbances = [Disturbance(component, 98.0, 99.0)]
+    assert find_lost(make_lost(status), fault, disturbances=disturbances) == found
+
+
+@pytest.mark.parametrize(("router", "found"), [("r1", []), ("r2", ["lost"])])
+def test_planned_stop_of_the_same_router_excuses_a_lost_request(router, found):
+    fault = InternalFault("r1", "timer", 100.1)
+    assert find_lost(make_lost(0), fault, planned_stops=[(router, 99.0)]) == found
+
+
+def test_unplanned_exit_is_found():
+    record = SoakRecord(unplanned_exits=[("r1", 71)])
+    assert rules(checks.check_unplanned_exits(record)) == ["unplanned-exit"]
--- a/tests/platform/soak/test_fault_injector.py
+++ b/tests/platform/soak/test_fault_injector.py
@@ -1,7 +1,6 @@
 """Tests of what the fault injector records."""
 
 import time
-from types import SimpleNamespace
 from unittest.mock import MagicMock
 
 import pytest
@@ -30,7 +29,7 @@
 
 
 def run(router: StubRouter, *kinds: FaultKind) -> SoakRecord:
-    deployment = MagicMock(routers=[router], store=SimpleNamespace(store=SimpleNamespace()))
+    deployment = MagicMock(routers=[router])
     schedule = [ScheduledFault(0.1 * n, 0.0, kind, 0) for n, kind in enumerate(kinds)]
     injector = FaultInjector(deployment, schedule, SoakRecord())
     injector.start()
@@ -52,3 +51,13 @@
     before = time.monotonic()
     worker.crash()
     assert before <= worker.crashed_at <= time.monotonic()
+
+
+@pytest.mark.parametrize("kinds", [(), (FaultKind.KILL,), (FaultKind.PUBLISH, FaultKind.KILL)])
+def test_process_that_ended_by_itself_is_recorded_once(kinds):
+    """Guards against exits that the next fault or the end of the run hides."""
+    assert run(StubRouter(exit_code=71), *kinds).unplanned_exits == [("r1", 71)]
+
+
+def test_killed_process_did_not_end_by_itself():
+    assert not run(StubRouter(), FaultKind.KILL).unplanned_exits
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -8,6 +8,7 @@
     FaultKind,
     draw_crashes_and_restores,
     draw_floods_and_joins,
+    draw_internal_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -36,6 +37,7 @@
     assert draw_crashes_and_restores(5, 30) == draw_crashes_and_restores(5, 30)
     assert draw_zone_faults(5, 30) == draw_zone_faults(5, 30)
     assert draw_prompt_faults(5, 30) == draw_prompt_faults(5, 30)
+    assert draw_internal_faults(5, 30) == draw_internal_faults(5, 30)
     drawn = {
         fault.kind
         for seed in range(20)
@@ -45,6 +47,7 @@
             draw_crashes_and_restores,
             draw_zone_faults,
             draw_prompt_faults,
+            draw_internal_faults,
         )
         for fault in draw(seed, 30)
     }
@@ -61,6 +64,7 @@
             crashes_and_restores=False,
             zone_faults=False,
             prompt_faults=False,
+            internal_faults=False,
         ),
         tmp_path,
     )
@@ -69,7 +73,8 @@
 
 def test_targets_match_store_after_two_restores(tmp_path):
     """Guards against ignoring targets that rewrote their entries before the new era was listed."""
-    report = run_soak(416, SoakOptions(seconds=12.0, prompt_faults=False), tmp_path)
+    options = SoakOptions(seconds=12.0, prompt_faults=False, internal_faults=False)
+    report = run_soak(416, options, tmp_path)
     assert not report.violations, format_soak(report)
 
 
@@ -91,7 +96,24 @@
         floods_and_joins=False,
         crashes_and_restores=False,
         zone_faults=False,
+        internal_faults=False,
     )
     report = run_soak(SEED, options, tmp_path)
     assert not report.violations, format_soak(report)
     assert min(report.sound_counts) >= MIN_SOUND_REQUESTS, report.sound_counts
+
+
+def test_exceptions_in_routers_lose_no_request(tmp_path):
+    """Guards against checks of internal faults that never apply, as all faults overlap."""
+    options = SoakOptions(
+        seconds=12.0,
+        base_faults=False,
+        floods_and_joins=False,
+        crashes_and_restores=False,
+        zone_faults=False,
+        prompt_faults=False,
+    )
+    report = run_soak(SEED, options, tmp_path)
+    assert not report.violations, format_soak(report)
+    assert report.fault_counts["internal_fault"] > 5
+    assert any(" event=actor_failed " in log.read_text() for log in tmp_path.glob("r*.log"))
--- a/turmerictray/cli/soak.py
+++ b/turmerictray/cli/soak.py
@@ -10,6 +10,7 @@
     seconds: float = 20.0,
     routers: int = 3,
     callers: int = 12,
+    internal_faults: bool = True,
     workdir: Path | None = None,
 ) -> int:
     """Inject seeded faults into local router processes under load and check all invariants.
@@ -30,6 +31,8 @@
         Router processes, two or more.
     callers
         Number of callers; each sends its next request after the previous answer.
+    internal_faults
+        Whether to raise exceptions in actors and threads of routers, too.
     workdir
         Parent of the folders for settings and logs, one per seed; temporary folders by default.
     """
@@ -41,10 +44,11 @@
             file=sys.stderr,
         )
         return 2
+    options = SoakOptions(seconds, routers, callers=callers, internal_faults=internal_faults)
     broken = 0
     for number in range(seed, seed + seeds):
         folder = workdir / f"seed{number}" if workdir else None
-        report = run_soak(number, SoakOptions(seconds, routers, callers=callers), folder)
+        report = run_soak(number, options, folder)
         print(format_soak(report), flush=True)
         broken += bool(report.violations)
     return 1 if broken else 0
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -6,7 +6,13 @@
 from typing import NamedTuple, TypeVar
 
 from turmerictray.loadtool.history import Violation
-from turmerictray.platform.soak.record import RUN_ONCE, STREAMS, SoakRecord, SoakRequest
+from turmerictray.platform.soak.record import (
+    RUN_ONCE,
+    STREAMS,
+    InternalFault,
+    SoakRecord,
+    SoakRequest,
+)
 from turmerictray.platform.standins.local import TEAM
 from turmerictray.platform.standins.worker import ReceivedRequest, Worker, shared_part_ids
 
@@ -27,6 +33,9 @@
 _STOPPING_S = 9.0
 """Time after a planned stop in which the router may still be stopping."""
 
+_FAULT_EFFECT_S = 2.0
+"""Time after the injection of an internal fault in which requests that arrive may be affected."""
+
 _MAX_CRASHES = 3
 _MAX_PART_CRASHES = 5
 _MAX_LATER_SENDS = 3
@@ -389,3 +398,47 @@
             calm = not record.was_disturbed(request.started_at - _SETTLE_S, request.ended_at)
             if during and calm:
                 yield Violation(request.request_id, "graceful-stop", f"cut by {name}'s stop")
+
+
+def check_unplanned_exits(record: SoakRecord) -> Iterator[Violation]:
+    """Check that no router process ended by itself."""
+    for name, exit_code in record.unplanned_exits:
+        yield Violation(name, "unplanned-exit", f"exit code {exit_code}")
+
+
+def check_internal_faults(record: SoakRecord) -> Iterator[Violation]:
+    """Check that an exception in a router costs no request that it has accepted.
+
+    Each gets a whole answer or a refusal, unless something else disturbed the router. A disturbed
+    worker may cut a stream, but doesn't excuse a missing status.
+    """
+    for request in record.requests:
+        if request.disconnected_at is not None or request.answer.complete:
+            continue
+        fault = _internal_fault_during(record, request)
+        if fault is not None and not _has_other_cause(record, request):
+            detail = f"{request.router} lost it beside an exception in {fault.point}"
+            yield Violation(request.request_id, "lost", detail)
+
+
+def _internal_fault_during(record: SoakRecord, request: SoakRequest) -> InternalFault | None:
+    return next(
+        (
+            fault
+            for fault in record.internal_faults
+            if fault.router == request.router
+            and fault.armed_at <= request.ended_at
+            and request.started_at <= fault.armed_at + _FAULT_EFFECT_S
+        ),
+        None,
+    )
+
+
+def _has_other_cause(record: SoakRecord, request: SoakRequest) -> bool:
+    components = (request.router, "worker") if request.answer.status else (request.router,)
+    return record.was_disturbed(
+        request.started_at - _SETTLE_S, request.ended_at, *components
+    ) or any(
+        name == request.router and at <= request.ended_at and request.started_at <= at + _STOPPING_S
+        for name, at in record.planned_stops
+    )
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -18,17 +18,20 @@
     CrashingPartSender,
     CrashingRequestSender,
 )
+from turmerictray.platform.soak.internal_faults import FaultPointSelection
 from turmerictray.platform.soak.record import (
     VERSIONS,
     ZONES,
     Disturbance,
     EvacuationRecord,
     FloodRecord,
+    InternalFault,
     RetiredWorker,
     RouterExit,
     SoakRecord,
 )
 from turmerictray.platform.soak.schedule import FaultKind, ScheduledFault
+from turmerictray.platform.standins.failing_router import arm
 from turmerictray.platform.standins.flood import Flood
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
 from turmerictray.platform.standins.store import StoreTrouble
@@ -115,6 +118,8 @@
         self._config = default_config(1)
         self._worker_numbers = itertools.count(1)
         self._unavailable: set[str] = set()
+        self._ended_pids: set[int] = set()
+        self._fault_points = FaultPointSelection()
         self._sender_threads: list[threading.Thread] = []
         self._timer = EventSchedule()
         for fault in schedule:
@@ -127,6 +132,7 @@
     def finish(self) -> None:
         """Wait for the end of the schedule and undo all faults."""
         self._timer.finish()
+        self._note_unplanned_exits()
         self.deployment.network.restore_all()
         for thread in self._sender_threads:
             thread.join()
@@ -158,6 +164,7 @@
             s=round(fault.duration_s, 2),
         )
         self.record.fault_counts[fault.kind.value] += 1
+        self._note_unplanned_exits()
         _ACTIONS[fault.kind](self, fault)
 
     def _record_disturbance(
@@ -175,6 +182,27 @@
         router = routers[fault.random_number % len(routers)]
         return None if router.name in self._unavailable else router
 
+    def _note_unplanned_exits(self) -> None:
+        """Record processes that have ended by themselves, before a fault starts them again."""
+        for router in self.deployment.routers:
+            if router.name in self._unavailable or router.exit_code is None:
+                continue
+            if router.pid not in self._ended_pids:
+                self._ended_pids.add(router.pid)
+                self.record.unplanned_exits.append((router.name, router.exit_code))
+
+    def _raise_internal_fault(self, fault: ScheduledFault) -> None:
+        router = self._select_router(fault)
+        if router is None:
+            return
+        number = fault.random_number // len(self.deployment.routers)
+        point = self._fault_points.select(router.pid, number)
+        if point is None:
+            return
+        log_event("internal_fault", router=router.name, point=point)
+        self.record.internal_faults.append(InternalFault(router.name, point, time.monotonic()))
+        arm(router.faults_path, point)
+
     def _kill_router(self, fault: ScheduledFault) -> None:
         router = self._select_router(fault)
         if router is not None:
@@ -515,4 +543,5 @@
     FaultKind.EVACUATE: FaultInjector._evacuate,
     FaultKind.WORKERS_COLD: FaultInjector._chill_workers,
     FaultKind.CRASHING_PART: FaultInjector._send_crashing_parts,
+    FaultKind.INTERNAL_FAULT: FaultInjector._raise_internal_fault,
 }
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -87,6 +87,24 @@
     was_ready: bool
 
 
+@dataclass(frozen=True)
+class InternalFault:
+    """An exception that a router was made to raise.
+
+    Attributes
+    ----------
+    router : str
+    point : str
+        Message or thread; see :mod:`turmerictray.platform.standins.failing_router`.
+    armed_at : float
+        Monotonic seconds; the exception is raised at the next use of the point.
+    """
+
+    router: str
+    point: str
+    armed_at: float
+
+
 @dataclass
 class SoakRequest:
     """A request that a caller sent.
@@ -164,6 +182,9 @@
     planned_stops : list of tuple of str and float
         Name of the router and time at which it received SIGTERM.
     exits : list of RouterExit
+    unplanned_exits : list of tuple of str and int
+        Name and exit code of each router process that ended by itself.
+    internal_faults : list of InternalFault
     fault_counts : Counter
         Number of injected faults by kind.
     floods : list of FloodRecord
@@ -179,6 +200,8 @@
     evacuations: list[EvacuationRecord] = field(default_factory=list)
     planned_stops: list[tuple[str, float]] = field(default_factory=list)
     exits: list[RouterExit] = field(default_factory=list)
+    unplanned_exits: list[tuple[str, int]] = field(default_factory=list)
+    internal_faults: list[InternalFault] = field(default_factory=list)
     fault_counts: Counter = field(default_factory=Counter)
     floods: list[FloodRecord] = field(default_factory=list)
     crashing_bodies: set[bytes] = field(default_factory=set)
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -19,6 +19,7 @@
 from turmerictray.platform.soak.schedule import (
     draw_crashes_and_restores,
     draw_floods_and_joins,
+    draw_internal_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -54,6 +55,8 @@
         Whether to add evacuations and cold engines of whole zones.
     prompt_faults : bool
         Whether to add prompts with a part that crashes workers.
+    internal_faults : bool
+        Whether to add exceptions in actors and threads of routers.
     """
 
     seconds: float = 20.0
@@ -66,6 +69,7 @@
     crashes_and_restores: bool = True
     zone_faults: bool = True
     prompt_faults: bool = True
+    internal_faults: bool = True
 
 
 @dataclass
@@ -110,7 +114,12 @@
     folder.mkdir(parents=True, exist_ok=True)
     setup_logging("soak", "soak", path=str(folder / "soak.log"), stderr=False)
     deployment = LocalDeployment(
-        folder, options.routers, options.apps, options.engines, network=Network()
+        folder,
+        options.routers,
+        options.apps,
+        options.engines,
+        network=Network(),
+        fails=options.internal_faults,
     )
     for number, worker in enumerate(deployment.workers):
         worker.zone = ZONES[number % len(ZONES)]
@@ -156,6 +165,8 @@
         schedule += draw_zone_faults(seed, options.seconds)
     if options.prompt_faults:
         schedule += draw_prompt_faults(seed, options.seconds)
+    if options.internal_faults:
+        schedule += draw_internal_faults(seed, options.seconds)
     injector = FaultInjector(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(options.callers)
@@ -211,6 +222,8 @@
         *checks.check_evacuated_zones(record, workers),
         *checks.check_cold_workers(workers),
         *checks.check_planned_stops(record),
+        *checks.check_unplanned_exits(record),
+        *checks.check_internal_faults(record),
         *checks.check_crashing_requests(
             record, workers, [router.name for router in deployment.routers]
         ),
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -21,7 +21,8 @@
     ``STORE_RETURNS`` restores the store from a backup. ``DEADLY`` sends a request that crashes each
     worker that starts to run it. ``EVACUATE`` evacuates an availability zone and takes it back.
     ``WORKERS_COLD`` makes the engines of a zone cold. ``CRASHING_PART`` sends ever new prompts with
-    one part that crashes each worker that begins to answer.
+    one part that crashes each worker that begins to answer. ``INTERNAL_FAULT`` raises an exception
+    in an actor or a thread of a router.
     """
 
     KILL = "kill"
@@ -55,6 +56,7 @@
     EVACUATE = "evacuate"
     WORKERS_COLD = "workers_cold"
     CRASHING_PART = "crashing_part"
+    INTERNAL_FAULT = "internal_fault"
 
 
 _FLOODS_AND_JOINS = (FaultKind.FLOOD, FaultKind.WORKERS_JOIN)
@@ -70,15 +72,18 @@
 _PROMPT_FAULTS = (FaultKind.CRASHING_PART,)
 """Faults of prompts, with a fifth schedule for the same reason."""
 
-_BASE_KINDS = tuple(
-    kind
-    for kind in FaultKind
-    if kind not in (*_FLOODS_AND_JOINS, *_CRASHES_AND_RESTORES, *_ZONE_FAULTS, *_PROMPT_FAULTS)
+_INTERNAL_FAULTS = (FaultKind.INTERNAL_FAULT,)
+"""Exceptions in routers, with a sixth schedule for the same reason."""
+
+_OVERLAID_KINDS = frozenset(
+    _FLOODS_AND_JOINS + _CRASHES_AND_RESTORES + _ZONE_FAULTS + _PROMPT_FAULTS + _INTERNAL_FAULTS
 )
+_BASE_KINDS = tuple(kind for kind in FaultKind if kind not in _OVERLAID_KINDS)
 _FLOODS_AND_JOINS_GAP_S = (2.0, 6.0)
 _CRASHES_AND_RESTORES_GAP_S = (0.5, 4.0)
 _ZONE_FAULTS_GAP_S = (1.0, 5.0)
 _PROMPT_FAULTS_GAP_S = (1.0, 4.0)
+_INTERNAL_FAULTS_GAP_S = (0.2, 1.5)
 
 
 @dataclass(frozen=True)
@@ -134,6 +139,13 @@
     return _draw(rng, seconds, first_at_s, _PROMPT_FAULTS, _PROMPT_FAULTS_GAP_S)
 
 
+def draw_internal_faults(seed: int, seconds: float) -> list[ScheduledFault]:
+    """Draw exceptions in routers, in order of time."""
+    rng = random.Random(f"internal {seed}")
+    first_at_s = rng.uniform(*_INTERNAL_FAULTS_GAP_S)
+    return _draw(rng, seconds, first_at_s, _INTERNAL_FAULTS, _INTERNAL_FAULTS_GAP_S)
+
+
 def _draw(
     rng: random.Random,
     seconds: float,
