Soak: workers tell in answers that they leave or are full, and fall silent

The soak's workers told of themselves in entries only.

draw_notice_faults has a random stream of its own. TELLS_LEAVING: a worker says so in its answers, its entry stays ready, and it stops 4.5 s later. FULL: it refuses for a while and asks for 1 to 3 s. SILENT: it sends nothing for 1.3 to 2.0 s, which is recorded as no disturbance, so that it excuses nothing. Checks (notice_checks): no caller's request, sent later than two seconds after its router had passed on such an answer, reaches the worker, unless the router was disturbed or stopped since then; no more than two requests of one router reach a worker from half a second after its refusal to the end of the rest, unless the router was disturbed or stopped, or a worker cut off. The existing check of leaving workers goes by their entries, so it leaves out those whose entry stays ready.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -9,6 +9,7 @@
     draw_crashes_and_restores,
     draw_floods_and_joins,
     draw_internal_faults,
+    draw_notice_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -38,6 +39,7 @@
     assert draw_zone_faults(5, 30) == draw_zone_faults(5, 30)
     assert draw_prompt_faults(5, 30) == draw_prompt_faults(5, 30)
     assert draw_internal_faults(5, 30) == draw_internal_faults(5, 30)
+    assert draw_notice_faults(5, 30) == draw_notice_faults(5, 30)
     drawn = {
         fault.kind
         for seed in range(20)
@@ -48,6 +50,7 @@
             draw_zone_faults,
             draw_prompt_faults,
             draw_internal_faults,
+            draw_notice_faults,
         )
         for fault in draw(seed, 30)
     }
--- a/turmerictray/cli/soak.py
+++ b/turmerictray/cli/soak.py
@@ -11,6 +11,7 @@
     routers: int = 3,
     callers: int = 12,
     internal_faults: bool = True,
+    notice_faults: bool = False,
     workdir: Path | None = None,
 ) -> int:
     """Inject seeded faults into local router processes under load and check all invariants.
@@ -33,6 +34,8 @@
         Number of callers; each sends its next request after the previous answer.
     internal_faults
         Whether to raise exceptions in actors and threads of routers, too.
+    notice_faults
+        Whether workers also tell in answers that they leave or are full, or fall silent.
     workdir
         Parent of the folders for settings and logs, one per seed; temporary folders by default.
     """
@@ -44,7 +47,13 @@
             file=sys.stderr,
         )
         return 2
-    options = SoakOptions(seconds, routers, callers=callers, internal_faults=internal_faults)
+    options = SoakOptions(
+        seconds,
+        routers,
+        callers=callers,
+        internal_faults=internal_faults,
+        notice_faults=notice_faults,
+    )
     broken = 0
     for number in range(seed, seed + seeds):
         folder = workdir / f"seed{number}" if workdir else None
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -30,7 +30,7 @@
 _SETTLE_S = 3.0
 """A component counts as undisturbed once its last disturbance ended at least this long ago."""
 
-_STOPPING_S = 9.0
+STOPPING_S = 9.0
 """Time after a planned stop in which the router may still be stopping."""
 
 _FAULT_EFFECT_S = 2.0
@@ -181,7 +181,7 @@
     """Check that a leaving worker gets no new requests, if nothing was disturbed meanwhile."""
     for worker in workers:
         retired = record.retired_workers.get(worker.id)
-        if retired is None or retired.crashed:
+        if retired is None or retired.crashed or retired.tells_in_answers:
             continue
         for received in worker.received_requests:
             if received.received_at <= retired.retired_at + _LEAVING_GRACE_S:
@@ -366,7 +366,7 @@
         all(
             record.was_disturbed(at - _SETTLE_S, at, name)
             or any(
-                stopped == name and at - _STOPPING_S <= stopped_at <= at
+                stopped == name and at - STOPPING_S <= stopped_at <= at
                 for stopped, stopped_at in record.planned_stops
             )
             for name in routers
@@ -394,7 +394,7 @@
                 or request.answer.complete
             ):
                 continue
-            during = at <= request.ended_at <= at + _STOPPING_S and request.started_at <= at
+            during = at <= request.ended_at <= at + STOPPING_S and request.started_at <= at
             calm = not record.was_disturbed(request.started_at - _SETTLE_S, request.ended_at)
             if during and calm:
                 yield Violation(request.request_id, "graceful-stop", f"cut by {name}'s stop")
@@ -439,6 +439,6 @@
     return record.was_disturbed(
         request.started_at - _SETTLE_S, request.ended_at, *components
     ) or any(
-        name == request.router and at <= request.ended_at and request.started_at <= at + _STOPPING_S
+        name == request.router and at <= request.ended_at and request.started_at <= at + STOPPING_S
         for name, at in record.planned_stops
     )
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -43,6 +43,13 @@
 """Time that a leaving worker continues to serve, slightly longer than routers may take to stop
 sending to it."""
 
+_TELLING_S = 4.5
+"""Time for which a worker that says in its answers that it leaves continues to serve, long enough
+for requests that reach it too late."""
+
+_LEAVING_HEADER = "Server-Leaving"
+_REST_RANGE_S = (1, 3)
+_SILENCE_RANGE_S = (1.3, 2.0)
 _ENTRY_EXPIRY_S = 1.0
 _STORE_OUTAGE_S = 0.2
 _REWRITE_DELAY_S = 1.5
@@ -314,8 +321,9 @@
             if worker.closing.is_set() or worker.crashed.is_set():
                 self.deployment.withdraw(worker)
             else:
-                is_leaving = worker.id in self.record.retired_workers
-                self.deployment.publish(worker, "draining" if is_leaving else "ready")
+                retired = self.record.retired_workers.get(worker.id)
+                is_draining = retired is not None and not retired.tells_in_answers
+                self.deployment.publish(worker, "draining" if is_draining else "ready")
 
     def _publish(self, fault: ScheduledFault) -> None:
         self._config_version += 1 + fault.random_number % 3
@@ -376,6 +384,25 @@
         )
         self._timer.run_after(_LEAVING_S, lambda: self._remove_worker(worker))
 
+    def _announce_leaving(self, fault: ScheduledFault) -> None:
+        worker = self._select_worker(fault)
+        self._start_replacement(worker)
+        worker.behaviour.leaving_header = _LEAVING_HEADER
+        self.record.retired_workers[worker.id] = RetiredWorker(
+            worker.id, time.monotonic(), crashed=False, tells_in_answers=True
+        )
+        self._timer.run_after(_TELLING_S, lambda: self._remove_worker(worker))
+
+    def _refuse_as_full(self, fault: ScheduledFault) -> None:
+        behaviour = self._select_worker(fault).behaviour
+        behaviour.rest_asked = str(random.Random(fault.random_number).randint(*_REST_RANGE_S))
+        behaviour.is_full_for = lambda _request: True
+        self._timer.run_after(fault.duration_s, lambda: setattr(behaviour, "is_full_for", None))
+
+    def _silence_worker(self, fault: ScheduledFault) -> None:
+        silent_s = random.Random(fault.random_number).uniform(*_SILENCE_RANGE_S)
+        self._select_worker(fault).behaviour.silent_until = time.monotonic() + silent_s
+
     def _crash_worker(self, fault: ScheduledFault) -> None:
         worker = self._select_worker(fault)
         self._start_replacement(worker)
@@ -544,4 +571,7 @@
     FaultKind.WORKERS_COLD: FaultInjector._chill_workers,
     FaultKind.CRASHING_PART: FaultInjector._send_crashing_parts,
     FaultKind.INTERNAL_FAULT: FaultInjector._raise_internal_fault,
+    FaultKind.TELLS_LEAVING: FaultInjector._announce_leaving,
+    FaultKind.FULL: FaultInjector._refuse_as_full,
+    FaultKind.SILENT: FaultInjector._silence_worker,
 }
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -53,11 +53,14 @@
     retired_at : float
         Monotonic seconds.
     crashed : bool
+    tells_in_answers : bool
+        Whether it says only in its answers that it leaves, while its entry stays ready.
     """
 
     worker: str
     retired_at: float
     crashed: bool
+    tells_in_answers: bool = False
 
 
 @dataclass
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -15,11 +15,13 @@
 from turmerictray.platform.soak.callers import SoakCaller
 from turmerictray.platform.soak.crashing_requests import CRASHING_PARTS
 from turmerictray.platform.soak.fault_injector import FaultInjector
+from turmerictray.platform.soak.notice_checks import check_leaving_notices, check_rests
 from turmerictray.platform.soak.record import VERSIONS, ZONES, SoakRecord
 from turmerictray.platform.soak.schedule import (
     draw_crashes_and_restores,
     draw_floods_and_joins,
     draw_internal_faults,
+    draw_notice_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -57,6 +59,8 @@
         Whether to add prompts with a part that crashes workers.
     internal_faults : bool
         Whether to add exceptions in actors and threads of routers.
+    notice_faults : bool
+        Whether to add workers that tell in answers that they leave or are full, or fall silent.
     """
 
     seconds: float = 20.0
@@ -70,6 +74,7 @@
     zone_faults: bool = True
     prompt_faults: bool = True
     internal_faults: bool = True
+    notice_faults: bool = False
 
 
 @dataclass
@@ -167,6 +172,8 @@
         schedule += draw_prompt_faults(seed, options.seconds)
     if options.internal_faults:
         schedule += draw_internal_faults(seed, options.seconds)
+    if options.notice_faults:
+        schedule += draw_notice_faults(seed, options.seconds)
     injector = FaultInjector(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(options.callers)
@@ -219,6 +226,8 @@
         *checks.check_floods(record),
         *checks.check_disconnected_callers(record, workers),
         *checks.check_leaving_workers(record, workers),
+        *check_leaving_notices(record, workers),
+        *check_rests(record, workers),
         *checks.check_evacuated_zones(record, workers),
         *checks.check_cold_workers(workers),
         *checks.check_planned_stops(record),
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -22,7 +22,9 @@
     worker that starts to run it. ``EVACUATE`` evacuates an availability zone and takes it back.
     ``WORKERS_COLD`` makes the engines of a zone cold. ``CRASHING_PART`` sends ever new prompts with
     one part that crashes each worker that begins to answer. ``INTERNAL_FAULT`` raises an exception
-    in an actor or a thread of a router.
+    in an actor or a thread of a router. With ``TELLS_LEAVING`` a worker leaves that says so only in
+    its answers, with ``FULL`` a worker refuses requests and asks for rest, and with ``SILENT`` a
+    worker sends nothing for a moment.
     """
 
     KILL = "kill"
@@ -57,6 +59,9 @@
     WORKERS_COLD = "workers_cold"
     CRASHING_PART = "crashing_part"
     INTERNAL_FAULT = "internal_fault"
+    TELLS_LEAVING = "tells_leaving"
+    FULL = "full"
+    SILENT = "silent"
 
 
 _FLOODS_AND_JOINS = (FaultKind.FLOOD, FaultKind.WORKERS_JOIN)
@@ -75,8 +80,16 @@
 _INTERNAL_FAULTS = (FaultKind.INTERNAL_FAULT,)
 """Exceptions in routers, with a sixth schedule for the same reason."""
 
+_NOTICE_FAULTS = (FaultKind.TELLS_LEAVING, FaultKind.FULL, FaultKind.SILENT)
+"""What workers tell routers in their answers, with a seventh schedule for the same reason."""
+
 _OVERLAID_KINDS = frozenset(
-    _FLOODS_AND_JOINS + _CRASHES_AND_RESTORES + _ZONE_FAULTS + _PROMPT_FAULTS + _INTERNAL_FAULTS
+    _FLOODS_AND_JOINS
+    + _CRASHES_AND_RESTORES
+    + _ZONE_FAULTS
+    + _PROMPT_FAULTS
+    + _INTERNAL_FAULTS
+    + _NOTICE_FAULTS
 )
 _BASE_KINDS = tuple(kind for kind in FaultKind if kind not in _OVERLAID_KINDS)
 _FLOODS_AND_JOINS_GAP_S = (2.0, 6.0)
@@ -84,6 +97,7 @@
 _ZONE_FAULTS_GAP_S = (1.0, 5.0)
 _PROMPT_FAULTS_GAP_S = (1.0, 4.0)
 _INTERNAL_FAULTS_GAP_S = (0.2, 1.5)
+_NOTICE_FAULTS_GAP_S = (0.3, 2.0)
 
 
 @dataclass(frozen=True)
@@ -146,6 +160,13 @@
     return _draw(rng, seconds, first_at_s, _INTERNAL_FAULTS, _INTERNAL_FAULTS_GAP_S)
 
 
+def draw_notice_faults(seed: int, seconds: float) -> list[ScheduledFault]:
+    """Draw workers that tell in answers that they leave or are full, or fall silent, in order."""
+    rng = random.Random(f"notices {seed}")
+    first_at_s = rng.uniform(*_NOTICE_FAULTS_GAP_S)
+    return _draw(rng, seconds, first_at_s, _NOTICE_FAULTS, _NOTICE_FAULTS_GAP_S)
+
+
 def _draw(
     rng: random.Random,
     seconds: float,
