--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -32,7 +32,7 @@
     window_fraction,
 )
 from turmerictray.config.routes import ServiceSpec
-from turmerictray.core.errors import NoTarget, QueueFull, WontBeServed
+from turmerictray.core.errors import NoTarget, QueueFull, TargetsResting, WontBeServed
 from turmerictray.core.ids import (
     ServiceName,
     TargetId,
@@ -53,6 +53,7 @@
     place_prompt,
 )
 from turmerictray.routing.pool_targets import PoolTargets, ShardTargets
+from turmerictray.routing.target_notices import TargetNotices
 
 _MAX_PENDING_PER_TEAM = 256
 """Maximum pending requests of one team; more than can be served within any latency objective. Where
@@ -119,6 +120,8 @@
         Evidence on requests that crash their targets; None for none.
     cold_targets : ColdTargets or None
         Limits the requests to cold targets; None for no tolerance above their configured rate.
+    notices : TargetNotices or None
+        What targets have said of themselves; None for an empty record.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         targets: PoolTargets | ShardTargets | None = None,
         crashes: Quarantine | None = None,
         cold_targets: ColdTargets | None = None,
+        notices: TargetNotices | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -138,6 +142,7 @@
         self.budget = budget
         self.crashes = crashes or Quarantine()
         self.cold_targets = cold_targets or ColdTargets()
+        self.notices = notices or TargetNotices()
         self._place_prompt = place
         self.targets = PoolTargets(ServiceSpec(name)) if targets is None else targets
         self.queue = FairQueue(ledger, _MAX_PENDING_PER_TEAM, 0.0)
@@ -175,10 +180,10 @@
         context: PlacementContext = pending.context
         loads = self._candidates(context, now)
         if not loads:
-            reason = "no_target" if context.version is None else "no_target_of_version"
-            raise NoTarget(reason, NO_TARGET_RETRY_S)
+            raise NoTarget(self._missing_reason(context), NO_TARGET_RETRY_S)
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
+        self._check_rests(pending, loads, now)
         wait = self.expected_wait_s(pending)
         if (
             not retry
@@ -193,6 +198,22 @@
             raise QueueFull(exc.reason, wait) from exc
         self._dispatch_order.add(pending, front=retry)
 
+    def _missing_reason(self, context: PlacementContext) -> str:
+        if context.version is not None:
+            return "no_target_of_version"
+        phases = {load.info.phase for load in self.targets.loads.values()}
+        return "targets_leaving" if phases == {TargetPhase.LEAVING} else "no_target"
+
+    def _check_rests(self, pending: PendingRequest, loads: list[TargetLoad], now: float) -> None:
+        """Refuse a request if all its targets rest until after its deadline."""
+        rest_end = self._first_rest_end(pending, loads)
+        if rest_end > pending.deadline:
+            raise TargetsResting("targets_resting", rest_end - now)
+
+    def _first_rest_end(self, pending: PendingRequest, loads: list[TargetLoad]) -> float:
+        router = pending.context.origin
+        return min(self.notices.rest_end(load.info.id, router) for load in loads)
+
     def _has_idle_engine(
         self, loads: list[TargetLoad], context: PlacementContext, now: float
     ) -> bool:
@@ -209,6 +230,8 @@
         spec, own_path = self.targets.spec, context.own_path
         if load.is_avoided(now) or self.cold_targets.is_resting(load, spec, now, own_path):
             return False
+        if self.notices.next_at(load.info.id, context.origin, now) > now:
+            return False
         snapshot = load.load_snapshot(now, self.targets.model.read_per_s)
         return not snapshot.unread_tokens and snapshot.running < load.info.slots
 
@@ -310,54 +333,49 @@
             for pending in self._next_requests(team):
                 if not attempts.remaining or not should_attempt(pending.context, fraction):
                     continue
-                placement = self._place_or_remove(pending, fraction, now)
+                placement = self._dispatch_or_remove(pending, fraction, now)
                 if placement is None:
-                    attempts.remaining -= 1
+                    attempts.remaining -= pending.context.had_targets
                     continue
-                self._remove(pending)
-                self._record_or_undo(pending, placement, now)
                 available.note_sent(placement.load)
                 yield Dispatch(pending, placement)
                 if self.queue.depth(team):
                     heappush(teams, (self.queue.sort_key(team), team))
                 break
 
-    def _place_or_remove(
+    def _dispatch_or_remove(
         self, pending: PendingRequest, fraction: float, now: float
     ) -> Placement | None:
-        """Place a request; remove it if that fails unexpectedly.
+        """Place a request and book it; return None if it has to wait.
 
         Raises
         ------
         PlacementFailed
-            The request was removed.
+            That failed unexpectedly; the request was removed without a trace.
         """
+        placement = None
         try:
-            return self._place(pending.context, fraction, now)
+            placement = self._place(pending.context, fraction, now)
+            if placement is not None:
+                self._remove(pending)
+                self._record_dispatch(pending, placement, now)
         except Exception as exc:
             self._remove(pending)
             self.release(pending.context)
+            if placement is not None:
+                self._end(placement.load, pending.context.call_id, 0.0)
             raise PlacementFailed(pending) from exc
-
-    def _record_or_undo(self, pending: PendingRequest, placement: Placement, now: float) -> None:
-        """Record the dispatch of a request; undo it if that fails unexpectedly.
-
-        Raises
-        ------
-        PlacementFailed
-            The request is not dispatched.
-        """
-        try:
-            self._record_dispatch(pending, placement, now)
-        except Exception as exc:
-            self._end(placement.load, pending.context.call_id, 0.0)
-            raise PlacementFailed(pending) from exc
+        return placement
 
     def _is_reservation_valid(self, context: PlacementContext, now: float) -> bool:
         """Return whether a request waits for a target that still accepts requests."""
         load = context.reserved_target
         is_current = self.targets.loads.get(load.info.id) is load
-        return is_current and load.info.phase is TargetPhase.READY and not load.is_avoided(now)
+        may_serve = load.info.phase is TargetPhase.READY and not load.is_avoided(now)
+        return is_current and may_serve and self._may_place(load, context, now)
+
+    def _may_place(self, load: TargetLoad, context: PlacementContext, now: float) -> bool:
+        return self.notices.next_at(load.info.id, context.origin, now) <= now
 
     def _unreserved_since(self, available: AvailableTargets, now: float) -> float:
         """Return when an engine for which no request waits last became available.
@@ -402,6 +420,12 @@
         context.last_attempt_at = now
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
+        loads = self.notices.exclude_resting(loads, context.origin, now)
+        context.had_targets = bool(loads)
+        if not loads:
+            # It is tried again when the time has come, instead of in each round.
+            self.release(context)
+            return None
         suspicion = self.crashes.suspicion(context.fingerprint, now)
         if suspicion is Suspicion.HELD and not context.is_test:
             return None
@@ -511,21 +535,21 @@
     def take_unservable(self) -> list[PendingRequest]:
         """Remove and return the pending requests that no target will run.
 
-        These are all if operators have evacuated all targets, and those that need a software
-        version of which no target is left. Other targets that are missing usually return within
-        the requests' deadlines.
+        These are all if every target leaves or is evacuated, and those that need a software version
+        of which no target is left. Targets that are missing usually return within the requests'
+        deadlines.
         """
         if not len(self.queue):
             return []
         infos = [load.info for load in self.targets.loads.values()]
         phases = {info.phase for info in infos}
-        all_evacuated = TargetPhase.READY not in phases and TargetPhase.EVACUATED in phases
+        none_left = bool(phases) and TargetPhase.READY not in phases
         versions = {info.version for info in infos if info.phase is TargetPhase.READY}
         requests = [
             pending
             for team in self.queue.backlogged()
             for pending in self.queue.waiting(team, self.queue.depth(team))
-            if all_evacuated
+            if none_left
             or pending.context.version is not None
             and pending.context.version not in versions
         ]
@@ -534,6 +558,24 @@
             self.release(pending.context)
         return requests
 
+    def take_resting(self, now: float) -> list[tuple[PendingRequest, float]]:
+        """Remove the pending requests whose targets all rest until after their deadline.
+
+        Returns
+        -------
+        list of (PendingRequest, float)
+            With the seconds until the first of these rests ends.
+        """
+        taken = []
+        for pending in self.waiting_requests():
+            loads = self._candidates(pending.context, now)
+            rest_end = self._first_rest_end(pending, loads) if loads else -math.inf
+            if rest_end > pending.deadline:
+                self._remove(pending)
+                self.release(pending.context)
+                taken.append((pending, rest_end - now))
+        return taken
+
     def take_held(self, now: float) -> list[PendingRequest]:
         """Remove and return the pending requests that must not be sent to any target."""
         held = [
@@ -568,6 +610,7 @@
             context.fingerprint,
         )
         placement.load.record_sent(context.call_id, read, call)
+        self.notices.note_sent(placement.load.info.id, now)
         if context.prompt is not None:
             placement.load.prefix_cache.note_read(context.prompt)
             self.targets.note_read(placement.load.info.id, context.prompt)
@@ -697,5 +740,11 @@
         return {
             "waiting": len(self.queue),
             "read_tokens_per_s": round(self.targets.model.read_per_s),
-            "targets": self.targets.describe(now),
+            "targets": self._describe_targets(now),
         }
+
+    def _describe_targets(self, now: float) -> dict[str, object]:
+        described = self.targets.describe(now)
+        for target, fields in described.items():
+            fields["rest_s"] = round(self.notices.rest_left_s(target, now), 2)
+        return described
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -6,7 +6,13 @@
 from typing import NamedTuple, TypeVar
 
 from turmerictray.loadtool.history import Violation
-from turmerictray.platform.soak.record import RUN_ONCE, STREAMS, SoakRecord, SoakRequest
+from turmerictray.platform.soak.record import (
+    RUN_ONCE,
+    STREAMS,
+    InternalFault,
+    SoakRecord,
+    SoakRequest,
+)
 from turmerictray.platform.standins.local import TEAM
 from turmerictray.platform.standins.worker import ReceivedRequest, Worker, shared_part_ids
 
@@ -24,9 +30,12 @@
 _SETTLE_S = 3.0
 """A component counts as undisturbed once its last disturbance ended at least this long ago."""
 
-_STOPPING_S = 9.0
+STOPPING_S = 9.0
 """Time after a planned stop in which the router may still be stopping."""
 
+_FAULT_EFFECT_S = 2.0
+"""Time after the injection of an internal fault in which requests that arrive may be affected."""
+
 _MAX_CRASHES = 3
 _MAX_PART_CRASHES = 5
 _MAX_LATER_SENDS = 3
@@ -172,7 +181,7 @@
     """Check that a leaving worker gets no new requests, if nothing was disturbed meanwhile."""
     for worker in workers:
         retired = record.retired_workers.get(worker.id)
-        if retired is None or retired.crashed:
+        if retired is None or retired.crashed or retired.tells_in_answers:
             continue
         for received in worker.received_requests:
             if received.received_at <= retired.retired_at + _LEAVING_GRACE_S:
@@ -357,7 +366,7 @@
         all(
             record.was_disturbed(at - _SETTLE_S, at, name)
             or any(
-                stopped == name and at - _STOPPING_S <= stopped_at <= at
+                stopped == name and at - STOPPING_S <= stopped_at <= at
                 for stopped, stopped_at in record.planned_stops
             )
             for name in routers
@@ -385,7 +394,51 @@
                 or request.answer.complete
             ):
                 continue
-            during = at <= request.ended_at <= at + _STOPPING_S and request.started_at <= at
+            during = at <= request.ended_at <= at + STOPPING_S and request.started_at <= at
             calm = not record.was_disturbed(request.started_at - _SETTLE_S, request.ended_at)
             if during and calm:
                 yield Violation(request.request_id, "graceful-stop", f"cut by {name}'s stop")
+
+
+def check_unplanned_exits(record: SoakRecord) -> Iterator[Violation]:
+    """Check that no router process ended by itself."""
+    for name, exit_code in record.unplanned_exits:
+        yield Violation(name, "unplanned-exit", f"exit code {exit_code}")
+
+
+def check_internal_faults(record: SoakRecord) -> Iterator[Violation]:
+    """Check that an exception in a router costs no request that it has accepted.
+
+    Each gets a whole answer or a refusal, unless something else disturbed the router. A disturbed
+    worker may cut a stream, but doesn't excuse a missing status.
+    """
+    for request in record.requests:
+        if request.disconnected_at is not None or request.answer.complete:
+            continue
+        fault = _internal_fault_during(record, request)
+        if fault is not None and not _has_other_cause(record, request):
+            detail = f"{request.router} lost it beside an exception in {fault.point}"
+            yield Violation(request.request_id, "lost", detail)
+
+
+def _internal_fault_during(record: SoakRecord, request: SoakRequest) -> InternalFault | None:
+    return next(
+        (
+            fault
+            for fault in record.internal_faults
+            if fault.router == request.router
+            and fault.armed_at <= request.ended_at
+            and request.started_at <= fault.armed_at + _FAULT_EFFECT_S
+        ),
+        None,
+    )
+
+
+def _has_other_cause(record: SoakRecord, request: SoakRequest) -> bool:
+    components = (request.router, "worker") if request.answer.status else (request.router,)
+    return record.was_disturbed(
+        request.started_at - _SETTLE_S, request.ended_at, *components
+    ) or any(
+        name == request.router and at <= request.ended_at and request.started_at <= at + STOPPING_S
+        for name, at in record.planned_stops
+    )
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -18,17 +18,20 @@
     CrashingPartSender,
     CrashingRequestSender,
 )
+from turmerictray.platform.soak.internal_faults import FaultPointSelection
 from turmerictray.platform.soak.record import (
     VERSIONS,
     ZONES,
     Disturbance,
     EvacuationRecord,
     FloodRecord,
+    InternalFault,
     RetiredWorker,
     RouterExit,
     SoakRecord,
 )
 from turmerictray.platform.soak.schedule import FaultKind, ScheduledFault
+from turmerictray.platform.standins.failing_router import arm
 from turmerictray.platform.standins.flood import Flood
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
 from turmerictray.platform.standins.store import StoreTrouble
@@ -40,6 +43,13 @@
 """Time that a leaving worker continues to serve, slightly longer than routers may take to stop
 sending to it."""
 
+_TELLING_S = 4.5
+"""Time for which a worker that says in its answers that it leaves continues to serve, long enough
+for requests that reach it too late."""
+
+_LEAVING_HEADER = "Server-Leaving"
+_REST_RANGE_S = (1, 3)
+_SILENCE_RANGE_S = (1.3, 2.0)
 _ENTRY_EXPIRY_S = 1.0
 _STORE_OUTAGE_S = 0.2
 _REWRITE_DELAY_S = 1.5
@@ -115,6 +125,8 @@
         self._config = default_config(1)
         self._worker_numbers = itertools.count(1)
         self._unavailable: set[str] = set()
+        self._ended_pids: set[int] = set()
+        self._fault_points = FaultPointSelection()
         self._sender_threads: list[threading.Thread] = []
         self._timer = EventSchedule()
         for fault in schedule:
@@ -127,6 +139,7 @@
     def finish(self) -> None:
         """Wait for the end of the schedule and undo all faults."""
         self._timer.finish()
+        self._note_unplanned_exits()
         self.deployment.network.restore_all()
         for thread in self._sender_threads:
             thread.join()
@@ -158,11 +171,16 @@
             s=round(fault.duration_s, 2),
         )
         self.record.fault_counts[fault.kind.value] += 1
+        self._note_unplanned_exits()
         _ACTIONS[fault.kind](self, fault)
 
-    def _record_disturbance(self, component: str, fault: ScheduledFault) -> None:
+    def _record_disturbance(
+        self, component: str, fault: ScheduledFault, since: float | None = None
+    ) -> None:
+        """Record a disturbance that began at ``since``, by default now, and lasts from now on."""
         now = time.monotonic()
-        self.record.disturbances.append(Disturbance(component, now, now + fault.duration_s))
+        started_at = now if since is None else since
+        self.record.disturbances.append(Disturbance(component, started_at, now + fault.duration_s))
 
     # -- routers -------------------------------------------------------------------------------
 
@@ -171,6 +189,27 @@
         router = routers[fault.random_number % len(routers)]
         return None if router.name in self._unavailable else router
 
+    def _note_unplanned_exits(self) -> None:
+        """Record processes that have ended by themselves, before a fault starts them again."""
+        for router in self.deployment.routers:
+            if router.name in self._unavailable or router.exit_code is None:
+                continue
+            if router.pid not in self._ended_pids:
+                self._ended_pids.add(router.pid)
+                self.record.unplanned_exits.append((router.name, router.exit_code))
+
+    def _raise_internal_fault(self, fault: ScheduledFault) -> None:
+        router = self._select_router(fault)
+        if router is None:
+            return
+        number = fault.random_number // len(self.deployment.routers)
+        point = self._fault_points.select(router.pid, number)
+        if point is None:
+            return
+        log_event("internal_fault", router=router.name, point=point)
+        self.record.internal_faults.append(InternalFault(router.name, point, time.monotonic()))
+        arm(router.faults_path, point)
+
     def _kill_router(self, fault: ScheduledFault) -> None:
         router = self._select_router(fault)
         if router is not None:
@@ -185,8 +224,9 @@
         self, router: LocalRouter, fault: ScheduledFault, terminate: Callable[[], None]
     ) -> None:
         self._unavailable.add(router.name)
+        since = time.monotonic()
         terminate()
-        self._record_disturbance(router.name, fault)
+        self._record_disturbance(router.name, fault, since)
         self._timer.run_after(
             min(fault.duration_s, _RESTART_DELAY_S), lambda: self._restart_router(router)
         )
@@ -221,8 +261,9 @@
         if router is None:
             return
         self._unavailable.add(router.name)
+        since = time.monotonic()
         router.signal(signal.SIGSTOP)
-        self._record_disturbance(router.name, fault)
+        self._record_disturbance(router.name, fault, since)
         self._timer.run_after(fault.duration_s, lambda: self._resume(router))
 
     def _resume(self, router: LocalRouter) -> None:
@@ -280,8 +321,9 @@
             if worker.closing.is_set() or worker.crashed.is_set():
                 self.deployment.withdraw(worker)
             else:
-                is_leaving = worker.id in self.record.retired_workers
-                self.deployment.publish(worker, "draining" if is_leaving else "ready")
+                retired = self.record.retired_workers.get(worker.id)
+                is_draining = retired is not None and not retired.tells_in_answers
+                self.deployment.publish(worker, "draining" if is_draining else "ready")
 
     def _publish(self, fault: ScheduledFault) -> None:
         self._config_version += 1 + fault.random_number % 3
@@ -306,12 +348,13 @@
     def _disturb_worker_link(self, fault: ScheduledFault) -> None:
         worker, network = self._select_worker(fault), self.deployment.network
         ends = ({"routers"}, {worker.id})
+        since = time.monotonic()
         if fault.kind is FaultKind.WORKER_DELAYED:
             network.delay(*ends, _LINK_DELAY_S)
         else:
             back_only = fault.kind is FaultKind.WORKER_CUT_BACK
             network.partition(*ends, (Direction.BACKWARD,) if back_only else tuple(Direction))
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
         self._timer.run_after(fault.duration_s, lambda: network.restore_links(*ends))
 
     def _break_worker_connections(self, fault: ScheduledFault) -> None:
@@ -321,14 +364,16 @@
             if fault.kind is FaultKind.WORKER_SILENCED
             else network.reset_connections
         )
+        since = time.monotonic()
         break_connections({"routers"}, {self._select_worker(fault).id})
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
 
     def _add_answer_faults(self, fault: ScheduledFault) -> None:
         rng = random.Random(fault.random_number)
         faults = rng.choices(_MISLEADING_ANSWERS + _BROKEN_ANSWERS, k=_FAULTS_PER_WORKER)
+        since = time.monotonic()
         self._select_worker(fault).behaviour.faults.extend(faults)
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
 
     def _retire_worker(self, fault: ScheduledFault) -> None:
         worker = self._select_worker(fault)
@@ -339,15 +384,35 @@
         )
         self._timer.run_after(_LEAVING_S, lambda: self._remove_worker(worker))
 
+    def _announce_leaving(self, fault: ScheduledFault) -> None:
+        worker = self._select_worker(fault)
+        self._start_replacement(worker)
+        worker.behaviour.leaving_header = _LEAVING_HEADER
+        self.record.retired_workers[worker.id] = RetiredWorker(
+            worker.id, time.monotonic(), crashed=False, tells_in_answers=True
+        )
+        self._timer.run_after(_TELLING_S, lambda: self._remove_worker(worker))
+
+    def _refuse_as_full(self, fault: ScheduledFault) -> None:
+        behaviour = self._select_worker(fault).behaviour
+        behaviour.rest_asked = str(random.Random(fault.random_number).randint(*_REST_RANGE_S))
+        behaviour.is_full_for = lambda _request: True
+        self._timer.run_after(fault.duration_s, lambda: setattr(behaviour, "is_full_for", None))
+
+    def _silence_worker(self, fault: ScheduledFault) -> None:
+        silent_s = random.Random(fault.random_number).uniform(*_SILENCE_RANGE_S)
+        self._select_worker(fault).behaviour.silent_until = time.monotonic() + silent_s
+
     def _crash_worker(self, fault: ScheduledFault) -> None:
         worker = self._select_worker(fault)
         self._start_replacement(worker)
+        since = time.monotonic()
         worker.stop()
         self.deployment.network.reset_connections({"routers"}, {worker.id})
         self.record.retired_workers[worker.id] = RetiredWorker(
             worker.id, time.monotonic(), crashed=True
         )
-        self._record_disturbance("worker", fault)
+        self._record_disturbance("worker", fault, since)
         self._timer.run_after(fault.duration_s, lambda: self.deployment.withdraw(worker))
 
     def _add_workers(self, fault: ScheduledFault) -> None:
@@ -399,7 +464,7 @@
             if worker.crashed.is_set() and worker.id not in self.record.retired_workers:
                 now = time.monotonic()
                 self.record.retired_workers[worker.id] = RetiredWorker(worker.id, now, crashed=True)
-                self.record.disturbances.append(Disturbance("worker", now, now))
+                self.record.disturbances.append(Disturbance("worker", worker.crashed_at, now))
                 self._start_replacement(worker)
                 self._timer.run_after(
                     _ENTRY_EXPIRY_S, lambda worker=worker: self.deployment.withdraw(worker)
@@ -505,4 +570,8 @@
     FaultKind.EVACUATE: FaultInjector._evacuate,
     FaultKind.WORKERS_COLD: FaultInjector._chill_workers,
     FaultKind.CRASHING_PART: FaultInjector._send_crashing_parts,
+    FaultKind.INTERNAL_FAULT: FaultInjector._raise_internal_fault,
+    FaultKind.TELLS_LEAVING: FaultInjector._announce_leaving,
+    FaultKind.FULL: FaultInjector._refuse_as_full,
+    FaultKind.SILENT: FaultInjector._silence_worker,
 }
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial, singledispatchmethod
 
 from turmerictray.admission.budget import RetryBudget
@@ -22,6 +23,7 @@
     Quarantined,
     QueueTimeout,
     RepeatsUsedUp,
+    TargetsResting,
 )
 from turmerictray.core.ids import (
     NodeId,
@@ -45,6 +47,7 @@
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
+from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker_messages import (
     Ask,
     BrokerQuery,
@@ -65,6 +68,7 @@
     StreamsBegunElsewhere,
     SummaryQuery,
     TargetLeaving,
+    TargetResting,
     TargetsChanged,
     TargetsListed,
     TextArrived,
@@ -72,6 +76,7 @@
     ZonesEvacuated,
 )
 from turmerictray.scheduling.failed_messages import FAILED_RETRY_AFTER_S, FailedMessages
+from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.grant_throttle import GrantThrottle
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.pool_gauges import PoolGauges
@@ -81,6 +86,12 @@
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
 
+_GRANT_ROUNDS = "Broker:grants"
+"""Kind of work under which failed rounds of grants are counted."""
+
+_MAX_REPORTED_LEAVING = 64
+"""Maximum number of leaving targets in a message to peers, which bounds its size."""
+
 _DRAINING_RETRY_AFTER_S = 0.05
 """Retry-After in seconds when this process is about to be replaced; another router may serve."""
 
@@ -105,6 +116,8 @@
         Records of requests that crashed targets; None starts with an empty one.
     cold_limits : ColdLimits or None
         Tolerance above the rate that cold targets bear; None for none.
+    notices : TargetNotices or None
+        What targets have said of themselves; None for an empty record.
     """
 
     uncounted_messages = (
@@ -128,6 +141,7 @@
         retry_limits: RetryLimits,
         quarantine: Quarantine | None = None,
         cold_limits: ColdLimits | None = None,
+        notices: TargetNotices | None = None,
     ) -> None:
         super().__init__()
         self.node = node
@@ -137,9 +151,11 @@
         self.retry_limits = retry_limits
         self.quarantine = quarantine or Quarantine()
         self.cold_limits = cold_limits or ColdLimits()
+        self.notices = notices or TargetNotices()
         self.ledger = RecentUsage(node)
         self.pools = ServicePools(self._make_pool)
-        self._failed_messages = FailedMessages(self.pools)
+        self._failed_texts = FailedTexts()
+        self._failed_messages = FailedMessages(self.pools, self._failed_texts)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
         self.send_streams_begun: SendReport | None = None
@@ -162,8 +178,8 @@
 
     def on_receive(self, message: object) -> object:
         result = super().on_receive(message)
-        if not self.contain(self._grants.run_due, message):
-            self._failed_messages.repair()
+        if not self.contain(self._grants.run_due, message, _GRANT_ROUNDS):
+            self.contain(self._failed_messages.repair, message)
         return result
 
     def on_message_failed(self, message: object, exc: Exception) -> None:
@@ -205,8 +221,12 @@
     def _(self, _msg: RefuseWaiting) -> None:
         self._is_closing = True
         for pool in self.pools.all():
-            for request in pool.take_waiting():
-                request.reply.try_set_exception(_draining())
+            self.contain(partial(self._refuse_all, pool), _msg)
+
+    @staticmethod
+    def _refuse_all(pool: ServicePool) -> None:
+        for request in pool.take_waiting():
+            request.reply.try_set_exception(_draining())
 
     def _placement_context(self, msg: Ask, now: float) -> PlacementContext:
         return PlacementContext(
@@ -258,9 +278,10 @@
     def _(self, msg: FirstEvent) -> None:
         pool = self.pools.unsharded(msg.service)
         now = time.monotonic()
-        pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
         if msg.stream is not None:
             self._resumptions.record(msg.service, msg.stream, msg.version, now)
+        pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
+        self.notices.note_served(msg.target, now - msg.took_s, now)
         self._schedule_grants(msg.service, now)
 
     @handle.register
@@ -289,20 +310,22 @@
     def _grant_ready(self, pool: ServicePool, now: float) -> None:
         while not self._grant_until_failure(pool, now):
             pass
+        self.note_success(_GRANT_ROUNDS)
         metrics.QUEUED.set(sum(len(pool.queue) for pool in self.pools.all()))
 
     def _grant_until_failure(self, pool: ServicePool, now: float) -> bool:
         """Grant what can be granted; return whether no placement failed.
 
         A request whose placement fails is refused alone. Left in the queue, it would fail each
-        round, and the requests behind it would wait until their deadlines.
+        round, and the requests behind it would wait until their deadlines. Its failure counts for
+        nothing else: sent again and again, it would end one scheduler after the other.
         """
         try:
             for sent in pool.dispatch_ready(now):
                 self._grant(pool, sent, now)
         except PlacementFailed as exc:
             request = exc.pending
-            self.note_failure(request, exc.__cause__)
+            self.log_failed(request, exc.__cause__)
             refusal = InternalFailure("internal_failure", FAILED_RETRY_AFTER_S)
             request.reply.try_set_exception(refusal)
             return False
@@ -326,12 +349,12 @@
             self._expire_overdue_prefills(pool, msg.now)
             pool.drop_lost_calls(self.live_routers, msg.now)
         self._refuse_quarantined(msg.now)
+        text = self._failed_texts.due(msg.now)
+        if text is not None:
+            self.actor_ref.tell(text)
         for pool in self.pools.all():
             for request in pool.expire(msg.now):
-                timeout_reason = _timeout_reason(request, pool, msg.now)
-                request.reply.try_set_exception(
-                    QueueTimeout(timeout_reason, pool.expected_wait_s(request))
-                )
+                self.contain(partial(_refuse_expired, request, pool, msg.now), msg)
             if len(pool.queue):
                 self._grants.request_round(pool, msg.now)
         if not msg.is_late():
@@ -399,7 +422,7 @@
     @handle.register
     def _(self, msg: TextArrived) -> None:
         config, previous = msg.config, self.active_config.current
-        if config.version == self._failed_messages.refused_text_version:
+        if not self._failed_texts.may_try(config.version, time.monotonic()):
             return
         if not self.active_config.activate_if_newer(config):
             return
@@ -408,6 +431,7 @@
         except Exception:
             self._restore_config(previous)
             raise
+        self._failed_texts.note_applied(config.version)
         log_event(
             "text_in_force",
             version=config.version,
@@ -458,8 +482,41 @@
 
     @handle.register
     def _(self, msg: TargetLeaving) -> None:
-        self.pools.unsharded(msg.service).targets.mark_leaving(msg.target)
-        self._mark_leaving(msg.target)
+        self._note_leaving(msg.target, "answer")
+
+    @handle.register
+    def _(self, msg: TargetResting) -> None:
+        now = time.monotonic()
+        if msg.router:
+            self.notices.note_rest(msg.target, msg.rest_s, msg.router, now)
+        log_event(
+            "target_resting",
+            level="WARNING",
+            target=msg.target,
+            service=msg.service,
+            rest_s=round(msg.rest_s, 2),
+            router=msg.router or self.node,
+        )
+        metrics.RESTING_TARGETS.set(self.notices.resting_count(now))
+        for pool in self.pools.for_service(msg.service):
+            for request, wait_s in pool.take_resting(now):
+                request.reply.try_set_exception(TargetsResting("targets_resting", wait_s))
+        self._schedule_grants(msg.service, now)
+
+    def _note_leaving(self, target: TargetId, source: str) -> None:
+        """Take a target out of use that has said, here or to another router, that it leaves."""
+        self.notices.note_leaving(target)
+        if target in self.active_config.announced_leaving:
+            return
+        for pool in self.pools.all_unsharded():
+            if target not in pool.targets.loads:
+                continue
+            pool.targets.mark_leaving(target)
+            self._mark_leaving(target)
+            log_event("target_leaving", target=target, service=pool.name, source=source)
+            self.active_config.shards = self.pools.update_shards()
+            self._refuse_unservable()
+            self._schedule_all_grants()
 
     def _mark_leaving(self, target: TargetId) -> None:
         self.active_config.unavailable_targets = self.active_config.unavailable_targets | {target}
@@ -494,9 +551,7 @@
     def _refuse_unservable(self) -> None:
         for pool in self.pools.all():
             for request in pool.take_unservable():
-                reason = (
-                    "zone_evacuated" if request.context.version is None else "no_target_of_version"
-                )
+                reason = _unservable_reason(request, pool)
                 request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
     def _update_targets(self, infos: list[TargetInfo], msg: object) -> None:
@@ -507,6 +562,9 @@
         for old_pool in self.pools.all_unsharded():
             if old_pool.name != info.service and info.id in old_pool.targets.loads:
                 self._remove_target(old_pool, info.id)
+        if info.phase is TargetPhase.READY and self.notices.is_leaving(info.id):
+            # The entry is older than what the target has said, whenever it is read.
+            info = replace(info, phase=TargetPhase.LEAVING)
         pool = self.pools.unsharded(info.service)
         previous = pool.targets.loads.get(info.id)
         pool.targets.add_or_update(info, time.monotonic())
@@ -565,6 +623,8 @@
                 )
         self.ledger.merge(summary.node, summary.incarnation, summary.service)
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
+        for target in map(TargetId, summary.leaving):
+            self._note_leaving(target, f"peer:{node}")
         self._schedule_all_grants()
 
     @handle.register
@@ -648,8 +708,12 @@
             waiting=sorted({team for pool in self.pools.all() for team in pool.backlogged()}),
             reads=self._collect_reads(),
             caught_up=self.active_config.confirmed,
+            leaving=self.notices.leaving_among(self._known_targets(), _MAX_REPORTED_LEAVING),
         )
 
+    def _known_targets(self) -> list[TargetId]:
+        return [target for pool in self.pools.all_unsharded() for target in pool.targets.loads]
+
     def _collect_reads(self) -> list[PartRead]:
         reads = {}
         for pool in self.pools.all_unsharded():
@@ -673,7 +737,7 @@
             "text_version": self.active_config.version,
             "routers": self.fleet_size,
             "evacuated_zones": sorted(self.evacuated_zones),
-            "refused_text_version": self._failed_messages.refused_text_version,
+            "refused_text_version": self._failed_texts.version,
             "services": {pool.name: pool.describe(now) for pool in self.pools.all_unsharded()},
         }
 
@@ -692,6 +756,7 @@
             budget,
             crashes=self.quarantine,
             cold_targets=ColdTargets(self.cold_limits, self._is_owner),
+            notices=self.notices,
         )
         self._set_fleet_size(pool)
         pool.targets.set_evacuated(self.evacuated_zones)
@@ -714,10 +779,22 @@
     )
 
 
+def _unservable_reason(request: PendingRequest, pool: ServicePool) -> str:
+    if request.context.version is not None:
+        return "no_target_of_version"
+    phases = {load.info.phase for load in pool.targets.loads.values()}
+    return "zone_evacuated" if TargetPhase.EVACUATED in phases else "targets_leaving"
+
+
 def _draining() -> Draining:
     return Draining("unfit", _DRAINING_RETRY_AFTER_S)
 
 
+def _refuse_expired(request: PendingRequest, pool: ServicePool, now: float) -> None:
+    reason = _timeout_reason(request, pool, now)
+    request.reply.try_set_exception(QueueTimeout(reason, pool.expected_wait_s(request)))
+
+
 def _timeout_reason(request: PendingRequest, pool: ServicePool, now: float) -> str:
     """Describe for the log why a request's queue wait timed out."""
     waited_for = request.context.last_reserved_target
