Placement client: another shard is asked when the engines of one rest

Callers were refused with the time of the rest, while engines of another shard could serve them: the refusal was not among those after which another shard is asked. The new test failed before (one ask, refused).

--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -7,7 +7,14 @@
 import pytest
 
 from turmerictray.admission.pool_types import Outcome
-from turmerictray.core.errors import CallerGone, Draining, NoTarget, QueueFull, WontBeServed
+from turmerictray.core.errors import (
+    CallerGone,
+    Draining,
+    NoTarget,
+    QueueFull,
+    TargetsResting,
+    WontBeServed,
+)
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.reply import Reply
 from turmerictray.membership.messages import MemberEntry
@@ -299,6 +306,16 @@
     assert ask.reply.result(0).target == ENGINE
 
 
+def test_request_whose_shard_rests_is_sent_to_another(sharded_pair):
+    """Guards against a refusal while engines of another shard could serve the request."""
+    ask = sharded_pair.ask()
+    sharded_pair.refuse(TargetsResting("targets_resting", 20.0))
+    first, second = sharded_pair.remote_broker.asks()
+    assert first.shard != second.shard
+    sharded_pair.grant()
+    assert ask.reply.result(0).target == ENGINE
+
+
 def test_request_refused_by_all_shards_is_refused(sharded_pair):
     ask = sharded_pair.ask()
     sharded_pair.refuse(WontBeServed("wait_too_long", 0.4))
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -19,6 +19,7 @@
     InternalFailure,
     NoTarget,
     QueueFull,
+    TargetsResting,
     WontBeServed,
 )
 from turmerictray.core.ids import (
@@ -71,6 +72,9 @@
 
 _SHARD_FULL_ERRORS = frozenset({QueueFull.__name__, WontBeServed.__name__})
 
+_OTHER_SHARD_ERRORS = _SHARD_FULL_ERRORS | {TargetsResting.__name__}
+"""Refusals of a shard's scheduler after which another shard is asked."""
+
 _UNKNOWN_ERRORS = frozenset(
     error.__name__ for error in (NoTarget, CannotResume, Draining, InternalFailure)
 )
@@ -402,8 +406,8 @@
             return True
         if msg.error in _SHARD_FULL_ERRORS:
             self._backlogs.record(call.ask, msg.retry_after_s, time.monotonic())
-        if call.fallback_shards and msg.error in _SHARD_FULL_ERRORS:
-            # Another shard may have capacity while this one is full.
+        if call.fallback_shards and msg.error in _OTHER_SHARD_ERRORS:
+            # Another shard may have capacity while this one is full or rests.
             self._request_placement(call.ask, call.fallback_shards)
         else:
             call.ask.reply.try_set_exception(_to_error(msg))
