Rests: a request that wasn't sent after all is no trial

A grant that was given back, as its caller had left or its own router rests, counted as a trial under way for a second, and nobody else was sent to the target.

--- a/tests/admission/test_resting_targets.py
+++ b/tests/admission/test_resting_targets.py
@@ -7,7 +7,7 @@
 
 from turmerictray.admission.budget import RetryBudget
 from turmerictray.admission.pool import ServicePool
-from turmerictray.admission.pool_types import PlacementContext
+from turmerictray.admission.pool_types import Outcome, PlacementContext
 from turmerictray.config.routes import EngineSpec, ServiceSpec
 from turmerictray.core.errors import NoTarget, TargetsResting
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
@@ -175,3 +175,21 @@
         for dispatch in pool.dispatch_ready(NOW + 0.01 * number)
     ]
     assert sent == [99]
+
+
+@pytest.mark.parametrize("how", ["cancelled", Outcome.CALLER_GONE, Outcome.NOT_REACHED])
+def test_trial_that_was_not_sent_keeps_no_other_request_waiting(pool, how):
+    """Guards against a target that serves nobody for a second as a grant was given back."""
+    for engine in ENGINES:
+        pool.notices.note_rest(engine, 0.3, LOCAL_ROUTER, NOW)
+    enqueue(pool, 1)
+    enqueue(pool, 2)
+    enqueue(pool, 3)
+    first, second = pool.dispatch_ready(NOW + 0.6)
+    target = first.placement.load.info.id
+    assert target != second.placement.load.info.id
+    if how == "cancelled":
+        pool.cancel_dispatch(first)
+    else:
+        pool.settle(target, first.pending.context.call_id, how, NOW + 0.6)
+    assert pool.notices.next_at(target, LOCAL_ROUTER, NOW + 0.6) <= NOW + 0.6
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -619,6 +619,7 @@
 
     def cancel_dispatch(self, dispatch: Dispatch) -> None:
         """Undo the dispatch of a request that was not sent after all."""
+        self.notices.note_given_back(dispatch.placement.load.info.id)
         self._end(dispatch.placement.load, dispatch.pending.context.call_id, 0.0)
 
     def settle(
@@ -647,6 +648,8 @@
         load = self.targets.loads.get(target)
         if load is None or not self._end(load, call_id, cost):
             return
+        if outcome in (Outcome.CALLER_GONE, Outcome.NOT_REACHED):
+            self.notices.note_given_back(target)
         if outcome is Outcome.NOT_REACHED:
             self.targets.record_unreachable(target, now)
         elif outcome in (Outcome.DONE, Outcome.FAILED, Outcome.TARGET_ENDED):
--- a/turmerictray/routing/target_notices.py
+++ b/turmerictray/routing/target_notices.py
@@ -160,6 +160,13 @@
             with self._lock:
                 rest.trial_began_at = now
 
+    def note_given_back(self, target: TargetId) -> None:
+        """Record that a request was not sent after all, or its caller left: no trial runs."""
+        rest = self._rests.get(target)
+        if rest is not None:
+            with self._lock:
+                rest.trial_began_at = -math.inf
+
     def note_served(self, target: TargetId, sent_at: float, now: float) -> None:
         """Record that a target serves a request that was sent to it at ``sent_at``.
 
