--- a/tests/platform/test_unexpected_exceptions.py
+++ b/tests/platform/test_unexpected_exceptions.py
@@ -12,6 +12,7 @@
 
 from tests.platform.conftest import wait_for
 from turmerictray.core.actor import ACTOR_FAILED_EXIT
+from turmerictray.platform.soak.internal_faults import MESSAGES
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, RawCaller, make_request
 from turmerictray.platform.standins.failing_router import PLACEMENT, arm
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
@@ -34,19 +35,6 @@
 
 pytestmark = pytest.mark.process
 
-MESSAGES = (
-    "Broker:Ask",
-    "Broker:Settled",
-    "Broker:FirstEvent",
-    "Broker:Tick",
-    "Broker:PeerHeard",
-    "Broker:SummaryQuery",
-    "Broker:RoutersAlive",
-    "PeerLink:Received",
-    "PeerLink:Tick",
-    "CatchUp:PeerMessage",
-    "SettingsReloader:Tick",
-)
 REQUEST_MESSAGES = ("Broker:Ask",)
 """Messages of a single request, which their failure may refuse."""
 
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -17,11 +17,9 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
-    Draining,
     InternalFailure,
     NoTarget,
     Quarantined,
-    QueueTimeout,
     RepeatsUsedUp,
     TargetsResting,
 )
@@ -48,13 +46,18 @@
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
 from turmerictray.routing.target_notices import TargetNotices
+from turmerictray.scheduling.broker_answers import (
+    draining,
+    refuse_expired,
+    to_granted,
+    unservable_reason,
+)
 from turmerictray.scheduling.broker_messages import (
     Ask,
     BrokerQuery,
     CachedParts,
     EnginesQuery,
     FirstEvent,
-    Granted,
     KeptHeard,
     KeptQuery,
     OnTick,
@@ -92,9 +95,6 @@
 _MAX_REPORTED_LEAVING = 64
 """Maximum number of leaving targets in a message to peers, which bounds its size."""
 
-_DRAINING_RETRY_AFTER_S = 0.05
-"""Retry-After in seconds when this process is about to be replaced; another router may serve."""
-
 _BUDGET_RETRY_AFTER_S = 0.5
 """Retry-After in seconds when a service's retry budget is used up."""
 
@@ -197,7 +197,7 @@
     @handle.register
     def _(self, msg: Ask) -> None:
         if self._is_closing:
-            msg.reply.try_set_exception(_draining())
+            msg.reply.try_set_exception(draining())
             return
         now = time.monotonic()
         pool = self.pools.for_shard(msg.service, msg.shard)
@@ -226,7 +226,7 @@
     @staticmethod
     def _refuse_all(pool: ServicePool) -> None:
         for request in pool.take_waiting():
-            request.reply.try_set_exception(_draining())
+            request.reply.try_set_exception(draining())
 
     def _placement_context(self, msg: Ask, now: float) -> PlacementContext:
         return PlacementContext(
@@ -333,7 +333,7 @@
 
     def _grant(self, pool: ServicePool, sent: Dispatch, now: float) -> None:
         try:
-            granted = _to_granted(pool, sent)
+            granted = to_granted(pool, sent)
         except Exception as exc:
             pool.cancel_dispatch(sent)
             raise PlacementFailed(sent.pending) from exc
@@ -354,7 +354,7 @@
             self.actor_ref.tell(text)
         for pool in self.pools.all():
             for request in pool.expire(msg.now):
-                self.contain(partial(_refuse_expired, request, pool, msg.now), msg)
+                self.contain(partial(refuse_expired, request, pool, msg.now), msg)
             if len(pool.queue):
                 self._grants.request_round(pool, msg.now)
         if not msg.is_late():
@@ -551,7 +551,7 @@
     def _refuse_unservable(self) -> None:
         for pool in self.pools.all():
             for request in pool.take_unservable():
-                reason = _unservable_reason(request, pool)
+                reason = unservable_reason(request, pool)
                 request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
     def _update_targets(self, infos: list[TargetInfo], msg: object) -> None:
@@ -764,44 +764,3 @@
         if config is not None and service in config.services:
             pool.targets.set_spec(config.services[service], config.tokens_per_s)
         return pool
-
-
-def _to_granted(pool: ServicePool, sent: Dispatch) -> Granted:
-    placement = sent.placement
-    return Granted(
-        placement.load.info,
-        placement.expected_s,
-        placement.miss_tokens,
-        placement.ahead_tokens,
-        fetch_from=placement.source.address if placement.source else "",
-        backlog_s=pool.backlog_s(),
-        isolated=sent.pending.context.isolated,
-    )
-
-
-def _unservable_reason(request: PendingRequest, pool: ServicePool) -> str:
-    if request.context.version is not None:
-        return "no_target_of_version"
-    phases = {load.info.phase for load in pool.targets.loads.values()}
-    return "zone_evacuated" if TargetPhase.EVACUATED in phases else "targets_leaving"
-
-
-def _draining() -> Draining:
-    return Draining("unfit", _DRAINING_RETRY_AFTER_S)
-
-
-def _refuse_expired(request: PendingRequest, pool: ServicePool, now: float) -> None:
-    reason = _timeout_reason(request, pool, now)
-    request.reply.try_set_exception(QueueTimeout(reason, pool.expected_wait_s(request)))
-
-
-def _timeout_reason(request: PendingRequest, pool: ServicePool, now: float) -> str:
-    """Describe for the log why a request's queue wait timed out."""
-    waited_for = request.context.last_reserved_target
-    if waited_for is None:
-        return f"queue_timeout: {len(pool.queue)} others wait"
-    overdue_ms = round(waited_for.overdue_s(now) * 1000)
-    return (
-        f"queue_timeout: {len(pool.queue)} others wait, "
-        f"for {waited_for.info.id} overdue {overdue_ms} ms"
-    )
