A grant is given back if its target is published as leaving before the send

What callers could see: a request sent to a target that its router already knows to leave (DRAIN). Cause: what the store or a peer publishes of a target was asked when a grant arrived, not at the send; a connection, half a second at most, and a busy machine lie between. The same class as leaving told in answers: what is known of a target is asked by each path, immediately before it sends.

Evidence: test_unavailable_target failed before (it went on to send) and passes now. Targets that are gone, or whose zone is evacuated, are covered too.

--- a/turmerictray/router/active_config.py
+++ b/turmerictray/router/active_config.py
@@ -80,6 +80,10 @@
         """Whether a request that was routed with ``version`` must not be sent to a target."""
         return not self.caught_up or version < self.min_version
 
+    def is_unavailable(self, target: TargetId) -> bool:
+        """Whether a target accepts no more work."""
+        return target in self.unavailable_targets
+
     @property
     def version(self) -> int:
         """Version of the active configuration; 0 for none."""
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -314,6 +314,7 @@
             self._connections,
             crashes=crashes,
             is_outdated=self._active_config.is_outdated,
+            is_unavailable=self._active_config.is_unavailable,
             notices=self._notices,
         )
         self._flow = RequestFlow(deps, self._active_config, self._watch, s.threads)
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -79,7 +79,8 @@
     """Components that the attempts of all requests share.
 
     ``is_outdated`` tells whether a request that was routed with a version of the routing
-    configuration must not be sent.
+    configuration must not be sent; ``is_unavailable``, whether a target accepts no more work by
+    what is published.
     """
 
     placement_client: PlacementClient
@@ -88,6 +89,7 @@
     backlog: TeamBacklog = field(default_factory=TeamBacklog)
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
     is_outdated: Callable[[int], bool] = lambda _version: False
+    is_unavailable: Callable[[TargetId], bool] = lambda _target: False
     notices: TargetNotices = field(default_factory=TargetNotices)
 
 
@@ -230,8 +232,10 @@
     def _check_notices(
         self, granted: Granted, conn: TargetConnection, slot: "_GrantedSlot"
     ) -> None:
-        """Give a grant back whose target has said meanwhile that it leaves or wants to rest."""
-        if self._deps.notices.may_send(granted.target.id, time.monotonic()):
+        """Give a grant back whose target leaves, has gone or wants to rest by now."""
+        target = granted.target.id
+        is_sendable = self._deps.notices.may_send(target, time.monotonic())
+        if is_sendable and not self._deps.is_unavailable(target):
             return
         conn.close()
         slot.settle(Outcome.NOT_RUN, 0.0)
