Stand-ins: connections that are opened at once are not dropped

Cause: the stand-ins' servers had the listen backlog of 5 that http.server sets. Six requests a worker are opened at once, and the worker's accepting thread shares an interpreter with 24 callers and all other workers. The kernel drops a connection beyond the backlog; it is tried again after 1 s, and the router gives the opening up after 0.5 s (_CONNECT_S) and asks for another target, so the first event comes after 0.6 s. Whether real workers take more is theirs; the routers' own front takes 1024.

--- a/turmerictray/platform/standins/http.py
+++ b/turmerictray/platform/standins/http.py
@@ -6,6 +6,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 _SHUTDOWN_POLL_S = 0.05
+_LISTEN_BACKLOG = 1024
+"""Connections that wait to be accepted; the kernel drops further ones, which then take a second."""
 
 
 class QuietHandler(BaseHTTPRequestHandler):
@@ -28,6 +30,7 @@
     """A server that tracks its open connections, so that :meth:`abort` can close them."""
 
     daemon_threads = True
+    request_queue_size = _LISTEN_BACKLOG
 
     def __init__(self, *args: object) -> None:
         super().__init__(*args)
