test_software_versions: the router is killed once all streams have begun

The premise was wrong: the scenario judges versions of streams that a kill cuts, and took a sleep as the sign that they had begun. Replaced by an equally strict one: the kill waits until each of the 24 callers has three events (one before), at most 3 s, and all 24 must be cut before their last event (not asked before), so that a stream that begins 0.9 s after another still fails. What the sleep bounded by the way, a first event within 0.6 s, is no longer asked here; the drops behind the failure have a test of their own.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -7,6 +7,7 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from tests.platform.conftest import wait_for
 from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request
 from turmerictray.platform.standins.local import default_config
 from turmerictray.platform.standins.worker import Worker
@@ -62,10 +63,10 @@
     """Request a stream, or take it up, and read it to its end."""
     caller = RawCaller(router.front)
     caller.send(make_request("POST", "/plan/1", b"prompt", **(stream.headers() | headers)))
-    answer = caller.read()
+    stream.answers.append(RawAnswer())
+    caller.read(stream.answers[-1])
     caller.close()
-    stream.answers.append(answer)
-    return answer
+    return stream.answers[-1]
 
 
 def _withdraw_one_of_each_version(deployment) -> None:
@@ -90,6 +91,10 @@
     stream.answers.append(answer)
 
 
+def _has_begun(stream: _Stream) -> bool:
+    return len(stream.event_ids()) >= _EVENTS_BEFORE_BREAK
+
+
 def _begin_streams(router, count: int) -> list[_Stream]:
     return _in_parallel(
         lambda stream: _begin(router, stream), [_new_stream() for _ in range(count)]
@@ -173,12 +178,14 @@
     streams = [_new_stream() for _ in range(count)]
     with ThreadPoolExecutor(count) as pool:
         results = [pool.submit(_request, first, stream) for stream in streams]
-        time.sleep(_EVENTS_BEFORE_BREAK * _EVENT_INTERVAL_S + 0.3)
+        have_begun = wait_for(lambda: all(_has_begun(stream) for stream in streams))
         first.stop()
         for result in results:
             result.result()
-    ctx["streams"] = [stream for stream in streams if stream.event_ids()]
-    assert len(ctx["streams"]) == count
+    assert have_begun, [s.answers for s in streams if not _has_begun(s)][:2]
+    lost = [stream for stream in streams if stream.event_ids()[-1] < _EVENTS]
+    assert len(lost) == count
+    ctx["streams"] = lost
     _withdraw_one_of_each_version(deployment)
     _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
 
--- a/turmerictray/platform/standins/caller.py
+++ b/turmerictray/platform/standins/caller.py
@@ -62,10 +62,16 @@
         self.send(make_request(method, target, body, **headers))
         return self.read()
 
-    def read(self) -> RawAnswer:
-        """Read one answer; ``complete`` is False if the connection ended before its end."""
+    def read(self, answer: RawAnswer | None = None) -> RawAnswer:
+        """Read one answer; ``complete`` is False if the connection ended before its end.
+
+        Parameters
+        ----------
+        answer : RawAnswer or None
+            Filled as data arrives, so that other threads see how far the answer has come.
+        """
         started_at = time.monotonic()
-        answer = RawAnswer()
+        answer = answer or RawAnswer()
         try:
             self._read_into(answer)
         except (ConnectionError, ValueError):
