Rests: a repeat is no trial while another target may serve it

Callers saw: a stream whose engine fell silent was taken up, with its last try, as the trial of an engine that rested for another router, and was refused (503). Cause: whoever was next became the trial of a target of which it isn't known whether it is full; the engine looks idle, so it even drew the repeat. Change: a repeat, a retry, and a request that takes up a stream are placed on targets that are no trials, also if those are busier, or rest for a while that ends in time; it waits for them during half of its time, and is a trial after that, or at once if nothing else is left. The broker decides it from the Ask, so it holds for the scheduler's and the own path, for engines and plain services. First tries are trials as before, also on routes with one try: else a target whose routes have no second try would never serve again.

--- a/tests/admission/test_resting_targets.py
+++ b/tests/admission/test_resting_targets.py
@@ -13,7 +13,7 @@
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.fairness.recent_usage import RecentUsage
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import PendingPrefill, TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.routing.target_notices import LOCAL_ROUTER
 
@@ -193,3 +193,76 @@
     else:
         pool.settle(target, first.pending.context.call_id, how, NOW + 0.6)
     assert pool.notices.next_at(target, LOCAL_ROUTER, NOW + 0.6) <= NOW + 0.6
+
+
+def enqueue_repeat(pool: ServicePool, call_id: int, router: str = "", wait_s: float = 3.0):
+    prompt = Prompt((PromptPart(PartId(f"p{call_id}"), 100),), 100, 10)
+    context = PlacementContext(
+        call_id,
+        prompt if pool.has_engines else None,
+        frozenset({"e0"}),
+        NodeId(router),
+        avoids_trials=True,
+    )
+    pending = PendingRequest(
+        RequestId(str(call_id)), TEAM, prompt.cost, NOW + wait_s, Future(), context
+    )
+    pool.enqueue(pending, NOW, retry=True)
+    return pending
+
+
+def fill(pool: ServicePool, target: TargetId) -> None:
+    """Give a target as many requests as it may have."""
+    load = pool.targets.loads[target]
+    for number in range(100):
+        load.record_sent(1000 + number, PendingPrefill(NOW, 9_000, 0, 9.0))
+
+
+@pytest.mark.parametrize("busy", [False, True], ids=["other_idle", "other_busier"])
+@pytest.mark.parametrize("router", ["", "r3"], ids=["own", "scheduled"])
+def test_repeat_is_no_trial_while_another_target_serves(pool, router, busy):
+    """Guards against a last try that is refused by a target which turned others away."""
+    pool.notices.note_rest(ENGINES[0], 2.0, NodeId("r2"), NOW - 0.6)
+    if busy:
+        pool.targets.loads[ENGINES[1]].record_sent(99, PendingPrefill(NOW, 100, 0, 0.1))
+        pool.targets.loads[ENGINES[1]].failure_rate = 0.9
+        pool.targets.loads[ENGINES[1]].failure_rate_updated_at = NOW
+    for call_id in range(3):
+        enqueue_repeat(pool, call_id, router)
+        assert targets_of_dispatches(pool) == ENGINES[1:]
+        pool.targets.record_first_event(ENGINES[1], call_id, 0.1)
+
+
+def test_repeat_waits_for_a_rest_that_ends_in_time(pool):
+    """Guards against a last try that is spent on a trial, where a short wait avoids it."""
+    pool.notices.note_rest(ENGINES[0], 2.0, NodeId("r2"), NOW - 0.6)
+    pool.notices.note_rest(ENGINES[1], 0.4, LOCAL_ROUTER, NOW - 0.1)
+    pool.notices.note_served(ENGINES[1], NOW - 0.05, NOW)
+    enqueue_repeat(pool, 1)
+    assert not targets_of_dispatches(pool, NOW + 0.2)
+    assert targets_of_dispatches(pool, NOW + 0.4) == ENGINES[1:]
+
+
+def test_repeat_waits_for_a_busy_target_while_there_is_time(pool):
+    """Guards against a repeat that waits past its deadline rather than be a trial."""
+    pool.notices.note_rest(ENGINES[0], 0.5, NodeId("r2"), NOW - 0.6)
+    fill(pool, ENGINES[1])
+    enqueue_repeat(pool, 1)
+    assert not targets_of_dispatches(pool, NOW + 1.0)
+    assert targets_of_dispatches(pool, NOW + 1.6) == ENGINES[:1]
+
+
+def test_repeat_is_a_trial_if_nothing_else_is_left(pool):
+    """Guards against a repeat that waits although no target that serves is left."""
+    pool.targets.remove(ENGINES[1])
+    pool.notices.note_rest(ENGINES[0], 2.0, NodeId("r2"), NOW - 0.6)
+    enqueue_repeat(pool, 1)
+    assert targets_of_dispatches(pool) == ENGINES[:1]
+
+
+def test_first_tries_are_still_trials(pool):
+    """Guards against a target that is never tried again while others serve."""
+    pool.notices.note_rest(ENGINES[0], 2.0, NodeId("r2"), NOW - 0.6)
+    for call_id in range(6):
+        enqueue(pool, call_id)
+    assert ENGINES[0] in targets_of_dispatches(pool)
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -7,7 +7,16 @@
 
 from turmerictray.config.routes import EngineSpec, ServiceSpec
 from turmerictray.core.errors import NoTarget
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import (
+    NodeId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    StreamKey,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.core.reply import Reply
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo, TargetPhase
@@ -36,7 +45,7 @@
     return broker
 
 
-def ask(broker: Broker, call_id: int, origin: str = "") -> Reply:
+def ask(broker: Broker, call_id: int, origin: str = "", **options) -> Reply:
     reply, now = Reply(), time.monotonic()
     prompt = Prompt((PromptPart(PartId(f"p{call_id}"), 100),), 100, 10)
     broker.on_receive(
@@ -51,6 +60,7 @@
             reply,
             origin=NodeId(origin),
             answer_deadline=now + 9,
+            **options,
         )
     )
     return reply
@@ -107,6 +117,25 @@
         assert ask(broker, call_id, "r2").result(0).target.id == SECOND
 
 
+@pytest.mark.parametrize("origin", ["", "r3"], ids=["own", "of_a_router"])
+@pytest.mark.parametrize(
+    "options",
+    [
+        {"retry": True, "repeat": True},
+        {"retry": True},
+        {"version": SoftwareVersion(""), "resumes": StreamKey(1)},
+    ],
+    ids=["repeat", "retry", "resumption"],
+)
+def test_repeat_is_not_the_trial_of_a_target_that_turned_a_router_away(broker, options, origin):
+    """Guards against a stream that is taken up, with its last try, where it is refused."""
+    broker.on_receive(TargetResting(LLM, FIRST, 0.05, NodeId("r2")))
+    time.sleep(0.1)
+    targets = [ask(broker, call_id, origin, **options).result(0).target.id for call_id in range(3)]
+    assert targets == [SECOND] * 3
+    assert ask(broker, 3, origin).result(0).target.id == FIRST
+
+
 def test_pending_requests_are_refused_when_the_last_target_leaves(broker):
     """Guards against callers who wait, until their deadline, for targets that all leave."""
     replies = [ask(broker, call_id) for call_id in range(40)]
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -81,6 +81,10 @@
 NO_TARGET_RETRY_S = 0.5
 """Retry-After in seconds while no target serves a request."""
 
+_SURE_TARGET_FRACTION = 0.5
+"""Fraction of its time for which a repeat waits for a target that isn't known to be full, before it
+may be the trial of another one. The rest is left for the answer."""
+
 _CANDIDATES_PER_TEAM = 8
 """Number of pending requests of a team that are considered in one round."""
 
@@ -183,6 +187,7 @@
             raise NoTarget(self._missing_reason(context), NO_TARGET_RETRY_S)
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
+        context.trial_from = now + _SURE_TARGET_FRACTION * (pending.deadline - now)
         self._check_rests(pending, loads, now)
         wait = self.expected_wait_s(pending)
         if (
@@ -420,6 +425,8 @@
         context.last_attempt_at = now
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
+        if context.avoids_trials and now < context.trial_from:
+            loads = self._exclude_trials(loads, context)
         loads = self.notices.exclude_resting(loads, context.origin, now)
         context.had_targets = bool(loads)
         if not loads:
@@ -432,6 +439,31 @@
         context.isolated = suspicion >= Suspicion.ISOLATED
         if context.isolated:
             loads = self._isolated_loads(loads, context.fingerprint, now)
+        if not context.avoids_trials:
+            return self._place_among(loads, context, fraction, now)
+        trials = [load for load in loads if self.notices.is_trial(load.info.id)]
+        others = [load for load in loads if not self.notices.is_trial(load.info.id)]
+        return self._place_among(others, context, fraction, now) or self._place_among(
+            trials, context, fraction, now
+        )
+
+    def _exclude_trials(
+        self, loads: list[TargetLoad], context: PlacementContext
+    ) -> list[TargetLoad]:
+        """Return the targets that may serve the request and are no trial; all if none is."""
+        notices, router = self.notices, context.origin
+        others = [
+            load
+            for load in loads
+            if not notices.is_trial(load.info.id)
+            and notices.rest_end(load.info.id, router) < context.trial_from
+        ]
+        return others or loads
+
+    def _place_among(
+        self, loads: list[TargetLoad], context: PlacementContext, fraction: float, now: float
+    ) -> Placement | None:
+        """Place a request on one of ``loads``, or reserve one for it and return None."""
         if context.prompt is None:
             return self._place_plain(loads, context.call_id, now)
         zone = context.zone or self.zone
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -64,6 +64,10 @@
     version : SoftwareVersion or None
     own_path, is_test : bool
         See :class:`~turmerictray.scheduling.broker_messages.Ask`.
+    avoids_trials : bool
+        The request is placed on a target that may be full only if no other can serve it in time.
+    trial_from : float
+        Monotonic seconds from which such a request waits no longer for another target.
     """
 
     call_id: int
@@ -84,6 +88,8 @@
     version: SoftwareVersion | None = None
     own_path: bool = False
     is_test: bool = False
+    avoids_trials: bool = False
+    trial_from: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/turmerictray/routing/target_notices.py
+++ b/turmerictray/routing/target_notices.py
@@ -228,6 +228,11 @@
             return loads
         return [load for load in loads if self.next_at(load.info.id, router, now) <= now]
 
+    def is_trial(self, target: TargetId) -> bool:
+        """Return whether a request to a target would be a trial: it may still be full for all."""
+        rest = self._rests.get(target)
+        return rest is not None and not rest.is_open
+
     def rest_left_s(self, target: TargetId, now: float) -> float:
         """Return the seconds for which this router sends nothing to a target; 0 for none."""
         rest = self._rests.get(target)
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -241,6 +241,8 @@
             version=self._required_version(msg, now),
             own_path=msg.own_path or msg.prompt is None,
             is_test=msg.is_test,
+            # A refusal would use up its last try, or pause the stream that it continues.
+            avoids_trials=msg.retry or msg.repeat or msg.resumes is not None,
         )
 
     def _required_version(self, msg: Ask, now: float) -> SoftwareVersion | None:
