Tries: a silent target is given up when another may still answer, not sooner

Callers with a deadline of 2 s or less had no second try after a dead target at all. Cause: the time after which a target is given up took no account of the time left. Change: router/silence.py decides it: at least 2.5 s (or four times the expected time), but no later than that 0.5 s, or 1.25 of the expected time, are left for another; if that would be within 0.75 s, or three times the expected time, it isn't given up at all.

--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -34,6 +34,7 @@
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
 from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.router.silence import patience_s
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S
 from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices, TargetReport
@@ -67,12 +68,6 @@
 _UNASKED_REST_S = 0.3
 """Rest of a target that refuses a request as full without asking for a time, in seconds."""
 
-_SILENCE_FACTOR = 4.0
-_MIN_SILENCE_S = 2.0
-"""A target that has not begun to answer after four times the expected time, and at least this many
-seconds, is abandoned for another one if the request may be retried. Estimates are rarely off by
-more than that factor."""
-
 
 @dataclass(frozen=True)
 class RequestDependencies:
@@ -462,8 +457,7 @@
     def _head_timeout(self, left_s: float, granted: Granted) -> float:
         if not self._progress.may_abandon_attempt():
             return left_s
-        silence = max(_MIN_SILENCE_S, _SILENCE_FACTOR * granted.expected_s)
-        return min(left_s, silence)
+        return patience_s(left_s, granted.expected_s)
 
     def _relay(self, granted: Granted) -> AnswerRelay:
         sent_at = time.monotonic()
--- /dev/null
+++ b/turmerictray/router/silence.py
@@ -0,0 +1,43 @@
+"""When a silent target is given up for another one.
+
+A silent target may be lost for good, or about to answer. The try is given up late, as what it has
+done is lost with it, and the next target may fall silent too; but not too late for the next one.
+"""
+
+_PATIENCE_FACTOR = 4.0
+_MIN_PATIENCE_S = 2.5
+"""A target that has not begun to answer after four times the expected time, and at least this many
+seconds, is given up even if there is time left. Estimates are rarely off by more than that factor,
+and pauses of sound targets are rarely longer."""
+
+_NEXT_TRY_FACTOR = 1.25
+_MIN_NEXT_TRY_S = 0.5
+"""Time that is left for a try at another target, in seconds: that expected for this one and a
+quarter more, for the queue, and at least this."""
+
+_PROBABLE_DELAY_FACTOR = 3.0
+_PROBABLE_DELAY_S = 0.75
+"""A target that is silent for less than this, or than three times the expected time, is more likely
+to answer than another one: if there is no time to wait for so long, it isn't given up."""
+
+
+def patience_s(left_s: float, expected_s: float) -> float:
+    """Return how long a target may be silent before it is given up for another one.
+
+    Parameters
+    ----------
+    left_s : float
+        Seconds left until the answer's deadline, when the request is sent.
+    expected_s : float
+        Estimated seconds from then until the target begins to answer.
+
+    Returns
+    -------
+    float
+        Seconds from then; ``left_s`` if no other target could be expected to answer in time.
+    """
+    next_try_s = max(_MIN_NEXT_TRY_S, _NEXT_TRY_FACTOR * expected_s)
+    latest_s = left_s - next_try_s
+    if latest_s < max(_PROBABLE_DELAY_S, _PROBABLE_DELAY_FACTOR * expected_s):
+        return left_s
+    return min(latest_s, max(_MIN_PATIENCE_S, _PATIENCE_FACTOR * expected_s))
