Refuse a request that no engine can hold before it is sent

Each engine turns such a request away as if it were full, so each rested for all callers.

Cause: a refusal for the size of a request was read as one for the state of the engine, and nothing compared a prompt with the memory in its service's spec.

Change: the router compares them when it has routed the request, before it asks a scheduler, and answers 503 (not run) with a Retry-After of ten minutes. Only input tokens count: a request may end long before its limit on output, so what is larger only with that limit may run. A spec without a memory, or with none above 0, refuses nothing. No 4xx: the text may be about to change.

Not covered: a request that fits with its input alone but not with its output is still sent, and may still be turned away.

The fake configuration of test_front_capacity got the services that a real one has.

--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -11,7 +11,7 @@
 
 from tests.platform.conftest import wait_for
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller, make_request
-from turmerictray.platform.standins.local import LocalDeployment, LocalRouter
+from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
 from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import ReceivedRequest, Worker, WorkerFault
 
@@ -35,6 +35,12 @@
 TOLD_WITHIN_S = 2.0
 """Time in which routers that have not heard of a leaving target themselves learn of it."""
 
+ENGINE_TOKENS = next(
+    service["engine"]["kv_tokens"]
+    for service in default_config()["services"]
+    if "engine" in service
+)
+
 _request_numbers = itertools.count(1)
 
 
@@ -92,7 +98,8 @@
     headers["X_Request_Id"] = request_id
     method, body = ("GET", b"") if route == "ping" else ("POST", b"x")
     if route != "ping":
-        headers |= PROMPT_HEADERS | {"X_Prompt_Prefix": f"5ab1:1200,{request_id[-8:]}:260"}
+        prefix = f"5ab1:1200,{request_id[-8:]}:260"
+        headers = PROMPT_HEADERS | {"X_Prompt_Prefix": prefix} | headers
     sent_at = time.monotonic()
     caller = RawCaller(router.front)
     try:
@@ -373,3 +380,22 @@
         time.sleep(0.5)
     assert not load.refused(asked_at)
     assert bool(sent_since(workers[0], since)) == (value != "31536000")
+
+
+def test_requests_larger_than_any_engine_take_no_engine_from_others(deployment):
+    """Guards against requests that no engine can run, and that all engines then rest for."""
+    workers = deployment.of_service("llm")
+    tokens = ENGINE_TOKENS + 1
+    size = {"X_Token_Count": f"{tokens},80", "X_Prompt_Prefix": f"5ab2:{tokens}"}
+    ask_rest(
+        workers,
+        "2",
+        lambda request: int(request.headers["X-Token-Count"].partition(",")[0]) > ENGINE_TOKENS,
+    )
+    with Load(deployment.routers, "plan") as load:
+        time.sleep(0.5)
+        since = time.monotonic()
+        large = [send(router, "plan", **size) for router in deployment.routers]
+        time.sleep(2.0)
+    assert [sent.status for sent in large] == [503] * len(large)
+    assert not load.refused(since)
--- a/tests/router/test_front_capacity.py
+++ b/tests/router/test_front_capacity.py
@@ -118,6 +118,7 @@
         keys_needed=False,
         version=1,
         home_zones=lambda route, team, regions: None,
+        services={},
     )
     dialect = SimpleNamespace(read=read, retry_after=lambda wait_s: ("Retry-After", "1"))
     monkeypatch.setattr("turmerictray.router.flow.RequestRun", FakeRun)
--- a/turmerictray/config/routes.py
+++ b/turmerictray/config/routes.py
@@ -10,6 +10,7 @@
 
 from turmerictray.core.ids import RegionId, ServiceName, TeamId, ZoneId
 from turmerictray.routing.cold import ColdSpec
+from turmerictray.routing.prompt import Prompt
 
 
 class RouteKind(Enum):
@@ -107,6 +108,13 @@
     memory_tokens: int
     fetch_tokens_per_s: float = 0.0
 
+    def may_hold(self, prompt: Prompt) -> bool:
+        """Return whether an engine's memory may hold a request; true if its size is not known.
+
+        The generated tokens don't count: a request may end long before its limit.
+        """
+        return self.memory_tokens <= 0 or prompt.input_tokens <= self.memory_tokens
+
 
 @dataclass(frozen=True)
 class ServiceSpec:
--- a/turmerictray/core/errors.py
+++ b/turmerictray/core/errors.py
@@ -102,6 +102,12 @@
     caps_retry_after = False
 
 
+class TooLarge(AdmissionError):
+    """The request is larger than the memory of any engine of its service."""
+
+    caps_retry_after = False
+
+
 class Draining(AdmissionError):
     """The router is shutting down and accepts no new requests."""
 
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -19,6 +19,7 @@
     NoConfig,
     RouterFull,
     Starting,
+    TooLarge,
     TurmerictrayError,
 )
 from turmerictray.core.supervision import report_item_failure
@@ -45,6 +46,8 @@
 """Retry-After after an unexpected exception; another router may serve the request."""
 _FULL_RETRY_S = 0.2
 """Retry-After of a full router; some of the streams in progress will have ended by then."""
+_TOO_LARGE_RETRY_S = 600.0
+"""Retry-After of a prompt that no engine can hold, which only another configuration changes."""
 
 _RESERVED_THREAD_FRACTION = 0.1
 """Fraction of the front's threads that prompts may not use. Streams occupy their threads for
@@ -144,6 +147,7 @@
         config = self._active_config.current
         trace.routed = self._route(exchange, body, config)
         if trace.routed.envelope.prompt is not None:
+            _check_size(trace.routed, config)
             self._check_capacity(trace.routed)
         RequestRun(self._deps, trace.routed, exchange, call, trace).run()
         trace.end("answered", exchange.status)
@@ -209,6 +213,14 @@
         trace.end("refused", answer.status, f"{type(exc).__name__}: {exc}")
 
 
+def _check_size(routed: RoutedRequest, config: RoutingConfig) -> None:
+    """Refuse a prompt that each engine would turn away as if it were full."""
+    spec = config.services.get(routed.service)
+    engine = None if spec is None else spec.engine
+    if engine is not None and not engine.may_hold(routed.envelope.prompt):
+        raise TooLarge("larger_than_engines", _TOO_LARGE_RETRY_S)
+
+
 def _to_final_error(exc: Exception, trace: RequestTrace) -> TurmerictrayError:
     """Return what a caller is told of its request after an unexpected exception."""
     failure = InternalFailure("internal_failure", _FAILED_RETRY_S)
