Ask again for a grant of a resting target without excluding the target

What callers saw (found by a reviewer, by reading): a service with one engine refused requests with "no target" although there was time until the end of the engine's rest. A grant whose engine has meanwhile turned the router away was given back and asked for again with the engine excluded, as if the request had been sent to it; the scheduler, and then the own broker, knew no other.

Cause: the exclusion stood in for telling the scheduler why. A rest is for a while, an exclusion for the life of the request.

Change: the router repeats the rest to the scheduler, with the seconds that are left, and asks again as before. The scheduler then places the request elsewhere, lets it wait for the end of the rest, or refuses it with that time. A repeated rest is no new refusal, so it keeps the target from no other router (TargetNotices.note_running_rest). If the scheduler grants the target once more, the request is placed by the router's own broker, which surely knows the rest; so a lost message can't send a request to and fro. A leaving target is still excluded.

By reading, RequestRun._check_notices doesn't have the fault: it excludes nothing, and asks after the rest was told.

--- a/tests/routing/test_target_notices.py
+++ b/tests/routing/test_target_notices.py
@@ -87,6 +87,25 @@
     assert not may_place(notices, OTHER, NOW + 0.7)
 
 
+def test_repeated_rest_keeps_a_target_from_no_other_router(notices):
+    """Guards against a rest, told again, that counts as another refusal."""
+    notices.note_rest(TARGET, 3.0, OTHER, NOW)
+    notices.note_sent(TARGET, NOW + 0.6)
+    notices.note_served(TARGET, NOW + 0.6, NOW + 0.7)
+    notices.note_running_rest(TARGET, 2.2, OTHER, NOW + 0.8)
+    assert may_place(notices, LOCAL_ROUTER, NOW + 0.8)
+    assert not may_place(notices, OTHER, NOW + 2.9)
+    assert may_place(notices, OTHER, NOW + 3.1)
+
+
+def test_repeated_rest_of_which_nothing_was_known_is_kept(notices):
+    notices.note_running_rest(TARGET, 2.0, OTHER, NOW)
+    assert not may_place(notices, OTHER, NOW + 1.9)
+    assert may_place(notices, LOCAL_ROUTER, NOW)
+    notices.note_sent(TARGET, NOW)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 0.1)
+
+
 @pytest.mark.parametrize("first_event_s", [0.9, 1.2, 3.0])
 def test_target_whose_first_events_take_long_serves_fully_again(notices, first_event_s):
     """Guards against a busy target that is given one request a second for ever."""
--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -21,7 +21,15 @@
 from turmerictray.router.active_config import ActiveConfig
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
-from turmerictray.scheduling.broker_messages import Ask, FirstEvent, Granted, Settled, Withdraw
+from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices
+from turmerictray.scheduling.broker_messages import (
+    Ask,
+    FirstEvent,
+    Granted,
+    Settled,
+    TargetResting,
+    Withdraw,
+)
 from turmerictray.scheduling.choice import SchedulerChoice
 from turmerictray.scheduling.messages import (
     Ended,
@@ -95,6 +103,7 @@
             "tcp://scheduler:2"
         )
         self.active_config = ActiveConfig()
+        self.notices = TargetNotices()
         self.client = PlacementClient(
             NodeId("client"),
             ZoneId("z"),
@@ -102,6 +111,7 @@
             self.active_config,
             self.choice,
             self.to_scheduler,
+            self.notices,
         )
         self.scheduler = Scheduler(NodeId("scheduler"), self.remote_broker, self.to_client)
         self.to_scheduler.deliver, self.to_client.deliver = (
@@ -248,6 +258,38 @@
     assert isinstance(pair.to_scheduler.sent[-1], Ended)
 
 
+def test_grant_of_a_resting_target_is_asked_for_again_without_excluding_it(pair):
+    """Guards against a service of one engine that refuses requests which could wait for it."""
+    ask = pair.ask()
+    pair.notices.note_rest(ENGINE.id, 0.6, LOCAL_ROUTER, time.monotonic())
+    pair.grant()
+    assert not ask.reply.done()
+    returned, rest, again = pair.remote_broker.messages[-3:]
+    assert returned == Settled(7, LLM, ENGINE.id, Outcome.CALLER_GONE, 0.0)
+    assert again.exclude == ask.exclude
+    assert isinstance(rest, TargetResting) and rest.repeated
+    assert (rest.target, rest.router) == (ENGINE.id, "client")
+    assert 0.3 < rest.rest_s <= 0.6
+
+
+def test_grants_of_a_resting_target_without_end_are_not_asked_for_for_ever(pair):
+    """Guards against a request that goes to and fro as its scheduler doesn't hear of the rest."""
+    ask = pair.ask()
+    pair.notices.note_rest(ENGINE.id, 0.6, LOCAL_ROUTER, time.monotonic())
+    pair.grant()
+    pair.grant()
+    assert len(pair.remote_broker.asks()) == 2
+    (placed,) = pair.local_broker.asks()
+    assert placed.own_path and placed.exclude == ask.exclude
+
+
+def test_grant_of_a_target_that_said_it_leaves_is_asked_for_elsewhere(pair):
+    ask = pair.ask()
+    pair.notices.note_leaving(ENGINE.id)
+    pair.grant()
+    assert pair.remote_broker.asks()[-1].exclude == ask.exclude | {ENGINE.id}
+
+
 def test_request_is_placed_locally_if_scheduler_knows_no_target(pair):
     ask = pair.ask()
     pair.refuse(NoTarget("no_target", 0.5))
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -6,15 +6,17 @@
 import pytest
 
 from turmerictray.config.routes import EngineSpec, ServiceSpec
-from turmerictray.core.errors import NoTarget
+from turmerictray.core.errors import NoTarget, TargetsResting
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.reply import Reply
+from turmerictray.core.timer import Tick
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
+    FirstEvent,
     PeerHeard,
     SummaryQuery,
     TargetLeaving,
@@ -107,6 +109,27 @@
         assert ask(broker, call_id, "r2").result(0).target.id == SECOND
 
 
+def test_request_waits_for_the_only_engine_that_rests_for_its_router_alone(broker):
+    """Guards against a refusal, as without targets, of what could wait until a rest ends."""
+    broker.on_receive(TargetsListed(ENGINES[:1]))
+    broker.on_receive(TargetResting(LLM, FIRST, 0.3, NodeId("r2"), repeated=True))
+    pending, other = ask(broker, 1, "r2"), ask(broker, 2, "r3")
+    assert other.result(0).target.id == FIRST
+    broker.on_receive(FirstEvent(2, LLM, FIRST, 0.0))
+    assert not pending.done()
+    time.sleep(0.35)
+    broker.on_receive(Tick("expire", time.monotonic()))
+    assert pending.result(0).target.id == FIRST
+
+
+def test_request_whose_only_engine_rests_for_longer_is_told_until_when(broker):
+    broker.on_receive(TargetsListed(ENGINES[:1]))
+    broker.on_receive(TargetResting(LLM, FIRST, 30.0, NodeId("r2"), repeated=True))
+    refusal = ask(broker, 1, "r2").exception(0)
+    assert isinstance(refusal, TargetsResting)
+    assert refusal.retry_after == pytest.approx(30.0, abs=0.5)
+
+
 def test_pending_requests_are_refused_when_the_last_target_leaves(broker):
     """Guards against callers who wait, until their deadline, for targets that all leave."""
     replies = [ask(broker, call_id) for call_id in range(40)]
--- a/turmerictray/routing/target_notices.py
+++ b/turmerictray/routing/target_notices.py
@@ -142,6 +142,19 @@
             rest.until[router] = max(before, until)
             return until > max(before, now) + _MIN_EXTENSION_S
 
+    def note_running_rest(
+        self, target: TargetId, rest_s: float, router: NodeId, now: float
+    ) -> None:
+        """Record a rest that a router repeats.
+
+        It is no new refusal, so it keeps the target from no other router. If none was known, one
+        request at a time is sent until the target serves one.
+        """
+        with self._lock:
+            self._drop_old(now)
+            until = self._rests.setdefault(target, _Rest()).until
+            until[router] = max(until.get(router, -math.inf), now + rest_s)
+
     def _drop_old(self, now: float) -> None:
         """Forget the targets that have long been free to serve, if there are many."""
         if len(self._rests) < _MAX_RESTS:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -487,7 +487,9 @@
     @handle.register
     def _(self, msg: TargetResting) -> None:
         now = time.monotonic()
-        if msg.router:
+        if msg.repeated:
+            self.notices.note_running_rest(msg.target, msg.rest_s, msg.router, now)
+        elif msg.router:
             self.notices.note_rest(msg.target, msg.rest_s, msg.router, now)
         log_event(
             "target_resting",
@@ -496,6 +498,7 @@
             service=msg.service,
             rest_s=round(msg.rest_s, 2),
             router=msg.router or self.node,
+            repeated=msg.repeated,
         )
         metrics.RESTING_TARGETS.set(self.notices.resting_count(now))
         for pool in self.pools.for_service(msg.service):
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -192,12 +192,15 @@
         Seconds from now.
     router : NodeId
         Router that was turned away; empty for this router, which has noted the rest already.
+    repeated : bool
+        Whether the rest has begun before, so that this is no new refusal.
     """
 
     service: ServiceName
     target: TargetId
     rest_s: float
     router: NodeId = NodeId("")
+    repeated: bool = False
 
 
 @dataclass(frozen=True)
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -122,12 +122,19 @@
 
 
 class RestSeen(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """Report that a target turned a router away and asked it to rest for ``rest_s`` seconds."""
+    """Report that a target turned a router away and asked it to rest for ``rest_s`` seconds.
+
+    Attributes
+    ----------
+    repeated : bool
+        Whether the router tells of a rest that has begun before, with the seconds that are left.
+    """
 
     service: str
     target: str
     router: str
     rest_s: float
+    repeated: bool = False
 
 
 class PlaceGranted(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -94,12 +94,21 @@
 
 @dataclass
 class _RemoteCall:
-    """A request sent to a scheduler; ``fallback_shards`` are the shards to try if it is refused."""
+    """A request sent to a scheduler.
+
+    Attributes
+    ----------
+    fallback_shards : tuple of ShardId
+        Shards to try if it is refused.
+    asks_again : bool
+        Whether a grant was given back before, as its target rests.
+    """
 
     ask: Ask
     scheduler: MemberEntry
     sent_at: float
     fallback_shards: tuple[ShardId, ...] = ()
+    asks_again: bool = False
     granted: bool = False
 
 
@@ -176,17 +185,33 @@
             msg, self._backlogs.rank_shards(msg.service, shards, time.monotonic())
         )
 
-    def _request_placement(self, ask: Ask, shards: tuple[ShardId, ...]) -> None:
-        """Send a request to the first shard's scheduler; the others are tried after a refusal."""
+    def _request_placement(
+        self, ask: Ask, shards: tuple[ShardId, ...], resting: TargetId | None = None
+    ) -> None:
+        """Send a request to the first shard's scheduler; the others are tried after a refusal.
+
+        ``resting`` is a target that the scheduler is told of first, as it has granted it although
+        it rests.
+        """
         shard, fallback_shards = shards[0], shards[1:]
         ask = replace(ask, shard=shard)
         if self._choice.is_scheduler(ask.service, shard):
             self._send_to_broker(ask)
             return
         scheduler = self._choice.scheduler(ask.service, shard)
-        if scheduler is None or not self._send_request(ask, scheduler, fallback_shards):
+        if scheduler is None:
+            self._place_locally(ask)
+            return
+        if resting is not None:
+            self._repeat_rest(ask.service, resting, scheduler)
+        if not self._send_request(ask, scheduler, fallback_shards, resting is not None):
             self._place_locally(ask)
 
+    def _repeat_rest(self, service: ServiceName, target: TargetId, scheduler: MemberEntry) -> None:
+        rest_s = self._notices.rest_left_s(target, time.monotonic())
+        rest = RestSeen(service, target, self._node, rest_s, repeated=True)
+        self._link.send(scheduler.scheduling_address, rest)
+
     def _place_locally(self, ask: Ask) -> None:
         """Place a request with the local broker, among all engines of the service."""
         self._send_to_broker(replace(ask, shard=UNSHARDED, own_path=True))
@@ -285,11 +310,16 @@
         return len(holders)
 
     def _send_request(
-        self, ask: Ask, scheduler: MemberEntry, fallback_shards: tuple[ShardId, ...]
+        self,
+        ask: Ask,
+        scheduler: MemberEntry,
+        fallback_shards: tuple[ShardId, ...],
+        asks_again: bool,
     ) -> bool:
         now = time.monotonic()
+        call = _RemoteCall(ask, scheduler, now, fallback_shards, asks_again)
         with self._lock:
-            self._remote_calls[ask.call_id] = _RemoteCall(ask, scheduler, now, fallback_shards)
+            self._remote_calls[ask.call_id] = call
         reconnected = not self._link.is_connected(scheduler.scheduling_address)
         prompt = ask.prompt
         request = PlaceRequest(
@@ -387,7 +417,7 @@
         elif not self._notices.may_send(TargetId(msg.target), time.monotonic()):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
-            self._place_elsewhere(call, msg.target)
+            self._ask_again(call, TargetId(msg.target))
         elif not call.ask.reply.try_set_result(_to_granted(msg)):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
@@ -468,10 +498,20 @@
             # The next scheduler keeps the records of streams that this router lacks.
             self._request_placement(call.ask, (call.ask.shard, *call.fallback_shards))
 
-    def _place_elsewhere(self, call: _RemoteCall, target: str) -> None:
-        """Ask the scheduler for another target; it may not know yet what this one has said."""
-        ask = replace(call.ask, exclude=call.ask.exclude | {target})
-        self._request_placement(ask, (call.ask.shard, *call.fallback_shards))
+    def _ask_again(self, call: _RemoteCall, target: TargetId) -> None:
+        """Place a request whose granted target leaves or rests, which its scheduler didn't know.
+
+        A resting target isn't excluded: the request may wait for the end of the rest. This router's
+        own broker surely knows of it if the scheduler doesn't take it in.
+        """
+        shards = (call.ask.shard, *call.fallback_shards)
+        if self._notices.is_leaving(target):
+            ask = replace(call.ask, exclude=call.ask.exclude | {target})
+            self._request_placement(ask, shards)
+        elif call.asks_again:
+            self._place_locally(call.ask)
+        else:
+            self._request_placement(call.ask, shards, resting=target)
 
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -114,7 +114,8 @@
     @handle_message.register
     def _(self, msg: RestSeen) -> None:
         service, target = ServiceName(msg.service), TargetId(msg.target)
-        self._broker.tell(TargetResting(service, target, msg.rest_s, NodeId(msg.router)))
+        router = NodeId(msg.router)
+        self._broker.tell(TargetResting(service, target, msg.rest_s, router, msg.repeated))
 
     @handle_message.register
     def _(self, msg: ServiceGiven) -> None:
