Tell a router that begins to schedule of the rests that run

What was found (by a reviewer, by reading): a rest is told once, to those who schedule then or may do so soon. A router that begins to schedule later, a new incarnation, or one behind a new connection grants the resting target to the router that it turned away, which gives each of these grants back.

Cause: the report goes with the event, while the rest is a state that lasts.

Ended rests are forgotten. The repeat after a returned grant takes the same way. Gossip was ruled out: it is slower than the first request of the router that rests, and the rests of a router that sends no requests matter to no scheduler.

--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -135,6 +135,9 @@
         self.client.tell(ask)
         return ask
 
+    def rests_told(self) -> list[TargetResting]:
+        return [msg for msg in self.remote_broker.messages if isinstance(msg, TargetResting)]
+
     def grant(self) -> None:
         reply = self.remote_broker.asks()[-1].reply
         reply.set_running_or_notify_cancel()
@@ -272,6 +275,41 @@
     assert 0.3 < rest.rest_s <= 0.6
 
 
+@pytest.mark.parametrize("change", ["other scheduler", "new incarnation", "new connection"])
+def test_scheduler_that_may_not_know_a_rest_is_told_with_the_next_request(pair, change):
+    """Guards against a router that begins to schedule and never learns of the rests that run."""
+    pair.active_config.shards = {LLM: ShardMap([ENGINE.id])}
+    pair.ask(1)
+    pair.notices.note_rest(ENGINE.id, 0.6, LOCAL_ROUTER, time.monotonic())
+    pair.client.tell(TargetResting(LLM, ENGINE.id, 0.6))
+    (told,) = pair.rests_told()
+    assert not told.repeated
+    pair.ask(2)
+    assert len(pair.rests_told()) == 1
+    if change == "new connection":
+        pair.to_scheduler.reconnect("tcp://scheduler:2")
+    else:
+        name, incarnation = ("later", 1) if change == "other scheduler" else ("scheduler", 2)
+        entry = MemberEntry(name, "z", f"tcp://{name}:1", incarnation, 20, False, f"tcp://{name}:2")
+        pair.choice.set_members([entry])
+    pair.remote_broker.messages.clear()
+    pair.ask(3)
+    pair.ask(4)
+    rest, *asks = pair.remote_broker.messages
+    assert [ask.call_id for ask in asks] == [3, 4]
+    assert (rest.target, rest.router, rest.repeated) == (ENGINE.id, "client", True)
+    assert 0 < rest.rest_s <= 0.6
+
+
+def test_rest_that_has_ended_is_told_to_no_other_scheduler(pair):
+    pair.active_config.shards = {LLM: ShardMap([ENGINE.id])}
+    pair.notices.note_rest(ENGINE.id, 0.3, LOCAL_ROUTER, time.monotonic() - 0.4)
+    pair.client.tell(TargetResting(LLM, ENGINE.id, 0.3))
+    pair.remote_broker.messages.clear()
+    pair.ask()
+    assert not pair.rests_told()
+
+
 def test_grants_of_a_resting_target_without_end_are_not_asked_for_for_ever(pair):
     """Guards against a request that goes to and fro as its scheduler doesn't hear of the rest."""
     ask = pair.ask()
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -64,6 +64,7 @@
     StillWaiting,
     StreamsBegun,
 )
+from turmerictray.scheduling.rest_reports import RestReports
 from turmerictray.scheduling.shards import UNSHARDED, ShardId, ShardMap
 
 SCHEDULER_TIMEOUT_S = 0.15
@@ -151,6 +152,7 @@
         self._notices = notices or TargetNotices()
         self._lock = threading.Lock()
         self._remote_calls: dict[int, _RemoteCall] = {}
+        self._rest_reports = RestReports(self._notices)
         self._backlogs = Backlogs()
         self._check_requested_at = -math.inf
         self._last_message_at: dict[str, float] = {}
@@ -186,32 +188,18 @@
         )
 
     def _request_placement(
-        self, ask: Ask, shards: tuple[ShardId, ...], resting: TargetId | None = None
+        self, ask: Ask, shards: tuple[ShardId, ...], asks_again: bool = False
     ) -> None:
-        """Send a request to the first shard's scheduler; the others are tried after a refusal.
-
-        ``resting`` is a target that the scheduler is told of first, as it has granted it although
-        it rests.
-        """
+        """Send a request to the first shard's scheduler; the others are tried after a refusal."""
         shard, fallback_shards = shards[0], shards[1:]
         ask = replace(ask, shard=shard)
         if self._choice.is_scheduler(ask.service, shard):
             self._send_to_broker(ask)
             return
         scheduler = self._choice.scheduler(ask.service, shard)
-        if scheduler is None:
-            self._place_locally(ask)
-            return
-        if resting is not None:
-            self._repeat_rest(ask.service, resting, scheduler)
-        if not self._send_request(ask, scheduler, fallback_shards, resting is not None):
+        if scheduler is None or not self._send_request(ask, scheduler, fallback_shards, asks_again):
             self._place_locally(ask)
 
-    def _repeat_rest(self, service: ServiceName, target: TargetId, scheduler: MemberEntry) -> None:
-        rest_s = self._notices.rest_left_s(target, time.monotonic())
-        rest = RestSeen(service, target, self._node, rest_s, repeated=True)
-        self._link.send(scheduler.scheduling_address, rest)
-
     def _place_locally(self, ask: Ask) -> None:
         """Place a request with the local broker, among all engines of the service."""
         self._send_to_broker(replace(ask, shard=UNSHARDED, own_path=True))
@@ -258,15 +246,26 @@
     @tell.register
     def _(self, msg: TargetResting) -> None:
         self._send_to_broker(msg)
+        if msg.service not in self._active_config.shards:
+            return
+        now = time.monotonic()
+        self._rest_reports.note_rest(msg.service, msg.target, now)
         rest = RestSeen(msg.service, msg.target, self._node, msg.rest_s)
-        self._inform_schedulers(msg.service, rest)
+        for entry in self._inform_schedulers(msg.service, rest):
+            self._rest_reports.note_told(msg.service, msg.target, entry, now)
 
-    def _inform_schedulers(self, service: ServiceName, msg: SchedulingMessage) -> None:
-        """Send a message to all routers that schedule a service's engines, or may do so soon."""
+    def _inform_schedulers(self, service: ServiceName, msg: SchedulingMessage) -> list[MemberEntry]:
+        """Send a message to all routers that schedule a service's engines, or may do so soon.
+
+        Returns
+        -------
+        list of MemberEntry
+            Those to which it was sent.
+        """
         if service not in self._active_config.shards:
-            return
-        for entry in self._choice.informed_members(service, self._shards(service).count):
-            self._link.send(entry.scheduling_address, msg)
+            return []
+        members = self._choice.informed_members(service, self._shards(service).count)
+        return [entry for entry in members if self._link.send(entry.scheduling_address, msg)]
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that wait for a target, here or at a scheduler."""
@@ -321,6 +320,8 @@
         with self._lock:
             self._remote_calls[ask.call_id] = call
         reconnected = not self._link.is_connected(scheduler.scheduling_address)
+        if reconnected:
+            self._rest_reports.forget_scheduler(scheduler)
         prompt = ask.prompt
         request = PlaceRequest(
             ask.call_id,
@@ -350,6 +351,7 @@
         )
         sent = False
         try:
+            self._repeat_rests(ask.service, scheduler, now)
             sent = self._link.send(scheduler.scheduling_address, request)
         finally:
             # Also after an exception: the caller is refused, and must not be placed afterwards.
@@ -359,6 +361,12 @@
             self._choice.mark_unresponsive(scheduler.node)
         return sent
 
+    def _repeat_rests(self, service: ServiceName, scheduler: MemberEntry, now: float) -> None:
+        """Tell a scheduler of the running rests that it may not have heard of."""
+        for target, left_s in self._rest_reports.take_untold(service, scheduler, now):
+            rest = RestSeen(service, target, self._node, left_s, repeated=True)
+            self._link.send(scheduler.scheduling_address, rest)
+
     def _send_ended(self, call: _RemoteCall, msg: Settled) -> None:
         ended = Ended(msg.call_id, msg.service, msg.target, msg.outcome.value, msg.cost)
         if (verdict := msg.verdict) is not None:
@@ -511,7 +519,8 @@
         elif call.asks_again:
             self._place_locally(call.ask)
         else:
-            self._request_placement(call.ask, shards, resting=target)
+            self._rest_reports.forget_told(call.ask.service, target, time.monotonic())
+            self._request_placement(call.ask, shards, asks_again=True)
 
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
