--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -64,6 +64,7 @@
     StillWaiting,
     StreamsBegun,
 )
+from turmerictray.scheduling.rest_reports import RestReports
 from turmerictray.scheduling.shards import UNSHARDED, ShardId, ShardMap
 
 SCHEDULER_TIMEOUT_S = 0.15
@@ -94,12 +95,21 @@
 
 @dataclass
 class _RemoteCall:
-    """A request sent to a scheduler; ``fallback_shards`` are the shards to try if it is refused."""
+    """A request sent to a scheduler.
+
+    Attributes
+    ----------
+    fallback_shards : tuple of ShardId
+        Shards to try if it is refused.
+    asks_again : bool
+        Whether a grant was given back before, as its target rests.
+    """
 
     ask: Ask
     scheduler: MemberEntry
     sent_at: float
     fallback_shards: tuple[ShardId, ...] = ()
+    asks_again: bool = False
     granted: bool = False
 
 
@@ -142,6 +152,7 @@
         self._notices = notices or TargetNotices()
         self._lock = threading.Lock()
         self._remote_calls: dict[int, _RemoteCall] = {}
+        self._rest_reports = RestReports(self._notices)
         self._backlogs = Backlogs()
         self._check_requested_at = -math.inf
         self._last_message_at: dict[str, float] = {}
@@ -176,7 +187,9 @@
             msg, self._backlogs.rank_shards(msg.service, shards, time.monotonic())
         )
 
-    def _request_placement(self, ask: Ask, shards: tuple[ShardId, ...]) -> None:
+    def _request_placement(
+        self, ask: Ask, shards: tuple[ShardId, ...], asks_again: bool = False
+    ) -> None:
         """Send a request to the first shard's scheduler; the others are tried after a refusal."""
         shard, fallback_shards = shards[0], shards[1:]
         ask = replace(ask, shard=shard)
@@ -184,7 +197,7 @@
             self._send_to_broker(ask)
             return
         scheduler = self._choice.scheduler(ask.service, shard)
-        if scheduler is None or not self._send_request(ask, scheduler, fallback_shards):
+        if scheduler is None or not self._send_request(ask, scheduler, fallback_shards, asks_again):
             self._place_locally(ask)
 
     def _place_locally(self, ask: Ask) -> None:
@@ -233,15 +246,26 @@
     @tell.register
     def _(self, msg: TargetResting) -> None:
         self._send_to_broker(msg)
+        if msg.service not in self._active_config.shards:
+            return
+        now = time.monotonic()
+        self._rest_reports.note_rest(msg.service, msg.target, now)
         rest = RestSeen(msg.service, msg.target, self._node, msg.rest_s)
-        self._inform_schedulers(msg.service, rest)
+        for entry in self._inform_schedulers(msg.service, rest):
+            self._rest_reports.note_told(msg.service, msg.target, entry, now)
+
+    def _inform_schedulers(self, service: ServiceName, msg: SchedulingMessage) -> list[MemberEntry]:
+        """Send a message to all routers that schedule a service's engines, or may do so soon.
 
-    def _inform_schedulers(self, service: ServiceName, msg: SchedulingMessage) -> None:
-        """Send a message to all routers that schedule a service's engines, or may do so soon."""
+        Returns
+        -------
+        list of MemberEntry
+            Those to which it was sent.
+        """
         if service not in self._active_config.shards:
-            return
-        for entry in self._choice.informed_members(service, self._shards(service).count):
-            self._link.send(entry.scheduling_address, msg)
+            return []
+        members = self._choice.informed_members(service, self._shards(service).count)
+        return [entry for entry in members if self._link.send(entry.scheduling_address, msg)]
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that wait for a target, here or at a scheduler."""
@@ -285,12 +309,19 @@
         return len(holders)
 
     def _send_request(
-        self, ask: Ask, scheduler: MemberEntry, fallback_shards: tuple[ShardId, ...]
+        self,
+        ask: Ask,
+        scheduler: MemberEntry,
+        fallback_shards: tuple[ShardId, ...],
+        asks_again: bool,
     ) -> bool:
         now = time.monotonic()
+        call = _RemoteCall(ask, scheduler, now, fallback_shards, asks_again)
         with self._lock:
-            self._remote_calls[ask.call_id] = _RemoteCall(ask, scheduler, now, fallback_shards)
+            self._remote_calls[ask.call_id] = call
         reconnected = not self._link.is_connected(scheduler.scheduling_address)
+        if reconnected:
+            self._rest_reports.forget_scheduler(scheduler)
         prompt = ask.prompt
         request = PlaceRequest(
             ask.call_id,
@@ -320,6 +351,7 @@
         )
         sent = False
         try:
+            self._repeat_rests(ask.service, scheduler, now)
             sent = self._link.send(scheduler.scheduling_address, request)
         finally:
             # Also after an exception: the caller is refused, and must not be placed afterwards.
@@ -329,6 +361,12 @@
             self._choice.mark_unresponsive(scheduler.node)
         return sent
 
+    def _repeat_rests(self, service: ServiceName, scheduler: MemberEntry, now: float) -> None:
+        """Tell a scheduler of the running rests that it may not have heard of."""
+        for target, left_s in self._rest_reports.take_untold(service, scheduler, now):
+            rest = RestSeen(service, target, self._node, left_s, repeated=True)
+            self._link.send(scheduler.scheduling_address, rest)
+
     def _send_ended(self, call: _RemoteCall, msg: Settled) -> None:
         ended = Ended(msg.call_id, msg.service, msg.target, msg.outcome.value, msg.cost)
         if (verdict := msg.verdict) is not None:
@@ -387,7 +425,7 @@
         elif not self._notices.may_send(TargetId(msg.target), time.monotonic()):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
-            self._place_elsewhere(call, msg.target)
+            self._ask_again(call, TargetId(msg.target))
         elif not call.ask.reply.try_set_result(_to_granted(msg)):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
@@ -468,10 +506,21 @@
             # The next scheduler keeps the records of streams that this router lacks.
             self._request_placement(call.ask, (call.ask.shard, *call.fallback_shards))
 
-    def _place_elsewhere(self, call: _RemoteCall, target: str) -> None:
-        """Ask the scheduler for another target; it may not know yet what this one has said."""
-        ask = replace(call.ask, exclude=call.ask.exclude | {target})
-        self._request_placement(ask, (call.ask.shard, *call.fallback_shards))
+    def _ask_again(self, call: _RemoteCall, target: TargetId) -> None:
+        """Place a request whose granted target leaves or rests, which its scheduler didn't know.
+
+        A resting target isn't excluded: the request may wait for the end of the rest. This router's
+        own broker surely knows of it if the scheduler doesn't take it in.
+        """
+        shards = (call.ask.shard, *call.fallback_shards)
+        if self._notices.is_leaving(target):
+            ask = replace(call.ask, exclude=call.ask.exclude | {target})
+            self._request_placement(ask, shards)
+        elif call.asks_again:
+            self._place_locally(call.ask)
+        else:
+            self._rest_reports.forget_told(call.ask.service, target, time.monotonic())
+            self._request_placement(call.ask, shards, asks_again=True)
 
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
