Pages: connections opened at once are not dropped

Found by looking for the cause of the drops at stand-ins elsewhere: the server of readiness, metrics and peers' pages kept cheroot's listen backlog of 5. While a router's interpreter is busy, the kernel drops the seventh connection that waits, and its caller tries again after 1 s or times out (a readiness check, a peer that fetches documents). Change: the backlog of the callers' server (1024) moves to the mixin that both use. Test: 40 connections before any is accepted; before, it failed at the pages (timed out) and passed at the front; now both pass.

--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -22,8 +22,6 @@
 be lost.
 """
 
-_LISTEN_BACKLOG = 1024
-
 Handler = Callable[[ClientExchange], None]
 
 
@@ -89,7 +87,6 @@
         self.head_deadlines = HeadDeadlines()
         self.draining = False
         self.server_name = "turmerictray"
-        self.request_queue_size = _LISTEN_BACKLOG
         self.shutdown_timeout = 1
 
     def is_draining(self) -> bool:
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -127,6 +127,9 @@
     ConnectionClass = StrictConnection
     keep_alive_conn_limit = 3000
     """Limit of idle connections; cheroot's default of ten would close nearly all of them."""
+    request_queue_size = 1024
+    """Connections that may wait to be accepted; the kernel drops further ones, and their callers
+    try again after a second."""
 
     def process_conn(self, conn: HTTPConnection) -> None:
         """Process a connection that is new or has data to read."""
