test_failed_messages: a slow first round doesn't put off the second

Cause: the grant throttle puts the next round off by three times what the last one took, and waits for it at most 20 ms; a first round of more than 6.7 ms (a failure is logged in it) leaves the second to the next message, and the test sends none. The product: the next message is a tick, at most one interval later; so a request after a slow round waits that much. The tests' premise, that a round takes no time, was wrong. Replaced by stricter ones: failing parts take 10 ms, and rounds aren't throttled here, so the second request must still be granted at once. The throttle has tests of its own.

--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -14,6 +14,7 @@
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
+from turmerictray.scheduling import grant_throttle
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
@@ -28,17 +29,29 @@
 LLM, TEAM, ZONE = ServiceName("llm"), TeamId("t"), ZoneId("z")
 ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
 
+_FAILURE_S = 0.01
+"""Time that a failing part takes, as on a busy machine."""
+
 
 class Unexpected(Exception):
     """An exception that the broker does not know."""
 
 
 def fail(*_args: object) -> None:
+    time.sleep(_FAILURE_S)
     raise Unexpected
 
 
 @pytest.fixture
-def broker():
+def unthrottled():
+    """Let rounds follow each other at once; a slow one would put off the next."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(grant_throttle, "MAX_TIME_FRACTION", 1.0)
+        yield
+
+
+@pytest.fixture
+def broker(unthrottled):
     supervisor = Supervisor(lambda: None)
     install_supervisor(supervisor)
     broker = Broker(NodeId("r1"), ZONE, 1, ActiveConfig(), RetryLimits())
