--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 from turmerictray.loadtool.fleet_spec import FleetSpec
 from turmerictray.loadtool.local import LocalFleet
+from turmerictray.scheduling import grant_throttle
 
 # Generate the same examples on every run, so that results are reproducible.
 settings.register_profile("repeatable", derandomize=True, deadline=None)
@@ -44,6 +45,14 @@
     return {}
 
 
+@pytest.fixture
+def unthrottled_rounds():
+    """Let grant rounds follow each other at once; a slow one would put off the next."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(grant_throttle, "MAX_TIME_FRACTION", 1.0)
+        yield
+
+
 def _known_red() -> set[str]:
     """Return the ids of the tests that KNOWN-RED.txt lists."""
     path = Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/tests/router/test_suspect_isolation.py
+++ b/tests/router/test_suspect_isolation.py
@@ -36,6 +36,8 @@
 from turmerictray.scheduling.messages import Ended
 from turmerictray.scheduling.scheduler import to_verdict
 
+pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
+
 LLM = ServiceName("llm")
 CULPRIT, BYSTANDER = RequestDigest("culprit"), RequestDigest("bystander")
 PROMPT = Prompt((PromptPart(PartId("shared"), 900), PromptPart(PartId("own"), 100)), 1000, 10)
--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -14,7 +14,6 @@
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
-from turmerictray.scheduling import grant_throttle
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
@@ -43,15 +42,7 @@
 
 
 @pytest.fixture
-def unthrottled():
-    """Let rounds follow each other at once; a slow one would put off the next."""
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(grant_throttle, "MAX_TIME_FRACTION", 1.0)
-        yield
-
-
-@pytest.fixture
-def broker(unthrottled):
+def broker(unthrottled_rounds):
     supervisor = Supervisor(lambda: None)
     install_supervisor(supervisor)
     broker = Broker(NodeId("r1"), ZONE, 1, ActiveConfig(), RetryLimits())
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -34,6 +34,8 @@
 from turmerictray.scheduling.messages import StreamsBegun
 from turmerictray.scheduling.resumptions import Resumptions
 
+pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
+
 LLM = ServiceName("llm")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 STREAM = StreamKey(77)
--- a/tests/scheduling/test_shard_pools.py
+++ b/tests/scheduling/test_shard_pools.py
@@ -26,6 +26,8 @@
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.shards import ShardId, shard_index
 
+pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
+
 LLM = ServiceName("llm")
 TEAM = TeamId("t")
 INFOS = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZoneId("z"), 1) for n in range(45)]
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -23,6 +23,8 @@
     TargetsListed,
 )
 
+pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
+
 LLM, TEAM, ZONE = ServiceName("llm"), TeamId("t"), ZoneId("z")
 ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
 FIRST, SECOND = (info.id for info in ENGINES)
