--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -28,17 +28,21 @@
 LLM, TEAM, ZONE = ServiceName("llm"), TeamId("t"), ZoneId("z")
 ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
 
+_FAILURE_S = 0.01
+"""Time that a failing part takes, as on a busy machine."""
+
 
 class Unexpected(Exception):
     """An exception that the broker does not know."""
 
 
 def fail(*_args: object) -> None:
+    time.sleep(_FAILURE_S)
     raise Unexpected
 
 
 @pytest.fixture
-def broker():
+def broker(unthrottled_rounds):
     supervisor = Supervisor(lambda: None)
     install_supervisor(supervisor)
     broker = Broker(NodeId("r1"), ZONE, 1, ActiveConfig(), RetryLimits())
