Queue: no request is refused waiting for a silent engine while another is free

Cause: the fourth engine, idle, had been silent before. The answers lost then had raised its failure rate, which costs up to 2 s; an engine that is silent now costs nothing for the first second. So all waited for the silent one, until their deadline. Before: test_request_is_not_refused_while_an_engine_is_free failed, after: passes. Change: near its queue deadline (0.25 s, half the time of a repeat), a request is placed on the best engine with capacity, if the one it waits for gave no first event for 0.5 s while one was overdue.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -81,9 +81,18 @@
 NO_TARGET_RETRY_S = 0.5
 """Retry-After in seconds while no target serves a request."""
 
-_SURE_TARGET_FRACTION = 0.5
-"""Fraction of its time for which a repeat waits for a target that isn't known to be full, before it
-may be the trial of another one. The rest is left for the answer."""
+_URGENT_FRACTION = 0.5
+"""Fraction of its time after which a repeat may be a trial; the rest is left for the answer. No
+request waits for a silent engine for longer than that, or than :data:`_URGENT_S`."""
+
+_URGENT_S = 0.25
+"""Time before its queue deadline from which a request is placed on any engine with capacity rather
+than wait for one that is silent; enough for two placement attempts. It still waits for an engine
+that answers: under overload, prompts would be read again everywhere otherwise."""
+
+_SILENT_S = 0.5
+"""Time without an overdue first event, or any other, after which an engine is silent. One that is
+only busy gives one for each prompt that it reads."""
 
 _CANDIDATES_PER_TEAM = 8
 """Number of pending requests of a team that are considered in one round."""
@@ -187,7 +196,8 @@
             raise NoTarget(self._missing_reason(context), NO_TARGET_RETRY_S)
         if not retry:
             pending.deadline = self._queue_deadline(pending, loads, now)
-        context.trial_from = now + _SURE_TARGET_FRACTION * (pending.deadline - now)
+        urgent_s = _URGENT_FRACTION * (pending.deadline - now)
+        context.urgent_from = pending.deadline - (urgent_s if retry else min(_URGENT_S, urgent_s))
         self._check_rests(pending, loads, now)
         wait = self.expected_wait_s(pending)
         if (
@@ -425,7 +435,7 @@
         context.last_attempt_at = now
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
-        if context.avoids_trials and now < context.trial_from:
+        if context.avoids_trials and now < context.urgent_from:
             loads = self._exclude_trials(loads, context)
         loads = self.notices.exclude_resting(loads, context.origin, now)
         context.had_targets = bool(loads)
@@ -456,7 +466,7 @@
             load
             for load in loads
             if not notices.is_trial(load.info.id)
-            and notices.rest_end(load.info.id, router) < context.trial_from
+            and notices.rest_end(load.info.id, router) < context.urgent_from
         ]
         return others or loads
 
@@ -466,26 +476,38 @@
         """Place a request on one of ``loads``, or reserve one for it and return None."""
         if context.prompt is None:
             return self._place_plain(loads, context.call_id, now)
-        zone = context.zone or self.zone
-        placement = self._place_prompt(
-            loads,
-            context.prompt,
-            context.call_id,
-            self.targets.model,
-            zone,
-            now,
-            self._other_sources(context),
-        )
+        placement = self._choose_engine(loads, context, now)
         if placement is None or engine_has_capacity(
             placement.load, self.targets.model, now, fraction
         ):
             return placement
+        if now >= context.urgent_from and placement.load.silent_s(now) > _SILENT_S:
+            free = [
+                load
+                for load in loads
+                if engine_has_capacity(load, self.targets.model, now, fraction)
+            ]
+            if free:
+                return self._choose_engine(free, context, now)
         # Waiting for the engine that caches the prompt is cheaper than reading it elsewhere, which
         # would delay the requests there. The cost of the chosen engine already includes the
         # requests that wait for it.
         self._reserve(context, placement)
         return None
 
+    def _choose_engine(
+        self, loads: list[TargetLoad], context: PlacementContext, now: float
+    ) -> Placement | None:
+        return self._place_prompt(
+            loads,
+            context.prompt,
+            context.call_id,
+            self.targets.model,
+            context.zone or self.zone,
+            now,
+            self._other_sources(context),
+        )
+
     def _place_plain(self, loads: list[TargetLoad], call_id: int, now: float) -> Placement | None:
         """Place a request on one of a few targets drawn at random; on any if these are full."""
         for drawn in (self._draw_targets(loads), loads):
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -66,8 +66,8 @@
         See :class:`~turmerictray.scheduling.broker_messages.Ask`.
     avoids_trials : bool
         The request is placed on a target that may be full only if no other can serve it in time.
-    trial_from : float
-        Monotonic seconds from which such a request waits no longer for another target.
+    urgent_from : float
+        Monotonic seconds from which the request waits for no silent engine, and may be a trial.
     """
 
     call_id: int
@@ -89,7 +89,7 @@
     own_path: bool = False
     is_test: bool = False
     avoids_trials: bool = False
-    trial_from: float = math.inf
+    urgent_from: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -484,6 +484,10 @@
             (now - read.sent_at - read.expected_s for read in self._unread_requests()), default=0.0
         )
 
+    def silent_s(self, now: float) -> float:
+        """Return how long a first event has been overdue without another one arriving."""
+        return min(self.overdue_s(now), now - self.last_first_event_at)
+
     def _unread_requests(self) -> list[PendingPrefill]:
         return [read for read in self.reads.values() if not read.presumed_read]
 
