Contain each step of a tick by itself, and count only those that a new process helps

What failed there each time, at all routers at once, would have ended them all with 71; and the first step that failed kept the later ones, the other pools and hooks from being done.

`VitalActor.run_step` contains one step. Its failure never counts for the message; it counts by a kind of its own, once per message, only where the step works on the state of this process and callers can't be served without it:

* counted: the expiry of queues that hold requests (one pool that can shows that the process can), rounds of grants (as before), and the sending of this router's own state to peers.
A tick that raises outside its steps counts as before.
They work on what all routers share (documents, evidence, members), or others make up for them: a scheduler without keep-alives is skipped.
* gossip: a message that can't be encoded with what peers have said (members, pulses, crash reports) is sent without it; a recipient that fails doesn't keep the others from hearing.
Only a router that can't tell its own state is unfit, as its peers would think that it is gone.
* the same cause elsewhere: ticks of the settings' reload (one file for all routers), of the peer prober, of the pollers of instances and loads, the start's check and probes, members, retry limits and what targets say of themselves are documents and reports as well, and uncounted now.
Ticks of the product's own path (dispatcher, placer, peer link, claims) are done in steps.

Not changed: the callback of the peer link that publishes members (router/gateway.py) is one step; an exception in its first consumer keeps the others from hearing.

--- a/tests/core/test_supervision.py
+++ b/tests/core/test_supervision.py
@@ -5,7 +5,7 @@
 import pykka
 import pytest
 
-from turmerictray.core import metrics
+from turmerictray.core import metrics, supervision
 from turmerictray.core.actor import VitalActor, ask_with_timeout
 from turmerictray.core.supervision import (
     SupervisedThread,
@@ -97,6 +97,59 @@
     assert not supervisor.is_unfit
 
 
+class Stepper(VitalActor):
+    """Divides by each number of a list, as steps of which those by name count."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.done: list[float] = []
+
+    def handle(self, message: list[tuple[float, str | None]]) -> list[float]:
+        for number, kind in message:
+            self.run_step(lambda number=number: self.done.append(6 / number), message, kind)
+        return self.done
+
+
+def test_failed_steps_keep_no_other_from_being_done(supervisor):
+    """Guards against an actor whose tick ends at the first step that fails."""
+    actor = Stepper.start()
+    for _ in range(5):
+        done = ask_with_timeout(actor, [(0, None), (2, None), (0, None), (3, None)], 1.0)
+    assert done == [3, 2] * 5
+    assert not supervisor.is_unfit
+
+
+@pytest.mark.parametrize("others", [[], [(2, "other")], [(2, None)]])
+def test_step_that_always_fails_makes_the_process_unfit_if_it_counts(supervisor, others):
+    """Guards against a process that is ready although it can't do what callers need."""
+    actor = Stepper.start()
+    ask_with_timeout(actor, [(0, "vital"), (0, "vital"), (0, "vital"), (0, "vital"), *others], 1.0)
+    assert not supervisor.is_unfit
+    for _ in range(2):
+        ask_with_timeout(actor, [(0, "vital"), *others], 1.0)
+    assert supervisor.is_unfit
+
+
+def test_step_that_succeeds_for_others_leaves_the_process_fit(supervisor):
+    """Guards against one pool that ends a process which serves all others."""
+    actor = Stepper.start()
+    for _ in range(5):
+        ask_with_timeout(actor, [(0, "vital"), (2, "vital")], 1.0)
+    assert not supervisor.is_unfit
+
+
+def test_steps_that_recur_fill_no_log(supervisor, monkeypatch):
+    """Guards against a log of one line per tick and router while a step fails."""
+    before = metrics.UNEXPECTED_EXCEPTIONS.labels("Stepper")._value.get()
+    logged = []
+    monkeypatch.setattr(supervision, "log_event", lambda *args, **_fields: logged.append(args))
+    actor = Stepper.start()
+    for _ in range(5):
+        ask_with_timeout(actor, [(0, None)], 1.0)
+    assert metrics.UNEXPECTED_EXCEPTIONS.labels("Stepper")._value.get() == before + 5
+    assert len(logged) == 1
+
+
 class Gone(VitalActor):
     """Tells an actor that has stopped."""
 
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -1,5 +1,6 @@
 """Actor base classes, queries to actors with a timeout, and the stop of all actors."""
 
+import math
 import os
 import sys
 import time
@@ -9,12 +10,16 @@
 
 import pykka
 
+from turmerictray.core import metrics
 from turmerictray.core.logs import close_logs, log_event
-from turmerictray.core.supervision import current_supervisor, log_failure
+from turmerictray.core.supervision import current_supervisor, log_failure, place_of
 
 ACTOR_FAILED_EXIT = 71
 """Exit status of a process that ends because one of its actors failed."""
 
+_STEP_LOG_INTERVAL_S = 1.0
+"""Interval between two log lines on steps that fail at the same place; steps recur with ticks."""
+
 
 def ask_with_timeout(actor: pykka.ActorRef, message: object, timeout_s: float) -> Any | None:
     """Ask an actor and return its answer, or None if it takes longer than ``timeout_s`` seconds.
@@ -83,6 +88,11 @@
     uncounted_messages: tuple[type, ...] = ()
     _last_failed_message: object = None
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self._failed_kinds: set[str] = set()
+        self._step_logged_at: dict[str, float] = {}
+
     def on_start(self) -> None:
         """Acquire the actor's resources; terminate the process if that fails."""
         try:
@@ -98,6 +108,7 @@
     def on_receive(self, message: object) -> object:
         """Handle a message, and contain an unexpected exception."""
         self._last_failed_message = None
+        self._failed_kinds.clear()
         try:
             result = self.handle(message)
         except pykka.ActorDeadError:
@@ -146,6 +157,54 @@
             return False
         return True
 
+    def run_step(
+        self, step: Callable[[], object], message: object, kind: str | None = None
+    ) -> bool:
+        """Do one step of a periodic message; contain an exception of that step alone.
+
+        A failed step does not count as a failure of its message. The same step, failing at each
+        tick of all routers, would end them all.
+
+        Parameters
+        ----------
+        step : callable
+        message : object
+        kind : str or None
+            Kind of work under which failures count, once per message; for work on the state of this
+            process without which it can't serve callers. None for steps that would fail in a new
+            process as well, as they work on what all routers share, and for those that others make
+            up for.
+
+        Returns
+        -------
+        bool
+            Whether the step was done.
+        """
+        try:
+            step()
+        except pykka.ActorDeadError:
+            self._log_gone()
+        except Exception as exc:
+            supervisor = current_supervisor()
+            if supervisor is None:
+                raise
+            self._log_failed_step(message, exc)
+            if kind is not None and kind not in self._failed_kinds:
+                self._failed_kinds.add(kind)
+                supervisor.record_failure(kind)
+            return False
+        if kind is not None:
+            self.note_success(kind)
+        return True
+
+    def _log_failed_step(self, message: object, exc: Exception) -> None:
+        place, now = place_of(exc), time.monotonic()
+        if now - self._step_logged_at.get(place, -math.inf) >= _STEP_LOG_INTERVAL_S:
+            self._step_logged_at[place] = now
+            self.log_failed(message, exc)
+        else:
+            metrics.UNEXPECTED_EXCEPTIONS.labels(type(self).__name__).inc()
+
     def note_failure(self, message: object, exc: BaseException, kind: str | None = None) -> None:
         """Log and count an unexpected exception that a message has caused."""
         self.log_failed(message, exc)
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Protocol
 
 import msgspec
@@ -45,6 +45,10 @@
 that a network partition left half open loses messages without an error."""
 
 
+_SENDING = "PeerLink:sending"
+"""Kind of work under which failures to tell peers of this router itself are counted."""
+
+
 class _Received:
     """An encoded :class:`PeerMessage` received over the peer link."""
 
@@ -111,6 +115,16 @@
         """Return the reports on prompt parts for the next message."""
 
 
+_Reports = tuple[list[CrashReport], list[PartCrashReport]]
+
+
+def _take_reports(crashes: CrashReports, reports: _Reports, now: float) -> None:
+    """Append the crash reports for the next message."""
+    requests, parts = reports
+    requests.extend(crashes.take_reports(now))
+    parts.extend(crashes.take_part_reports(now))
+
+
 class PeerLink(VitalActor):
     """Sends this router's summary to its peers and passes on the messages that it receives.
 
@@ -199,11 +213,14 @@
         if msg.is_late():
             return
         now = time.monotonic()
+        if self._is_gossip_due():
+            self.run_step(partial(self._send_all, msg, now), msg, _SENDING)
+        self.run_step(partial(self._update_size, now), msg)
+        self.run_step(partial(self._publish_members, now), msg)
+
+    def _is_gossip_due(self) -> bool:
         has_reports = self._crashes is not None and self._crashes.has_pending_updates()
-        if self._gossip.is_due(self._size, has_reports):
-            self._send_all(now)
-        self._update_size(now)
-        self._publish_members(now)
+        return self._gossip.is_due(self._size, has_reports)
 
     @handle.register
     def _(self, msg: _Received) -> None:
@@ -232,43 +249,50 @@
     @handle.register
     def _(self, msg: Leave) -> None:
         self._leaving = True
-        self._send_all(time.monotonic())
+        self._send_all(msg, time.monotonic())
 
-    def _send_all(self, now: float) -> None:
+    def _send_all(self, msg: object, now: float) -> None:
+        """Send this router's summary to some peers.
+
+        What peers have said may make the messages of all routers fail; it is left out then. An
+        exception that remains is of this router's own state.
+        """
         summary = self._build_summary()
         if summary is None:
             # A message without load figures would make peers consider this router's targets idle.
             return
         heartbeat = self.entry.heartbeat + 1
         self.entry = msgspec.structs.replace(self.entry, heartbeat=heartbeat, leaving=self._leaving)
-        batches = self._gossip.batches(self._size, now)
-        reports = ([], [])
+        batches: list[Batch] = []
+        self.run_step(lambda: batches.extend(self._batches(now)), msg)
+        reports: _Reports = ([], [])
         if self._crashes is not None:
-            reports = self._crashes.take_reports(now), self._crashes.take_part_reports(now)
-        used_addresses = set()
+            self.run_step(partial(_take_reports, self._crashes, reports, now), msg)
         for batch in batches:
-            used_addresses |= self._send(batch, summary, reports, now)
-        seeds = self._seeds_to_try(now, used_addresses)
-        if seeds:
-            used_addresses |= self._send(Batch(seeds, batches[0].members), summary, reports, now)
+            own = PeerMessage(self.entry, summary, [], self.admin, self._size)
+            full = PeerMessage(
+                self.entry, summary, batch.members, self.admin, self._size, batch.pulses, *reports
+            )
+            if not self.run_step(partial(self._send, full, batch, msg, now), msg):
+                self._send(own, batch, msg, now)
+        used_addresses = {entry.address for batch in batches for entry in batch.recipients}
         self._close_unused(used_addresses)
 
-    def _send(
-        self,
-        batch: Batch,
-        summary: RouterSummary,
-        reports: tuple[list[CrashReport], list[PartCrashReport]],
-        now: float,
-    ) -> set[str]:
-        """Send a batch to its recipients; return their addresses."""
-        message = PeerMessage(
-            self.entry, summary, batch.members, self.admin, self._size, batch.pulses, *reports
-        )
+    def _batches(self, now: float) -> list[Batch]:
+        batches = self._gossip.batches(self._size, now)
+        used_addresses = {entry.address for batch in batches for entry in batch.recipients}
+        seeds = self._seeds_to_try(now, used_addresses)
+        return [*batches, Batch(seeds, batches[0].members)] if seeds else batches
+
+    def _send(self, message: PeerMessage, batch: Batch, msg: object, now: float) -> None:
+        """Send a message to the recipients of a batch."""
         data = msgspec.msgpack.encode(message)
         for recipient in batch.recipients:
-            if self._socket_to(recipient.address, recipient.node, now).send(data):
-                metrics.count_control_bytes("peers", len(data), 0)
-        return {recipient.address for recipient in batch.recipients}
+            self.run_step(partial(self._send_to, recipient, data, now), msg)
+
+    def _send_to(self, recipient: MemberEntry, data: bytes, now: float) -> None:
+        if self._socket_to(recipient.address, recipient.node, now).send(data):
+            metrics.count_control_bytes("peers", len(data), 0)
 
     def _seeds_to_try(self, now: float, used_addresses: set[str]) -> list[MemberEntry]:
         # A router that knows few peers joins through the seeds, so all of them are tried. Later
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -96,8 +96,8 @@
         msg.reply.try_set_result(answer.vote if isinstance(answer, Voted) else Vote.UNREACHABLE)
 
     @handle.register
-    def _(self, _msg: Tick) -> None:
-        self._repeat_releases()
+    def _(self, msg: Tick) -> None:
+        self.run_step(self._repeat_releases, msg)
         requested_at = time.monotonic()
         if self.synced or requested_at - self.started_at < SYNC_DELAY_S:
             return
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -7,7 +7,7 @@
 """
 
 import time
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import msgspec
 
@@ -97,7 +97,7 @@
         live = self._eligible_members()
         for target in _engines_with_models(cfg):
             if responsible_router(target.id, target.zone, live) == self.node:
-                self._reconcile(target, cfg.version)
+                self.run_step(partial(self._reconcile, target, cfg.version), msg)
 
     def _is_startup_complete(self) -> bool:
         # A router that has just started has received no heartbeats and would consider itself
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -119,7 +119,7 @@
         ``tcp://host:port`` of the other routers that this one contacts first.
     """
 
-    uncounted_messages = (PeerMessage,)
+    uncounted_messages = (PeerMessage, RoutersAlive, CheckStartup, PeersProbed)
 
     def __init__(
         self,
--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -8,7 +8,7 @@
 import math
 import os
 import time
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from turmerictray.config.schema import Config
 from turmerictray.config.snapshot import ConfigSnapshot
@@ -66,6 +66,11 @@
 """Exit status of a router that detected a violated invariant in assertion mode."""
 
 
+_EXPIRY = "Dispatcher:expiry"
+_GRANTS = "Dispatcher:grants"
+"""Kinds of work under which failures of ticks are counted."""
+
+
 class Dispatcher(VitalActor):
     """Scheduler of target slots that shares them fairly and is work-conserving.
 
@@ -280,13 +285,15 @@
 
     @handle.register
     def _(self, msg: Tick) -> None:
-        self._update_startup(msg.now)
+        self.run_step(partial(self._update_startup, msg.now), msg)
         for view in self.table.targets.values():
-            view.expire_suspicion(msg.now)
-            view.expire_rest(msg.now)
-        self._expire(msg.now)
-        self._update_claims()
-        self._grant_free_slots()
+            for step in (view.expire_suspicion, view.expire_rest):
+                self.run_step(partial(step, msg.now), msg)
+        for queue in self.queues.values():
+            if len(queue):
+                self.run_step(partial(self._expire, queue, msg.now), msg, _EXPIRY)
+        self.run_step(self._update_claims, msg)
+        self.run_step(self._grant_free_slots, msg, _GRANTS if self._queued() else None)
 
     @handle.register
     def _(self, msg: StatusQuery) -> RouterStatus:
@@ -439,13 +446,9 @@
         view.dispatched += 1
         self.ledger.charge(pending.team, pending.estimated_cost)
 
-    def _expire(self, now: float) -> None:
-        cfg = self.config.current
-        for queue in self.queues.values():
-            for pending in queue.expire(now):
-                self._refuse_expired(pending)
-        if self.draining and cfg is not None:
-            self._grant_free_slots()
+    def _expire(self, queue: FairQueue, now: float) -> None:
+        for pending in queue.expire(now):
+            self._refuse_expired(pending)
 
     def _record_peer(self, msg: PeerSummary, now: float) -> None:
         peer = msg.counters.node
--- a/turmerictray/router/peer_prober.py
+++ b/turmerictray/router/peer_prober.py
@@ -27,6 +27,8 @@
         :class:`PeersProbed`.
     """
 
+    uncounted_messages = (Tick,)
+
     def __init__(self, owner: pykka.ActorRef) -> None:
         super().__init__()
         self._owner = owner
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -11,6 +11,7 @@
 
 import threading
 import time
+from functools import partial
 
 import msgspec
 import pykka
@@ -39,6 +40,10 @@
 within milliseconds unless its machine is overloaded or frozen."""
 
 
+_SENDING = "PeerLink:sending"
+"""Kind of work under which failed heartbeats are counted."""
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """Periodic message from a router to all its peers.
 
@@ -162,8 +167,8 @@
             if message.is_late():
                 metrics.HEARTBEATS.labels("late_tick").inc()
             else:
-                self._send_heartbeat()
-            self._check_silence(time.monotonic())
+                self.run_step(self._send_heartbeat, message, _SENDING)
+            self.run_step(partial(self._check_silence, time.monotonic()), message)
         elif isinstance(message, Heartbeat):
             self._process_heartbeat(message)
 
--- a/turmerictray/router/settings_reloader.py
+++ b/turmerictray/router/settings_reloader.py
@@ -35,6 +35,8 @@
     broker, link : pykka.ActorRef
     """
 
+    uncounted_messages = (Tick, Reload)
+
     def __init__(
         self,
         current: GatewaySettings,
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -40,6 +40,8 @@
         Actors that receive each :class:`~turmerictray.router.messages.Listing`.
     """
 
+    uncounted_messages = (Tick,)
+
     def __init__(self, url: str, listeners: list[pykka.ActorRef]) -> None:
         super().__init__()
         self.url = url.rstrip("/") + "/instances"
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -37,6 +37,8 @@
         Lists the targets and receives a :class:`LoadReport` for each that answers.
     """
 
+    uncounted_messages = (Tick,)
+
     def __init__(self, dispatcher: pykka.ActorRef) -> None:
         super().__init__()
         self.dispatcher = dispatcher
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -20,6 +20,7 @@
     InternalFailure,
     NoTarget,
     Quarantined,
+    QueueTimeout,
     RepeatsUsedUp,
     TargetsResting,
 )
@@ -92,6 +93,9 @@
 _GRANT_ROUNDS = "Broker:grants"
 """Kind of work under which failed rounds of grants are counted."""
 
+_EXPIRY = "Broker:expiry"
+"""Kind of work under which failures to end the wait of overdue requests are counted."""
+
 _MAX_REPORTED_LEAVING = 64
 """Maximum number of leaving targets in a message to peers, which bounds its size."""
 
@@ -124,7 +128,11 @@
         TextArrived,
         TargetsListed,
         TargetsChanged,
+        TargetLeaving,
+        TargetResting,
         ZonesEvacuated,
+        RoutersAlive,
+        RetryLimits,
         PeerHeard,
         ServiceHeard,
         PartsReadElsewhere,
@@ -345,36 +353,68 @@
     @handle.register
     def _(self, msg: Tick) -> None:
         for pool in self.pools.all_unsharded():
-            pool.targets.update_estimates(ENGINE_WINDOW_S)
-            self._expire_overdue_prefills(pool, msg.now)
-            pool.drop_lost_calls(self.live_routers, msg.now)
-        self._refuse_quarantined(msg.now)
+            for step in (self._update_estimates, self._expire_overdue_prefills, self._drop_lost):
+                self._run_pool_step(partial(step, pool, msg.now), msg)
+        self._refuse_quarantined(msg)
         text = self._failed_texts.due(msg.now)
         if text is not None:
             self.actor_ref.tell(text)
         for pool in self.pools.all():
-            for request in pool.expire(msg.now):
-                self.contain(partial(refuse_expired, request, pool, msg.now), msg)
             if len(pool.queue):
+                self._run_pool_step(partial(self._expire, pool, msg), msg, _EXPIRY)
                 self._grants.request_round(pool, msg.now)
-        if not msg.is_late():
-            for hook in self.tick_hooks:
-                self.contain(partial(hook, msg.now), msg)
-            self._report_parts_read(msg.now)
-            if self.send_streams_begun is not None:
-                self._resumptions.report(self._recent_versions, self.send_streams_begun, msg.now)
-            self._report_usage(msg.now)
-        if self._gauges.is_due(msg.now):
-            self._gauges.report(self.pools.engine_pools(), msg.now)
-
-    def _refuse_quarantined(self, now: float) -> None:
+        steps = [] if msg.is_late() else [*self.tick_hooks, *self._reports()]
+        for step in (*steps, self._report_gauges):
+            self.run_step(partial(step, msg.now), msg)
+
+    def _run_pool_step(
+        self, step: Callable[[], object], msg: object, kind: str | None = None
+    ) -> bool:
+        """Do a step on one pool; repair the pools if it fails halfway."""
+        is_done = self.run_step(step, msg, kind)
+        if not is_done:
+            self.run_step(self._failed_messages.repair, msg)
+        return is_done
+
+    def _reports(self) -> tuple[Callable[[float], None], ...]:
+        return self._report_parts_read, self._report_streams_begun, self._report_usage
+
+    @staticmethod
+    def _update_estimates(pool: ServicePool, _now: float) -> None:
+        pool.targets.update_estimates(ENGINE_WINDOW_S)
+
+    def _drop_lost(self, pool: ServicePool, now: float) -> None:
+        pool.drop_lost_calls(self.live_routers, now)
+
+    def _expire(self, pool: ServicePool, msg: Tick) -> None:
+        for request in pool.expire(msg.now):
+            if not self.run_step(partial(refuse_expired, request, pool, msg.now), msg):
+                request.reply.try_set_exception(QueueTimeout("queue_timeout", FAILED_RETRY_AFTER_S))
+
+    def _report_streams_begun(self, now: float) -> None:
+        if self.send_streams_begun is not None:
+            self._resumptions.report(self._recent_versions, self.send_streams_begun, now)
+
+    def _report_gauges(self, now: float) -> None:
+        if self._gauges.is_due(now):
+            self._gauges.report(self.pools.engine_pools(), now)
+
+    def _refuse_quarantined(self, msg: Tick) -> None:
         """Refuse pending requests that were quarantined while they waited."""
-        if self.quarantine.revision == self._swept_revision:
+        revision = self.quarantine.revision
+        if revision == self._swept_revision:
             return
-        self._swept_revision = self.quarantine.revision
-        for pool in self.pools.all():
-            for request in pool.take_held(now):
-                request.reply.try_set_exception(Quarantined("quarantined: while it waited", HOLD_S))
+        swept = [
+            self._run_pool_step(partial(self._refuse_held, pool, msg.now), msg)
+            for pool in self.pools.all()
+        ]
+        if all(swept):
+            self._swept_revision = revision
+
+    @staticmethod
+    def _refuse_held(pool: ServicePool, now: float) -> None:
+        for request in pool.take_held(now):
+            request.reply.try_set_exception(Quarantined("quarantined: while it waited", HOLD_S))
 
     def _report_usage(self, now: float) -> None:
         """Send per-team usage and the waiting teams to the schedulers of the other shards.
