Log the request of an end, or a first event, that the broker fails to handle

What was seen: `actor_failed` for the messages Settled and FirstEvent had req=-, so that on-call could not find the request, and `explain ID LOG...` did not show the line.

Cause: these messages carry the number of the call, not the request's id.

Change: the broker keeps the id beside each call that runs at a target (it has it from the request for a grant), looks it up before it handles the message, as the end removes the call, and logs req= and call=. The messages between routers stay as they are. A call that is not known any more is logged as req=- with call=. `explain` takes the cause of a request from the line of its outcome, not from a failure that is logged after it, perhaps at another router.

--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -25,6 +25,19 @@
     assert "the team had more pending requests on this router" in "\n".join(explain("b2", [log]))
 
 
+def test_failure_logged_after_the_outcome_does_not_replace_its_cause(tmp_path):
+    """Guards against a cause that is not the request's, as its end failed at the scheduler."""
+    head = "ts=2026-12-03T10:00:0{}.000000Z node=r{} zone=z1 role=router seq=1 event="
+    log = tmp_path / "r1.log"
+    log.write_text(
+        head.format(0, 1) + "request req=a1 outcome=refused status=503 reason=queue_full\n"
+        + head.format(1, 2) + "actor_failed actor=Broker message=Settled req=a1 reason=Odd()\n"
+    )  # fmt: skip
+    lines = list(explain("a1", [log]))
+    assert any("actor_failed" in line for line in lines)
+    assert "the team had too many pending requests" in lines[-1]
+
+
 @then(parsers.parse('the logs explain {req_id} by "{cause}"'))
 def logs_explain(deployment, req_id, cause):
     logs = [router.log_path for router in deployment.routers]
--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -1,13 +1,19 @@
 """Tests for a broker that fails to handle a message."""
 
 import time
+from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
+from turmerictray.admission.pool import ServicePool
 from turmerictray.admission.pool_types import Outcome
+from turmerictray.cli.explain import explain
 from turmerictray.config.routes import EngineSpec, RoutingConfig, ServiceSpec
+from turmerictray.core import supervision
 from turmerictray.core.errors import Draining, InternalFailure, QueueTimeout
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.logs import format_event
 from turmerictray.core.reply import Reply
 from turmerictray.core.supervision import Supervisor, install_supervisor
 from turmerictray.core.timer import Tick
@@ -17,6 +23,7 @@
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
+    FirstEvent,
     OnTick,
     RefuseWaiting,
     Settled,
@@ -115,6 +122,45 @@
     assert not pool.targets.loads[target].running
 
 
+@pytest.mark.parametrize("part", ["settle", "targets.record_reached"])
+def test_end_that_fails_is_logged_with_its_request(broker, monkeypatch, tmp_path, part):
+    """Guards against a failure of which on-call can't find the request."""
+    log, pool = tmp_path / "r1.log", pool_of(broker)
+    monkeypatch.setattr(supervision, "log_event", log_to(log))
+    target = ask(broker, 17).result(0).target.id
+    fail_in(monkeypatch, pool, part)
+    broker.on_receive(Settled(17, LLM, target, Outcome.DONE, 1000.0))
+    assert any("message=Settled req=17 call=17" in line for line in explain("17", [log]))
+
+
+def test_first_event_that_fails_is_logged_with_its_request(broker, monkeypatch, tmp_path):
+    """Guards against a failure of which on-call can't find the request."""
+    log, pool = tmp_path / "r1.log", pool_of(broker)
+    monkeypatch.setattr(supervision, "log_event", log_to(log))
+    target = ask(broker, 17).result(0).target.id
+    fail_in(monkeypatch, pool, "targets.record_first_event")
+    broker.on_receive(FirstEvent(17, LLM, target, 0.1))
+    broker.on_receive(FirstEvent(99, LLM, target, 0.1))
+    assert any("message=FirstEvent req=17 call=17" in line for line in explain("17", [log]))
+    assert "message=FirstEvent req=- call=99" in log.read_text()
+
+
+def log_to(path: Path) -> Callable[..., None]:
+    """Return a replacement for :func:`log_event` that appends to a file."""
+
+    def log_event(event: str, level: str = "INFO", **fields: object) -> None:
+        with path.open("a") as file:
+            file.write(f"{format_event(event, fields)}\n")
+
+    return log_event
+
+
+def fail_in(monkeypatch: pytest.MonkeyPatch, pool: ServicePool, part: str) -> None:
+    """Make a method of a pool, or of one of its parts, fail."""
+    *owner, name = part.split(".")
+    monkeypatch.setattr(getattr(pool, owner[0]) if owner else pool, name, fail)
+
+
 def test_text_that_fails_leaves_the_last_good_one_in_force(broker, monkeypatch):
     """Guards against a configuration that is half in force, or tried again for ever."""
     update_shards = broker.pools.update_shards
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -34,6 +34,7 @@
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.errors import NoTarget, QueueFull, TargetsResting, WontBeServed
 from turmerictray.core.ids import (
+    RequestId,
     ServiceName,
     TargetId,
     TeamId,
@@ -608,6 +609,7 @@
             context.origin,
             context.answer_deadline,
             context.fingerprint,
+            pending.req_id,
         )
         placement.load.record_sent(context.call_id, read, call)
         self.notices.note_sent(placement.load.info.id, now)
@@ -669,6 +671,12 @@
         if load is not None:
             load.record_end(call_id)
 
+    def request_of(self, target: TargetId, call_id: int) -> RequestId | None:
+        """Return the id of a request that runs at a target; None if it is not known."""
+        load = self.targets.loads.get(target)
+        call = None if load is None else load.calls.get(call_id)
+        return None if call is None else call.req_id
+
     def waiting_requests(self) -> list[PendingRequest]:
         """Return the pending requests, team by team, oldest first."""
         return [
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -35,6 +35,9 @@
     }
 )
 
+_FAILURE_EVENTS = frozenset({"actor_failed", "thread_failed"})
+"""Failures within a router, which may be logged after the outcome of the request they concern."""
+
 _CAUSES = {
     "no_config": "the router had not received a routing configuration yet",
     "no route": "no route of the active configuration matches the host and path",
@@ -111,8 +114,10 @@
     yield "events:"
     yield from (f"  {line.text}" for line in request_lines)
     yield "state known to the router:"
-    yield from (f"  {text}" for text in _router_state(lines, request_lines))
-    yield f"cause: {_cause(request_lines[-1])}"
+    outcomes = [line for line in request_lines if line.event not in _FAILURE_EVENTS]
+    outcomes = outcomes or request_lines
+    yield from (f"  {text}" for text in _router_state(lines, outcomes))
+    yield f"cause: {_cause(outcomes[-1])}"
 
 
 def is_mentioned(request_id: str, paths: Iterable[str | Path]) -> bool:
--- a/turmerictray/core/actor.py
+++ b/turmerictray/core/actor.py
@@ -236,15 +236,22 @@
     def log_failed(self, message: object, exc: BaseException) -> None:
         """Log an unexpected exception that a message, or a request, has caused."""
         part = type(self).__name__
+        call_id = getattr(message, "call_id", None)
+        call = {} if call_id is None else {"call": call_id}
         log_failure(
             "actor_failed",
             part,
             exc,
             actor=part,
             message=type(message).__name__,
-            req=getattr(message, "req_id", "-"),
+            req=self.request_of(message) or "-",
+            **call,
         )
 
+    def request_of(self, message: object) -> str | None:
+        """Return the id of the request that a message is about, for the log; None if unknown."""
+        return getattr(message, "req_id", None)
+
     def on_failure(
         self,
         exception_type: type[BaseException] | None,
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -10,6 +10,7 @@
 
 from turmerictray.core.ids import (
     NodeId,
+    RequestId,
     ServiceName,
     SoftwareVersion,
     TargetId,
@@ -162,6 +163,8 @@
         Latest time at which its router abandons it, in monotonic seconds.
     fingerprint : Fingerprint
         Features by which crashes of targets are attributed to the request.
+    req_id : RequestId
+        Id of the request, for the log.
     """
 
     team: TeamId = TeamId("-")
@@ -169,6 +172,7 @@
     origin: NodeId = NodeId("")
     expires_at: float = math.inf
     fingerprint: Fingerprint = Fingerprint()
+    req_id: RequestId = RequestId("")
 
 
 @dataclass(frozen=True)
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -26,6 +26,7 @@
 )
 from turmerictray.core.ids import (
     NodeId,
+    RequestId,
     ServiceName,
     SoftwareVersion,
     TargetId,
@@ -181,6 +182,7 @@
         self._gauges = PoolGauges()
         self._swept_revision = 0
         self._is_closing = False
+        self._last_call: tuple[object, RequestId | None] = (None, None)
         self._parts_report_due_at = -math.inf
         self._grants = GrantThrottle(self._grant_ready, self.actor_inbox.empty)
 
@@ -190,6 +192,22 @@
             self.contain(self._failed_messages.repair, message)
         return result
 
+    def request_of(self, message: object) -> str | None:
+        if not isinstance(message, (FirstEvent, Settled)):
+            return super().request_of(message)
+        if self._last_call[0] is not message:
+            self._note_call(message)
+        return self._last_call[1]
+
+    def _note_call(self, msg: FirstEvent | Settled) -> None:
+        """Keep the id of the request of a message, which is forgotten as the message is handled."""
+        found = (
+            pool.request_of(msg.target, msg.call_id)
+            for pool in self.pools.all_unsharded()
+            if pool.name == msg.service
+        )
+        self._last_call = msg, next(found, None)
+
     def on_message_failed(self, message: object, exc: Exception) -> None:
         self._failed_messages.undo(message, exc)
         self._failed_messages.repair()
@@ -284,6 +302,7 @@
 
     @handle.register
     def _(self, msg: FirstEvent) -> None:
+        self._note_call(msg)
         pool = self.pools.unsharded(msg.service)
         now = time.monotonic()
         if msg.stream is not None:
@@ -294,6 +313,7 @@
 
     @handle.register
     def _(self, msg: Settled) -> None:
+        self._note_call(msg)
         pool = self.pools.unsharded(msg.service)
         now = time.monotonic()
         if msg.verdict is not None:
