Refund the team and keep the crash verdict if the end of a send fails

Cause: what was undone was the booking alone; and the end forgot the call before the charge was corrected, so that nothing knew the charge any more.

Change: a failed end is done again part by part, each by itself: the verdict first, then the end with what is learnt from it, then the call is forgotten with its refund. All of them have no further effect if they were done before (verdicts are merged as sets; an end of a call that is not known does nothing). The call is forgotten after its charge is corrected. The evidence against a request is recorded before that against the parts of its prompt, and attributed in any case. The repair of the pools follows even if undoing fails.

Not covered: a ledger that raises each time keeps its charge (the target is freed); one that raises between its two counters would be corrected twice in one of them.

--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -6,17 +6,25 @@
 
 import pytest
 
-from turmerictray.admission.pool import ServicePool
 from turmerictray.admission.pool_types import Outcome
 from turmerictray.cli.explain import explain
 from turmerictray.config.routes import EngineSpec, RoutingConfig, ServiceSpec
 from turmerictray.core import supervision
-from turmerictray.core.errors import Draining, InternalFailure, QueueTimeout
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.errors import Draining, InternalFailure, Quarantined, QueueTimeout
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
 from turmerictray.core.logs import format_event
 from turmerictray.core.reply import Reply
 from turmerictray.core.supervision import Supervisor, install_supervisor
 from turmerictray.core.timer import Tick
+from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, ServicePart
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
@@ -32,6 +40,7 @@
     TextArrived,
 )
 
+PART = ServicePart(ServiceName("llm"), PartId("p"))
 LLM, PLAIN, TEAM, ZONE = ServiceName("llm"), ServiceName("plain"), TeamId("t"), ZoneId("z")
 ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
 
@@ -122,6 +131,44 @@
     assert not pool.targets.loads[target].running
 
 
+@pytest.mark.parametrize("times", [1, 99])
+@pytest.mark.parametrize("part", ["settle", "ledger.settle", "_end", "targets.record_unreachable"])
+def test_end_that_fails_leaves_no_team_charged(broker, monkeypatch, part, times):
+    """Guards against a team that is served last for what no engine has run for it."""
+    pool = pool_of(broker)
+    target = ask(broker, 1).result(0).target.id
+    assert broker.ledger.local_counters()[TEAM] == 1000.0
+    fail_in(monkeypatch, pool, part, times)
+    broker.on_receive(Settled(1, LLM, target, Outcome.NOT_REACHED, 0.0))
+    assert not pool.targets.loads[target].running
+    if times == 1 or part in ("settle", "targets.record_unreachable"):
+        assert not broker.ledger.local_counters()[TEAM]
+
+
+@pytest.mark.parametrize(
+    "part", ["pool.settle", "quarantine.record_crash", "quarantine._parts.record_crash", "repair"]
+)
+def test_crash_verdict_is_kept_if_the_end_fails(broker, monkeypatch, part):
+    """Guards against a request that ends engine after engine, as each verdict on it is lost."""
+    times = 99 if part == "quarantine._parts.record_crash" else 1
+    verdict = CrashVerdict(True, Fingerprint(RequestDigest("d"), TEAM, (PART,)), True)
+    for call_id in range(1, 4):
+        target = ask(broker, call_id).result(0).target.id
+        if part == "repair":
+            fail_in(monkeypatch, broker, "_record_verdict", times)
+            fail_in(monkeypatch, broker, "_failed_messages.repair", times)
+        elif part == "pool.settle":
+            fail_in(monkeypatch, pool_of(broker), "settle", 99)
+        else:
+            fail_in(monkeypatch, broker, part, times)
+        ended = TargetId(f"{target}@{call_id}")
+        broker.on_receive(Settled(call_id, LLM, ended, Outcome.TARGET_ENDED, 0.0, verdict))
+        monkeypatch.undo()
+        broker.on_receive(Settled(call_id, LLM, target, Outcome.DONE, 0.0))
+    with pytest.raises(Quarantined):
+        broker.quarantine.check(verdict.fingerprint, time.monotonic())
+
+
 @pytest.mark.parametrize("part", ["settle", "targets.record_reached"])
 def test_end_that_fails_is_logged_with_its_request(broker, monkeypatch, tmp_path, part):
     """Guards against a failure of which on-call can't find the request."""
@@ -155,10 +202,18 @@
     return log_event
 
 
-def fail_in(monkeypatch: pytest.MonkeyPatch, pool: ServicePool, part: str) -> None:
-    """Make a method of a pool, or of one of its parts, fail."""
-    *owner, name = part.split(".")
-    monkeypatch.setattr(getattr(pool, owner[0]) if owner else pool, name, fail)
+def fail_in(monkeypatch: pytest.MonkeyPatch, owner: object, part: str, times: int = 99) -> None:
+    """Make a method of an object, or of one of its parts, fail a number of times."""
+    *path, name = part.split(".")
+    for attribute in path:
+        owner = getattr(owner, attribute)
+    method, calls = getattr(owner, name), []
+
+    def fail_first(*args: object, **kwargs: object) -> object:
+        calls.append(args)
+        return fail() if len(calls) <= times else method(*args, **kwargs)
+
+    monkeypatch.setattr(owner, name, fail_first)
 
 
 def test_text_that_fails_leaves_the_last_good_one_in_force(broker, monkeypatch):
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -660,15 +660,29 @@
             load.record_answer(outcome is Outcome.DONE, now)
 
     def _end(self, load: TargetLoad, call_id: int, cost: float | None) -> bool:
-        call = load.record_end(call_id)
+        call = load.calls.get(call_id)
         if call is not None and cost is not None:
             self.ledger.settle(call.team, call.charged, cost)
+        # Only now, so that a call whose team could not be refunded is still known.
+        load.record_end(call_id)
         return call is not None
 
-    def forget_call(self, target: TargetId, call_id: int) -> None:
-        """Remove a call from a target without learning from its end."""
+    def forget_call(self, target: TargetId, call_id: int, cost: float) -> None:
+        """Remove a call from a target, whatever fails, without learning from its end.
+
+        Parameters
+        ----------
+        target : TargetId
+        call_id : int
+        cost : float
+            Actual cost, in tokens read, which replaces the charge of its team.
+        """
         load = self.targets.loads.get(target)
-        if load is not None:
+        if load is None:
+            return
+        try:
+            self._end(load, call_id, cost)
+        finally:
             load.record_end(call_id)
 
     def request_of(self, target: TargetId, call_id: int) -> RequestId | None:
--- a/turmerictray/crashes/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -154,12 +154,15 @@
         """
         with self._lock:
             self._alert_until = now + ALERT_S
-            accused = self._parts.record_crash(fingerprint, target, isolated, now)
-            if fingerprint.digest:
-                suspect = self._requests.find_or_add(fingerprint.digest, now, now)
-                found = Findings(frozenset({target}))
-                self._add_findings(fingerprint.digest, suspect, found, "own")
-            self._update_attribution()
+            try:
+                if fingerprint.digest:
+                    suspect = self._requests.find_or_add(fingerprint.digest, now, now)
+                    found = Findings(frozenset({target}))
+                    self._add_findings(fingerprint.digest, suspect, found, "own")
+                accused = self._parts.record_crash(fingerprint, target, isolated, now)
+            finally:
+                # The evidence against the request counts even if that against its parts is lost.
+                self._update_attribution()
         log_event(
             "crash_attributed",
             target=target,
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -164,7 +164,7 @@
         self.ledger = RecentUsage(node)
         self.pools = ServicePools(self._make_pool)
         self._failed_texts = FailedTexts()
-        self._failed_messages = FailedMessages(self.pools, self._failed_texts)
+        self._failed_messages = FailedMessages(self.pools, self._failed_texts, self._record_verdict)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
         self.send_streams_begun: SendReport | None = None
@@ -209,8 +209,10 @@
         self._last_call = msg, next(found, None)
 
     def on_message_failed(self, message: object, exc: Exception) -> None:
-        self._failed_messages.undo(message, exc)
-        self._failed_messages.repair()
+        try:
+            self._failed_messages.undo(message, exc)
+        finally:
+            self._failed_messages.repair()
 
     @singledispatchmethod
     def handle(self, message: object) -> object:
--- a/turmerictray/scheduling/failed_messages.py
+++ b/turmerictray/scheduling/failed_messages.py
@@ -1,12 +1,16 @@
 """What the broker undoes after a message whose handling has failed."""
 
 import time
+from collections.abc import Callable
+from contextlib import ExitStack
 from functools import singledispatchmethod
 
 from turmerictray.admission.pool_repair import repair_pools
 from turmerictray.core.errors import InternalFailure
+from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import place_of
+from turmerictray.crashes.fingerprint import CrashVerdict
 from turmerictray.scheduling.broker_messages import Ask, Settled, TextArrived
 from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.service_pools import ServicePools
@@ -23,11 +27,19 @@
     pools : ServicePools
     texts : FailedTexts
         Remembers a routing configuration that has failed.
+    record_verdict : callable
+        Records what the end of a request tells about crashes; may be called again.
     """
 
-    def __init__(self, pools: ServicePools, texts: FailedTexts) -> None:
+    def __init__(
+        self,
+        pools: ServicePools,
+        texts: FailedTexts,
+        record_verdict: Callable[[CrashVerdict, TargetId, float], None],
+    ) -> None:
         self._pools = pools
         self._texts = texts
+        self._record_verdict = record_verdict
 
     @singledispatchmethod
     def undo(self, message: object, exc: Exception) -> None:
@@ -41,8 +53,16 @@
 
     @undo.register
     def _(self, message: Settled, _exc: Exception) -> None:
-        # A booking that is never settled would make the target look busy.
-        self._pools.unsharded(message.service).forget_call(message.target, message.call_id)
+        # Each part is done again by itself, in reverse order of the callbacks; what was done before
+        # has no further effect. The verdict comes first: without it, a request that ends its
+        # targets would be sent on to others.
+        pool, now = self._pools.unsharded(message.service), time.monotonic()
+        call = message.target, message.call_id
+        with ExitStack() as parts:
+            parts.callback(pool.forget_call, *call, message.cost)
+            parts.callback(pool.settle, *call, message.outcome, now, message.cost)
+            if message.verdict is not None:
+                parts.callback(self._record_verdict, message.verdict, message.target, now)
 
     @undo.register
     def _(self, message: TextArrived, exc: Exception) -> None:
