--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -1,22 +1,37 @@
 """Tests for a broker that fails to handle a message."""
 
 import time
+from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
 from turmerictray.admission.pool_types import Outcome
+from turmerictray.cli.explain import explain
 from turmerictray.config.routes import EngineSpec, RoutingConfig, ServiceSpec
-from turmerictray.core.errors import Draining, InternalFailure
-from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core import supervision
+from turmerictray.core.errors import Draining, InternalFailure, Quarantined, QueueTimeout
+from turmerictray.core.ids import (
+    NodeId,
+    RequestDigest,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamId,
+    ZoneId,
+)
+from turmerictray.core.logs import format_event
 from turmerictray.core.reply import Reply
 from turmerictray.core.supervision import Supervisor, install_supervisor
 from turmerictray.core.timer import Tick
+from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, ServicePart
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
+    FirstEvent,
     OnTick,
     RefuseWaiting,
     Settled,
@@ -25,7 +40,8 @@
     TextArrived,
 )
 
-LLM, TEAM, ZONE = ServiceName("llm"), TeamId("t"), ZoneId("z")
+PART = ServicePart(ServiceName("llm"), PartId("p"))
+LLM, PLAIN, TEAM, ZONE = ServiceName("llm"), ServiceName("plain"), TeamId("t"), ZoneId("z")
 ENGINES = [TargetInfo(TargetId(f"e{n}"), LLM, f"h:{n}", ZONE, 8) for n in range(2)]
 
 _FAILURE_S = 0.01
@@ -119,6 +135,91 @@
     assert not pool.targets.loads[target].running
 
 
+@pytest.mark.parametrize("times", [1, 99])
+@pytest.mark.parametrize("part", ["settle", "ledger.settle", "_end", "targets.record_unreachable"])
+def test_end_that_fails_leaves_no_team_charged(broker, monkeypatch, part, times):
+    """Guards against a team that is served last for what no engine has run for it."""
+    pool = pool_of(broker)
+    target = ask(broker, 1).result(0).target.id
+    assert broker.ledger.local_counters()[TEAM] == 1000.0
+    fail_in(monkeypatch, pool, part, times)
+    broker.on_receive(Settled(1, LLM, target, Outcome.NOT_REACHED, 0.0))
+    assert not pool.targets.loads[target].running
+    if times == 1 or part in ("settle", "targets.record_unreachable"):
+        assert not broker.ledger.local_counters()[TEAM]
+
+
+@pytest.mark.parametrize(
+    "part", ["pool.settle", "quarantine.record_crash", "quarantine._parts.record_crash", "repair"]
+)
+def test_crash_verdict_is_kept_if_the_end_fails(broker, monkeypatch, part):
+    """Guards against a request that ends engine after engine, as each verdict on it is lost."""
+    times = 99 if part == "quarantine._parts.record_crash" else 1
+    verdict = CrashVerdict(True, Fingerprint(RequestDigest("d"), TEAM, (PART,)), True)
+    for call_id in range(1, 4):
+        target = ask(broker, call_id).result(0).target.id
+        if part == "repair":
+            fail_in(monkeypatch, broker, "_record_verdict", times)
+            fail_in(monkeypatch, broker, "_failed_messages.repair", times)
+        elif part == "pool.settle":
+            fail_in(monkeypatch, pool_of(broker), "settle", 99)
+        else:
+            fail_in(monkeypatch, broker, part, times)
+        ended = TargetId(f"{target}@{call_id}")
+        broker.on_receive(Settled(call_id, LLM, ended, Outcome.TARGET_ENDED, 0.0, verdict))
+        monkeypatch.undo()
+        broker.on_receive(Settled(call_id, LLM, target, Outcome.DONE, 0.0))
+    with pytest.raises(Quarantined):
+        broker.quarantine.check(verdict.fingerprint, time.monotonic())
+
+
+@pytest.mark.parametrize("part", ["settle", "targets.record_reached"])
+def test_end_that_fails_is_logged_with_its_request(broker, monkeypatch, tmp_path, part):
+    """Guards against a failure of which on-call can't find the request."""
+    log, pool = tmp_path / "r1.log", pool_of(broker)
+    monkeypatch.setattr(supervision, "log_event", log_to(log))
+    target = ask(broker, 17).result(0).target.id
+    fail_in(monkeypatch, pool, part)
+    broker.on_receive(Settled(17, LLM, target, Outcome.DONE, 1000.0))
+    assert any("message=Settled req=17 call=17" in line for line in explain("17", [log]))
+
+
+def test_first_event_that_fails_is_logged_with_its_request(broker, monkeypatch, tmp_path):
+    """Guards against a failure of which on-call can't find the request."""
+    log, pool = tmp_path / "r1.log", pool_of(broker)
+    monkeypatch.setattr(supervision, "log_event", log_to(log))
+    target = ask(broker, 17).result(0).target.id
+    fail_in(monkeypatch, pool, "targets.record_first_event")
+    broker.on_receive(FirstEvent(17, LLM, target, 0.1))
+    broker.on_receive(FirstEvent(99, LLM, target, 0.1))
+    assert any("message=FirstEvent req=17 call=17" in line for line in explain("17", [log]))
+    assert "message=FirstEvent req=- call=99" in log.read_text()
+
+
+def log_to(path: Path) -> Callable[..., None]:
+    """Return a replacement for :func:`log_event` that appends to a file."""
+
+    def log_event(event: str, level: str = "INFO", **fields: object) -> None:
+        with path.open("a") as file:
+            file.write(f"{format_event(event, fields)}\n")
+
+    return log_event
+
+
+def fail_in(monkeypatch: pytest.MonkeyPatch, owner: object, part: str, times: int = 99) -> None:
+    """Make a method of an object, or of one of its parts, fail a number of times."""
+    *path, name = part.split(".")
+    for attribute in path:
+        owner = getattr(owner, attribute)
+    method, calls = getattr(owner, name), []
+
+    def fail_first(*args: object, **kwargs: object) -> object:
+        calls.append(args)
+        return fail() if len(calls) <= times else method(*args, **kwargs)
+
+    monkeypatch.setattr(owner, name, fail_first)
+
+
 def test_text_that_fails_leaves_the_last_good_one_in_force(broker, monkeypatch):
     """Guards against a configuration that is half in force, or tried again for ever."""
     update_shards = broker.pools.update_shards
@@ -222,6 +323,84 @@
     assert ran
 
 
+def tick(broker: Broker, count: int = 4, after_s: float = 0.0) -> None:
+    for _ in range(count):
+        broker.on_receive(Tick("expire", time.monotonic() + after_s))
+
+
+TICK_STEPS = [
+    "pool.targets.update_estimates",
+    "pool.targets.expire_overdue_prefills",
+    "pool.drop_lost_calls",
+    "pool.take_held",
+    "broker._report_parts_read",
+    "broker._resumptions.report",
+    "broker._report_usage",
+    "broker._gauges.report",
+]
+"""Steps of a tick that work on what all routers share, or on estimates."""
+
+
+@pytest.mark.parametrize("name", [*TICK_STEPS, "hook"])
+def test_step_that_always_fails_keeps_no_other_step_of_ticks_from_being_done(
+    broker, monkeypatch, name
+):
+    """Guards against a fleet of which each router ends, as all fail in the same step of a tick."""
+    ran = []
+    broker.on_receive(OnTick((fail if name == "hook" else ran.append, ran.append)))
+    broker.send_streams_begun = fail
+    if name != "hook":
+        owner = {"pool": pool_of(broker), "broker": broker}
+        first, *path, last = name.split(".")
+        owner = owner[first]
+        for part in path:
+            owner = getattr(owner, part)
+        monkeypatch.setattr(owner, last, fail)
+    broker.quarantine.revision += 1
+    waiting = [ask(broker, call_id, tokens=60_000) for call_id in range(1, 9)]
+    tick(broker, after_s=10.0)
+    assert any(isinstance(reply.exception(0), QueueTimeout) for reply in waiting)
+    assert len(ran) >= 4
+    assert not broker.supervisor.is_unfit
+
+
+def ask_plain(broker: Broker, call_id: int) -> Reply:
+    reply, now = Reply(), time.monotonic()
+    broker.on_receive(Ask(call_id, RequestId(str(call_id)), TEAM, PLAIN, 1, None, now + 5, reply))
+    return reply
+
+
+def test_pool_whose_queue_cannot_expire_keeps_no_other_from_it(broker, monkeypatch):
+    """Guards against callers of one service that wait, as the queue of another one fails."""
+    broker.on_receive(TargetsChanged([TargetInfo(TargetId("w"), PLAIN, "h:9", ZONE, 1)]))
+    for call_id in range(1, 9):
+        ask(broker, call_id, tokens=60_000)
+    plain = [ask_plain(broker, call_id) for call_id in range(10, 20)]
+    assert not all(reply.done() for reply in plain)
+    monkeypatch.setattr(pool_of(broker), "expire", fail)
+    tick(broker, after_s=10.0)
+    assert any(isinstance(reply.exception(0), QueueTimeout) for reply in plain)
+    assert not broker.supervisor.is_unfit
+
+
+def test_router_whose_queues_never_expire_is_unfit(broker, monkeypatch):
+    """Guards against a router that is ready, and whose queue fills with overdue requests."""
+    waiting = [ask(broker, call_id, tokens=60_000) for call_id in range(1, 9)]
+    monkeypatch.setattr(pool_of(broker), "expire", fail)
+    tick(broker)
+    assert not all(reply.done() for reply in waiting)
+    assert broker.supervisor.is_unfit
+
+
+def test_caller_whose_refusal_fails_is_refused_all_the_same(broker, monkeypatch):
+    """Guards against a caller that waits for an answer which could not be described."""
+    waiting = [ask(broker, call_id, tokens=60_000) for call_id in range(1, 9)]
+    monkeypatch.setattr(pool_of(broker), "expected_wait_s", fail)
+    tick(broker, after_s=10.0)
+    assert any(isinstance(reply.exception(0), QueueTimeout) for reply in waiting)
+    assert not broker.supervisor.is_unfit
+
+
 def test_unfit_broker_refuses_all_that_waits_and_arrives(broker):
     """Guards against callers that wait for a router which is about to be replaced."""
     waiting = [ask(broker, call_id, tokens=60_000) for call_id in range(1, 9)]
