Test: a burst after calm is refused for the rate at which requests came (fails)

Cause: Throughput counts the time since the last dispatch unless a round of grants found an empty queue, and the broker asks for no round when the queue is empty. So the time without requests is counted as time in which the engines worked, and the next burst is refused at the rate at which requests came before. An idle engine saves only as many requests as there are such engines.

--- a/tests/admission/test_refusal_by_work.py
+++ b/tests/admission/test_refusal_by_work.py
@@ -127,3 +127,17 @@
     for number in range(8):
         enqueue(pool, clock, 100 + number, f"short{number}", SHORT, OBJECTIVE_S)
     assert len(pool.queue) == 9
+
+
+def test_burst_after_calm_is_not_refused_for_the_rate_at_which_requests_came():
+    """Guards against a throughput that counts time in which no request was pending."""
+    clock = Clock()
+    pool = make_pool(clock)
+    for call_id in range(6):
+        enqueue(pool, clock, call_id, "a", SHORT, OBJECTIVE_S)
+        assert pool.dispatch_next(clock.now) is not None
+        pool.targets.record_first_event(ENGINE, call_id, SHORT / LONG * LONG_S)
+        clock.now += 1.0
+    for number in range(8):
+        enqueue(pool, clock, 100 + number, "a", SHORT, OBJECTIVE_S)
+    assert len(pool.queue) == 8
