Repeats: a second try goes to no target that is silent now, while another serves

Cause: a first try can afford to wait for an engine that caches its prompt; a repeat can't, and was placed by the same cost. Before: both cases of test_repeat_goes_to_no_target_that_is_silent_now failed; after: they pass, as do tests/admission and tests/scheduling. Not covered: a silence that no request of the scheduler, or of the own router for a plain service, has met yet.

--- a/tests/admission/test_resting_targets.py
+++ b/tests/admission/test_resting_targets.py
@@ -266,3 +266,21 @@
     for call_id in range(6):
         enqueue(pool, call_id)
     assert ENGINES[0] in targets_of_dispatches(pool)
+
+
+def test_repeat_goes_to_no_target_that_is_silent_now(pool):
+    """Guards against a second try that is lost in the silence of another target."""
+    silent, busy = ENGINES
+    pool.targets.loads[silent].record_sent(90, PendingPrefill(NOW - 0.8, 100, 0, 0.05))
+    pool.targets.loads[busy].record_sent(91, PendingPrefill(NOW, 10, 0, 0.05))
+    pool.targets.loads[busy].failure_rate = 0.3
+    pool.targets.loads[busy].failure_rate_updated_at = NOW
+    enqueue_repeat(pool, 1)
+    assert targets_of_dispatches(pool) == [busy]
+
+
+def test_repeat_goes_to_a_silent_target_if_no_other_is_left(pool):
+    pool.targets.remove(ENGINES[1])
+    pool.targets.loads[ENGINES[0]].record_sent(90, PendingPrefill(NOW - 0.8, 100, 0, 0.05))
+    enqueue_repeat(pool, 1)
+    assert targets_of_dispatches(pool) == ENGINES[:1]
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -436,7 +436,7 @@
         loads = self._candidates(context, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
         if context.avoids_trials and now < context.urgent_from:
-            loads = self._exclude_trials(loads, context)
+            loads = self._exclude_trials(loads, context, now)
         loads = self.notices.exclude_resting(loads, context.origin, now)
         context.had_targets = bool(loads)
         if not loads:
@@ -458,9 +458,12 @@
         )
 
     def _exclude_trials(
-        self, loads: list[TargetLoad], context: PlacementContext
+        self, loads: list[TargetLoad], context: PlacementContext, now: float
     ) -> list[TargetLoad]:
-        """Return the targets that may serve the request and are no trial; all if none is."""
+        """Return the targets that may serve the request and are no trial; all if none is.
+
+        Those that are silent now are included only if no other is left.
+        """
         notices, router = self.notices, context.origin
         others = [
             load
@@ -468,7 +471,8 @@
             if not notices.is_trial(load.info.id)
             and notices.rest_end(load.info.id, router) < context.urgent_from
         ]
-        return others or loads
+        answering = [load for load in others if load.silent_s(now) <= _SILENT_S]
+        return answering or others or loads
 
     def _place_among(
         self, loads: list[TargetLoad], context: PlacementContext, fraction: float, now: float
