Keep a target open for the others that is full for one router alone

What was found (by a reviewer): each refusal closes a target for all routers for up to half a second, until one request as a trial is served. With short rests, one router that is always turned away takes the target from all.

Cause: a refusal was weighed alone. That the same router had been turned away just before, and others served in between, was forgotten.

Change: a target counts its refusals of one router in a row with another router served after each. From the fourth on a refusal closes nothing to the others; a refusal of any other router closes it at once. The router itself still sends nothing until the end of its rest, and then one request until one is served (before, all that waited went at once while the target was open). Requests that were on their way when the router was refused count as one refusal, and a router's own served requests as none of another's.

Not mended: with rests of up to half a second the trial and the end of the rest fall together; a router whose requests always come first takes each trial.

--- a/tests/routing/test_target_notices.py
+++ b/tests/routing/test_target_notices.py
@@ -1,6 +1,7 @@
 """What is known of targets from their answers."""
 
 import math
+import random
 
 import pytest
 
@@ -123,6 +124,91 @@
     assert placed > 1000
 
 
+def requests_reaching(
+    notices: TargetNotices, is_full_for, rest_s: float, routers: int = 3, seconds: float = 20.0
+) -> dict[NodeId, list[float]]:
+    """Let routers send a request whenever they may, each 10 ms; return when, by router.
+
+    Their order is drawn anew each time, as it depends on the teams. ``is_full_for`` tells whether
+    a router is turned away at a time.
+    """
+    sent = {NodeId(f"r{number}"): [] for number in range(routers)}
+    answers = []
+    order, rng = list(sent), random.Random(5)
+    for step in range(int(100 * seconds)):
+        now = NOW + step / 100
+        for answer in [answer for answer in answers if answer[0] <= now]:
+            answers.remove(answer)
+            _, router, sent_at, refused = answer
+            if refused:
+                notices.note_rest(TARGET, rest_s, router, now)
+            else:
+                notices.note_served(TARGET, sent_at, now, router)
+        rng.shuffle(order)
+        for router in order:
+            if may_place(notices, router, now):
+                notices.note_sent(TARGET, now, router)
+                sent[router].append(now)
+                refused = is_full_for(router, now)
+                answers.append((now + (0.01 if refused else 0.1), router, now, refused))
+    return sent
+
+
+@pytest.mark.parametrize("rest_s", [0.3, 1.0, 3.0])
+def test_target_that_turns_one_router_away_again_and_again_stays_open_for_others(notices, rest_s):
+    """Guards against short rests of one router that close a target for all at each refusal."""
+    sent = requests_reaching(notices, lambda router, _now: router == "r0", rest_s)
+    assert min(len(sent["r1"]), len(sent["r2"])) > 1600
+    assert len(sent["r0"]) <= 20 / rest_s + 4
+    for at in sent["r0"]:
+        in_rest = [late for late in sent["r0"] if at + 0.02 < late < at + rest_s]
+        assert not in_rest
+
+
+@pytest.mark.parametrize(("rest_s", "most"), [(0.3, 66), (1.0, 42), (3.0, 24)])
+def test_target_that_is_full_for_all_is_tried_by_one_at_a_time(notices, rest_s, most):
+    """Guards against a full target that each router may try, as it is taken to serve others."""
+    sent = requests_reaching(notices, lambda _router, _now: True, rest_s)
+    assert sum(map(len, sent.values())) <= most
+
+
+def test_target_that_fills_up_for_all_is_closed_by_the_first_other_router(notices):
+    """Guards against refusals of one router that hide those of the others."""
+    sent = requests_reaching(
+        notices, lambda router, now: router == "r0" or now > NOW + 10, 0.3, seconds=14.0
+    )
+    late = [at for times in sent.values() for at in times if at > NOW + 10.1]
+    assert len(late) <= 3.9 / 0.3 + 2
+
+
+def test_refusals_of_two_routers_in_turn_close_a_target_each_time(notices):
+    for number in range(20):
+        now, router = NOW + 5 * number, (LOCAL_ROUTER, OTHER)[number % 2]
+        notices.note_rest(TARGET, 1.0, router, now)
+        assert not may_place(notices, NodeId("r3"), now + 0.4)
+        notices.note_served(TARGET, now + 0.6, now + 0.7, NodeId("r3"))
+        assert may_place(notices, NodeId("r3"), now + 0.8)
+
+
+def test_requests_on_their_way_when_a_router_is_refused_are_one_refusal(notices):
+    """Guards against a target that stays open after one refusal of many requests."""
+    for number in range(20):
+        notices.note_rest(TARGET, 1.0, OTHER, NOW + 0.001 * number)
+        notices.note_served(TARGET, NOW + 0.1, NOW + 0.2, LOCAL_ROUTER)
+    notices.note_rest(TARGET, 1.0, OTHER, NOW + 2.0)
+    assert not may_place(notices, LOCAL_ROUTER, NOW + 2.1)
+
+
+def test_only_router_that_sends_is_tried_with_one_request_after_each_refusal(notices):
+    """Guards against a router that takes its own served requests for those of others."""
+    for number in range(20):
+        now = NOW + 2 * number
+        notices.note_rest(TARGET, 1.0, OTHER, now)
+        notices.note_sent(TARGET, now + 1.0)
+        assert not may_place(notices, OTHER, now + 1.1)
+        notices.note_served(TARGET, now + 1.0, now + 1.2, OTHER)
+
+
 def test_rests_that_ended_long_ago_are_forgotten_if_there_are_many(notices):
     for number in range(3000):
         notices.note_rest(TargetId(f"t{number}"), 1.0, LOCAL_ROUTER, NOW + number)
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -610,7 +610,7 @@
             context.fingerprint,
         )
         placement.load.record_sent(context.call_id, read, call)
-        self.notices.note_sent(placement.load.info.id, now)
+        self.notices.note_sent(placement.load.info.id, now, context.origin)
         if context.prompt is not None:
             placement.load.prefix_cache.note_read(context.prompt)
             self.targets.note_read(placement.load.info.id, context.prompt)
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -210,6 +210,12 @@
         self._unreported_reads.clear()
         return reads
 
+    def origin_of(self, target: TargetId, call_id: int) -> NodeId | None:
+        """Return the router that sends a call, empty for this one; None if it is not known."""
+        load = self.loads.get(target)
+        call = None if load is None else load.calls.get(call_id)
+        return None if call is None else call.origin
+
     def record_first_event(
         self, target: TargetId, call_id: int, took_s: float, now: float | None = None
     ) -> None:
--- a/turmerictray/routing/target_notices.py
+++ b/turmerictray/routing/target_notices.py
@@ -19,6 +19,13 @@
 _TRIAL_TIMEOUT_S = 1.0
 """A trial of which nothing was heard for this long doesn't keep others from the target."""
 
+_MIN_REPEATED_REFUSALS = 3
+"""Refusals of one router in a row, with another one served after each, from which on the next shows
+nothing to the others. Fewer happen by chance at a target that is full for all now and then."""
+
+_REFUSAL_MEMORY_S = 5.0
+"""Time after its rest for which a router's refusal is remembered, to be compared with the next."""
+
 _CLOCK_SLACK_S = 0.02
 """Time that a send may be reckoned too late, as its age is known from another router's message."""
 
@@ -71,6 +78,12 @@
         Time from which a request may be sent as a trial.
     trial_began_at : float
         When the last trial began, in monotonic seconds.
+    refused : NodeId or None
+        Router that was turned away last.
+    refused_in_a_row : int
+        How often it was, without another one and with others served in between.
+    others_served : bool
+        Whether another router has been served since.
     """
 
     until: dict[NodeId, float] = field(default_factory=dict)
@@ -78,11 +91,43 @@
     refused_at: float = -math.inf
     trial_from: float = 0.0
     trial_began_at: float = -math.inf
+    refused: NodeId | None = None
+    refused_in_a_row: int = 0
+    others_served: bool = False
+
+    def note_refusal(self, router: NodeId, rest_s: float, now: float) -> None:
+        """Record a refusal, which closes the target unless it is full for this router alone."""
+        if router != self.refused or now >= self.until.get(router, -math.inf):
+            # Otherwise it was sent before the last refusal was heard.
+            is_repeated = router == self.refused and self.others_served
+            self.refused_in_a_row = self.refused_in_a_row + 1 if is_repeated else 1
+            self.refused, self.others_served = router, False
+        self.refused_at = now
+        self.trial_began_at = -math.inf
+        if not (self.is_open and self._is_full_for(router)):
+            self.is_open = False
+            self.trial_from = now + min(_TRIAL_INTERVAL_S, rest_s)
+
+    def note_served(self, router: NodeId | None) -> None:
+        """Record that a request is served; ``router`` is None if it isn't known who sent it."""
+        self.is_open = True
+        if router == self.refused:
+            self.refused_in_a_row = 0
+        elif router is not None:
+            self.others_served = True
+
+    def _is_full_for(self, router: NodeId) -> bool:
+        """Return whether the target seems to be full for one router alone."""
+        return router == self.refused and self.refused_in_a_row > _MIN_REPEATED_REFUSALS
+
+    def needs_trial(self, router: NodeId) -> bool:
+        """Return whether one request of a router has to be served before others are sent."""
+        return not self.is_open or self._is_full_for(router)
 
     def next_at(self, router: NodeId, now: float) -> float:
         """Return from when on a request of a router may be sent."""
         rest_until = self.until.get(router, -math.inf)
-        if self.is_open:
+        if not self.needs_trial(router):
             return rest_until
         trial_from = self.trial_from
         if now < self.trial_began_at + _TRIAL_TIMEOUT_S:
@@ -134,10 +179,7 @@
         with self._lock:
             self._drop_old(now)
             rest = self._rests.setdefault(target, _Rest())
-            rest.is_open = False
-            rest.refused_at = now
-            rest.trial_began_at = -math.inf
-            rest.trial_from = now + min(_TRIAL_INTERVAL_S, rest_s)
+            rest.note_refusal(router, rest_s, now)
             before = rest.until.get(router, -math.inf)
             rest.until[router] = max(before, until)
             return until > max(before, now) + _MIN_EXTENSION_S
@@ -166,10 +208,10 @@
             if max(rest.until.values()) > oldest
         }
 
-    def note_sent(self, target: TargetId, now: float) -> None:
-        """Record that a request is sent; it is a trial if the target has turned one away."""
+    def note_sent(self, target: TargetId, now: float, router: NodeId = LOCAL_ROUTER) -> None:
+        """Record that a router sends a request; it is a trial if the target has turned one away."""
         rest = self._rests.get(target)
-        if rest is not None and not rest.is_open:
+        if rest is not None and rest.needs_trial(router):
             with self._lock:
                 rest.trial_began_at = now
 
@@ -180,10 +222,13 @@
             with self._lock:
                 rest.trial_began_at = -math.inf
 
-    def note_served(self, target: TargetId, sent_at: float, now: float) -> None:
+    def note_served(
+        self, target: TargetId, sent_at: float, now: float, router: NodeId | None = None
+    ) -> None:
         """Record that a target serves a request that was sent to it at ``sent_at``.
 
-        One that was sent before the target turned others away shows nothing.
+        One that was sent before the target turned others away shows nothing. ``router`` is the one
+        that sent it, None if that is not known.
         """
         if target not in self._rests:
             return
@@ -191,8 +236,9 @@
             rest = self._rests.get(target)
             if rest is None or sent_at < rest.refused_at + _CLOCK_SLACK_S:
                 return
-            rest.is_open = True
-            rest.until = {router: until for router, until in rest.until.items() if until > now}
+            rest.note_served(router)
+            oldest = now - _REFUSAL_MEMORY_S
+            rest.until = {node: until for node, until in rest.until.items() if until > oldest}
             if not rest.until:
                 del self._rests[target]
 
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -281,7 +281,8 @@
         if msg.stream is not None:
             self._resumptions.record(msg.service, msg.stream, msg.version, now)
         pool.targets.record_first_event(msg.target, msg.call_id, msg.took_s, now)
-        self.notices.note_served(msg.target, now - msg.took_s, now)
+        router = pool.targets.origin_of(msg.target, msg.call_id)
+        self.notices.note_served(msg.target, now - msg.took_s, now, router)
         self._schedule_grants(msg.service, now)
 
     @handle.register
