--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -670,7 +670,7 @@
             pending.req_id,
         )
         placement.load.record_sent(context.call_id, read, call)
-        self.notices.note_sent(placement.load.info.id, now)
+        self.notices.note_sent(placement.load.info.id, now, context.origin)
         if context.prompt is not None:
             placement.load.prefix_cache.note_read(context.prompt)
             self.targets.note_read(placement.load.info.id, context.prompt)
