A router that starts beside a text that fails serves by the last good one of its peers

Routers that restart one after the other don't come back.

Change: the copy of the documents keeps the text in force, and those that may be, besides the newest; the page for peers has the one in force if it is older. A router without any asks for it, at most once a second, and only from a peer that has in force what is the newest among all live routers, after it has heard all of them, so that it restores nothing that was withdrawn elsewhere. An ordinary fetch leaves it out. The broker takes only newer texts than its own, so no router goes back, and the newest text, tried again as before, replaces it once it can be applied.

Not covered: routers of which this one has not heard even by others count as gone, as everywhere; a fleet that starts as a whole beside such a text has no last good one.

--- a/tests/platform/test_unexpected_exceptions.py
+++ b/tests/platform/test_unexpected_exceptions.py
@@ -14,7 +14,7 @@
 from turmerictray.core.actor import ACTOR_FAILED_EXIT
 from turmerictray.platform.soak.internal_faults import MESSAGES
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, RawCaller, make_request
-from turmerictray.platform.standins.failing_router import PLACEMENT, arm
+from turmerictray.platform.standins.failing_router import PLACEMENT, TEXT, arm
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
 from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import Worker
@@ -322,6 +322,30 @@
     assert lines_of(failing[0], "text_failed")
 
 
+@pytest.mark.parametrize("number", [0, 2])
+def test_router_that_starts_beside_a_text_that_fails_serves_by_the_last_good_one(
+    deployment, number
+):
+    """Guards against routers that don't come back, one after the other, until the next text."""
+    starting, others = deployment.routers[number], deployment.routers[:]
+    for router in others:
+        arm(router.faults_path, f"{TEXT}5", 1000)
+    time.sleep(0.1)
+    deployment.store.store.put("op/config", default_config(5))
+    # Those that don't read the store need not hear of a text that is nowhere in force.
+    assert wait_for(lambda: any(lines_of(router, "text_failed") for router in others))
+    starting.signal(signal.SIGKILL)
+    assert wait_for(lambda: starting.exit_code is not None)
+    starting.start()
+    arm(starting.faults_path, f"{TEXT}5", 1000)
+    assert wait_for(starting.is_ready, 10.0)
+    assert status_of(starting)["text_version"] == 1
+    assert call(starting, "/ping/1").status == 200
+    deployment.store.store.put("op/config", default_config(6))
+    for router in deployment.routers:
+        assert wait_for(lambda router=router: status_of(router)["text_version"] == 6)
+
+
 def test_recurring_exceptions_end_a_router_as_a_drain(deployment):
     """Guards against a router that fails again and again and cuts what it has accepted."""
     router = deployment.routers[0]
--- a/tests/router/test_catch_up.py
+++ b/tests/router/test_catch_up.py
@@ -5,6 +5,7 @@
 from turmerictray.core.ids import NodeId, TargetName, ZoneId
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.catch_up import CatchUp, LagTracker
+from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PeerDocs,
     Position,
@@ -15,6 +16,7 @@
 )
 from turmerictray.router.startup_check import StartupCheck
 from turmerictray.router.store_readers import StoreReaderSelection
+from turmerictray.scheduling.broker_messages import RoutersAlive
 
 
 def should_ask(
@@ -86,7 +88,7 @@
     copy.put_config(b"{}", 4)
     copy.put_targets({}, StorePosition(0, 7))
     docs = copy.docs_without_text()
-    assert docs.text_bytes() is None
+    assert not docs.texts_bytes()
     assert docs.targets_position == StorePosition(0, 7)
 
 
@@ -130,3 +132,89 @@
     for _ in range(2):
         catch_up.on_receive(message_from_reader(peer_s))
     assert len(asked) == fetches
+
+
+def hear_text(catch_up: CatchUp, peer: str, version: int) -> None:
+    summary = RouterSummary(peer, 1, version, [], {}, [])
+    entry = MemberEntry(peer, "z", f"tcp://{peer}", 1, 9)
+    catch_up.on_receive(PeerMessage(entry, summary, [], f"{peer}:80"))
+
+
+@pytest.mark.parametrize(
+    ("in_force", "peers", "asked"),
+    [
+        pytest.param(0, {"r2": 3, "r3": 3}, "r3", id="last good one at all peers"),
+        pytest.param(0, {"r3": 4, "r2": 3}, "r3", id="a peer serves by a newer one"),
+        pytest.param(0, {"r2": 3}, None, id="a peer was not heard"),
+        pytest.param(0, {"r2": 0, "r3": 0}, None, id="no peer has one"),
+        pytest.param(2, {"r2": 3, "r3": 3}, None, id="an older one is in force here"),
+    ],
+)
+def test_router_without_text_asks_for_the_last_good_one(monkeypatch, in_force, peers, asked):
+    """Guards against a router that never serves, as the newest text can't be put in force."""
+    copy = PublishedCopy()
+    copy.put_config(b"{}", 5)
+    docs = PublishedDocs(text="", text_version=5, text_in_force="e30=")
+    monkeypatch.setattr(PeerDocs, "fetch", lambda *_args: docs)
+    received = []
+    catch_up = CatchUp(
+        copy,
+        StoreReaderSelection(NodeId("r1"), ZoneId("z"), lambda: 0.0, is_seed=True),
+        lambda docs, peer: received.append((peer, docs.text_in_force)),
+        StartupCheck(NodeId("r1"), 0.0),
+        lambda state: None,
+        ZoneId("z"),
+        peer_texts=PeerTexts(NodeId("r1"), lambda: in_force),
+    )
+    catch_up.on_receive(RoutersAlive(frozenset({"r1", "r2", "r3"})))
+    for _ in range(3):
+        for peer, version in peers.items():
+            hear_text(catch_up, peer, version)
+    assert received == ([] if asked is None else [(asked, "e30=")])
+
+
+def test_peer_in_force_is_not_asked_by_a_router_that_is_behind(monkeypatch):
+    """Guards against an older text that a newer one elsewhere has withdrawn."""
+    docs = PublishedDocs(text="e30=", text_version=5, text_in_force="e30=")
+    monkeypatch.setattr(PeerDocs, "fetch", lambda *_args: docs)
+    received = []
+    catch_up = CatchUp(
+        PublishedCopy(),
+        StoreReaderSelection(NodeId("r1"), ZoneId("z"), lambda: 0.0),
+        lambda docs, _peer: received.append(docs),
+        StartupCheck(NodeId("r1"), 0.0),
+        lambda state: None,
+        ZoneId("z"),
+        peer_texts=PeerTexts(NodeId("r1"), lambda: 0),
+    )
+    hear_text(catch_up, "r2", 3)
+    assert [docs.texts_bytes() for docs in received] == [[b"{}"]]
+
+
+def test_copy_for_peers_has_the_text_in_force_if_it_is_not_the_newest():
+    """Guards against a last good text that only the routers that run already have."""
+    in_force = [0]
+    copy = PublishedCopy(lambda: in_force[0])
+    for version in (1, 2):
+        copy.put_config(str(version).encode(), version)
+        in_force[0] = version
+    assert copy.docs_for_peers().texts_bytes() == [b"2"]
+    for version in range(3, 30):
+        copy.put_config(str(version).encode(), version)
+    assert copy.docs_for_peers().texts_bytes() == [b"2", b"29"]
+    copy.put_config(b"1", 1)
+    in_force[0] = 28
+    assert copy.docs_for_peers().texts_bytes() == [b"28", b"29"]
+    in_force[0] = 29
+    assert copy.docs_for_peers().texts_bytes() == [b"29"]
+
+
+def test_copy_of_a_router_without_text_keeps_an_older_one_that_arrives_later():
+    """Guards against a last good text that is not passed on by the router that got it so."""
+    in_force = [0]
+    copy = PublishedCopy(lambda: in_force[0])
+    copy.put_config(b"5", 5)
+    copy.put_config(b"3", 3)
+    assert copy.docs_for_peers().texts_bytes() == [b"5"]
+    in_force[0] = 3
+    assert copy.docs_for_peers().texts_bytes() == [b"3", b"5"]
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -261,17 +261,21 @@
         self._watch.stop()
 
     def apply_peer_docs(self, docs: PublishedDocs, peer: str) -> None:
-        """Apply the configuration and the evacuations that a peer knows."""
+        """Apply the configuration and the evacuations that a peer knows.
+
+        The configuration that the peer has in force comes before a newer one that it could not put
+        in force. The broker ignores those that are older than its own.
+        """
         # The zones come first: a router that fetches both after its start must not serve by the
         # configuration and send to an evacuated zone.
         with self._lock, self._reporting_zones(f"peer:{peer}"):
             self._evacuations.merge(docs.zones)
         try:
-            data = docs.text_bytes()
+            texts = docs.texts_bytes()
         except ValueError as exc:
             log_event("text_refused", level="ERROR", peer=peer, reason=str(exc)[:200])
             return
-        if data is not None:
+        for data in texts:
             self._apply_config(data, f"peer:{peer}")
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
--- a/turmerictray/platform/standins/failing_router.py
+++ b/turmerictray/platform/standins/failing_router.py
@@ -14,6 +14,7 @@
 import pykka
 
 from turmerictray.admission.pool import ServicePool
+from turmerictray.config.routes import RoutingConfig
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.timer import TimerService
 from turmerictray.membership.link import PeerLink
@@ -47,6 +48,9 @@
 PLACEMENT = "placement"
 """Fault point: the placement of one request in a round of grants."""
 
+TEXT = "text:"
+"""Fault point, with a version: the application of this version of the routing configuration."""
+
 
 class InjectedFault(Exception):
     """An exception that no code of the router expects."""
@@ -130,12 +134,23 @@
     ServicePool._place = place
 
 
+def _wrap_texts() -> None:
+    inner = Broker._apply_config
+
+    def apply_config(self: Broker, config: RoutingConfig) -> None:
+        _faults.raise_if_armed(f"{TEXT}{config.version}")
+        inner(self, config)
+
+    Broker._apply_config = apply_config
+
+
 def _main() -> None:
     for actor in ACTORS:
         _wrap_actor(actor)
     for owner, name in set(THREAD_STEPS.values()):
         _wrap_step(owner, name)
     _wrap_placement()
+    _wrap_texts()
     path = Path(os.environ[CONTROL_FILE_ENV_VAR])
     threading.Thread(target=_faults.follow, args=(path,), name="faults", daemon=True).start()
     main_and_exit()
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+import msgspec
+
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import ZoneId
@@ -13,6 +15,7 @@
 from turmerictray.membership.messages import PeerMessage, RouterSummary
 from turmerictray.membership.reachability import HeardPeers, Reachability
 from turmerictray.router.messages import PeersProbed, SilentPeers, SilentPeersQuery
+from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PeerDocs,
     Position,
@@ -117,6 +120,8 @@
         Availability zone of this router.
     seeds : collection of str
         ``tcp://host:port`` of the other routers that this one contacts first.
+    peer_texts : PeerTexts or None
+        Decides when to ask for an older configuration; None never does.
     """
 
     uncounted_messages = (PeerMessage, RoutersAlive, CheckStartup, PeersProbed)
@@ -130,6 +135,7 @@
         on_startup: Callable[[StartupState], None],
         zone: ZoneId,
         seeds: Collection[str] = (),
+        peer_texts: PeerTexts | None = None,
     ) -> None:
         super().__init__()
         self._published_copy = published_copy
@@ -142,6 +148,7 @@
         self._zone = zone
         self._seeds = HeardPeers({seed: seed for seed in seeds}, _SILENCE_S)
         self._accepting_seeds: set[str] = set()
+        self._peer_texts = peer_texts
         self._peer_docs = PeerDocs()
         self._lag = LagTracker()
         self._next_confirmation_at = -math.inf
@@ -155,6 +162,8 @@
     def _(self, message: PeerMessage) -> None:
         peer, local = position_of_summary(message.summary), self._position()
         now = time.monotonic()
+        if self._peer_texts is not None:
+            self._peer_texts.record(message.sender.node, peer.text_version)
         # A router that may not serve yet fetches at once instead of waiting for its own read. So
         # does a reader that the store does not answer: at its return, targets that its peers know
         # to be gone would seem to be missing because of the outage, and be kept.
@@ -167,6 +176,8 @@
             local = self._position()
         elif self._should_confirm_missing(message.summary.uninterrupted_s, now):
             self._fetch(message, all_targets=True)
+        elif self._lacks_text(message.sender.node, local, now):
+            self._fetch(message, in_force=True)
         if not local.is_behind(peer) and not peer.is_behind(local):
             self._readers.record_peer_age(message.summary.store_age_s)
         if self._startup_check is not None:
@@ -176,8 +187,15 @@
             self._seeds.record(message.sender.address, now)
             self._check_startup()
 
+    def _lacks_text(self, peer: str, local: Position, now: float) -> bool:
+        """Decide whether to ask for the configuration that a peer has in force, as here none is."""
+        texts = self._peer_texts
+        return texts is not None and texts.should_ask(peer, local.text_version, now)
+
     @handle.register
     def _(self, message: RoutersAlive) -> None:
+        if self._peer_texts is not None:
+            self._peer_texts.set_members(message.nodes)
         if self._startup_check is not None:
             self._startup_check.set_members(message.nodes)
 
@@ -237,15 +255,22 @@
             targets_revision=local.targets.revision,
         )
 
-    def _fetch(self, message: PeerMessage, all_targets: bool = False) -> None:
+    def _fetch(
+        self, message: PeerMessage, all_targets: bool = False, in_force: bool = False
+    ) -> None:
         peer = message.sender.node
         local = self._position()
-        needs_text = local.text_version < message.summary.text_version
+        needs_text = in_force or local.text_version < message.summary.text_version
         since = None if all_targets or not local.targets.revision else local.targets
         try:
-            self._apply_docs(self._peer_docs.fetch(message.admin, needs_text, since), peer)
+            docs = self._peer_docs.fetch(message.admin, needs_text, since)
         except PeerError as exc:
             log_event("catch_up_failed", level="WARNING", peer=peer, reason=str(exc)[:200])
+            return
+        if not in_force:
+            # Other peers may serve by a newer one.
+            docs = msgspec.structs.replace(docs, text_in_force=None)
+        self._apply_docs(docs, peer)
 
 
 def position_of_summary(summary: RouterSummary) -> Position:
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -27,6 +27,7 @@
 from turmerictray.router.flow import RequestFlow
 from turmerictray.router.gateway_settings import GatewaySettings
 from turmerictray.router.peer_prober import PROBE_INTERVAL_S, PeerProber
+from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PUBLISHED_PAGE,
     PUBLISHED_PAGE_WITHOUT_TEXT,
@@ -135,7 +136,7 @@
         self._load_settings = load_settings
         self._list_cached_parts = list_cached_parts
         self._active_config = ActiveConfig(settings.regions)
-        self._copy = PublishedCopy()
+        self._copy = PublishedCopy(lambda: self._active_config.version)
         self._draining = threading.Lock()
         self._is_draining = False
         self._is_overloaded = False
@@ -196,6 +197,7 @@
             self._broker.tell,
             s.zone,
             [f"tcp://{seed}" for seed in s.seeds if seed != s.peer],
+            PeerTexts(s.node, lambda: self._active_config.version),
         )
         self._timer.subscribe(PeerProber.start(self._catch_up), "probe", PROBE_INTERVAL_S)
         self._start_scheduling(choice)
@@ -325,7 +327,7 @@
         self._probe.start()
         operators = {
             "/status": self._status_page,
-            PUBLISHED_PAGE: lambda: self._published_page(self._copy.docs()),
+            PUBLISHED_PAGE: lambda: self._published_page(self._copy.docs_for_peers()),
             PUBLISHED_PAGE_WITHOUT_TEXT: QueryPage(
                 lambda query: self._published_page(
                     self._copy.docs_without_text(StorePosition.from_query(query))
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -2,6 +2,7 @@
 
 import base64
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -17,6 +18,9 @@
 """Pages on a router's admin address with its documents; the second lacks the configuration. With a
 :class:`StorePosition` as its query, it has only the targets that have changed since."""
 
+_MAX_TEXTS = 4
+"""Routing configurations kept besides the one in force, as the broker may not have handled them."""
+
 _NOT_FOUND = 404
 _TIMEOUT_S = 1.0
 
@@ -123,6 +127,9 @@
     uninterrupted_s, gap_s : float
         How continuously the sender has read the store; see
         :class:`turmerictray.router.store_readers.ReadContinuity`.
+    text_in_force : str or None
+        The older configuration that the sender has in force, in Base64, if it could not put
+        ``text`` in force.
     """
 
     text: str | None = None
@@ -134,6 +141,7 @@
     zones: dict[str, ZoneState] = {}
     uninterrupted_s: float = 0.0
     gap_s: float | None = None
+    text_in_force: str | None = None
 
     @property
     def zones_position(self) -> StorePosition:
@@ -149,9 +157,16 @@
         """Return whether any target is kept although its entry is missing from the store."""
         return any(entry.expires_in_s is not None for entry in self.targets.values())
 
-    def text_bytes(self) -> bytes | None:
-        """Return the routing configuration; raise :class:`ValueError` if it is not valid Base64."""
-        return None if self.text is None else base64.b64decode(self.text, validate=True)
+    def texts_bytes(self) -> list[bytes]:
+        """Return the routing configurations, the newest one last.
+
+        Raises
+        ------
+        ValueError
+            One of them is not valid Base64.
+        """
+        texts = (self.text_in_force, self.text)
+        return [base64.b64decode(text, validate=True) for text in texts if text is not None]
 
 
 @dataclass(frozen=True)
@@ -210,20 +225,35 @@
 
 
 class PublishedCopy:
-    """Store of the newest documents, shared by the reading threads and the admin server."""
+    """Store of the newest documents, shared by the reading threads and the admin server.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    version_in_force : callable
+        Returns the version of the routing configuration in force; 0 for none.
+    """
+
+    def __init__(self, version_in_force: Callable[[], int] = lambda: 0) -> None:
         self._lock = threading.Lock()
+        self._version_in_force = version_in_force
         self._docs = PublishedDocs()
+        self._texts: dict[int, str] = {}
         self._history: TargetHistory | None = None
 
     def put_config(self, data: bytes, version: int) -> None:
-        """Store a published routing configuration if it is newer."""
+        """Store a published routing configuration if it is newer.
+
+        Others are kept if they are, or may become, the one in force.
+        """
+        text = base64.b64encode(data).decode()
         with self._lock:
+            self._texts[version] = text
+            in_force = self._version_in_force()
+            newest = sorted(self._texts)[-_MAX_TEXTS:]
+            kept = {in_force, *newest} & self._texts.keys()
+            self._texts = {v: self._texts[v] for v in kept if v >= in_force}
             if version > self._docs.text_version:
-                self._docs = msgspec.structs.replace(
-                    self._docs, text=base64.b64encode(data).decode(), text_version=version
-                )
+                self._docs = msgspec.structs.replace(self._docs, text=text, text_version=version)
 
     def put_targets(
         self,
@@ -254,6 +284,14 @@
         with self._lock:
             return self._docs
 
+    def docs_for_peers(self) -> PublishedDocs:
+        """Return the stored documents, and the configuration in force if it is an older one."""
+        with self._lock:
+            in_force = self._version_in_force()
+            if in_force >= self._docs.text_version:
+                return self._docs
+            return msgspec.structs.replace(self._docs, text_in_force=self._texts.get(in_force))
+
     def docs_without_text(self, since: StorePosition | None = None) -> PublishedDocs:
         """Return the stored documents except the routing configuration.
 
