An entry that fails to decode, or a change that fails to apply, loses nothing else

What was found by reading for exceptions that nobody expects: a target's entry with deeply nested JSON in a field that is not read raises RecursionError, which is no DecodeError. The thread that reads the store ended in the middle of its list: none of the other targets was heard of, at a peer that copies the documents neither. In general, what the thread could not apply was lost, as the position was advanced before; and three such failures in ten seconds would have ended all routers that read the store, as they read the same.

Change: an entry whose decoding raises anything counts as invalid, as a text does. A change that can't be applied is logged, doesn't count towards unfit, and is read again as part of a whole list, after a pause that grows.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -48,6 +48,9 @@
     return json.dumps({key: val for key, val in GOOD.items() if key != field}).encode()
 
 
+NESTED_TOO_DEEPLY = json.dumps(GOOD)[:-1].encode() + b', "more": ' + b"[" * 100_000
+"""An entry whose decoding raises an error of its own kind."""
+
 BAD_VALUES = [
     *[entry_without(field) for field in GOOD if field != "born"],
     *[
@@ -319,3 +322,14 @@
     assert [info.id for info in reader.targets()] == ["i-1@1000"]
     peer.apply_peer_docs(published_docs(reader, 5.0), 5.0)
     assert [info.id for info in peer.targets()] == ["i-1@1000"]
+
+
+def test_entry_that_fails_to_decode_loses_no_other():
+    """Guards against one entry for which a router hears of no target any more."""
+    entries = TargetEntries()
+    bad = Item("servers/i-1", NESTED_TOO_DEEPLY, pos(5))
+    changes = entries.apply_snapshot([bad, make_item(6, "i-2")], 0.0, 0.0, pos(6))
+    assert [info.name for info in changes.changed] == ["i-2"]
+    docs = PublishedDocs(targets=entries.published(0.0), targets_revision=6)
+    others = TargetEntries()
+    assert [info.name for info in others.apply_peer_docs(docs, 0.0).changed] == ["i-2"]
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -11,6 +11,7 @@
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.ids import TargetId, TargetName
 from turmerictray.core.logs import log_event
+from turmerictray.core.supervision import log_failure
 from turmerictray.platform.documents import decode_target
 from turmerictray.platform.store import Item
 from turmerictray.router.published import (
@@ -352,6 +353,11 @@
                 entry.last_error = exc.reason
                 log_event("target_refused", level="ERROR", target=name, reason=exc.reason[:200])
             return None
+        except Exception as exc:  # noqa: BLE001 - the other targets must not be lost for this one
+            if repr(exc) != entry.last_error:
+                entry.last_error = repr(exc)
+                log_failure("target_refused", "targets", exc, target=name)
+            return None
         entry.last_error = ""
         return info
 
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -11,7 +11,7 @@
 from turmerictray.core.errors import ConfigError, HistoryGone, StoreUnavailable
 from turmerictray.core.ids import ZoneId
 from turmerictray.core.logs import log_event
-from turmerictray.core.supervision import SupervisedThread, log_failure
+from turmerictray.core.supervision import SupervisedThread, log_failure, report_item_failure
 from turmerictray.platform.documents import decode_routing_config
 from turmerictray.platform.entries import (
     TARGETS_PREFIX,
@@ -170,6 +170,12 @@
                 self._record_failure(exc)
                 self._stop.wait(pause)
                 pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
+            except Exception as exc:  # noqa: BLE001 - what could not be applied is read again
+                # It does not count towards unfit: all routers read the same documents.
+                report_item_failure(f"watch-{self._prefix}", exc)
+                self._since = None
+                self._stop.wait(pause)
+                pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
 
     def _wait_without_reading(self) -> None:
         # Peers provide the changes made meanwhile. The next read lists all items again, because the
