A caller's connection that is already closed doesn't hide others that leave

What was found by reading for exceptions that nobody expects: a request whose socket is closed before it is watched has descriptor -1, which poll refuses with ValueError. Until that request ends, each scan of all callers' connections fails: nobody who leaves is noticed, and three failures in ten seconds make the router unfit.

Suspected only: no run shows which way a connection gets closed between its reading and the start of its request; a shutdown of the front does close connections.

Change: such a call counts as left from the start, and is not polled.

The test failed before (ValueError).

--- a/tests/transport/test_disconnect.py
+++ b/tests/transport/test_disconnect.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from turmerictray.transport.disconnect import CancellableCall
+from turmerictray.transport.disconnect import CancellableCall, DisconnectMonitor
 
 
 def test_check_detects_disconnect_and_aborts_the_call():
@@ -16,3 +16,20 @@
         assert call.check_disconnected()
         assert call.caller_gone
         assert aborted == [True]
+
+
+def test_connection_that_is_already_closed_hides_no_other_caller_that_leaves():
+    """Guards against engines that work on for callers that have left, as the watch fails."""
+    closed, _peer = socket.socketpair()
+    closed.close()
+    near, far = socket.socketpair()
+    gone, leaving = CancellableCall(closed), CancellableCall(near)
+    monitor = DisconnectMonitor()
+    for call in (gone, leaving):
+        monitor.add(call)
+    far.close()
+    assert monitor._find_disconnected() == [leaving]
+    assert gone.check_disconnected()
+    assert not gone.on_disconnect(lambda: None)
+    monitor.remove(gone)
+    near.close()
--- a/turmerictray/transport/disconnect.py
+++ b/turmerictray/transport/disconnect.py
@@ -32,7 +32,8 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.fd = sock.fileno()
-        self.caller_gone = False
+        # A socket that was closed meanwhile, as on a shutdown, has no descriptor to poll.
+        self.caller_gone = self.fd < 0
         self._lock = threading.Lock()
         self._abort: Callable[[], None] | None = None
 
@@ -48,6 +49,8 @@
 
     def check_disconnected(self) -> bool:
         """Poll the caller's connection now; return whether the caller has disconnected."""
+        if self.caller_gone:
+            return True
         poller = select.poll()
         poller.register(self.fd, select.POLLRDHUP)
         if any(mask & _DISCONNECT_EVENTS for _, mask in poller.poll(0)):
@@ -100,7 +103,8 @@
     def add(self, call: CancellableCall) -> None:
         """Start monitoring a call's connection."""
         with self._lock:
-            self._calls[call.fd] = call
+            if call.fd >= 0:
+                self._calls[call.fd] = call
 
     def remove(self, call: CancellableCall) -> None:
         """Stop monitoring a call's connection, which then belongs to the server again."""
