--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -11,7 +11,7 @@
 from turmerictray.core.errors import ConfigError, HistoryGone, StoreUnavailable
 from turmerictray.core.ids import ZoneId
 from turmerictray.core.logs import log_event
-from turmerictray.core.supervision import SupervisedThread, log_failure
+from turmerictray.core.supervision import SupervisedThread, log_failure, report_item_failure
 from turmerictray.platform.documents import decode_routing_config
 from turmerictray.platform.entries import (
     TARGETS_PREFIX,
@@ -170,6 +170,12 @@
                 self._record_failure(exc)
                 self._stop.wait(pause)
                 pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
+            except Exception as exc:  # noqa: BLE001 - what could not be applied is read again
+                # It does not count towards unfit: all routers read the same documents.
+                report_item_failure(f"watch-{self._prefix}", exc)
+                self._since = None
+                self._stop.wait(pause)
+                pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
 
     def _wait_without_reading(self) -> None:
         # Peers provide the changes made meanwhile. The next read lists all items again, because the
@@ -261,17 +267,21 @@
         self._watch.stop()
 
     def apply_peer_docs(self, docs: PublishedDocs, peer: str) -> None:
-        """Apply the configuration and the evacuations that a peer knows."""
+        """Apply the configuration and the evacuations that a peer knows.
+
+        The configuration that the peer has in force comes before a newer one that it could not put
+        in force. The broker ignores those that are older than its own.
+        """
         # The zones come first: a router that fetches both after its start must not serve by the
         # configuration and send to an evacuated zone.
         with self._lock, self._reporting_zones(f"peer:{peer}"):
             self._evacuations.merge(docs.zones)
         try:
-            data = docs.text_bytes()
+            texts = docs.texts_bytes()
         except ValueError as exc:
             log_event("text_refused", level="ERROR", peer=peer, reason=str(exc)[:200])
             return
-        if data is not None:
+        for data in texts:
             self._apply_config(data, f"peer:{peer}")
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
