--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -606,8 +606,7 @@
         versions = {info.version for info in infos if info.phase is TargetPhase.READY}
         requests = [
             pending
-            for team in self.queue.backlogged()
-            for pending in self.queue.waiting(team, self.queue.depth(team))
+            for pending in self.waiting_requests()
             if none_left
             or pending.context.version is not None
             and pending.context.version not in versions
@@ -639,8 +638,7 @@
         """Remove and return the pending requests that must not be sent to any target."""
         held = [
             pending
-            for team in self.queue.backlogged()
-            for pending in self.queue.waiting(team, self.queue.depth(team))
+            for pending in self.waiting_requests()
             if not pending.context.is_test
             and self.crashes.suspicion(pending.context.fingerprint, now) is Suspicion.HELD
         ]
