--- a/tests/platform/test_unexpected_exceptions.py
+++ b/tests/platform/test_unexpected_exceptions.py
@@ -322,6 +322,21 @@
     assert lines_of(failing[0], "text_failed")
 
 
+@pytest.mark.parametrize("gap_s", [0.0, 0.1, 0.3])
+def test_text_followed_at_once_by_one_that_fails_is_in_force_at_all_routers(deployment, gap_s):
+    """Guards against a router that misses a text, and serves by the one before until the next."""
+    for router in deployment.routers:
+        arm(router.faults_path, f"{TEXT}5", 1000)
+    time.sleep(0.1)
+    deployment.store.store.put("op/config", default_config(4))
+    # Whoever reads the store has this one in force before the next one comes.
+    assert wait_for(lambda: any(status_of(r)["text_version"] == 4 for r in deployment.routers))
+    time.sleep(gap_s)
+    deployment.store.store.put("op/config", default_config(5))
+    for router in deployment.routers:
+        assert wait_for(lambda router=router: status_of(router)["text_version"] == 4)
+
+
 @pytest.mark.parametrize("number", [0, 2])
 def test_router_that_starts_beside_a_text_that_fails_serves_by_the_last_good_one(
     deployment, number
--- a/tests/router/test_peer_texts.py
+++ b/tests/router/test_peer_texts.py
@@ -28,3 +28,36 @@
     texts.set_members({"r1", "r2", "r3"})
     texts.record("r3", IN_FORCE_AT_PEERS)
     assert texts.should_ask("r3", NEWEST_KNOWN, 3.0)
+
+
+def test_router_without_text_does_not_wait_for_each_of_many_peers():
+    """Guards against a router of a large fleet that waits to hear all others before it serves."""
+    texts = PeerTexts("r1", lambda: 0)
+    texts.set_members({"r1", "r2", "r3", "r4"})
+    texts.record("r2", OLDER)
+    assert not texts.should_ask("r2", NEWEST_KNOWN, 1.0)
+    texts.record("r3", IN_FORCE_AT_PEERS)
+    assert not texts.should_ask("r3", NEWEST_KNOWN, 3.9)
+    assert not texts.should_ask("r2", NEWEST_KNOWN, 4.1)
+    assert texts.should_ask("r3", NEWEST_KNOWN, 4.1)
+
+
+@pytest.mark.parametrize("version_in_force", [IN_FORCE_AT_PEERS, NEWEST_KNOWN])
+def test_router_asks_for_no_text_that_is_not_newer_than_its_own(version_in_force):
+    """Guards against a text that goes back, and against fetches that bring nothing."""
+    texts = PeerTexts("r1", lambda: version_in_force)
+    texts.set_members({"r1", "r2", "r3"})
+    texts.record("r2", OLDER)
+    texts.record("r3", IN_FORCE_AT_PEERS)
+    for now in range(1, 20):
+        assert not texts.should_ask("r2", NEWEST_KNOWN, float(now))
+        assert not texts.should_ask("r3", NEWEST_KNOWN, float(now))
+
+
+def test_fetches_of_a_text_that_is_never_put_in_force_are_limited():
+    """Guards against peers that send the whole configuration with each of their messages."""
+    texts = PeerTexts("r1", lambda: OLDER)
+    texts.set_members({"r1", "r2"})
+    texts.record("r2", IN_FORCE_AT_PEERS)
+    asked = [texts.should_ask("r2", NEWEST_KNOWN, 1.0 + tick * 0.1) for tick in range(100)]
+    assert 1 <= sum(asked) <= 10
