Routers ask for any newer text in force that a live peer tells of

What callers saw: a text that drops a route, followed at once by one that can't be put in force: a router that missed the first stayed at the text before, and served the dropped route until the next text. A router that started beside such a text could take an older one than its peers have in force, and stayed at it; in a large fleet it served nobody until it had heard every live member itself.

Cause: PeerTexts.should_ask never asked once any text was in force; an ordinary fetch left out the text in force at the peer; the wait for all members had no limit. Besides, the copy for peers dropped a last good text that arrived after four newer ones, so that this router could not pass it on.

Ruled out: that the broker refuses the older of the two texts (may_try and activate_if_newer take it, as it is newer than the one in force).

Change: a router asks, at most once a second, any peer that has a newer text in force than it has itself, unless that is the newest known one, which the broker tries again by itself. A router without any text still waits to hear all live members, but 3 s at most, and asks the one with the newest heard of; a newer one heard of later is taken. An ordinary fetch keeps the peer's text in force if any text is in force here; a router without one still leaves it out, as before. The copy keeps the last four texts to arrive besides the four newest. No text goes back: the broker takes only newer ones than its own, and nothing is asked for that is not newer.

Conclusion: a router beside a text that fails has the newest good one as soon as it hears of it.

--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -188,10 +188,13 @@
             self._check_startup()
 
     def _lacks_text(self, peer: str, local: Position, now: float) -> bool:
-        """Decide whether to ask for the configuration that a peer has in force, as here none is."""
+        """Decide whether to ask for the configuration that a peer has in force."""
         texts = self._peer_texts
         return texts is not None and texts.should_ask(peer, local.text_version, now)
 
+    def _has_text(self) -> bool:
+        return self._peer_texts is not None and self._peer_texts.has_text()
+
     @handle.register
     def _(self, message: RoutersAlive) -> None:
         if self._peer_texts is not None:
@@ -267,8 +270,8 @@
         except PeerError as exc:
             log_event("catch_up_failed", level="WARNING", peer=peer, reason=str(exc)[:200])
             return
-        if not in_force:
-            # Other peers may serve by a newer one.
+        if not in_force and not self._has_text():
+            # Other peers may serve by a newer one, and this router by none.
             docs = msgspec.structs.replace(docs, text_in_force=None)
         self._apply_docs(docs, peer)
 
--- a/turmerictray/router/peer_texts.py
+++ b/turmerictray/router/peer_texts.py
@@ -1,4 +1,4 @@
-"""Which routing configurations the peers of a router without one have in force."""
+"""Which routing configurations the peers of a router have in force that it has not."""
 
 from collections.abc import Callable, Collection
 
@@ -7,13 +7,20 @@
 _MIN_FETCH_INTERVAL_S = 1.0
 """Minimum time between two fetches, each of which has the whole configuration."""
 
+_HEAR_ALL_S = 3.0
+"""Time for which a router without a configuration waits to hear all live peers before it asks the
+one with the newest of those that it has heard."""
+
 
 class PeerTexts:
     """Decides when to ask a peer for an older routing configuration than the newest one.
 
-    A router that starts while the newest configuration can't be put in force has none, and serves
-    nobody, although its peers serve by the last good one. It asks for that one only while no live
-    peer is known to serve by a newer one, so that it restores nothing that was withdrawn.
+    While the newest configuration can't be put in force, the routers serve by the last good one. A
+    router that has an older one, or none, asks a peer for it.
+
+    A router without any, which serves nobody, first waits for what all live peers tell, so that it
+    restores nothing that was withdrawn. In a large fleet that takes too long; if it then takes too
+    old a configuration, it asks for the newer one as soon as it hears of it.
 
     Parameters
     ----------
@@ -28,6 +35,7 @@
         self._version_in_force = version_in_force
         self._members: frozenset[str] = frozenset()
         self._versions: dict[str, int] = {}
+        self._waiting_since: float | None = None
         self._next_fetch_at = 0.0
 
     def set_members(self, members: Collection[str]) -> None:
@@ -38,6 +46,10 @@
         """Record the version that a peer has in force."""
         self._versions[peer] = version
 
+    def has_text(self) -> bool:
+        """Return whether this router has any configuration in force."""
+        return self._version_in_force() > 0
+
     def should_ask(self, peer: str, known_version: int, now: float) -> bool:
         """Decide whether to ask a peer for the configuration that it has in force.
 
@@ -49,12 +61,22 @@
         now : float
             Monotonic seconds.
         """
-        if self._version_in_force() or not known_version or now < self._next_fetch_at:
-            return False
-        if not self._members or not self._members <= self._versions.keys():
+        in_force, offered = self._version_in_force(), self._versions.get(peer, 0)
+        # The newest known one is tried again without another fetch.
+        if not in_force < offered < known_version or now < self._next_fetch_at:
             return False
-        newest = max(self._versions[member] for member in self._members)
-        if not newest or self._versions.get(peer) != newest:
+        if not in_force and not self._is_newest(peer, now):
             return False
         self._next_fetch_at = now + _MIN_FETCH_INTERVAL_S
         return True
+
+    def _is_newest(self, peer: str, now: float) -> bool:
+        """Return whether no live peer is known, after a wait, to serve by a newer configuration."""
+        if self._waiting_since is None:
+            self._waiting_since = now
+        heard = self._members & self._versions.keys()
+        if peer not in heard:
+            return False
+        if heard != self._members and now - self._waiting_since < _HEAR_ALL_S:
+            return False
+        return self._versions[peer] == max(self._versions[member] for member in heard)
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -19,7 +19,8 @@
 :class:`StorePosition` as its query, it has only the targets that have changed since."""
 
 _MAX_TEXTS = 4
-"""Routing configurations kept besides the one in force, as the broker may not have handled them."""
+"""Routing configurations kept besides the one in force, as the broker may not have handled them: as
+many of the newest, and of the last ones to arrive."""
 
 _NOT_FOUND = 404
 _TIMEOUT_S = 1.0
@@ -247,11 +248,11 @@
         """
         text = base64.b64encode(data).decode()
         with self._lock:
+            self._texts.pop(version, None)
             self._texts[version] = text
             in_force = self._version_in_force()
-            newest = sorted(self._texts)[-_MAX_TEXTS:]
-            kept = {in_force, *newest} & self._texts.keys()
-            self._texts = {v: self._texts[v] for v in kept if v >= in_force}
+            kept = {in_force, *sorted(self._texts)[-_MAX_TEXTS:], *list(self._texts)[-_MAX_TEXTS:]}
+            self._texts = {v: t for v, t in self._texts.items() if v in kept and v >= in_force}
             if version > self._docs.text_version:
                 self._docs = msgspec.structs.replace(self._docs, text=text, text_version=version)
 
