What is due between two reads of the store counts towards unfit no more

What callers saw: nothing yet, found by a reviewer. What a router does between two reads (due timeouts of missing entries) raised out of the thread if the router doesn't read the store; three times in ten seconds make a process unfit, and as all routers work on the same entries, all at once. At a router that reads, each failure made it list all items again, without ever waiting for a change; and a broker that had stopped was reported as a failed thread while the router stopped.

Cause: _wait_without_reading lay outside the handlers of the loop, and on_idle was part of the read.

Ruled out: containing the gate as well. It works on this process's own state, so that its failures still count, as before.

Change: what is due between reads fails alone, logged, uncounted, and is tried again after the pause of a retry; the read goes on. Both branches of the loop share its handlers.

Conclusion: no due timeout can end a router, or keep it from reading.

--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -1,5 +1,6 @@
 """Threads that follow what operators and targets write to the store and update the broker."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -139,6 +140,7 @@
         self._since: StorePosition | None = None
         self._era: int | None = None
         self._lost = False
+        self._next_idle_at = -math.inf
         self._stop = threading.Event()
         self._thread = SupervisedThread(self._run, f"watch-{prefix}")
 
@@ -153,12 +155,13 @@
     def _run(self) -> None:
         pause = _INITIAL_RETRY_PAUSE_S
         while not self._stop.is_set():
-            if not self._gate.should_read(self._published_copy.position()):
-                self._wait_without_reading()
-                continue
+            should_read = self._gate.should_read(self._published_copy.position())
             try:
-                self._read_store()
-                pause = _INITIAL_RETRY_PAUSE_S
+                if should_read:
+                    self._read_store()
+                    pause = _INITIAL_RETRY_PAUSE_S
+                else:
+                    self._wait_without_reading()
             except HistoryGone:
                 log_event("store_history_gone", prefix=self._prefix, since=self._since)
                 self._since = None
@@ -181,9 +184,24 @@
         # Peers provide the changes made meanwhile. The next read lists all items again, because the
         # position of the last watch is outdated by then.
         self._since = None
-        wait = self._on_idle()
+        wait = self._run_idle()
         self._stop.wait(_GATE_POLL_S if wait is None else min(wait, _GATE_POLL_S))
 
+    def _run_idle(self) -> float | None:
+        """Do what is due between reads, by itself, so that its failure delays no change."""
+        now = time.monotonic()
+        if now < self._next_idle_at:
+            return self._next_idle_at - now
+        try:
+            return self._on_idle()
+        except pykka.ActorDeadError:
+            raise
+        except Exception as exc:  # noqa: BLE001 - what could not be done is due again
+            # It does not count towards unfit, as the same is due at all routers.
+            report_item_failure(f"watch-{self._prefix}", exc)
+            self._next_idle_at = now + _MAX_RETRY_PAUSE_S
+            return _MAX_RETRY_PAUSE_S
+
     def _read_store(self) -> None:
         if self._since is None:
             snapshot = self._client.read_all(self._prefix)
@@ -196,7 +214,7 @@
             self._record_era(snapshot.position)
             self._on_snapshot(snapshot)
             return
-        wait = self._on_idle()
+        wait = self._run_idle()
         max_wait_s = _LOST_WATCH_TIMEOUT_S if self._lost else _WATCH_TIMEOUT_S
         wait = max_wait_s if wait is None else min(wait, max_wait_s)
         snapshot = self._client.watch(self._prefix, self._since, wait)
