--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -26,7 +27,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, ServicePart
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -315,6 +316,50 @@
     assert not broker.supervisor.is_unfit
 
 
+@pytest.mark.parametrize("message", [TargetsChanged, TargetsListed])
+def test_target_whose_removal_fails_does_not_keep_others_from_being_applied(
+    broker, monkeypatch, message
+):
+    """Guards against a message of which one removal loses the rest, which is never told again."""
+    remove, gone = broker._remove_target, ENGINES[0].id
+
+    def remove_others(pool, target):
+        return fail() if target == gone else remove(pool, target)
+
+    leaving = TargetInfo(TargetId("e2"), LLM, "h:2", ZONE, 8)
+    broker.on_receive(TargetsChanged([leaving]))
+    monkeypatch.setattr(broker, "_remove_target", remove_others)
+    leaving = replace(leaving, phase=TargetPhase.LEAVING)
+    new = TargetInfo(TargetId("e3"), LLM, "h:3", ZONE, 8)
+    if message is TargetsChanged:
+        changes = TargetsChanged([leaving, new], [info.id for info in ENGINES])
+    else:
+        changes = TargetsListed([leaving, new])
+    for _ in range(5):
+        broker.on_receive(changes)
+    loads = pool_of(broker).targets.loads
+    assert set(loads) == {gone, leaving.id, new.id}
+    assert loads[leaving.id].info.phase is TargetPhase.LEAVING
+    assert broker.active_config.is_unavailable(leaving.id)
+    assert not broker.supervisor.is_unfit
+    monkeypatch.undo()
+    broker.on_receive(changes)
+    assert set(loads) == {leaving.id, new.id}
+
+
+@pytest.mark.parametrize("message", [TargetsChanged, TargetsListed])
+def test_target_whose_removal_fails_gets_no_more_requests(broker, monkeypatch, message):
+    """Guards against requests that are sent to a target which is known to be gone."""
+    gone, kept = ENGINES
+    monkeypatch.setattr(pool_of(broker).targets, "remove", fail)
+    removed = TargetsListed([kept]) if message is TargetsListed else TargetsChanged([], [gone.id])
+    broker.on_receive(removed)
+    monkeypatch.undo()
+    assert broker.active_config.is_unavailable(gone.id)
+    granted = [ask(broker, call_id, tokens=100).result(0).target.id for call_id in range(1, 5)]
+    assert set(granted) == {kept.id}
+
+
 def test_hook_that_fails_does_not_keep_others_from_running(broker):
     """Guards against keep-alives that stop because another hook of the tick fails."""
     ran = []
