Broker: a removal of a target that fails leaves the rest of the message applied

What callers saw: nothing yet, found by a reviewer. A removal that raised in TargetsChanged or TargetsListed lost the other removals, changes and additions of its message, which nobody tells again: a target that leaves stayed ready, a new one unknown.

Cause: additions are contained one by one, removals weren't.

Ruled out: a retry of the removal at ticks; the next message that names the target, or the next list, removes it.

Change: each removal fails alone. The target of one that failed is marked as leaving and unavailable, so that neither this router nor another one's grant sends it a request.

Conclusion: one target's state can't keep a router from hearing of the others.

--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -527,7 +527,7 @@
         listed_ids = {info.id for info in msg.targets}
         for pool in self.pools.all_unsharded():
             for target in set(pool.targets.loads) - listed_ids:
-                self._remove_target(pool, target)
+                self._remove_alone(pool, target, msg)
         self._update_targets(msg.targets, msg)
         self.active_config.targets_listed = True
         self.active_config.shards = self.pools.update_shards()
@@ -539,7 +539,7 @@
         for target in msg.gone:
             for pool in self.pools.all_unsharded():
                 if target in pool.targets.loads:
-                    self._remove_target(pool, target)
+                    self._remove_alone(pool, target, msg)
         self._update_targets(msg.changed, msg)
         self.active_config.shards = self.pools.update_shards()
         self._refuse_unservable()
@@ -587,7 +587,7 @@
             self._schedule_all_grants()
 
     def _mark_leaving(self, target: TargetId) -> None:
-        self.active_config.unavailable_targets = self.active_config.unavailable_targets | {target}
+        self._mark_unavailable(target)
         self.active_config.announced_leaving = self.active_config.announced_leaving | {target}
 
     @handle.register
@@ -659,13 +659,23 @@
         else:
             active_config.unavailable_targets = active_config.unavailable_targets | {info.id}
 
-    def _remove_target(self, pool: ServicePool, target: str) -> None:
+    def _remove_alone(self, pool: ServicePool, target: TargetId, msg: object) -> None:
+        """Remove a target; if that fails, the rest of the message is applied all the same."""
+        if not self.contain(partial(self._remove_target, pool, target), msg):
+            self.contain(partial(self._take_out_of_use, pool, target), msg)
+
+    def _take_out_of_use(self, pool: ServicePool, target: TargetId) -> None:
+        pool.targets.mark_leaving(target)
+        self._mark_unavailable(target)
+
+    def _mark_unavailable(self, target: TargetId) -> None:
+        self.active_config.unavailable_targets = self.active_config.unavailable_targets | {target}
+
+    def _remove_target(self, pool: ServicePool, target: TargetId) -> None:
         # Not added to the announced targets: the entry of a crashed target may be removed before
         # the answers that the crash interrupted have failed, so removal is no announcement.
         pool.targets.remove(target, time.monotonic())
-        self.active_config.unavailable_targets = self.active_config.unavailable_targets | {
-            TargetId(target)
-        }
+        self._mark_unavailable(target)
         log_event("target", target=target, service=pool.name, phase=TargetPhase.GONE.value)
 
     def _schedule_all_grants(self) -> None:
