--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -150,6 +150,22 @@
         assert not broker.ledger.local_counters()[TEAM]
 
 
+@pytest.mark.parametrize("times", [1, 2, 99])
+@pytest.mark.parametrize("cost", [0.0, 400.0])
+def test_end_whose_record_fails_refunds_its_team_once(broker, monkeypatch, cost, times):
+    """Guards against a team that is charged too little, or twice, for the end of one request."""
+    pool = pool_of(broker)
+    first, second = ask(broker, 1).result(0).target.id, ask(broker, 2).result(0).target.id
+    assert broker.ledger.local_counters()[TEAM] == 2000.0
+    fail_in(monkeypatch, pool.targets.loads[first], "record_end", times)
+    outcome = Outcome.DONE if cost else Outcome.NOT_REACHED
+    broker.on_receive(Settled(1, LLM, first, outcome, cost))
+    assert broker.ledger.local_counters()[TEAM] == 1000.0 + cost
+    monkeypatch.undo()
+    broker.on_receive(Settled(2, LLM, second, Outcome.DONE, 1000.0))
+    assert broker.ledger.local_counters()[TEAM] == 1000.0 + cost
+
+
 @pytest.mark.parametrize(
     "part", ["pool.settle", "quarantine.record_crash", "quarantine._parts.record_crash", "repair"]
 )
