A send whose end is done again refunds its team once

What callers saw: nothing yet, found by a reviewer. If the removal of a call from its target failed after its team was refunded, the end was done again by the undo of Settled, up to twice, and refunded the team each time: a team then counts less than it has used, and is served before the others.

Cause: a call that is kept until its team is refunded didn't tell that it had been.

Ruled out: removing the call first; if the refund fails, the undo would not know what to refund.

Change: the call keeps the corrected charge, so that the same refund again changes nothing.

Conclusion: a team is charged what its requests have used, whatever fails at their ends.

--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import heapify, heappop, heappush
 
 from turmerictray.admission.available_targets import AvailableTargets
@@ -719,6 +719,8 @@
         call = load.calls.get(call_id)
         if call is not None and cost is not None:
             self.ledger.settle(call.team, call.charged, cost)
+            # Its end is done again if the rest fails, and must not refund the team once more.
+            load.calls[call_id] = replace(call, charged=cost)
         # Only now, so that a call whose team could not be refunded is still known.
         load.record_end(call_id)
         return call is not None
