Tests: a request whose grant is returned is counted twice (fail)

Changed: test_grant_of_leaving_target_is_returned compares the whole message that is placed locally, and now expects it to say that the scheduler has counted it; the rest of it is compared as before.

--- a/tests/scheduling/test_placement_client.py
+++ b/tests/scheduling/test_placement_client.py
@@ -257,7 +257,7 @@
     ask = pair.ask()
     pair.grant()
     assert not ask.reply.done()
-    assert pair.local_broker.asks() == [replace(ask, own_path=True)]
+    assert pair.local_broker.asks() == [replace(ask, own_path=True, is_counted=True)]
     assert isinstance(pair.to_scheduler.sent[-1], Ended)
 
 
@@ -321,6 +321,31 @@
     assert placed.own_path and placed.exclude == ask.exclude
 
 
+@pytest.mark.parametrize("notice", ["leaving", "resting", "unavailable"])
+def test_request_whose_grant_is_returned_is_counted_at_its_first_scheduler_only(pair, notice):
+    """Guards against a retry budget that grows, or is spent, twice for one attempt."""
+    ask = pair.ask()
+    if notice == "leaving":
+        pair.notices.note_leaving(ENGINE.id)
+    elif notice == "resting":
+        pair.notices.note_rest(ENGINE.id, 0.6, LOCAL_ROUTER, time.monotonic())
+    else:
+        pair.active_config.unavailable_targets = frozenset({ENGINE.id})
+    pair.grant()
+    if notice == "resting":
+        pair.grant()
+    first, *again = [*pair.remote_broker.asks(), *pair.local_broker.asks()]
+    assert not ask.is_counted and not first.is_counted
+    assert [other.is_counted for other in again] == [True] * (2 if notice == "resting" else 1)
+
+
+def test_request_that_no_scheduler_has_answered_is_counted_where_it_is_placed(pair):
+    pair.to_scheduler.is_partitioned = True
+    pair.ask()
+    pair.time_out_scheduler()
+    assert [ask.is_counted for ask in pair.local_broker.asks()] == [False]
+
+
 def test_grant_of_a_target_that_said_it_leaves_is_asked_for_elsewhere(pair):
     ask = pair.ask()
     pair.notices.note_leaving(ENGINE.id)
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -6,7 +6,7 @@
 import pytest
 
 from turmerictray.config.routes import EngineSpec, ServiceSpec
-from turmerictray.core.errors import NoTarget, TargetsResting
+from turmerictray.core.errors import NoTarget, RepeatsUsedUp, TargetsResting
 from turmerictray.core.ids import (
     NodeId,
     RequestId,
@@ -169,3 +169,23 @@
         broker.on_receive(TargetLeaving(LLM, info.id))
     assert waiting
     assert all(isinstance(reply.exception(0), NoTarget) for reply in waiting)
+
+
+@pytest.mark.parametrize("repeat", [False, True])
+def test_request_that_another_scheduler_has_counted_leaves_the_budget_as_it_is(broker, repeat):
+    """Guards against a retry budget that grows, or is spent, twice for one attempt."""
+    budget = broker.pools.unsharded(LLM).budget
+    ask(broker, 1, "r2", repeat=repeat).result(0)
+    assert (len(budget._requests), len(budget._retries)) == (1, int(repeat))
+    ask(broker, 2, "r2", repeat=repeat, is_counted=True).result(0)
+    assert (len(budget._requests), len(budget._retries)) == (1, int(repeat))
+
+
+def test_counted_repeat_is_placed_although_the_budget_is_used_up(broker):
+    """Guards against a repeat that is refused for its own first placement."""
+    budget = broker.pools.unsharded(LLM).budget
+    now = time.monotonic()
+    while budget.try_spend(now):
+        pass
+    assert isinstance(ask(broker, 1, "r2", repeat=True).exception(0), RepeatsUsedUp)
+    ask(broker, 2, "r2", repeat=True, is_counted=True).result(0)
