A request whose grant is returned is counted once

What callers saw: nothing that is known, found by a reviewer. A router returns a grant of a target that it knows to leave or rest, and asks again; the next scheduler, or its own broker, counted the request once more, which lets more retries through than the ratio allows, and charged a repeat to the budget once more, so that a repeat could be refused (repeats_used_up) for its own first placement.

Cause: the message that asks again was the first one unchanged.

Ruled out: retry=True, which isn't counted either, but goes to the head of its team's queue, is not refused for its expected wait and tries no rested target.

Change: what is asked for again says that it is counted; brokers then count and charge nothing. The field is last in its message, so that schedulers of an earlier version ignore it (they count twice, as before). The same goes for a grant of a target that this router's own entries say is gone. A request of a silent scheduler is counted where it is placed, as before, as nobody knows what that one did.

Conclusion: budgets follow the attempts, however often one is placed.

--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -229,7 +229,7 @@
             return
         now = time.monotonic()
         pool = self.pools.for_shard(msg.service, msg.shard)
-        if not msg.retry:
+        if not msg.retry and not msg.is_counted:
             pool.budget.note_request(now)
         try:
             context = self._placement_context(msg, now)
@@ -237,7 +237,7 @@
                 msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
             )
             self.quarantine.check(context.fingerprint, now, msg.is_test)
-            if msg.repeat and not pool.budget.try_spend(now):
+            if msg.repeat and not msg.is_counted and not pool.budget.try_spend(now):
                 raise RepeatsUsedUp("repeats_used_up", _BUDGET_RETRY_AFTER_S)
             pool.enqueue(request, now, msg.retry)
         except AdmissionError as exc:
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -68,6 +68,9 @@
         No scheduler was asked; other routers may send to the same targets unseen.
     is_test : bool
         The router sends the prompt as a test of a part that is held back.
+    is_counted : bool
+        A scheduler has counted this attempt, but its grant was returned; no other one counts the
+        request, or charges the retry budget, once more.
     reply : Reply
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
@@ -93,6 +96,7 @@
     version: SoftwareVersion | None = None
     resumes: StreamKey | None = None
     is_test: bool = False
+    is_counted: bool = False
 
     @property
     def fingerprint(self) -> Fingerprint:
--- a/turmerictray/scheduling/messages.py
+++ b/turmerictray/scheduling/messages.py
@@ -35,7 +35,7 @@
         Software version that must run the request; None for any.
     resumes : int or None
         Key of the stream that the request takes up; None for none.
-    is_test : bool
+    is_test, is_counted : bool
         See :class:`turmerictray.scheduling.broker_messages.Ask`.
     """
 
@@ -63,6 +63,7 @@
     version: str | None = None
     resumes: int | None = None
     is_test: bool = False
+    is_counted: bool = False
 
 
 class PlaceWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -348,6 +348,7 @@
             ask.version,
             ask.resumes,
             ask.is_test,
+            ask.is_counted,
         )
         sent = False
         try:
@@ -421,7 +422,7 @@
             # This router has read from the store that the target is leaving; the scheduler has not.
             self._return_grant(msg)
             self._drop_call(msg.call_id)
-            self._place_locally(call.ask)
+            self._place_locally(replace(call.ask, is_counted=True))
         elif not self._notices.may_send(TargetId(msg.target), time.monotonic()):
             self._return_grant(msg)
             self._drop_call(msg.call_id)
@@ -512,15 +513,14 @@
         A resting target isn't excluded: the request may wait for the end of the rest. This router's
         own broker surely knows of it if the scheduler doesn't take it in.
         """
-        shards = (call.ask.shard, *call.fallback_shards)
+        ask, shards = replace(call.ask, is_counted=True), (call.ask.shard, *call.fallback_shards)
         if self._notices.is_leaving(target):
-            ask = replace(call.ask, exclude=call.ask.exclude | {target})
-            self._request_placement(ask, shards)
+            self._request_placement(replace(ask, exclude=ask.exclude | {target}), shards)
         elif call.asks_again:
-            self._place_locally(call.ask)
+            self._place_locally(ask)
         else:
-            self._rest_reports.forget_told(call.ask.service, target, time.monotonic())
-            self._request_placement(call.ask, shards, asks_again=True)
+            self._rest_reports.forget_told(ask.service, target, time.monotonic())
+            self._request_placement(ask, shards, asks_again=True)
 
     def _drop_call(self, call_id: int) -> None:
         with self._lock:
--- a/turmerictray/scheduling/scheduler.py
+++ b/turmerictray/scheduling/scheduler.py
@@ -216,4 +216,5 @@
         version=None if msg.version is None else SoftwareVersion(msg.version),
         resumes=None if msg.resumes is None else StreamKey(msg.resumes),
         is_test=msg.is_test,
+        is_counted=msg.is_counted,
     )
