--- a/tests/router/test_failed_messages.py
+++ b/tests/router/test_failed_messages.py
@@ -10,7 +10,7 @@
 
 from turmerictray.config.load import parse_config
 from turmerictray.config.snapshot import ConfigSnapshot
-from turmerictray.core.errors import InternalFailure
+from turmerictray.core.errors import InternalFailure, QueueTimeout
 from turmerictray.core.ids import NodeId, RequestId, ServiceName, TeamId
 from turmerictray.core.supervision import Supervisor, install_supervisor
 from turmerictray.core.timer import Tick
@@ -73,6 +73,30 @@
     assert not supervisor.is_unfit
 
 
+@pytest.mark.parametrize("times", [1, 99])
+def test_expired_request_whose_refusal_fails_keeps_no_other_from_its_own(
+    dispatcher, supervisor, monkeypatch, times
+):
+    """Guards against callers that wait for ever, as they were taken from the queue before."""
+    granted = [admit(dispatcher, number) for number in range(18)]
+    assert all(reply.result(0).target for reply in granted)
+    waiting = [admit(dispatcher, number) for number in range(18, 24)]
+    assert not any(reply.done() for reply in waiting)
+    release, calls = dispatcher.hold.release, []
+
+    def release_first_failing(team):
+        calls.append(team)
+        return fail() if len(calls) <= times else release(team)
+
+    monkeypatch.setattr(dispatcher.hold, "release", release_first_failing)
+    for _ in range(4):
+        dispatcher.on_receive(Tick("expire", time.monotonic() + 999))
+    assert all(reply.done() for reply in waiting)
+    assert all(isinstance(reply.exception(0), QueueTimeout) for reply in waiting)
+    assert len(calls) == len(waiting)
+    assert not supervisor.is_unfit
+
+
 def test_configuration_that_fails_halfway_leaves_the_last_good_one(dispatcher, monkeypatch):
     """Guards against a router whose parts use different configurations."""
     with monkeypatch.context() as patch:
