Dispatcher: a refusal of an expired request that fails loses no other

What callers saw: nothing yet, found by a reviewer. On the product's own path, expired requests are taken from their queue together; if the refusal of one raised, the rest of them were never answered.

Cause: the loop over them was one step, unlike the broker's.

Ruled out: leaving them in the queue; the one that fails would do so at each tick.

Change: each refusal is a step of its own; a request whose refusal fails is refused without a log line.

Conclusion: both paths answer each request that expires.

--- a/turmerictray/router/dispatcher.py
+++ b/turmerictray/router/dispatcher.py
@@ -291,7 +291,7 @@
                 self.run_step(partial(step, msg.now), msg)
         for queue in self.queues.values():
             if len(queue):
-                self.run_step(partial(self._expire, queue, msg.now), msg, _EXPIRY)
+                self.run_step(partial(self._expire, queue, msg), msg, _EXPIRY)
         self.run_step(self._update_claims, msg)
         self.run_step(self._grant_free_slots, msg, _GRANTS if self._queued() else None)
 
@@ -446,9 +446,11 @@
         view.dispatched += 1
         self.ledger.charge(pending.team, pending.estimated_cost)
 
-    def _expire(self, queue: FairQueue, now: float) -> None:
-        for pending in queue.expire(now):
-            self._refuse_expired(pending)
+    def _expire(self, queue: FairQueue, msg: Tick) -> None:
+        for pending in queue.expire(msg.now):
+            if not self.run_step(partial(self._refuse_expired, pending), msg):
+                refusal = QueueTimeout("queue_timeout", _FAILED_RETRY_AFTER_S)
+                pending.reply.try_set_exception(refusal)
 
     def _record_peer(self, msg: PeerSummary, now: float) -> None:
         peer = msg.counters.node
