--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -1,14 +1,16 @@
 """The threads that follow the store."""
 
+import json
 import time
 
 import pykka
 import pytest
 
 from turmerictray.core.supervision import Supervisor, install_supervisor
-from turmerictray.platform.sources import PrefixWatch
+from turmerictray.platform.sources import PrefixWatch, TargetSource
 from turmerictray.platform.store import Item, Snapshot
 from turmerictray.router.published import PublishedCopy, StorePosition
+from turmerictray.scheduling.broker_messages import TargetsChanged, TargetsListed
 
 
 class SingleAnswerStore:
@@ -160,3 +162,113 @@
         watch._run()
     finally:
         install_supervisor(None)
+
+
+class TargetsTold:
+    """A broker that keeps the names of the targets that it was told of."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+        self.lists = 0
+
+    def tell(self, msg: object) -> None:
+        if isinstance(msg, TargetsListed):
+            self.lists += 1
+            self.names = {info.name for info in msg.targets}
+        elif isinstance(msg, TargetsChanged):
+            gone = {target.partition("@")[0] for target in msg.gone}
+            self.names = {name for name in self.names if name not in gone}
+            self.names |= {info.name for info in msg.changed}
+
+
+def target_item(name: str, revision: int) -> Item:
+    value = {
+        "service": "llm",
+        "address": f"10.0.0.{revision}:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        "born": 1000,
+    }
+    return Item(f"servers/{name}", json.dumps(value).encode(), StorePosition(0, revision))
+
+
+@pytest.fixture
+def told():
+    """A broker, and a source that has read two targets."""
+    broker, gate = TargetsTold(), AlwaysOpenGate()
+    source = TargetSource("127.0.0.1:1", gate, broker, PublishedCopy())
+    items = [target_item(name, revision) for revision, name in enumerate(("a", "b"), 1)]
+    source._apply_snapshot(Snapshot(items, StorePosition(0, 2)))
+    assert broker.names == {"a", "b"}
+    return broker, source
+
+
+def fail_from(monkeypatch, owner, name: str, call: int, times: int = 99) -> None:
+    """Make a method fail a number of times, from one of its calls on."""
+    method, calls = getattr(owner, name), []
+
+    def fail(*args):
+        calls.append(args)
+        if call <= len(calls) < call + times:
+            raise ValueError("unexpected")
+        return method(*args)
+
+    monkeypatch.setattr(owner, name, fail)
+
+
+@pytest.mark.parametrize("part", ["_apply_value", "apply_timeouts"])
+def test_changes_before_one_that_fails_are_told(told, monkeypatch, part):
+    """Guards against a change that counts as known here, and of which the broker never hears."""
+    broker, source = told
+    fail_from(monkeypatch, source._entries, part, 1 if part == "apply_timeouts" else 2)
+    items = [target_item(name, revision) for revision, name in enumerate(("c", "d"), 3)]
+    with pytest.raises(ValueError, match="unexpected"):
+        source._apply_changes(Snapshot(items, StorePosition(0, 4)))
+    assert broker.names >= {"a", "b", "c"}
+
+
+@pytest.mark.parametrize("name", ["published", "history"])
+def test_changes_whose_copy_for_peers_fails_are_told(told, monkeypatch, name):
+    """Guards against a broker that waits for what only peers are to be sent."""
+    broker, source = told
+    fail_from(monkeypatch, source._entries, name, 1)
+    with pytest.raises(ValueError, match="unexpected"):
+        source._apply_changes(Snapshot([target_item("c", 3)], StorePosition(0, 3)))
+    assert broker.names == {"a", "b", "c"}
+
+
+@pytest.mark.parametrize("failing", [1, 2])
+def test_timeout_that_fails_keeps_no_other_from_removing_its_target(told, monkeypatch, failing):
+    """Guards against a target that is gone, and is sent requests until the process ends."""
+    broker, source = told
+    gone = [Item(f"servers/{name}", None, StorePosition(0, 3)) for name in ("a", "b")]
+    monkeypatch.setattr(source, "_missing_entry_deadline", lambda: time.monotonic() + 0.05)
+    source._apply_changes(Snapshot(gone, StorePosition(0, 3)))
+    assert broker.names == {"a", "b"}
+    time.sleep(0.1)
+    with monkeypatch.context() as patch:
+        fail_from(patch, source._entries, "_remove_target", failing, times=1)
+        with pytest.raises(ValueError, match="unexpected"):
+            source._apply_timeouts()
+    assert broker.names == {"a" if failing == 1 else "b"}
+    source._apply_timeouts()
+    assert not broker.names
+
+
+def test_first_list_that_fails_halfway_is_not_told():
+    """Guards against a router that begins to serve with a part of the targets."""
+    broker = TargetsTold()
+    source = TargetSource("127.0.0.1:1", AlwaysOpenGate(), broker, PublishedCopy())
+    items = [target_item(name, revision) for revision, name in enumerate(("a", "b"), 1)]
+    with pytest.MonkeyPatch.context() as patch:
+        fail_from(patch, source._entries, "_apply_value", 2)
+        with pytest.raises(ValueError, match="unexpected"):
+            source._apply_snapshot(Snapshot(items, StorePosition(0, 2)))
+    assert not broker.lists
+    source._apply_snapshot(Snapshot(items, StorePosition(0, 2)))
+    assert broker.names == {"a", "b"}
+    assert broker.lists == 1
