Entries of targets that are applied halfway are told to the broker

What callers saw: nothing yet, found while containing what is due between reads. If the application of entries raised halfway, those before it counted as known, so that reading them again was no change: the broker never heard of a new target, or that one was gone, until its next change. A due timeout that raised was forgotten, its target stayed, and those after it were not done.

Cause: "what could not be applied is read again" holds only for what was not yet noted as applied.

Ruled out: restoring the entries as before the failure; with one that always fails, nothing that comes in the same answer would ever be applied.

Change: after a failure the broker is told all targets that are known, unless the first list was never complete. Each due timeout fails alone, is due again, and its exception is raised in the end, so that it is logged and tried again after the pause of a retry.

Conclusion: the broker knows at least what its router has noted.

--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -266,18 +266,32 @@
         entry.unconfirmed_value = item.value
 
     def apply_timeouts(self, now: float) -> EntryChanges:
-        """Remove targets whose missing entries have expired; accept unconfirmed ones when due."""
+        """Remove targets whose missing entries have expired; accept unconfirmed ones when due.
+
+        One that fails keeps no other from being done, is due again, and is raised in the end.
+        """
         changes = EntryChanges()
+        failure: Exception | None = None
         for name, entry in self._entries.items():
-            if entry.expires_at is not None and entry.expires_at <= now:
-                entry.expires_at = entry.value = None
-                self._remove_target(entry, changes)
-            if entry.unconfirmed_value is not None and entry.confirm_at <= now:
-                self._apply_value(name, entry, entry.unconfirmed_value, changes)
-                # The entry's position is an old one, so that a list of changes would lack it.
-                self._complete_from = self.position._replace(revision=self.position.revision + 1)
+            try:
+                self._apply_timeout(name, entry, now, changes)
+            except Exception as exc:  # noqa: BLE001 - raised below
+                failure = exc
+        if failure is not None:
+            raise failure
         return changes
 
+    def _apply_timeout(
+        self, name: TargetName, entry: _Entry, now: float, changes: EntryChanges
+    ) -> None:
+        if entry.expires_at is not None and entry.expires_at <= now:
+            self._remove_target(entry, changes)
+            entry.expires_at = entry.value = None
+        if entry.unconfirmed_value is not None and entry.confirm_at <= now:
+            self._apply_value(name, entry, entry.unconfirmed_value, changes)
+            # The entry's position is an old one, so that a list of changes would lack it.
+            self._complete_from = self.position._replace(revision=self.position.revision + 1)
+
     def next_timeout_s(self, now: float) -> float | None:
         """Return the seconds until the next expiry or confirmation, or None if none is pending."""
         entries = self._entries.values()
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Protocol
 
 import pykka
@@ -393,8 +394,9 @@
         covers_gap = self._gate.covers_gap(docs.uninterrupted_s)
         with self._lock:
             before = self._entries.position
-            changes = self._entries.apply_peer_docs(docs, time.monotonic(), covers_gap)
-            self._send_changes(changes)
+            now = time.monotonic()
+            work = partial(self._entries.apply_peer_docs, docs, now, covers_gap)
+            self._send_changes(self._apply(work))
         if docs.gap_s is not None and docs.has_missing_entries():
             self._gate.adopt_gap(docs.gap_s)
         log_event(
@@ -407,18 +409,17 @@
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         with self._lock:
-            now = time.monotonic()
-            changes = self._entries.apply_snapshot(
-                snapshot.items, now, self._missing_entry_deadline(), snapshot.position
+            now, keep_until = time.monotonic(), self._missing_entry_deadline()
+            work = partial(
+                self._entries.apply_snapshot, snapshot.items, now, keep_until, snapshot.position
             )
-            self._send_changes(changes)
+            self._send_changes(self._apply(work))
 
     def _apply_changes(self, snapshot: Snapshot) -> None:
         with self._lock:
-            now = time.monotonic()
-            self._send_changes(
-                self._entries.apply_changes(snapshot.items, now, self._missing_entry_deadline())
-            )
+            now, keep_until = time.monotonic(), self._missing_entry_deadline()
+            work = partial(self._entries.apply_changes, snapshot.items, now, keep_until)
+            self._send_changes(self._apply(work))
 
     def _missing_entry_deadline(self) -> float:
         return missing_entry_deadline(self._watch.store_returned_at)
@@ -427,11 +428,23 @@
         """Apply due timeouts; return the seconds until the next one, or None if none is pending."""
         with self._lock:
             now = time.monotonic()
-            changes = self._entries.apply_timeouts(now)
+            changes = self._apply(partial(self._entries.apply_timeouts, now))
             if changes:
                 self._send_changes(changes)
             return self._entries.next_timeout_s(now)
 
+    def _apply(self, work: Callable[[], EntryChanges]) -> EntryChanges:
+        """Apply entries or timeouts; if that fails halfway, send the broker all that is known.
+
+        What was applied until then counts as known, and is no change when it is read again.
+        """
+        try:
+            return work()
+        except Exception:
+            if self._initial_list_sent:
+                self._broker.tell(TargetsListed(self._entries.targets()))
+            raise
+
     def _send_changes(self, changes: EntryChanges) -> None:
         if not self._initial_list_sent:
             self._initial_list_sent = True
