Crashes: an answer that only a close has ended is checked afterwards

What callers saw: engine after engine ended under prompts with one part, each stream of theirs looking complete (without chunks, closed between two events).

Cause: such an end was checked only within ten seconds of another crash, as its caller waits for the check. Streams without chunks are all that a part leaves that ends its engine between two events, so the first crash was never seen unless another request on the engine was cut before its first event.

Ruled out: the relays of the soak (not used there); load alone.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -178,6 +178,19 @@
     check_kept_back(deployment, shares, parts)
 
 
+@pytest.mark.process
+def test_part_is_kept_back_that_only_ends_streams_between_events(start_deployment):
+    """Guards against crashes that leave nothing but streams without chunks that look complete."""
+    deployment = start(start_deployment, crash_point=CrashPoint.AFTER_EVENT)
+    for worker in deployment.of_service("llm"):
+        worker.behaviour.is_chunked = False
+    sender = CrashingPartSender(deployment, SoakRecord(), PARTS[0], SHARED, 1, 1)
+    with Supervisor(deployment):
+        sender.run(time.monotonic() + SECONDS, (0.15, 0.3))
+    arrivals = part_arrivals(PARTS[0], deployment.workers)
+    assert len(late_sends(arrivals)) <= MAX_LATE_SENDS, len(arrivals)
+
+
 @pytest.mark.process
 def test_many_prompts_in_flight_at_the_first_crash(start_deployment):
     """Guards against a part that crashes many engines before any router knows of one crash."""
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -28,7 +28,7 @@
 from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_request
 from turmerictray.core.reply import Reply
-from turmerictray.crashes.evidence import CrashEvidence
+from turmerictray.crashes.evidence import ClosedAnswer, CrashEvidence
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
@@ -485,8 +485,8 @@
         def check_closed() -> None:
             now = time.monotonic()
             ran_s = self._progress.seconds_since_first_event(now)
-            crashes = self._deps.crashes
-            self._end_verified = crashes.check_closed_answer(granted.target, ran_s, now)
+            answer = ClosedAnswer(routed.fingerprint, granted.target, now, granted.isolated)
+            self._end_verified = self._deps.crashes.check_closed_answer(answer, ran_s)
 
         return AnswerRelay(
             self._exchange,
