--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -1,11 +1,14 @@
 """Sound targets that send nothing for a second or two, and go on."""
 
+import threading
 import time
 
 import pytest
 
+from tests.platform.conftest import wait_for
 from tests.platform.test_target_notices import Load, ask_rest
-from turmerictray.platform.standins.local import LocalDeployment
+from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, make_request
+from turmerictray.platform.standins.local import LocalDeployment, default_config
 
 pytestmark = pytest.mark.process
 
@@ -40,3 +43,29 @@
     assert not any(
         event in logs for event in ("request_suspected", "crash_attributed", "part_held")
     )
+
+
+def _read_stream_with_silence(deployment, caller, silence_s: float) -> RawAnswer:
+    """Read a stream whose engine falls silent after the first event."""
+    engine = deployment.of_service("llm")[0]
+    engine.behaviour.event_interval_s = 0.1
+    answer = RawAnswer()
+    reader = threading.Thread(target=caller.read, args=(answer,), daemon=True)
+    caller.send(make_request("POST", "/plan/1", b"prompt", **PROMPT_HEADERS))
+    reader.start()
+    assert wait_for(answer.event_ids)
+    engine.behaviour.silent_until = time.monotonic() + silence_s
+    reader.join(10)
+    return answer
+
+
+def test_silent_stream_that_no_other_engine_may_take_up_is_answered_whole(
+    start_deployment, caller_to
+):
+    """Guards against a stream that is cut for a silence, as if another engine could go on."""
+    deployment = start_deployment(routers=1, engines=1)
+    caller = caller_to(deployment.routers[0])
+    answer = _read_stream_with_silence(deployment, caller, 1.5)
+    assert answer.complete
+    assert answer.event_ids() == [1, 2, 3, 4, 5]
+    assert len(deployment.of_service("llm")[0].runs()) == 1
