Relay: a silent stream stays at its target for 2.5 s, if there is time for another

Cause: streams had a patience of their own, three times the route's pause and at least 0.75 s; silence.py, which weighs the time left and the pauses of sound targets, was asked before the first event only. Ruled out: to wait until the request's deadline. A connection may be silent for good, and callers leave a silent stream (after 2 s, four times the objective or eight times the pause, PROTOCOL), so that the stream has to go on elsewhere before. Change: event_patience_s shares the bounds of patience_s. The time left is that to the deadline, or to the moment in which the caller leaves (Route.caller_patience_s, translated in platform/documents). A stream that another target couldn't take up in time is kept until the request's deadline. Broken connections are noticed as before. The old constants are gone. Conclusion: silences of up to 2 s no longer cut a stream that has the time; a longer one still does if no other target may take it up.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -30,6 +30,18 @@
     assert text.services["app"].engine is None
 
 
+@pytest.mark.parametrize(
+    ("latency_ms", "gap_ms", "expected_s"), [(300, 100, 2.0), (1000, 250, 4.0), (300, 500, 4.0)]
+)
+def test_callers_bear_a_silence_that_depends_on_the_route(latency_ms, gap_ms, expected_s):
+    """Guards against streams that go on at another target after their callers have left."""
+    config = default_config(1)
+    plan = next(route for route in config["routes"] if route["name"] == "plan")
+    plan.update(target_latency_ms=latency_ms, gap_aim_ms=gap_ms)
+    text = decode_routing_config(encode(config))
+    assert text.match("shop.example", "/plan/1").caller_patience_s == expected_s
+
+
 def test_unknown_fields_are_ignored():
     config = default_config(1, colour="blue")
     config["routes"][0]["new"] = {"deep": [1]}
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -8,7 +8,7 @@
 from tests.platform.conftest import wait_for
 from tests.platform.test_target_notices import Load, ask_rest
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, make_request
-from turmerictray.platform.standins.local import LocalDeployment, default_config
+from turmerictray.platform.standins.local import LocalDeployment
 
 pytestmark = pytest.mark.process
 
--- a/tests/router/test_silence.py
+++ b/tests/router/test_silence.py
@@ -4,9 +4,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmerictray.router.silence import patience_s
+from turmerictray.router.silence import event_patience_s, patience_s
 
 PLAIN_S, ENGINE_S = 0.05, 0.5
+GAP_S = 0.25
 seconds = st.floats(0.0, 60.0)
 
 
@@ -48,3 +49,32 @@
     assert 0.0 <= patience_s(left_s, expected_s) <= left_s
     if patience_s(left_s, expected_s) < left_s:
         assert left_s - patience_s(left_s, expected_s) >= max(0.5, expected_s) - 1e-9
+
+
+@pytest.mark.parametrize("silence_s", [1.3, 2.0])
+@pytest.mark.parametrize("left_s", [3.0, 8.0])
+@pytest.mark.parametrize("expected_s", [PLAIN_S, 0.3, 0.56])
+def test_stream_that_is_silent_for_two_seconds_stays_at_its_target(silence_s, left_s, expected_s):
+    """Guards against a stream given up for a pause of a sound target."""
+    assert event_patience_s(left_s, expected_s, GAP_S) > silence_s + 0.2
+
+
+@pytest.mark.parametrize("left_s", [2.0, 4.0])
+def test_silent_stream_goes_on_elsewhere_before_its_caller_leaves(left_s):
+    """Guards against a stream of a dead target that its caller gives up first."""
+    assert event_patience_s(left_s, PLAIN_S, GAP_S) <= left_s - 0.5
+
+
+def test_stream_with_wide_pauses_is_given_up_later():
+    """Guards against a stream given up for a pause that its route allows."""
+    assert event_patience_s(60.0, ENGINE_S, 2.0) >= 6.0
+
+
+def test_silent_stream_near_its_deadline_stays_at_its_target():
+    """Guards against a stream that is given up for a target with too little time."""
+    assert event_patience_s(0.9, PLAIN_S, GAP_S) == 0.9
+
+
+@given(seconds, seconds, seconds)
+def test_event_patience_is_within_the_time_left(left_s, expected_s, gap_s):
+    assert 0.0 <= event_patience_s(left_s, expected_s, gap_s) <= left_s
--- a/turmerictray/config/routes.py
+++ b/turmerictray/config/routes.py
@@ -4,6 +4,7 @@
 is immutable: a router replaces it as a whole when a newer version arrives.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -56,6 +57,8 @@
         Whether a broken stream may be continued on another target after its last event.
     home_regions : frozenset of RegionId
         Regions whose targets may run the requests; empty for all.
+    caller_patience_s : float
+        Callers leave a stream that has been silent for so long, in seconds.
     """
 
     name: str
@@ -71,6 +74,7 @@
     public: bool = False
     resumable: bool = False
     home_regions: frozenset[RegionId] = frozenset()
+    caller_patience_s: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -33,6 +33,12 @@
 _MS_PER_S = 1000.0
 _BYTES_PER_MBIT = 1e6 / 8
 
+_MIN_CALLER_PATIENCE_S = 2.0
+_PATIENCE_LATENCY_FACTOR = 4.0
+_PATIENCE_GAP_FACTOR = 8.0
+"""Callers leave a stream that has been silent for that time, for that multiple of their route's
+latency objective or of its longest pause, whichever is longest."""
+
 _MAX_SLOTS = 100_000
 """Upper limit on the slots of a target, far above what any target runs concurrently.
 
@@ -200,9 +206,16 @@
         public=route.public,
         resumable=route.resumable,
         home_regions=frozenset(map(RegionId, route.allowed_regions)),
+        caller_patience_s=_caller_patience_s(route),
     )
 
 
+def _caller_patience_s(route: _Route) -> float:
+    latency_ms = _PATIENCE_LATENCY_FACTOR * route.target_latency_ms
+    gap_ms = _PATIENCE_GAP_FACTOR * route.gap_aim_ms
+    return max(_MIN_CALLER_PATIENCE_S, latency_ms / _MS_PER_S, gap_ms / _MS_PER_S)
+
+
 def _convert_team(tenant: _Tenant) -> TeamSpec:
     return TeamSpec(
         TeamId(tenant.name),
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -8,6 +8,7 @@
 from turmerictray.router.dialect import AnswerFlags, Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.router.silence import event_patience_s
 from turmerictray.routing.target_notices import NOTHING_REPORTED, TargetReport
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter
@@ -17,14 +18,6 @@
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee a router's callers that the request was not and will not be executed."""
 
-_EVENT_TIMEOUT_FACTOR = 3.0
-"""Timeout between two events of a stream that can be resumed on another target, as a multiple of
-the route's maximum gap."""
-
-_MIN_EVENT_TIMEOUT_S = 0.75
-"""Lower bound of that timeout in seconds: longer than an engine takes, between two events, to
-process the long prompt of another request."""
-
 
 class AnswerRelay:
     """A relay for one answer of a target.
@@ -42,6 +35,8 @@
         :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
     on_report : callable
         Called with what the head of the answer tells of its target, if it tells anything.
+    expected_s : float
+        Estimated seconds until a target sends the first event.
 
     Attributes
     ----------
@@ -58,6 +53,7 @@
         on_answer_start,
         check_closed_answer: Callable[[], None] = lambda: None,
         on_report: Callable[[TargetReport], None] = lambda report: None,
+        expected_s: float = 0.0,
     ) -> None:
         self._exchange = exchange
         self._dialect = dialect
@@ -66,6 +62,7 @@
         self._on_answer_start = on_answer_start
         self._check_closed_answer = check_closed_answer
         self._on_report = on_report
+        self._expected_s = expected_s
         self.outcome = Outcome.DONE
 
     def relay_answer(self, conn: TargetConnection, head: AnswerHead, is_last_attempt: bool) -> None:
@@ -165,8 +162,10 @@
         route = self._routed.route
         if not (self._progress.event_count and self._progress.may_abandon_attempt()):
             return answer_deadline
-        timeout_s = max(_MIN_EVENT_TIMEOUT_S, _EVENT_TIMEOUT_FACTOR * route.gap_s)
-        return min(answer_deadline, time.monotonic() + timeout_s)
+        now = time.monotonic()
+        left_s = min(answer_deadline - now, route.caller_patience_s)
+        patience_s = event_patience_s(left_s, self._expected_s, route.gap_s)
+        return now + patience_s if patience_s < left_s else answer_deadline
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -496,6 +496,7 @@
             note_first,
             check_closed,
             partial(self._note_report, granted.target.id),
+            granted.expected_s,
         )
 
 
--- a/turmerictray/router/silence.py
+++ b/turmerictray/router/silence.py
@@ -1,6 +1,6 @@
 """When a silent target is given up for another one.
 
-A silent target may be lost for good, or about to answer. The try is given up late, as what it has
+A silent target may be lost for good, or about to go on. The try is given up late, as what it has
 done is lost with it, and the next target may fall silent too; but not too late for the next one.
 """
 
@@ -10,6 +10,10 @@
 seconds, is given up even if there is time left. Estimates are rarely off by more than that factor,
 and pauses of sound targets are rarely longer."""
 
+_PAUSE_FACTOR = 3.0
+"""A target whose stream pauses for longer than this multiple of its route's longest pause between
+two events, and for longer than ``_MIN_PATIENCE_S``, is given up even if there is time left."""
+
 _NEXT_TRY_FACTOR = 1.25
 _MIN_NEXT_TRY_S = 0.5
 """Time that is left for a try at another target, in seconds: that expected for this one and a
@@ -36,8 +40,33 @@
     float
         Seconds from then; ``left_s`` if no other target could be expected to answer in time.
     """
+    return _bounded_patience_s(left_s, expected_s, _PATIENCE_FACTOR * expected_s)
+
+
+def event_patience_s(left_s: float, expected_s: float, gap_s: float) -> float:
+    """Return how long a stream may pause before its target is given up for another one.
+
+    Parameters
+    ----------
+    left_s : float
+        Seconds left until the answer's deadline, or until its caller leaves if no event comes.
+    expected_s : float
+        Estimated seconds until another target sends its first event.
+    gap_s : float
+        Longest pause between two events that counts as on time, in seconds.
+
+    Returns
+    -------
+    float
+        Seconds from the last event; ``left_s`` if no other target could be expected to go on in
+        time.
+    """
+    return _bounded_patience_s(left_s, expected_s, _PAUSE_FACTOR * gap_s)
+
+
+def _bounded_patience_s(left_s: float, expected_s: float, usual_s: float) -> float:
     next_try_s = max(_MIN_NEXT_TRY_S, _NEXT_TRY_FACTOR * expected_s)
     latest_s = left_s - next_try_s
     if latest_s < max(_PROBABLE_DELAY_S, _PROBABLE_DELAY_FACTOR * expected_s):
         return left_s
-    return min(latest_s, max(_MIN_PATIENCE_S, _PATIENCE_FACTOR * expected_s))
+    return min(latest_s, max(_MIN_PATIENCE_S, usual_s))
