--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -8,7 +8,7 @@
 from tests.platform.conftest import wait_for
 from tests.platform.test_target_notices import Load, ask_rest
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, make_request
-from turmerictray.platform.standins.local import LocalDeployment
+from turmerictray.platform.standins.local import LocalDeployment, default_config
 
 pytestmark = pytest.mark.process
 
@@ -59,13 +59,25 @@
     return answer
 
 
+def _publish_deadline(deployment, timeout_s: float) -> None:
+    """Give the requests of a deployment of one router this much time."""
+    config = default_config(2)
+    for route in config["routes"]:
+        route["timeout_ms"] = timeout_s * 1000
+    deployment.store.store.put("op/config", config)
+    router = deployment.routers[0]
+    assert wait_for(lambda: f"version={config['version']}" in router.log_path.read_text())
+
+
+@pytest.mark.parametrize(("silence_s", "timeout_s"), [(1.5, 3.0), (3.2, 8.0)])
 def test_silent_stream_that_no_other_engine_may_take_up_is_answered_whole(
-    start_deployment, caller_to
+    start_deployment, caller_to, silence_s, timeout_s
 ):
     """Guards against a stream that is cut for a silence, as if another engine could go on."""
     deployment = start_deployment(routers=1, engines=1)
+    _publish_deadline(deployment, timeout_s)
     caller = caller_to(deployment.routers[0])
-    answer = _read_stream_with_silence(deployment, caller, 1.5)
+    answer = _read_stream_with_silence(deployment, caller, silence_s)
     assert answer.complete
     assert answer.event_ids() == [1, 2, 3, 4, 5]
     assert len(deployment.of_service("llm")[0].runs()) == 1
