Relay: a silent stream is left only once another target has been granted

Cause: the silent connection was closed before another target was asked for. Ruled out: reading with short timeouts. A socket file that has timed out can't be read again, and a chunk's size that is read in part is lost, so that the wait has to leave both alone (wait_for_data). Ruled out: asking with the call's own id. Its grant is not settled yet, and is kept by that id. Change: take_up.TakeUp asks for another target while the silent connection stays open. The stream goes on where something comes first: events (the request is withdrawn, a grant given back) or a grant (the next attempt). After a refusal it asks again a second later, until the request's deadline. Broken connections and callers that leave end the wait at once. Not mended: if the granted target turns the stream away and no try is left, the stream is cut. Each ask is charged to the retry budget, also if it is refused, as before.

--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -1,9 +1,7 @@
 """Handling of a request, from its first byte to its final answer."""
 
-import itertools
 import math
 import random
-import secrets
 import threading
 import time
 from typing import NoReturn
@@ -32,11 +30,6 @@
 from turmerictray.transport.disconnect import CancellableCall, DisconnectMonitor
 from turmerictray.transport.exchange import ClientExchange
 
-_CALL_ID_BITS = 32
-_PROCESS_ID_BITS = 30
-"""Call ids count up from a random start, so that ids of different routers differ at the scheduler.
-Two of 390 processes share a start in one of 14,000 fleets."""
-
 _NOT_READY_RETRY_S = 1.5
 """Retry-After of a router that starts. Callers are sent to it only if no other router is ready, and
 routers that all start together need about this long; an earlier return would be refused again."""
@@ -96,7 +89,6 @@
         self._closing = False
         self._active = _ActiveCounter()
         self._prompt_thread_limit = int(threads * (1 - _RESERVED_THREAD_FRACTION))
-        self._ids = itertools.count(secrets.randbits(_PROCESS_ID_BITS) << _CALL_ID_BITS)
         self._rng = random.Random()
 
     def refuse_new(self) -> None:
@@ -171,7 +163,7 @@
             raise CallerError("no route", 404)
         team = authenticate_team(config, route, envelope.key)
         return RoutedRequest(
-            call_id=next(self._ids),
+            call_id=self._deps.new_call_id(),
             head=head,
             body=body,
             envelope=envelope,
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -35,6 +35,9 @@
         :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
     on_report : callable
         Called with what the head of the answer tells of its target, if it tells anything.
+    await_other_target : callable
+        Called with the connection of a silent stream; waits until there is something to read from
+        it, or another target may take it up, and returns whether one may.
     expected_s : float
         Estimated seconds until a target sends the first event.
 
@@ -53,6 +56,7 @@
         on_answer_start,
         check_closed_answer: Callable[[], None] = lambda: None,
         on_report: Callable[[TargetReport], None] = lambda report: None,
+        await_other_target: Callable[[TargetConnection], bool] = lambda conn: True,
         expected_s: float = 0.0,
     ) -> None:
         self._exchange = exchange
@@ -62,6 +66,7 @@
         self._on_answer_start = on_answer_start
         self._check_closed_answer = check_closed_answer
         self._on_report = on_report
+        self._await_other_target = await_other_target
         self._expected_s = expected_s
         self.outcome = Outcome.DONE
 
@@ -133,7 +138,7 @@
 
     def _relay_events(self, conn: TargetConnection, head: AnswerHead) -> None:
         splitter = EventSplitter()
-        while data := conn.read_available(self._next_event_deadline()):
+        while data := self._read_events(conn):
             events = splitter.feed(data)
             self._progress.unfinished_bytes = len(splitter.rest)
             if not events:
@@ -149,6 +154,18 @@
             self._exchange.send(splitter.rest)
         self._exchange.end_stream()
 
+    def _read_events(self, conn: TargetConnection) -> bytes:
+        """Wait for the next part of a stream, for as long as no other target may take it up."""
+        deadline = self._next_event_deadline()
+        is_silent = self._may_move() and not conn.wait_for_data(deadline)
+        if is_silent and self._await_other_target(conn):
+            raise OutcomeUnknown(f"{conn.address}: silent, another target takes the stream up")
+        return conn.read_available(self._next_event_deadline())
+
+    def _may_move(self) -> bool:
+        """Return whether another target may take the stream up."""
+        return self._progress.event_count > 0 and self._progress.may_abandon_attempt()
+
     def _start_stream(self, head: AnswerHead) -> None:
         if self._progress.answer_started:
             return
@@ -160,7 +177,7 @@
         """Return the time by which the next event must arrive, in monotonic seconds."""
         answer_deadline = self._routed.bounds.answer_deadline
         route = self._routed.route
-        if not (self._progress.event_count and self._progress.may_abandon_attempt()):
+        if not self._may_move():
             return answer_deadline
         now = time.monotonic()
         left_s = min(answer_deadline - now, route.caller_patience_s)
--- a/turmerictray/router/routed_request.py
+++ b/turmerictray/router/routed_request.py
@@ -1,7 +1,10 @@
 """A parsed request and its route."""
 
+import itertools
+import secrets
+from collections.abc import Callable
 from dataclasses import dataclass
-from functools import cached_property
+from functools import cached_property, partial
 
 from turmerictray.admission.backlog import TeamRoute
 from turmerictray.admission.time_bounds import TimeBounds
@@ -24,6 +27,16 @@
 _NO_TEAM = TeamId("-")
 _PLAIN_COST = 1.0
 
+_CALL_ID_BITS = 32
+_PROCESS_ID_BITS = 30
+"""Call ids count up from a random start, so that ids of different routers differ at the scheduler.
+Two of 390 processes share a start in one of 14,000 fleets."""
+
+
+def call_id_source() -> Callable[[], int]:
+    """Return a function that returns a new call id each time, from any thread."""
+    return partial(next, itertools.count(secrets.randbits(_PROCESS_ID_BITS) << _CALL_ID_BITS))
+
 
 def accounting_team(team: TeamId | None) -> TeamId:
     """Return the team that a request's usage is charged to.
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import TimeoutError as FutureTimeout
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from turmerictray.admission.backlog import TeamBacklog
@@ -33,8 +33,9 @@
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
-from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.router.routed_request import RoutedRequest, call_id_source
 from turmerictray.router.silence import patience_s
+from turmerictray.router.take_up import TakeUp, return_grant
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S
 from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices, TargetReport
@@ -86,6 +87,7 @@
     is_outdated: Callable[[int], bool] = lambda _version: False
     is_unavailable: Callable[[TargetId], bool] = lambda _target: False
     notices: TargetNotices = field(default_factory=TargetNotices)
+    new_call_id: Callable[[], int] = field(default_factory=call_id_source)
 
 
 class RequestRun:
@@ -117,6 +119,7 @@
         self._withheld_failure: TargetFailed | None = None
         self._is_test = False
         self._end_verified = False
+        self._take_up: tuple[RoutedRequest, Granted] | None = None
         trace.progress = self._progress
 
     def run(self) -> None:
@@ -127,6 +130,12 @@
         TurmerictrayError
             The error to answer the caller with; :class:`CallerGone` if the caller disconnected.
         """
+        try:
+            self._make_attempts()
+        finally:
+            self._return_take_up()
+
+    def _make_attempts(self) -> None:
         while (granted := self._next_grant()) is not None:
             try:
                 self._attempt(granted)
@@ -197,7 +206,7 @@
             self._is_test = self._deps.crashes.quarantine.check(
                 self._routed.fingerprint, time.monotonic()
             )
-            granted = self._request_target()
+            granted = self._use_take_up() or self._request_target()
             self._check_version(granted)
             self._check_current(granted)
         except AdmissionError as exc:
@@ -276,6 +285,41 @@
         slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
         slot.settle(Outcome.NOT_RUN, 0.0)
 
+    def _await_other_target(self, silent: Granted, conn: TargetConnection) -> bool:
+        """Wait until a silent stream goes on, or another target is granted for it.
+
+        Returns
+        -------
+        bool
+            True if another target is granted, to which the next attempt is made.
+        """
+        if not self._quarantine_allows_retry():
+            return False
+        routed = replace(self._routed, call_id=self._deps.new_call_id())
+        deadline = routed.bounds.answer_deadline
+        excluded = self._progress.excluded_targets | {silent.target.id}
+
+        def make_ask(reply: Reply) -> Ask:
+            ask = self._make_ask(routed, reply, deadline, excluded)
+            return replace(ask, repeat=True)
+
+        granted = TakeUp(self._deps.placement_client, make_ask, deadline).find(conn)
+        if granted is not None:
+            self._take_up = routed, granted
+        return granted is not None
+
+    def _use_take_up(self) -> Granted | None:
+        """Return the target that was granted while the last one was silent, if any."""
+        if self._take_up is None:
+            return None
+        (self._routed, granted), self._take_up = self._take_up, None
+        return granted
+
+    def _return_take_up(self) -> None:
+        if self._take_up is not None:
+            routed, granted = self._take_up
+            return_grant(self._deps.placement_client, routed.call_id, granted)
+
     def _request_target(self) -> Granted:
         routed, progress = self._routed, self._progress
         reply = Reply()
@@ -285,7 +329,22 @@
             if progress.excluded_targets
             else routed.bounds.queue_deadline
         )
-        ask = Ask(
+        ask = self._make_ask(routed, reply, queue_deadline, progress.excluded_targets)
+        client = self._deps.placement_client
+        if not self._call.on_disconnect(lambda: client.tell(self._withdrawal())):
+            raise CallerGone("caller gone before a target was asked for")
+        client.tell(ask)
+        try:
+            with self._counted_as_waiting():
+                return self._await_grant(reply, queue_deadline)
+        finally:
+            self._call.on_disconnect(None)
+
+    def _make_ask(
+        self, routed: RoutedRequest, reply: Reply, queue_deadline: float, excluded: set[str]
+    ) -> Ask:
+        progress = self._progress
+        return Ask(
             routed.call_id,
             routed.envelope.request_id,
             routed.accounting_team,
@@ -294,8 +353,8 @@
             routed.envelope.prompt,
             queue_deadline,
             reply,
-            frozenset(progress.excluded_targets),
-            retry=bool(progress.excluded_targets),
+            frozenset(excluded),
+            retry=bool(excluded),
             repeat=progress.delivered_attempts > 0,
             answer_deadline=routed.bounds.answer_deadline,
             digest=routed.digest,
@@ -304,15 +363,6 @@
             resumes=routed.resumes if progress.version is None else None,
             is_test=self._is_test,
         )
-        client = self._deps.placement_client
-        if not self._call.on_disconnect(lambda: client.tell(self._withdrawal())):
-            raise CallerGone("caller gone before a target was asked for")
-        client.tell(ask)
-        try:
-            with self._counted_as_waiting():
-                return self._await_grant(reply, queue_deadline)
-        finally:
-            self._call.on_disconnect(None)
 
     @contextmanager
     def _counted_as_waiting(self) -> Iterator[None]:
@@ -496,6 +546,7 @@
             note_first,
             check_closed,
             partial(self._note_report, granted.target.id),
+            partial(self._await_other_target, granted),
             granted.expected_s,
         )
 
--- a/turmerictray/transport/body.py
+++ b/turmerictray/transport/body.py
@@ -61,6 +61,10 @@
             The connection broke, or no data arrived in time.
         """
 
+    def is_readable(self, buffered: bytes) -> bool:
+        """Return whether a read needs no more than the reader's ``buffered`` bytes."""
+        return self.is_complete or bool(buffered)
+
     def _read_up_to(self, size: int) -> bytes:
         data = self._reader.read1(min(size, _READ_SIZE_BYTES))
         if not data:
@@ -106,6 +110,13 @@
         self._left -= len(data)
         return data
 
+    def is_readable(self, buffered: bytes) -> bool:
+        if self._left or self.is_complete:
+            return super().is_readable(buffered)
+        # The end of the last chunk usually arrives with it, long before the next one.
+        lines = buffered.split(b"\n", 2)
+        return len(lines) > (2 if self._in_chunk else 1)
+
     def _begin_chunk(self) -> None:
         if self._in_chunk and self._reader.readline(_MAX_LINE_BYTES) not in _LINE_ENDS:
             raise ValueError("a chunk is longer than its size")
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -2,6 +2,8 @@
 
 import http.client
 import io
+import math
+import select
 import socket
 import time
 from dataclasses import dataclass
@@ -13,6 +15,7 @@
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.exchange import Header
 
+_MS_PER_S = 1000
 _READ_SIZE_BYTES = 65536
 _METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
 
@@ -160,6 +163,27 @@
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise _call_error(exc, f"{self.address}: body: {exc!r}") from exc
 
+    def wait_for_data(self, deadline: float) -> bool:
+        """Wait until ``deadline`` for body data; return whether there is something to read.
+
+        Unlike after a timeout of :meth:`read_available`, the body can still be read.
+
+        Raises
+        ------
+        OutcomeUnknown
+            The connection broke.
+        """
+        try:
+            self._sock.settimeout(0)
+            if self._body.is_readable(self._reader.peek(1)):
+                return True
+            poller = select.poll()
+            poller.register(self._sock, select.POLLIN)
+            left_s = max(0.0, deadline - time.monotonic())
+            return bool(poller.poll(math.ceil(left_s * _MS_PER_S)))
+        except (OSError, ValueError) as exc:
+            raise _call_error(exc, f"{self.address}: body: {exc!r}") from exc
+
     @property
     def body_end(self) -> BodyEnd:
         """What delimits the body of the current answer."""
