Take-up: a silent stream moves only to a target that has time, else it is read to its deadline

A target that was granted late (after refusals, or a wait in the queue) was used however little time was left. A stream that its request's quarantine let no other target run was read for one more patience only, instead of until the deadline. Change: the search ends when half of the time for a try is left (min_next_try_s); where no target is found, the rest is read until the answer's deadline. Ruled out: to end the search when all of that time is left, as the patience ends in that moment: on a trial test_streams[silent_stream] failed, as nobody was asked at a deadline of 3 s. The property in test_silence guards the window.

--- a/tests/router/test_silence.py
+++ b/tests/router/test_silence.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmerictray.router.silence import event_patience_s, patience_s
+from turmerictray.router.silence import event_patience_s, min_next_try_s, patience_s
 
 PLAIN_S, ENGINE_S = 0.05, 0.5
 GAP_S = 0.25
@@ -78,3 +78,11 @@
 @given(seconds, seconds, seconds)
 def test_event_patience_is_within_the_time_left(left_s, expected_s, gap_s):
     assert 0.0 <= event_patience_s(left_s, expected_s, gap_s) <= left_s
+
+
+@given(seconds, seconds, seconds)
+def test_another_target_may_be_granted_once_a_stream_is_given_up(left_s, expected_s, gap_s):
+    """Guards against a target that is asked for when there is no time left for it."""
+    patience = event_patience_s(left_s, expected_s, gap_s)
+    if patience < left_s:
+        assert left_s - patience >= min_next_try_s(expected_s) + 0.2
--- a/tests/router/test_silent_stream.py
+++ b/tests/router/test_silent_stream.py
@@ -69,6 +69,7 @@
     def __init__(self, before: list[bytes], after: list[bytes], goes_on: bool) -> None:
         self.address = "a"
         self.closed = False
+        self.last_read_until = 0.0
         self._before, self._after = list(before), [*after, b""]
         self._waits = 0
         self._goes_on = goes_on
@@ -85,7 +86,8 @@
         self._waits += 1
         return self._goes_on and self._waits > 1
 
-    def read_available(self, _deadline: float) -> bytes:
+    def read_available(self, deadline: float) -> bytes:
+        self.last_read_until = deadline
         if self._before:
             return self._before.pop(0)
         if not self._goes_on:
@@ -136,6 +138,7 @@
         self.client, self.caller = client, _Caller()
         self.crashes = CrashEvidence()
         now = time.monotonic()
+        self.deadline = now + 8
         route = Route(
             "plan",
             "h",
@@ -156,7 +159,7 @@
             route,
             LLM,
             None,
-            TimeBounds(now, now + 8, now + 8),
+            TimeBounds(now, self.deadline, self.deadline),
             1,
         )
         pool = SimpleNamespace(
@@ -202,6 +205,26 @@
     assert client.ends() == [(FIRST_CALL, "first", Outcome.DONE)]
 
 
+def test_stream_of_a_request_that_no_other_target_may_run_is_read_until_its_deadline(monkeypatch):
+    """Guards against a stream that is cut for a silence, as it may have crashed other targets."""
+    client = _Client("first", "second")
+    conn = _Connection(EVENTS[:1], [], goes_on=False)
+    request = _Request(client, first=conn)
+    monkeypatch.setattr(request.crashes.quarantine, "may_retry", lambda *_args: False)
+    with pytest.raises(OutcomeUnknown):
+        request.run()
+    assert len(client.asks) == 1
+    assert conn.last_read_until == request.deadline
+
+
+def test_other_target_is_asked_for_only_while_it_has_time_for_the_rest():
+    """Guards against a stream that is given up for a target with too little time."""
+    client = _Client("first")
+    request = _Request(client, first=_Connection(EVENTS[:1], EVENTS[1:], goes_on=True))
+    request.run()
+    assert client.asks[1].queue_deadline == pytest.approx(request.deadline - 0.25)
+
+
 def test_target_that_was_granted_meanwhile_is_given_back_if_it_is_not_used(monkeypatch):
     """Guards against a slot that is lost as its request was held back in the same moment."""
     client = _Client("first", "second")
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -156,11 +156,11 @@
 
     def _read_events(self, conn: TargetConnection) -> bytes:
         """Wait for the next part of a stream, for as long as no other target may take it up."""
-        deadline = self._next_event_deadline()
-        is_silent = self._may_move() and not conn.wait_for_data(deadline)
-        if is_silent and self._await_other_target(conn):
+        if not self._may_move() or conn.wait_for_data(self._next_event_deadline()):
+            return conn.read_available(self._next_event_deadline())
+        if self._await_other_target(conn):
             raise OutcomeUnknown(f"{conn.address}: silent, another target takes the stream up")
-        return conn.read_available(self._next_event_deadline())
+        return conn.read_available(self._routed.bounds.answer_deadline)
 
     def _may_move(self) -> bool:
         """Return whether another target may take the stream up."""
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -34,7 +34,7 @@
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
 from turmerictray.router.routed_request import RoutedRequest, call_id_source
-from turmerictray.router.silence import patience_s
+from turmerictray.router.silence import min_next_try_s, patience_s
 from turmerictray.router.take_up import TakeUp, return_grant
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S
@@ -296,7 +296,7 @@
         if not self._quarantine_allows_retry():
             return False
         routed = replace(self._routed, call_id=self._deps.new_call_id())
-        deadline = routed.bounds.answer_deadline
+        deadline = routed.bounds.answer_deadline - min_next_try_s(silent.expected_s)
         excluded = self._progress.excluded_targets | {silent.target.id}
 
         def make_ask(reply: Reply) -> Ask:
--- a/turmerictray/router/silence.py
+++ b/turmerictray/router/silence.py
@@ -64,9 +64,20 @@
     return _bounded_patience_s(left_s, expected_s, _PAUSE_FACTOR * gap_s)
 
 
+def min_next_try_s(expected_s: float) -> float:
+    """Return the seconds that must be left when another target is granted for a silent stream.
+
+    Half of the time that is left when it is asked for; the rest is for the queue.
+    """
+    return _next_try_s(expected_s) / 2
+
+
+def _next_try_s(expected_s: float) -> float:
+    return max(_MIN_NEXT_TRY_S, _NEXT_TRY_FACTOR * expected_s)
+
+
 def _bounded_patience_s(left_s: float, expected_s: float, usual_s: float) -> float:
-    next_try_s = max(_MIN_NEXT_TRY_S, _NEXT_TRY_FACTOR * expected_s)
-    latest_s = left_s - next_try_s
+    latest_s = left_s - _next_try_s(expected_s)
     if latest_s < max(_PROBABLE_DELAY_S, _PROBABLE_DELAY_FACTOR * expected_s):
         return left_s
     return min(latest_s, max(_MIN_PATIENCE_S, usual_s))
--- a/turmerictray/router/take_up.py
+++ b/turmerictray/router/take_up.py
@@ -33,7 +33,7 @@
         Returns the request for a target, given its reply. Its call id must not be that of the
         silent attempt, whose grant is not settled yet.
     deadline : float
-        Deadline of the answer, in monotonic seconds.
+        Until when another target could still complete the answer, in monotonic seconds.
     """
 
     def __init__(
