--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -8,6 +8,7 @@
 from turmerictray.router.dialect import AnswerFlags, Dialect
 from turmerictray.router.progress import Progress
 from turmerictray.router.routed_request import RoutedRequest
+from turmerictray.router.silence import event_patience_s
 from turmerictray.routing.target_notices import NOTHING_REPORTED, TargetReport
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter
@@ -17,14 +18,6 @@
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee a router's callers that the request was not and will not be executed."""
 
-_EVENT_TIMEOUT_FACTOR = 3.0
-"""Timeout between two events of a stream that can be resumed on another target, as a multiple of
-the route's maximum gap."""
-
-_MIN_EVENT_TIMEOUT_S = 0.75
-"""Lower bound of that timeout in seconds: longer than an engine takes, between two events, to
-process the long prompt of another request."""
-
 
 class AnswerRelay:
     """A relay for one answer of a target.
@@ -42,6 +35,11 @@
         :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
     on_report : callable
         Called with what the head of the answer tells of its target, if it tells anything.
+    await_other_target : callable
+        Called with the connection of a silent stream; waits until there is something to read from
+        it, or another target may take it up, and returns whether one may.
+    expected_s : float
+        Estimated seconds until a target sends the first event.
 
     Attributes
     ----------
@@ -58,6 +56,8 @@
         on_answer_start,
         check_closed_answer: Callable[[], None] = lambda: None,
         on_report: Callable[[TargetReport], None] = lambda report: None,
+        await_other_target: Callable[[TargetConnection], bool] = lambda conn: True,
+        expected_s: float = 0.0,
     ) -> None:
         self._exchange = exchange
         self._dialect = dialect
@@ -66,6 +66,8 @@
         self._on_answer_start = on_answer_start
         self._check_closed_answer = check_closed_answer
         self._on_report = on_report
+        self._await_other_target = await_other_target
+        self._expected_s = expected_s
         self.outcome = Outcome.DONE
 
     def relay_answer(self, conn: TargetConnection, head: AnswerHead, is_last_attempt: bool) -> None:
@@ -136,7 +138,7 @@
 
     def _relay_events(self, conn: TargetConnection, head: AnswerHead) -> None:
         splitter = EventSplitter()
-        while data := conn.read_available(self._next_event_deadline()):
+        while data := self._read_events(conn):
             events = splitter.feed(data)
             self._progress.unfinished_bytes = len(splitter.rest)
             if not events:
@@ -152,6 +154,18 @@
             self._exchange.send(splitter.rest)
         self._exchange.end_stream()
 
+    def _read_events(self, conn: TargetConnection) -> bytes:
+        """Wait for the next part of a stream, for as long as no other target may take it up."""
+        if not self._may_move() or conn.wait_for_data(self._next_event_deadline()):
+            return conn.read_available(self._next_event_deadline())
+        if self._await_other_target(conn):
+            raise OutcomeUnknown(f"{conn.address}: silent, another target takes the stream up")
+        return conn.read_available(self._routed.bounds.answer_deadline)
+
+    def _may_move(self) -> bool:
+        """Return whether another target may take the stream up."""
+        return self._progress.event_count > 0 and self._progress.may_abandon_attempt()
+
     def _start_stream(self, head: AnswerHead) -> None:
         if self._progress.answer_started:
             return
@@ -163,10 +177,12 @@
         """Return the time by which the next event must arrive, in monotonic seconds."""
         answer_deadline = self._routed.bounds.answer_deadline
         route = self._routed.route
-        if not (self._progress.event_count and self._progress.may_abandon_attempt()):
+        if not self._may_move():
             return answer_deadline
-        timeout_s = max(_MIN_EVENT_TIMEOUT_S, _EVENT_TIMEOUT_FACTOR * route.gap_s)
-        return min(answer_deadline, time.monotonic() + timeout_s)
+        now = time.monotonic()
+        left_s = min(answer_deadline - now, route.caller_patience_s)
+        patience_s = event_patience_s(left_s, self._expected_s, route.gap_s)
+        return now + patience_s if patience_s < left_s else answer_deadline
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
