A due timeout of an entry that fails is due again after a pause

Cause: the failure of one target was made one of the whole answer.

Change: it is logged, and due again after a second. A peer's entry whose application fails no longer counts as known, so that it is applied when it is read again (before, the old incarnation stayed).

Tests: the one of a failing timeout no longer expects that the exception leaves the source, which was the fault; it checks the same removals, after the pause.

--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -1,5 +1,6 @@
 """The threads that follow the store."""
 
+import base64
 import json
 import time
 
@@ -7,9 +8,15 @@
 import pytest
 
 from turmerictray.core.supervision import Supervisor, install_supervisor
+from turmerictray.platform import entries
 from turmerictray.platform.sources import PrefixWatch, TargetSource
 from turmerictray.platform.store import Item, Snapshot
-from turmerictray.router.published import PublishedCopy, StorePosition
+from turmerictray.router.published import (
+    PublishedCopy,
+    PublishedDocs,
+    PublishedEntry,
+    StorePosition,
+)
 from turmerictray.scheduling.broker_messages import TargetsChanged, TargetsListed
 
 
@@ -251,14 +258,43 @@
     assert broker.names == {"a", "b"}
     time.sleep(0.1)
     with monkeypatch.context() as patch:
+        patch.setattr(entries, "_FAILED_TIMEOUT_PAUSE_S", 0.05)
         fail_from(patch, source._entries, "_remove_target", failing, times=1)
-        with pytest.raises(ValueError, match="unexpected"):
-            source._apply_timeouts()
+        source._apply_timeouts()
     assert broker.names == {"a" if failing == 1 else "b"}
+    time.sleep(0.06)
     source._apply_timeouts()
     assert not broker.names
 
 
+def test_timeout_that_always_fails_keeps_no_change_from_broker_and_peers(told, monkeypatch):
+    """Guards against a reader that lists the store again and again, and whose copy stays as it is,
+    because of one target that can't be removed."""
+    broker, source = told
+    monkeypatch.setattr(source, "_missing_entry_deadline", time.monotonic)
+    fail_from(monkeypatch, source._entries, "_remove_target", 1)
+    gone = Item("servers/a", None, StorePosition(0, 3))
+    source._apply_changes(Snapshot([gone, target_item("c", 4)], StorePosition(0, 4)))
+    assert broker.names == {"a", "b", "c"}
+    assert broker.lists == 1
+    assert "c" in source._published_copy.docs_for_peers().targets
+    assert source._apply_timeouts() > 0.5
+
+
+def test_peers_entry_whose_application_fails_is_applied_when_it_is_read_again(told, monkeypatch):
+    """Guards against an old incarnation that stays, as the new one counts as known."""
+    _, source = told
+    value = json.dumps(json.loads(target_item("a", 3).value) | {"born": 2000}).encode()
+    entry = PublishedEntry(base64.b64encode(value).decode(), 3)
+    docs = PublishedDocs(targets={"a": entry}, targets_revision=3, removed=[])
+    with monkeypatch.context() as patch:
+        fail_from(patch, source._entries, "_remove_target", 1)
+        with pytest.raises(ValueError, match="unexpected"):
+            source._entries.apply_peer_docs(docs, time.monotonic())
+    changes = source._entries.apply_peer_docs(docs, time.monotonic())
+    assert [info.id for info in changes.changed] == ["a@2000"]
+
+
 def test_first_list_that_fails_halfway_is_not_told():
     """Guards against a router that begins to serve with a part of the targets."""
     broker = TargetsTold()
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -24,6 +24,9 @@
 
 TARGETS_PREFIX = "servers/"
 
+_FAILED_TIMEOUT_PAUSE_S = 1.0
+"""Time after which a due timeout that failed is due again."""
+
 _MISSING_ENTRY_GRACE_S = 2.2
 """How long after the store's return a target with a missing entry is kept.
 
@@ -95,6 +98,13 @@
     def expires_in_s(self, now: float) -> float | None:
         return None if self.expires_at is None else max(0.0, self.expires_at - now)
 
+    def postpone(self, until: float) -> None:
+        """Postpone what is due earlier."""
+        if self.expires_at is not None:
+            self.expires_at = max(self.expires_at, until)
+        if self.unconfirmed_value is not None:
+            self.confirm_at = max(self.confirm_at, until)
+
 
 class _RemovedIncarnation(NamedTuple):
     """The era in which an incarnation was removed, and the revisions at which it was written."""
@@ -196,8 +206,14 @@
             position = published.position
             if position < entry.position or self._is_known(entry, published):
                 continue
-            entry.position = position
-            self._apply_value(TargetName(name), entry, _decode_published(published, name), changes)
+            value = _decode_published(published, name)
+            before, entry.position = entry.position, position
+            try:
+                self._apply_value(TargetName(name), entry, value, changes)
+            except Exception:
+                # Otherwise it would count as known when it is read again.
+                entry.position = before
+                raise
             if published.expires_in_s is not None:
                 self._start_expiry(entry, now, now + published.expires_in_s)
         if docs.removed is None:
@@ -268,17 +284,15 @@
     def apply_timeouts(self, now: float) -> EntryChanges:
         """Remove targets whose missing entries have expired; accept unconfirmed ones when due.
 
-        One that fails keeps no other from being done, is due again, and is raised in the end.
+        One that fails keeps no other from being done, and is due again after a pause.
         """
         changes = EntryChanges()
-        failure: Exception | None = None
         for name, entry in self._entries.items():
             try:
                 self._apply_timeout(name, entry, now, changes)
-            except Exception as exc:  # noqa: BLE001 - raised below
-                failure = exc
-        if failure is not None:
-            raise failure
+            except Exception as exc:  # noqa: BLE001 - the other targets are independent of it
+                log_failure("timeout_failed", "targets", exc, target=name)
+                entry.postpone(now + _FAILED_TIMEOUT_PAUSE_S)
         return changes
 
     def _apply_timeout(
