A text that fails only here is fetched from peers ever more rarely

Change: the time between two fetches of the same version doubles, up to 30 s, while this router has a text in force. Without one it is a second as before. Another version is fetched a second after the last fetch.

Tests: 240 messages in a minute lead to 4 to 8 fetches (60 without a text).

--- a/tests/router/test_peer_texts.py
+++ b/tests/router/test_peer_texts.py
@@ -61,3 +61,23 @@
     texts.record("r2", IN_FORCE_AT_PEERS)
     asked = [texts.should_ask("r2", NEWEST_KNOWN, 1.0 + tick * 0.1) for tick in range(100)]
     assert 1 <= sum(asked) <= 10
+
+
+@pytest.mark.parametrize(("in_force", "allowed"), [(OLDER, range(4, 9)), (0, range(55, 61))])
+def test_text_that_can_not_be_put_in_force_here_is_fetched_ever_more_rarely(in_force, allowed):
+    """Guards against whole configurations that are sent each second, as they fail only here."""
+    texts = PeerTexts("r1", lambda: in_force)
+    texts.set_members({"r1", "r2"})
+    texts.record("r2", IN_FORCE_AT_PEERS)
+    asked = [texts.should_ask("r2", NEWEST_KNOWN, 1.0 + tick * 0.25) for tick in range(240)]
+    assert sum(asked) in allowed
+
+
+def test_newer_text_is_fetched_at_once_after_one_that_failed():
+    texts = PeerTexts("r1", lambda: OLDER)
+    texts.set_members({"r1", "r2"})
+    texts.record("r2", IN_FORCE_AT_PEERS)
+    for now in range(1, 60):
+        texts.should_ask("r2", NEWEST_KNOWN, float(now))
+    texts.record("r2", NEWEST_KNOWN)
+    assert texts.should_ask("r2", NEWEST_KNOWN + 1, 60.0)
--- a/turmerictray/router/peer_texts.py
+++ b/turmerictray/router/peer_texts.py
@@ -1,5 +1,6 @@
 """Which routing configurations the peers of a router have in force that it has not."""
 
+import math
 from collections.abc import Callable, Collection
 
 from turmerictray.core.ids import NodeId
@@ -7,6 +8,10 @@
 _MIN_FETCH_INTERVAL_S = 1.0
 """Minimum time between two fetches, each of which has the whole configuration."""
 
+_MAX_FETCH_INTERVAL_S = 30.0
+"""Limit of that time, which doubles while the same configuration is not put in force here. It
+doesn't while there is none, as the router serves nobody until then."""
+
 _HEAR_ALL_S = 3.0
 """Time for which a router without a configuration waits to hear all live peers before it asks the
 one with the newest of those that it has heard."""
@@ -36,7 +41,9 @@
         self._members: frozenset[str] = frozenset()
         self._versions: dict[str, int] = {}
         self._waiting_since: float | None = None
-        self._next_fetch_at = 0.0
+        self._fetched_at = -math.inf
+        self._fetched_version = 0
+        self._fetch_interval_s = _MIN_FETCH_INTERVAL_S
 
     def set_members(self, members: Collection[str]) -> None:
         """Set the routers considered alive."""
@@ -63,13 +70,24 @@
         """
         in_force, offered = self._version_in_force(), self._versions.get(peer, 0)
         # The newest known one is tried again without another fetch.
-        if not in_force < offered < known_version or now < self._next_fetch_at:
+        if not in_force < offered < known_version or not self._may_fetch(offered, now):
             return False
         if not in_force and not self._is_newest(peer, now):
             return False
-        self._next_fetch_at = now + _MIN_FETCH_INTERVAL_S
+        self._note_fetch(offered, now)
         return True
 
+    def _may_fetch(self, version: int, now: float) -> bool:
+        is_repeated = version == self._fetched_version
+        interval_s = self._fetch_interval_s if is_repeated else _MIN_FETCH_INTERVAL_S
+        return now - self._fetched_at >= interval_s
+
+    def _note_fetch(self, version: int, now: float) -> None:
+        is_repeated = version == self._fetched_version and self.has_text()
+        doubled_s = min(2 * self._fetch_interval_s, _MAX_FETCH_INTERVAL_S)
+        self._fetch_interval_s = doubled_s if is_repeated else _MIN_FETCH_INTERVAL_S
+        self._fetched_version, self._fetched_at = version, now
+
     def _is_newest(self, peer: str, now: float) -> bool:
         """Return whether no live peer is known, after a wait, to serve by a newer configuration."""
         if self._waiting_since is None:
