--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -407,6 +407,7 @@
         worker = self._select_worker(fault)
         self._start_replacement(worker)
         since = time.monotonic()
+        self.deployment.network.refuse_connections(worker.id)
         worker.stop()
         self.deployment.network.reset_connections({"routers"}, {worker.id})
         self.record.retired_workers[worker.id] = RetiredWorker(
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -243,8 +243,10 @@
         if not self.crashed.is_set():
             self.crashed_at = time.monotonic()
             self.crashed.set()
-            self.before_exit()
-            self._server.abort()
+            try:
+                self.before_exit()
+            finally:
+                self._server.abort()
 
     def has_crashing_part(self, header: str) -> bool:
         """Return whether a prompt has a part that crashes this worker."""
