Streams: the end of a chunk that comes alone is no data

What callers saw: a silent stream cut after 2.5 s although no other target might take it up, if the end of its last chunk came in a segment of its own (found by a reviewer with a real socket: cut after 2.53 s; whole if it came with its chunk).

Cause: whatever the socket had was taken for data; the read then blocked in the next size line until the patience ended, and no other target was asked for.

--- a/tests/transport/test_wait_for_data.py
+++ b/tests/transport/test_wait_for_data.py
@@ -70,6 +70,22 @@
     assert conn.is_reusable()
 
 
+@pytest.mark.parametrize("end", [b"\r\n", b"\n"])
+def test_end_of_a_chunk_that_arrives_alone_is_no_data(link, end):
+    """Guards against a read that waits for the next chunk, as the end of the last came late."""
+    conn, target = _begin(link, CHUNKS_HEAD + b"3\r\nabc"), link[1]
+    assert _read(conn) == b"abc"
+    sender = threading.Timer(SHORT_S, target.sendall, [end])
+    sender.start()
+    assert not _wait(conn, 4 * SHORT_S)
+    sender.join()
+    assert not _wait(conn, SHORT_S)
+    target.sendall(b"3\r\ndef\r\n0\r\n\r\n")
+    for data in (b"def", b""):
+        assert _wait(conn, LONG_S)
+        assert _read(conn) == data
+
+
 def test_chunks_that_arrived_together_are_not_waited_for(link):
     """Guards against an event that is kept back in a buffer until the next one."""
     conn = _begin(link, CHUNKS_HEAD + b"3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n")
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -175,15 +175,26 @@
         """
         try:
             self._sock.settimeout(0)
-            if self._body.is_readable(self._reader.peek(1)):
-                return True
-            poller = select.poll()
-            poller.register(self._sock, select.POLLIN)
-            left_s = max(0.0, deadline - time.monotonic())
-            return bool(poller.poll(math.ceil(left_s * _MS_PER_S)))
+            buffered = self._reader.peek(1)
+            while not self._body.is_readable(buffered):
+                if not self._poll(deadline):
+                    return False
+                if buffered:
+                    return True
+                # What has come may be the end of a chunk alone. Nothing is the end of all.
+                buffered = self._reader.peek(1)
+                if not buffered:
+                    return True
+            return True
         except (OSError, ValueError) as exc:
             raise _call_error(exc, f"{self.address}: body: {exc!r}") from exc
 
+    def _poll(self, deadline: float) -> bool:
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        left_s = max(0.0, deadline - time.monotonic())
+        return bool(poller.poll(math.ceil(left_s * _MS_PER_S)))
+
     @property
     def body_end(self) -> BodyEnd:
         """What delimits the body of the current answer."""
