Streams: another target is asked for before the caller of a silent one leaves

What callers saw: a stream of a dead engine cut at its deadline, as no other was asked for once another was expected to take half a second or more and the caller to leave after 2 s of silence (found by a reviewer: one ask, cut at 8 s).

Cause: the caller's patience was taken for the answer's deadline, beside which a target with too little time is not asked for.

Change: they are told apart. The silent target is left only for one that is granted, so that asking early costs little.

Tests: all 8 new cases fail before (the function has no such argument). The case of a near deadline is as it was; the one of 2 and 4 s left has a name that says so.

--- a/tests/router/test_silence.py
+++ b/tests/router/test_silence.py
@@ -60,11 +60,18 @@
 
 
 @pytest.mark.parametrize("left_s", [2.0, 4.0])
-def test_silent_stream_goes_on_elsewhere_before_its_caller_leaves(left_s):
-    """Guards against a stream of a dead target that its caller gives up first."""
+def test_silent_stream_goes_on_elsewhere_before_its_deadline(left_s):
     assert event_patience_s(left_s, PLAIN_S, GAP_S) <= left_s - 0.5
 
 
+@pytest.mark.parametrize("caller_s", [2.0, 4.0])
+@pytest.mark.parametrize("expected_s", [PLAIN_S, ENGINE_S, 1.0, 3.0])
+def test_silent_stream_goes_on_elsewhere_before_its_caller_leaves(caller_s, expected_s):
+    """Guards against a stream of a dead target that its caller gives up first."""
+    patience_s = event_patience_s(30.0, expected_s, GAP_S, caller_s)
+    assert 0.9 <= patience_s <= max(caller_s - max(0.5, expected_s), caller_s / 2)
+
+
 def test_stream_with_wide_pauses_is_given_up_later():
     """Guards against a stream given up for a pause that its route allows."""
     assert event_patience_s(60.0, ENGINE_S, 2.0) >= 6.0
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -180,9 +180,10 @@
         if not self._may_move():
             return answer_deadline
         now = time.monotonic()
-        left_s = min(answer_deadline - now, route.caller_patience_s)
-        patience_s = event_patience_s(left_s, self._expected_s, route.gap_s)
-        return now + patience_s if patience_s < left_s else answer_deadline
+        left_s = answer_deadline - now
+        return now + event_patience_s(
+            left_s, self._expected_s, route.gap_s, route.caller_patience_s
+        )
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
--- a/turmerictray/router/silence.py
+++ b/turmerictray/router/silence.py
@@ -4,6 +4,8 @@
 done is lost with it, and the next target may fall silent too; but not too late for the next one.
 """
 
+import math
+
 _PATIENCE_FACTOR = 4.0
 _MIN_PATIENCE_S = 2.5
 """A target that has not begun to answer after four times the expected time, and at least this many
@@ -43,17 +45,21 @@
     return _bounded_patience_s(left_s, expected_s, _PATIENCE_FACTOR * expected_s)
 
 
-def event_patience_s(left_s: float, expected_s: float, gap_s: float) -> float:
-    """Return how long a stream may pause before its target is given up for another one.
+def event_patience_s(
+    left_s: float, expected_s: float, gap_s: float, caller_s: float = math.inf
+) -> float:
+    """Return how long a stream may pause before another target is asked for.
 
     Parameters
     ----------
     left_s : float
-        Seconds left until the answer's deadline, or until its caller leaves if no event comes.
+        Seconds left until the answer's deadline.
     expected_s : float
         Estimated seconds until another target sends its first event.
     gap_s : float
         Longest pause between two events that counts as on time, in seconds.
+    caller_s : float
+        Seconds until the caller leaves if no event comes.
 
     Returns
     -------
@@ -61,7 +67,12 @@
         Seconds from the last event; ``left_s`` if no other target could be expected to go on in
         time.
     """
-    return _bounded_patience_s(left_s, expected_s, _PAUSE_FACTOR * gap_s)
+    patience_s = _bounded_patience_s(left_s, expected_s, _PAUSE_FACTOR * gap_s)
+    if patience_s == left_s:
+        return left_s
+    # The silent target is left only for one that is granted, so that asking early costs little.
+    latest_s = max(caller_s - _next_try_s(expected_s), caller_s / 2)
+    return min(patience_s, latest_s)
 
 
 def min_next_try_s(expected_s: float) -> float:
