Streams: a silent one stays at its target if it may not be retried any more

A request that had become a suspect while another target was asked for lost both: the grant was given back by the check before the next attempt, and the silent connection was closed by then (found by a reviewer). It is checked at the grant.

--- a/tests/router/test_silent_stream.py
+++ b/tests/router/test_silent_stream.py
@@ -242,3 +242,19 @@
         (FIRST_CALL, "first", Outcome.FAILED),
         (SECOND_CALL, "second", Outcome.NOT_RUN),
     ]
+
+
+def test_stream_stays_at_its_target_if_it_may_not_be_retried_any_more(monkeypatch):
+    """Guards against a stream that is cut as it became a suspect while another was asked for."""
+    client = _Client("first", "second")
+    conn = _Connection(EVENTS[:1], [], goes_on=False)
+    request = _Request(client, first=conn)
+    quarantine = request.crashes.quarantine
+    monkeypatch.setattr(quarantine, "may_retry", lambda *_args: len(client.asks) < 2)
+    with pytest.raises(OutcomeUnknown):
+        request.run()
+    assert conn.last_read_until == request.deadline
+    assert client.ends() == [
+        (SECOND_CALL, "second", Outcome.NOT_RUN),
+        (FIRST_CALL, "first", Outcome.FAILED),
+    ]
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -304,9 +304,13 @@
             return replace(ask, repeat=True)
 
         granted = TakeUp(self._deps.placement_client, make_ask, deadline).find(conn)
-        if granted is not None:
-            self._take_up = routed, granted
-        return granted is not None
+        if granted is None:
+            return False
+        if not self._quarantine_allows_retry():
+            return_grant(self._deps.placement_client, routed.call_id, granted)
+            return False
+        self._take_up = routed, granted
+        return True
 
     def _use_take_up(self) -> Granted | None:
         """Return the target that was granted while the last one was silent, if any."""
