Texts that fail here in turns are fetched ever more rarely; closed answers are checked sooner

An answer that closed up to a second before its target was found gone is checked up to half a second.

--- a/tests/router/test_peer_texts.py
+++ b/tests/router/test_peer_texts.py
@@ -81,3 +81,16 @@
         texts.should_ask("r2", NEWEST_KNOWN, float(now))
     texts.record("r2", NEWEST_KNOWN)
     assert texts.should_ask("r2", NEWEST_KNOWN + 1, 60.0)
+
+
+def test_versions_that_fail_in_turns_are_fetched_ever_more_rarely():
+    """Guards against a pause that begins anew as two peers serve by different configurations."""
+    texts = PeerTexts("r1", lambda: OLDER)
+    texts.set_members({"r1", "r2", "r3"})
+    texts.record("r2", IN_FORCE_AT_PEERS)
+    texts.record("r3", NEWEST_KNOWN)
+    asked = [
+        texts.should_ask("r2" if tick % 2 else "r3", NEWEST_KNOWN + 1, 1.0 + tick * 0.25)
+        for tick in range(240)
+    ]
+    assert sum(asked) <= 16
--- a/turmerictray/crashes/closed_answers.py
+++ b/turmerictray/crashes/closed_answers.py
@@ -6,7 +6,7 @@
 from turmerictray.core.logs import log_unknown_message
 from turmerictray.crashes.evidence import ClosedAnswer, CrashEvidence
 
-_MAX_AGE_S = 1.0
+_MAX_AGE_S = 0.5
 """Age from which an answer is not checked any more. It bounds the work that a burst of answers may
 leave; the first crash that is found has later answers checked before their callers have them."""
 
--- a/turmerictray/router/peer_texts.py
+++ b/turmerictray/router/peer_texts.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Collection
+from typing import NamedTuple
 
 from turmerictray.core.ids import NodeId
 
@@ -17,6 +18,15 @@
 one with the newest of those that it has heard."""
 
 
+_MAX_FETCHES = 16
+"""Versions whose last fetch is remembered."""
+
+
+class _Fetch(NamedTuple):
+    at: float
+    interval_s: float
+
+
 class PeerTexts:
     """Decides when to ask a peer for an older routing configuration than the newest one.
 
@@ -41,9 +51,8 @@
         self._members: frozenset[str] = frozenset()
         self._versions: dict[str, int] = {}
         self._waiting_since: float | None = None
-        self._fetched_at = -math.inf
-        self._fetched_version = 0
-        self._fetch_interval_s = _MIN_FETCH_INTERVAL_S
+        self._last_fetch_at = -math.inf
+        self._fetches: dict[int, _Fetch] = {}
 
     def set_members(self, members: Collection[str]) -> None:
         """Set the routers considered alive."""
@@ -78,15 +87,19 @@
         return True
 
     def _may_fetch(self, version: int, now: float) -> bool:
-        is_repeated = version == self._fetched_version
-        interval_s = self._fetch_interval_s if is_repeated else _MIN_FETCH_INTERVAL_S
-        return now - self._fetched_at >= interval_s
+        fetch = self._fetches.get(version)
+        is_due = fetch is None or now - fetch.at >= fetch.interval_s
+        return is_due and now - self._last_fetch_at >= _MIN_FETCH_INTERVAL_S
 
     def _note_fetch(self, version: int, now: float) -> None:
-        is_repeated = version == self._fetched_version and self.has_text()
-        doubled_s = min(2 * self._fetch_interval_s, _MAX_FETCH_INTERVAL_S)
-        self._fetch_interval_s = doubled_s if is_repeated else _MIN_FETCH_INTERVAL_S
-        self._fetched_version, self._fetched_at = version, now
+        last = self._fetches.pop(version, None)
+        interval_s = _MIN_FETCH_INTERVAL_S
+        if last is not None and self.has_text():
+            interval_s = min(2 * last.interval_s, _MAX_FETCH_INTERVAL_S)
+        if len(self._fetches) >= _MAX_FETCHES:
+            del self._fetches[next(iter(self._fetches))]
+        self._fetches[version] = _Fetch(now, interval_s)
+        self._last_fetch_at = now
 
     def _is_newest(self, peer: str, now: float) -> bool:
         """Return whether no live peer is known, after a wait, to serve by a newer configuration."""
