--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -26,7 +27,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, ServicePart
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -149,6 +150,22 @@
         assert not broker.ledger.local_counters()[TEAM]
 
 
+@pytest.mark.parametrize("times", [1, 2, 99])
+@pytest.mark.parametrize("cost", [0.0, 400.0])
+def test_end_whose_record_fails_refunds_its_team_once(broker, monkeypatch, cost, times):
+    """Guards against a team that is charged too little, or twice, for the end of one request."""
+    pool = pool_of(broker)
+    first, second = ask(broker, 1).result(0).target.id, ask(broker, 2).result(0).target.id
+    assert broker.ledger.local_counters()[TEAM] == 2000.0
+    fail_in(monkeypatch, pool.targets.loads[first], "record_end", times)
+    outcome = Outcome.DONE if cost else Outcome.NOT_REACHED
+    broker.on_receive(Settled(1, LLM, first, outcome, cost))
+    assert broker.ledger.local_counters()[TEAM] == 1000.0 + cost
+    monkeypatch.undo()
+    broker.on_receive(Settled(2, LLM, second, Outcome.DONE, 1000.0))
+    assert broker.ledger.local_counters()[TEAM] == 1000.0 + cost
+
+
 @pytest.mark.parametrize(
     "part", ["pool.settle", "quarantine.record_crash", "quarantine._parts.record_crash", "repair"]
 )
@@ -315,6 +332,50 @@
     assert not broker.supervisor.is_unfit
 
 
+@pytest.mark.parametrize("message", [TargetsChanged, TargetsListed])
+def test_target_whose_removal_fails_does_not_keep_others_from_being_applied(
+    broker, monkeypatch, message
+):
+    """Guards against a message of which one removal loses the rest, which is never told again."""
+    remove, gone = broker._remove_target, ENGINES[0].id
+
+    def remove_others(pool, target):
+        return fail() if target == gone else remove(pool, target)
+
+    leaving = TargetInfo(TargetId("e2"), LLM, "h:2", ZONE, 8)
+    broker.on_receive(TargetsChanged([leaving]))
+    monkeypatch.setattr(broker, "_remove_target", remove_others)
+    leaving = replace(leaving, phase=TargetPhase.LEAVING)
+    new = TargetInfo(TargetId("e3"), LLM, "h:3", ZONE, 8)
+    if message is TargetsChanged:
+        changes = TargetsChanged([leaving, new], [info.id for info in ENGINES])
+    else:
+        changes = TargetsListed([leaving, new])
+    for _ in range(5):
+        broker.on_receive(changes)
+    loads = pool_of(broker).targets.loads
+    assert set(loads) == {gone, leaving.id, new.id}
+    assert loads[leaving.id].info.phase is TargetPhase.LEAVING
+    assert broker.active_config.is_unavailable(leaving.id)
+    assert not broker.supervisor.is_unfit
+    monkeypatch.undo()
+    broker.on_receive(changes)
+    assert set(loads) == {leaving.id, new.id}
+
+
+@pytest.mark.parametrize("message", [TargetsChanged, TargetsListed])
+def test_target_whose_removal_fails_gets_no_more_requests(broker, monkeypatch, message):
+    """Guards against requests that are sent to a target which is known to be gone."""
+    gone, kept = ENGINES
+    monkeypatch.setattr(pool_of(broker).targets, "remove", fail)
+    removed = TargetsListed([kept]) if message is TargetsListed else TargetsChanged([], [gone.id])
+    broker.on_receive(removed)
+    monkeypatch.undo()
+    assert broker.active_config.is_unavailable(gone.id)
+    granted = [ask(broker, call_id, tokens=100).result(0).target.id for call_id in range(1, 5)]
+    assert set(granted) == {kept.id}
+
+
 def test_hook_that_fails_does_not_keep_others_from_running(broker):
     """Guards against keep-alives that stop because another hook of the tick fails."""
     ran = []
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -1,9 +1,11 @@
 """Threads that follow what operators and targets write to the store and update the broker."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Protocol
 
 import pykka
@@ -139,6 +141,7 @@
         self._since: StorePosition | None = None
         self._era: int | None = None
         self._lost = False
+        self._next_idle_at = -math.inf
         self._stop = threading.Event()
         self._thread = SupervisedThread(self._run, f"watch-{prefix}")
 
@@ -153,12 +156,13 @@
     def _run(self) -> None:
         pause = _INITIAL_RETRY_PAUSE_S
         while not self._stop.is_set():
-            if not self._gate.should_read(self._published_copy.position()):
-                self._wait_without_reading()
-                continue
+            should_read = self._gate.should_read(self._published_copy.position())
             try:
-                self._read_store()
-                pause = _INITIAL_RETRY_PAUSE_S
+                if should_read:
+                    self._read_store()
+                    pause = _INITIAL_RETRY_PAUSE_S
+                else:
+                    self._wait_without_reading()
             except HistoryGone:
                 log_event("store_history_gone", prefix=self._prefix, since=self._since)
                 self._since = None
@@ -181,9 +185,24 @@
         # Peers provide the changes made meanwhile. The next read lists all items again, because the
         # position of the last watch is outdated by then.
         self._since = None
-        wait = self._on_idle()
+        wait = self._run_idle()
         self._stop.wait(_GATE_POLL_S if wait is None else min(wait, _GATE_POLL_S))
 
+    def _run_idle(self) -> float | None:
+        """Do what is due between reads, by itself, so that its failure delays no change."""
+        now = time.monotonic()
+        if now < self._next_idle_at:
+            return self._next_idle_at - now
+        try:
+            return self._on_idle()
+        except pykka.ActorDeadError:
+            raise
+        except Exception as exc:  # noqa: BLE001 - what could not be done is due again
+            # It does not count towards unfit, as the same is due at all routers.
+            report_item_failure(f"watch-{self._prefix}", exc)
+            self._next_idle_at = now + _MAX_RETRY_PAUSE_S
+            return _MAX_RETRY_PAUSE_S
+
     def _read_store(self) -> None:
         if self._since is None:
             snapshot = self._client.read_all(self._prefix)
@@ -196,7 +215,7 @@
             self._record_era(snapshot.position)
             self._on_snapshot(snapshot)
             return
-        wait = self._on_idle()
+        wait = self._run_idle()
         max_wait_s = _LOST_WATCH_TIMEOUT_S if self._lost else _WATCH_TIMEOUT_S
         wait = max_wait_s if wait is None else min(wait, max_wait_s)
         snapshot = self._client.watch(self._prefix, self._since, wait)
@@ -375,8 +394,9 @@
         covers_gap = self._gate.covers_gap(docs.uninterrupted_s)
         with self._lock:
             before = self._entries.position
-            changes = self._entries.apply_peer_docs(docs, time.monotonic(), covers_gap)
-            self._send_changes(changes)
+            now = time.monotonic()
+            work = partial(self._entries.apply_peer_docs, docs, now, covers_gap)
+            self._send_changes(self._apply(work))
         if docs.gap_s is not None and docs.has_missing_entries():
             self._gate.adopt_gap(docs.gap_s)
         log_event(
@@ -389,18 +409,17 @@
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         with self._lock:
-            now = time.monotonic()
-            changes = self._entries.apply_snapshot(
-                snapshot.items, now, self._missing_entry_deadline(), snapshot.position
+            now, keep_until = time.monotonic(), self._missing_entry_deadline()
+            work = partial(
+                self._entries.apply_snapshot, snapshot.items, now, keep_until, snapshot.position
             )
-            self._send_changes(changes)
+            self._send_changes(self._apply(work))
 
     def _apply_changes(self, snapshot: Snapshot) -> None:
         with self._lock:
-            now = time.monotonic()
-            self._send_changes(
-                self._entries.apply_changes(snapshot.items, now, self._missing_entry_deadline())
-            )
+            now, keep_until = time.monotonic(), self._missing_entry_deadline()
+            work = partial(self._entries.apply_changes, snapshot.items, now, keep_until)
+            self._send_changes(self._apply(work))
 
     def _missing_entry_deadline(self) -> float:
         return missing_entry_deadline(self._watch.store_returned_at)
@@ -409,11 +428,23 @@
         """Apply due timeouts; return the seconds until the next one, or None if none is pending."""
         with self._lock:
             now = time.monotonic()
-            changes = self._entries.apply_timeouts(now)
+            changes = self._apply(partial(self._entries.apply_timeouts, now))
             if changes:
                 self._send_changes(changes)
             return self._entries.next_timeout_s(now)
 
+    def _apply(self, work: Callable[[], EntryChanges]) -> EntryChanges:
+        """Apply entries or timeouts; if that fails halfway, send the broker all that is known.
+
+        What was applied until then counts as known, and is no change when it is read again.
+        """
+        try:
+            return work()
+        except Exception:
+            if self._initial_list_sent:
+                self._broker.tell(TargetsListed(self._entries.targets()))
+            raise
+
     def _send_changes(self, changes: EntryChanges) -> None:
         if not self._initial_list_sent:
             self._initial_list_sent = True
