Requests: one function gives a granted target back

RequestRun._return_grant built a slot to send the message that take_up.return_grant sends; both now call the latter.

--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -282,8 +282,7 @@
         raise NoTarget("target_of_other_version", NO_TARGET_RETRY_S)
 
     def _return_grant(self, granted: Granted) -> None:
-        slot = _GrantedSlot(self._deps.placement_client, self._routed, granted)
-        slot.settle(Outcome.NOT_RUN, 0.0)
+        return_grant(self._deps.placement_client, self._routed, granted)
 
     def _await_other_target(self, silent: Granted, conn: TargetConnection) -> bool:
         """Wait until a silent stream goes on, or another target is granted for it.
@@ -307,7 +306,7 @@
         if granted is None:
             return False
         if not self._quarantine_allows_retry():
-            return_grant(self._deps.placement_client, routed.call_id, granted)
+            return_grant(self._deps.placement_client, routed, granted)
             return False
         self._take_up = routed, granted
         return True
@@ -322,7 +321,7 @@
     def _return_take_up(self) -> None:
         if self._take_up is not None:
             routed, granted = self._take_up
-            return_grant(self._deps.placement_client, routed.call_id, granted)
+            return_grant(self._deps.placement_client, routed, granted)
 
     def _request_target(self) -> Granted:
         routed, progress = self._routed, self._progress
--- a/turmerictray/router/take_up.py
+++ b/turmerictray/router/take_up.py
@@ -11,6 +11,7 @@
 from turmerictray.core.errors import AdmissionError, TurmerictrayError
 from turmerictray.core.logs import log_request
 from turmerictray.core.reply import Reply
+from turmerictray.router.routed_request import RoutedRequest
 from turmerictray.scheduling.broker_messages import Ask, Granted, Settled, Withdraw
 from turmerictray.scheduling.placement_client import PlacementClient
 from turmerictray.transport.target_conn import TargetConnection
@@ -99,10 +100,9 @@
             return
         if isinstance(ask.reply.exception(), TurmerictrayError):
             return
-        return_grant(self._client, ask.call_id, ask.reply.result())
+        return_grant(self._client, ask, ask.reply.result())
 
 
-def return_grant(client: PlacementClient, call_id: int, granted: Granted) -> None:
+def return_grant(client: PlacementClient, placed: Ask | RoutedRequest, granted: Granted) -> None:
     """Give a granted target back that is not used."""
-    target = granted.target
-    client.tell(Settled(call_id, target.service, target.id, Outcome.NOT_RUN, 0.0))
+    client.tell(Settled(placed.call_id, placed.service, granted.target.id, Outcome.NOT_RUN, 0.0))
