--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Streams of two software versions are joined after the scheduling router started again."""
+"""Streams of two software versions are joined after planned work: a release and a restart."""
 
 import signal
 import sys
@@ -11,16 +11,17 @@
 from turmerictray.platform.standins.caller import PROMPT_HEADERS  # noqa: E402
 from turmerictray.platform.standins.local import default_config  # noqa: E402
 from turmerictray.platform.standins.worker import Worker  # noqa: E402
+from turmerictray.routing.rendezvous import weighted_rank  # noqa: E402
 
 SERVICE = "llm"
 ENGINES = 4
 STREAMS = 48
-TIMEOUT_MS = 10_000
-EVENTS = 40
+TIMEOUT_MS = 12_000
+EVENTS = 54
 INTERVAL_S = 0.2
 RELEASE_GAP_S = 1.0
 DOWN_S = 0.5
-SERVES_ON_S = 6.0
+SERVES_ON_S = 9.0
 MAX_JOINED = 2
 
 
@@ -37,7 +38,7 @@
     doc = default_config()
     for route in doc["routes"]:
         if route["name"] == "plan":
-            route.update(timeout_ms=TIMEOUT_MS, gap_aim_ms=300)
+            route.update(timeout_ms=TIMEOUT_MS, gap_aim_ms=250)
     doc["services"][1]["engine"]["slots"] = 64
     return doc
 
@@ -61,7 +62,7 @@
     # The router that schedules is the one that the others ask; see choice.py.
     restarted = _scheduler(deployment.routers)
     others = [router for router in deployment.routers if router is not restarted]
-    record.note(f"router to be killed: {restarted.name}")
+    record.note(f"router to be stopped and started: {restarted.name}")
 
     turn = iter(range(10_000))
 
@@ -99,8 +100,11 @@
 
     time.sleep(0.3)
     if harness.TROUBLE:
-        record.note(f"SIGKILL to {restarted.name}")
-        restarted.signal(signal.SIGKILL)
+        record.note(f"SIGTERM to {restarted.name}")
+        restarted.signal(signal.SIGTERM)
+        while restarted.is_running():
+            time.sleep(0.05)
+        record.note(f"{restarted.name} ended")
         time.sleep(DOWN_S)
         restarted.start()
         record.note(f"{restarted.name} started again")
@@ -114,8 +118,6 @@
 
 
 def _scheduler(routers: list) -> object:
-    from turmerictray.routing.rendezvous import weighted_rank
-
     return max(routers, key=lambda router: weighted_rank(SERVICE, router.name, 1.0))
 
 
