--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -1,5 +1,6 @@
 """Shared parts of the scripts: router processes, store views, a record and a stream client."""
 
+import base64
 import os
 import shutil
 import signal
@@ -71,10 +72,35 @@
     def __init__(self, store: object) -> None:
         self._shared = store
         self.call_count = 0
+        self._addresses: dict[bytes, bytes] = {}
 
     def __getattr__(self, name: str) -> object:
         return getattr(self._shared, name)
 
+    def readdress(self, address: str, link: str) -> None:
+        """Show this router the address of a link in place of a worker's."""
+        self._addresses[address.encode()] = link.encode()
+
+    def page(self, prefix: str, after: str) -> dict:
+        """Return a page of items, as the store does."""
+        page = self._shared.page(prefix, after)
+        return {**page, "items": [self._translate(item) for item in page["items"]]}
+
+    def changes(self, prefix: str, after: int, wait_s: float) -> dict | None:
+        """Return changes, as the store does."""
+        found = self._shared.changes(prefix, after, wait_s)
+        if found is None:
+            return None
+        return {**found, "events": [self._translate(event) for event in found["events"]]}
+
+    def _translate(self, item: dict) -> dict:
+        if "value" not in item or not self._addresses:
+            return item
+        value = base64.b64decode(item["value"])
+        for address, link in self._addresses.items():
+            value = value.replace(address, link)
+        return {**item, "value": base64.b64encode(value).decode()}
+
 
 class Router:
     """A router process, started by the command of the deploy file.
@@ -159,9 +185,7 @@
             self._process.wait(10)
 
 
-def _settings(
-    name: str, ip: str, zone: str, store: str, seeds: list[str], zones: list[str]
-) -> str:
+def _settings(name: str, ip: str, zone: str, store: str, seeds: list[str], zones: list[str]) -> str:
     seed_list = ", ".join(f'"{seed}:{_CONTROL_PORT}"' for seed in seeds)
     zone_list = "\n".join(f'{zone} = "region"' for zone in zones)
     return f"""
