--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import harness  # noqa: E402
+
 from turmerictray.platform.standins.caller import PROMPT_HEADERS  # noqa: E402
 from turmerictray.platform.standins.local import default_config  # noqa: E402
 from turmerictray.platform.standins.worker import Worker  # noqa: E402
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import harness  # noqa: E402
+
 from turmerictray.platform.standins.caller import (  # noqa: E402
     PROMPT_HEADERS,
     RawAnswer,
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import harness  # noqa: E402
+
 from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request  # noqa: E402
 from turmerictray.platform.standins.local import default_config  # noqa: E402
 from turmerictray.platform.standins.worker import Worker  # noqa: E402
@@ -104,9 +105,9 @@
             router, sent_at = sent[request_id]
             late[router] = late.get(router, 0) + 1
             record.note(
-                f"{request_id}, sent to {router} {sent_at - acked_at:.3f} s after the removal of the"
-                f" entry was acknowledged, reached {leaving.id} {since_s:.3f} s after it; ran:"
-                f" {request.ran}"
+                f"{request_id}, sent to {router} {sent_at - acked_at:.3f} s after the removal of"
+                f" the entry was acknowledged, reached {leaving.id} {since_s:.3f} s after it;"
+                f" ran: {request.ran}"
             )
     record.note(
         f"summary: {len(sent)} requests; {sum(late.values())} reached the removed worker more than"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import harness  # noqa: E402
+
 from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request  # noqa: E402
 from turmerictray.platform.standins.local import default_config  # noqa: E402
 from turmerictray.platform.standins.worker import Worker  # noqa: E402
@@ -16,9 +17,14 @@
 ROUTERS = 4
 WORKERS = 5
 CLIENTS = 40
-WORK_S = 0.03
+INTERVAL_S = 0.4
+"""All clients send at the same moments, so that some requests go out as the cut begins."""
+
+USUAL_TICKS = 8
+BEFORE_TICK_S = 0.06
+WORK_S = 0.06
 TIMEOUT_MS = 3000
-CUT_S = 3.1
+CUT_S = 3.25
 LEAVES_AFTER_S = 1.0
 WATCH_S = 9.0
 DRAIN_S = 2.0
@@ -40,7 +46,7 @@
         host, _, port = target.rpartition(":")
         self._target = host, int(port)
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = "127.0.0.1:{}".format(self._listener.getsockname()[1])
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.cut_from = self.cut_until = 0.0
         self.resets = self.held_count = 0
         threading.Thread(target=self._accept, daemon=True).start()
@@ -139,8 +145,8 @@
 
 
 def play(record: harness.Record) -> int:
-    # One address for a worker is all that the store holds, so that the cut router has a store of
-    # its own, in which that worker has the address of its link.
+    # An entry holds one address of a worker; the view of the store that the first router has names
+    # the links instead.
     deployment = harness.Deployment(record, [f"z{n}" for n in range(1, ROUTERS + 1)])
     try:
         return _play(record, deployment)
@@ -158,9 +164,12 @@
     for worker in workers:
         worker.behaviour.service_time_s = WORK_S
         deployment.add_worker(worker.start())
+    # All paths of the router lead through links, so that they are alike; one of them is cut.
     leaving = workers[0]
-    link = Link(leaving.address)
-    deployment.views[0].readdress(leaving.address, link.address)
+    links = [Link(worker.address) for worker in workers]
+    for worker, path in zip(workers, links, strict=True):
+        deployment.views[0].readdress(worker.address, path.address)
+    link = links[0]
     deployment.start()
     time.sleep(4.0)
 
@@ -168,31 +177,37 @@
     sent: dict[str, tuple[float, RawAnswer]] = {}
     closing = threading.Event()
 
+    started_at = time.monotonic() + 0.5
+
     def call(client: int) -> None:
-        number = 0
+        deadline = str(TIMEOUT_MS)
         while not closing.is_set():
-            number += 1
+            try:
+                caller = RawCaller(router.front)
+            except OSError as exc:
+                record.note(f"client {client}: {exc}")
+                continue
+            number = max(0, int((time.monotonic() - started_at) / INTERVAL_S) + 1)
+            time.sleep(max(0.0, started_at + INTERVAL_S * number - time.monotonic()))
             request_id = f"{client + 1:04x}{number:012x}"
             answer = RawAnswer()
             sent[request_id] = time.monotonic(), answer
             try:
-                caller = RawCaller(router.front)
-                deadline = str(TIMEOUT_MS)
                 caller.send(
                     make_request(
                         "GET", f"/ping/{number}", X_Request_Id=request_id, X_Deadline_Ms=deadline
                     )
                 )
                 caller.read(answer)
-                caller.close()
             except OSError as exc:
                 record.note(f"{request_id}: {exc}")
-            time.sleep(0.01)
+            caller.close()
 
     clients = [threading.Thread(target=call, args=(number,)) for number in range(CLIENTS)]
     for client in clients:
         client.start()
-    time.sleep(3.0)
+    tick_at = started_at + INTERVAL_S * USUAL_TICKS
+    time.sleep(tick_at - BEFORE_TICK_S - time.monotonic())
     cut_at = time.monotonic()
     if harness.TROUBLE:
         link.cut(CUT_S)
@@ -204,7 +219,8 @@
     closing.set()
     for client in clients:
         client.join(TIMEOUT_MS / 1000 + 2)
-    link.stop()
+    for path in links:
+        path.stop()
 
     late = []
     for request in leaving.received_requests:
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -67,7 +67,7 @@
 
 
 class StoreView:
-    """A store as one router reaches it, with a count of that router's calls."""
+    """A store as one router reaches it."""
 
     def __init__(self, store: object) -> None:
         self._shared = store
@@ -165,15 +165,6 @@
         """Return whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
-    def memory_bytes(self) -> int:
-        """Return the resident memory of the process; 0 if it has ended."""
-        try:
-            status = Path(f"/proc/{self._process.pid}/status").read_text()
-        except OSError:
-            return 0
-        lines = [line.split() for line in status.splitlines() if line.startswith("VmRSS:")]
-        return int(lines[0][1]) * 1024 if lines else 0
-
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(signum)
@@ -262,11 +253,9 @@
     record : Record
     zones : list of str
         The zone of each router, in order.
-    seeds : list of (int or str)
-        Numbers of routers, or addresses; the first three routers if left out.
     """
 
-    def __init__(self, record: Record, zones: list[str], seeds: list[int | str] = ()) -> None:
+    def __init__(self, record: Record, zones: list[str]) -> None:
         self.record = record
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = free_network()
@@ -276,7 +265,6 @@
         self.routers = []
         self.views = []
         ips = [f"{self.network}.{number}" for number in range(1, len(zones) + 1)]
-        seed_ips = [s if isinstance(s, str) else f"{self.network}.{s}" for s in seeds] or ips[:3]
         for number, (ip, zone) in enumerate(zip(ips, zones, strict=True), 1):
             server = StoreServer().start()
             server.store = StoreView(self.store)
@@ -284,7 +272,7 @@
             self.views.append(server.store)
             names = sorted(set(zones))
             self.routers.append(
-                Router(f"r{number}", ip, zone, server.address, seed_ips, names, self._folder)
+                Router(f"r{number}", ip, zone, server.address, ips[:3], names, self._folder)
             )
 
     def add_worker(self, worker: object, state: str = "ready") -> None:
@@ -310,16 +298,6 @@
             router.wait_ready()
         self.record.note(f"routers ready: {[r.name for r in self.routers]}")
 
-    def readers(self, for_s: float) -> list[Router]:
-        """Return the routers that call the store within some seconds."""
-        before = [view.call_count for view in self.views]
-        time.sleep(for_s)
-        return [
-            router
-            for router, view, count in zip(self.routers, self.views, before, strict=True)
-            if view.call_count > count
-        ]
-
     def stop(self) -> None:
         """End all processes and stand-ins."""
         for router in self.routers:
