--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -411,6 +411,8 @@
 
 def run_case(folder: Path, play) -> int:
     """Play a case; return the exit code of its script."""
+    # A script that is ended early ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(NOT_RUN))
     record = Record(folder)
     record.note(f"trouble: {'on' if TROUBLE else 'off'}")
     code = NOT_RUN
