--- a/turmerictray/scheduling/resumptions.py
+++ b/turmerictray/scheduling/resumptions.py
@@ -8,6 +8,7 @@
 from turmerictray.core import metrics
 from turmerictray.core.errors import CannotResume
 from turmerictray.core.ids import ServiceName, SoftwareVersion, StreamKey
+from turmerictray.core.logs import log_request
 from turmerictray.routing.streams import StreamVersions, pack_keys, unpack_keys
 from turmerictray.scheduling.messages import StreamsBegun
 
@@ -100,7 +101,17 @@
         version, known_by = streams.find(stream, now), "record"
         if version is None and targets is not None:
             version, known_by = targets.only_version(now), "only_version"
-        metrics.STREAMS_TAKEN_UP.labels("nothing" if version is None else known_by).inc()
+        known_by = "nothing" if version is None else known_by
+        metrics.STREAMS_TAKEN_UP.labels(known_by).inc()
+        log_request(
+            "stream_taken_up",
+            failed=version is None,
+            service=service,
+            stream=f"{stream:016x}",
+            software=version or "-",
+            known_by=known_by,
+            versions=",".join(sorted(targets.versions)) if targets else "-",
+        )
         if version is None:
             raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
         streams.record(stream, version, now)
