A stream without a record goes on only where all versions of 30 s are known

Cause: a list of targets counted as knowledge of the time before it. A router that had just started took the only version in it for the only one there was; its peers had seen the other leave, and did not tell.

Change: TargetObservation holds since when a router knows all targets; a gap in which another router was lost sight of ends it. Gossip tells for how long the sender knows them and which versions have gone in 30 s. One version proves something only if all were known for 30 s. Until then, streams are reported to the routers that keep records, as with two versions.

Why it works: a stream that is still awaited began less than 30 s ago at a target that some router knew. Either this router or a peer whose list is not older saw that target, and its version counts; or the stream is refused.

The same cause, by a report of the users: all routers killed beside a release.

Tests: on the code before, test_a_restarted_router_does_not_take_a_version_that_ has_left_for_never_seen[1] failed (the scheduler; [2] and [3] pass as those don't schedule), and so did test_routers_that_are_all_killed_do_not_join_streams_ to_the_version_that_they_find; test_resumption has the gap, the peer's older list, and the message from before the own list. test_an_unknown_stream_goes_on_if_there_has_ been_one_version and the others of its file now start from a router that has watched for 60 s: that a list of a moment suffices was the fault.

--- a/tests/platform/features/software_versions.feature
+++ b/tests/platform/features/software_versions.feature
@@ -40,6 +40,22 @@
     Then no stream goes on
     And each attempt to take up a stream was refused without a run
 
+  Scenario Outline: A restarted router does not take a version that has left for never seen
+    When 24 callers leave their streams, whose version leaves before router <number> restarts
+    Then no stream goes on
+    And each attempt to take up a stream was refused without a run
+
+    Examples:
+      | number |
+      | 1      |
+      | 2      |
+      | 3      |
+
+  Scenario: Routers that are all killed do not join streams to the version that they find
+    When 24 callers leave their streams, whose version leaves before all routers are killed
+    Then no stream goes on
+    And each attempt to take up a stream was refused without a run
+
   Scenario Outline: A stream that can't be identified does not go on
     When a caller takes up a stream with <resumes>
     Then no stream goes on
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -21,6 +21,11 @@
 _GOSSIP_S = 0.6
 """Time in which routers learn of changed entries from their peers."""
 
+_UNTIL_SCHEDULER_S = 4.0
+"""Time after its start until which a router schedules again."""
+
+_MIN_STREAMS = 3
+
 _numbers = itertools.count(1)
 
 
@@ -212,14 +217,61 @@
 )
 def streams_of_a_version_that_is_gone(deployment, ctx, count):
     first, second, _ = deployment.routers
-    streams = _begin_streams(first, count)
-    ctx["streams"] = [stream for stream in streams if stream.versions() == {"v1"}]
-    assert ctx["streams"]
+    ctx["streams"] = _streams_of_first_version(first, count)
+    _withdraw_first_version(deployment)
+    time.sleep(_GOSSIP_S)
+    _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
+
+
+@when(
+    parsers.parse(
+        "{count:d} callers leave their streams, whose version leaves before router {number:d} "
+        "restarts"
+    )
+)
+def streams_of_a_version_before_a_restart(deployment, ctx, count, number):
+    # Failure: the restarted router scheduled, and joined them to the only version that it knew.
+    restarted = deployment.routers[number - 1]
+    first, second = (router for router in deployment.routers if router is not restarted)
+    ctx["streams"] = _streams_of_first_version(first, count)
+    _withdraw_first_version(deployment)
+    time.sleep(_GOSSIP_S)
+    restarted.stop()
+    restarted.start()
+    restarted.wait_ready()
+    time.sleep(_UNTIL_SCHEDULER_S)
+    _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
+
+
+@when(
+    parsers.parse(
+        "{count:d} callers leave their streams, whose version leaves before all routers are killed"
+    )
+)
+def streams_of_a_version_before_a_kill_of_all(deployment, ctx, count):
+    # Failure: no router knew what had been there before, and none looked for what it can't know.
+    ctx["streams"] = _streams_of_first_version(deployment.routers[0], count)
+    _withdraw_first_version(deployment)
+    time.sleep(_GOSSIP_S)
+    for router in deployment.routers:
+        router.stop()
+    for router in deployment.routers:
+        router.start()
+    for router in deployment.routers:
+        router.wait_ready()
+    _in_parallel(lambda stream: _take_up(deployment.routers[1], stream), ctx["streams"])
+
+
+def _streams_of_first_version(router, count: int) -> list[_Stream]:
+    streams = [s for s in _begin_streams(router, count) if s.versions() == {"v1"}]
+    assert len(streams) >= _MIN_STREAMS
+    return streams
+
+
+def _withdraw_first_version(deployment) -> None:
     for worker in deployment.of_service("llm"):
         if worker.version == "v1":
             deployment.withdraw(worker)
-    time.sleep(_GOSSIP_S)
-    _in_parallel(lambda stream: _take_up(second, stream), ctx["streams"])
 
 
 @when(parsers.parse("a caller takes up a stream with {resumes}"))
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -72,6 +72,19 @@
     assert unpack_keys(pack_keys(keys) + b"\0\0\0") == keys
 
 
+def test_routers_that_repeat_each_others_reports_do_not_keep_a_version_forever():
+    # Each report arrived later than it was made, so that the version never ran out.
+    routers = [RecentVersions(), RecentVersions()]
+    routers[0].note_gone(V1, 0.0)
+    now = 0.0
+    while now < 40.0:
+        now += 0.25
+        for sender, receiver in (routers, reversed(routers)):
+            for version, gone_at in sender.gone(now).items():
+                receiver.note_gone(version, gone_at + 0.3)
+    assert not any(router.current(now) for router in routers)
+
+
 def test_key_depends_on_team_service_and_request():
     teams = [TeamId("a"), TeamId("ab")]
     services = [ServiceName("c"), ServiceName("bc")]
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -4,6 +4,7 @@
 from concurrent.futures import Future
 
 import pytest
+from msgspec.structs import replace
 
 from turmerictray.config.routes import EngineSpec, ServiceSpec
 from turmerictray.core.errors import CannotResume, NoTarget
@@ -18,21 +19,27 @@
     ZoneId,
 )
 from turmerictray.core.reply import Reply
+from turmerictray.core.timer import Tick
+from turmerictray.membership.messages import GoneVersion, RouterSummary
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
+from turmerictray.router.published import StorePosition
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
-from turmerictray.routing.streams import pack_keys
+from turmerictray.routing.streams import pack_keys, unpack_keys
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
     Ask,
     FirstEvent,
     OnTick,
+    PeerHeard,
     RoutersAlive,
     StreamsBegunElsewhere,
+    SummaryQuery,
     TargetsChanged,
+    TargetsListed,
 )
 from turmerictray.scheduling.messages import StreamsBegun
-from turmerictray.scheduling.resumptions import Resumptions
+from turmerictray.scheduling.resumptions import Resumptions, TargetsView
 
 pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
 
@@ -46,19 +53,65 @@
     return TargetInfo(TargetId(name), LLM, "10.0.0.1:80", ZoneId("z"), 64, version=version)
 
 
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+
+@pytest.fixture
+def start(monkeypatch):
+    """Start a broker that has just read a list of targets of the given versions."""
+    clock = _Clock()
+    monkeypatch.setattr(time, "monotonic", lambda: clock.now)
+
+    def start_broker(*versions: SoftwareVersion) -> _Fixture:
+        fixture = _Fixture(*versions, clock=clock)
+        fixture.tick()
+        return fixture
+
+    return start_broker
+
+
+@pytest.fixture
+def watching(start):
+    """Start a broker that has watched the targets for longer than streams last."""
+
+    def watch(*versions: SoftwareVersion) -> _Fixture:
+        fixture = start(*versions)
+        fixture.tick(60.0)
+        return fixture
+
+    return watch
+
+
 class _Fixture:
     """A broker without a thread, and requests that it answers at once."""
 
-    def __init__(self, *versions: SoftwareVersion) -> None:
+    def __init__(self, *versions: SoftwareVersion, clock: _Clock) -> None:
         self.age_s = 0.0
+        self.position = StorePosition()
         self.broker = Broker(NodeId("n"), ZoneId("z"), 1, ActiveConfig(), RetryLimits(0.2, 50, 10))
         self.broker.pools.unsharded(LLM).targets.set_spec(
             ServiceSpec(LLM, engine=EngineSpec(64, 600_000))
         )
-        self.broker.handle(OnTick((), targets_age_s=lambda: self.age_s))
+        self.broker.handle(
+            OnTick((), targets_age_s=lambda: self.age_s, targets_position=lambda: self.position)
+        )
         engines = [_engine(f"e{n}", version) for n, version in enumerate(versions)]
-        self.broker.handle(TargetsChanged(changed=engines))
+        self.broker.handle(TargetsListed(engines))
         self._calls = iter(range(1, 1000))
+        self._clock = clock
+
+    def tick(self, after_s: float = 0.0) -> None:
+        self._clock.now += after_s
+        self.broker.handle(Tick("expire", self._clock.now))
+
+    def hear(self, known_s: int, revision: int = 0, **gone_s: float) -> None:
+        """Hear a peer that has known all targets for a time, and versions that have gone."""
+        gone = [GoneVersion(LLM, version, s) for version, s in gone_s.items()]
+        summary = RouterSummary("peer", 1, 1, [], {}, [], targets_revision=revision)
+        summary = replace(summary, targets_known_s=known_s, gone_versions=gone)
+        self.broker.handle(PeerHeard(summary))
 
     def begin(self, version: SoftwareVersion) -> None:
         self.broker.handle(FirstEvent(0, LLM, TargetId("e"), 0.1, STREAM, version))
@@ -89,37 +142,37 @@
 
 
 @pytest.mark.parametrize("version", [V1, V2])
-def test_a_known_stream_goes_on_at_its_version(version):
-    fixture = _Fixture(V1, V2, V1, V2)
+def test_a_known_stream_goes_on_at_its_version(watching, version):
+    fixture = watching(V1, V2, V1, V2)
     fixture.begin(version)
     assert {fixture.take_up() for _ in range(8)} == {version}
 
 
-def test_a_stream_that_another_router_reported_goes_on_at_its_version():
-    fixture = _Fixture(V1, V2)
+def test_a_stream_that_another_router_reported_goes_on_at_its_version(watching):
+    fixture = watching(V1, V2)
     report = StreamsBegun(LLM, {V2: pack_keys([STREAM])})
     fixture.broker.handle(StreamsBegunElsewhere(report))
     assert fixture.take_up() == V2
 
 
-def test_an_unknown_stream_goes_on_if_there_has_been_one_version():
-    assert _Fixture(V1, V1).take_up() == V1
+def test_an_unknown_stream_goes_on_if_there_has_been_one_version(watching):
+    assert watching(V1, V1).take_up() == V1
 
 
-def test_an_unknown_stream_is_refused_on_the_own_path():
+def test_an_unknown_stream_is_refused_on_the_own_path(watching):
     # The scheduler had refused it, as it knew of a second version before this router did.
     with pytest.raises(CannotResume):
-        _Fixture(V1, V1).take_up(own_path=True)
+        watching(V1, V1).take_up(own_path=True)
 
 
-def test_an_unknown_stream_is_refused_among_two_versions():
+def test_an_unknown_stream_is_refused_among_two_versions(watching):
     with pytest.raises(CannotResume):
-        _Fixture(V1, V2).take_up()
+        watching(V1, V2).take_up()
 
 
-def test_an_unknown_stream_is_refused_by_an_old_list_of_targets_after_a_cut():
+def test_an_unknown_stream_is_refused_by_an_old_list_of_targets_after_a_cut(watching):
     # A router that was cut off took up streams at the one version that it knew.
-    fixture = _Fixture(V1, V1)
+    fixture = watching(V1, V1)
     fixture.broker.handle(RoutersAlive(frozenset({"n", "other"})))
     fixture.broker.handle(RoutersAlive(frozenset({"n"})))
     fixture.age_s = 60.0
@@ -127,32 +180,117 @@
         fixture.take_up()
 
 
-def test_an_unknown_stream_goes_on_while_no_router_can_read_the_store():
+def test_an_unknown_stream_goes_on_while_no_router_can_read_the_store(watching):
     # Streams were refused during an outage of the store, although there was one version.
-    fixture = _Fixture(V1, V1)
+    fixture = watching(V1, V1)
     fixture.broker.handle(RoutersAlive(frozenset({"n", "other"})))
     fixture.age_s = 60.0
     assert fixture.take_up() == V1
 
 
-def test_an_unknown_stream_is_refused_soon_after_the_end_of_a_release():
-    fixture = _Fixture(V1, V2)
+def test_an_unknown_stream_is_refused_after_a_cut_in_which_a_version_may_have_come_and_gone(
+    watching,
+):
+    # A router whose list was current again took the only version in it for the only one there was.
+    fixture = watching(V1, V1)
+    fixture.broker.handle(RoutersAlive(frozenset({"n", "other"})))
+    fixture.broker.handle(RoutersAlive(frozenset({"n"})))
+    fixture.age_s = 6.0
+    fixture.tick(6.0)
+    fixture.age_s = 0.0
+    fixture.tick()
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_an_unknown_stream_is_refused_by_a_router_that_has_just_started(start):
+    # It knew one version, and joined to it the streams of another one that had just left.
+    fixture = start(V2, V2)
+    fixture.tick(29.0)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+    fixture.tick(2.0)
+    assert fixture.take_up() == V2
+
+
+def test_a_router_that_has_just_started_relies_on_what_its_peers_have_observed(start):
+    fixture = start(V2, V2)
+    fixture.tick(1.5)
+    fixture.hear(known_s=60)
+    assert fixture.take_up() == V2
+
+
+def test_a_version_that_has_gone_at_a_peer_counts_at_a_router_that_has_just_started(start):
+    # Review case 1: the peers knew of it, and had not told.
+    fixture = start(V2, V2)
+    fixture.tick(1.5)
+    fixture.hear(known_s=60, v1=20.0)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+    fixture.tick(11.0)
+    assert fixture.take_up() == V2
+
+
+def test_a_peer_with_an_older_list_proves_nothing(start):
+    # It may still list the last targets of a version that has left.
+    fixture = start(V2, V2)
+    fixture.position = StorePosition(0, 7)
+    fixture.tick(1.5)
+    fixture.hear(known_s=60, revision=6)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_message_from_before_the_own_list_proves_nothing(start):
+    fixture = start(V2, V2)
+    fixture.hear(known_s=60)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_router_tells_its_peers_what_it_has_observed(watching):
+    fixture = watching(V1, V2)
+    fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
+    fixture.tick(4.0)
+    summary = fixture.broker.handle(SummaryQuery())
+    assert summary.targets_known_s == 64
+    assert summary.gone_versions == [GoneVersion(LLM, V1, 4.0)]
+
+
+def test_streams_are_reported_while_only_records_can_tell_their_version(start):
+    # Without another record, they would be refused once the router that has it is gone.
+    fixture, reports = start(V1), []
+    send = OnTick(
+        (), targets_age_s=lambda: 0.0, send_streams_begun=lambda r: reports.append(r) or 1
+    )
+    fixture.broker.handle(send)
+    fixture.begin(V1)
+    fixture.tick(1.0)
+    assert [unpack_keys(report.streams[V1]) for report in reports] == [[STREAM]]
+    fixture.tick(60.0)
+    fixture.begin(V1)
+    fixture.tick(1.0)
+    assert len(reports) == 1
+
+
+def test_an_unknown_stream_is_refused_soon_after_the_end_of_a_release(watching):
+    fixture = watching(V1, V2)
     fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
     with pytest.raises(CannotResume):
         fixture.take_up()
 
 
-def test_a_stream_whose_version_is_gone_is_refused_at_once():
-    fixture = _Fixture(V1, V2)
+def test_a_stream_whose_version_is_gone_is_refused_at_once(watching):
+    fixture = watching(V1, V2)
     fixture.begin(V1)
     fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
     with pytest.raises(NoTarget):
         fixture.take_up()
 
 
-def test_a_waiting_request_is_refused_when_its_version_goes():
+def test_a_waiting_request_is_refused_when_its_version_goes(watching):
     # It waited until its deadline, and could not have been served.
-    fixture = _Fixture(V1, V2)
+    fixture = watching(V1, V2)
     now, reply = time.monotonic(), Reply()
     ask = Ask(
         1, RequestId("q"), TeamId("t"), LLM, 100.0, PROMPT, now + 5, reply, version=V1, retry=True
@@ -174,9 +312,9 @@
         sent_at.append(now)
         return receivers
 
-    resumptions = Resumptions()
+    resumptions, targets = Resumptions(), TargetsView({V1, V2}, 0.0)
     for step in range(100):
         now = 100 + step * 0.05
         resumptions.record(LLM, StreamKey(step), V1, now)
-        resumptions.report(lambda _service: {V1, V2}, send, now)
+        resumptions.report(lambda _service: targets, send, now)
     assert len(sent_at) == 5
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -57,6 +57,14 @@
     tokens: int
 
 
+class GoneVersion(msgspec.Struct, frozen=True, array_like=True):
+    """Software version whose last target in a service has gone, ``gone_s`` seconds ago."""
+
+    service: str
+    version: str
+    gone_s: float
+
+
 class RouterSummary(msgspec.Struct, frozen=True, array_like=True):
     """State of a router as it reports it to its peers.
 
@@ -89,6 +97,10 @@
         Seconds for which the store has answered all reads of the router; 0 if it does not read.
     leaving : list of str
         Targets that have said in answers that they leave, while they are still listed.
+    targets_known_s : int
+        Seconds for which the router has known all targets; 0 if it does not.
+    gone_versions : list of GoneVersion
+        Those of them whose targets may have begun streams that are still awaited.
     """
 
     node: str
@@ -106,6 +118,8 @@
     zones_era: int = 0
     uninterrupted_s: float = 0.0
     leaving: list[str] = []
+    targets_known_s: int = 0
+    gone_versions: list[GoneVersion] = []
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -271,6 +271,7 @@
                 self._placement_client.send_parts_read,
                 self._placement_client.send_streams_begun,
                 self._readers.age_s,
+                lambda: self._copy.position().targets,
             )
         )
 
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -127,6 +127,14 @@
         """Return the software versions that may have begun a stream that is still awaited."""
         return self._versions.current(now)
 
+    def gone_versions(self, now: float) -> dict[SoftwareVersion, float]:
+        """Return the software versions whose last target has gone recently, and when."""
+        return self._versions.gone(now)
+
+    def note_gone_version(self, version: SoftwareVersion, gone_at: float) -> None:
+        """Record a software version whose last target has gone, as another router knows."""
+        self._versions.note_gone(version, gone_at)
+
     def remove(self, target: TargetId, now: float = 0.0) -> None:
         """Remove a target that is gone; requests in progress there end by themselves."""
         load = self.loads.pop(target, None)
--- a/turmerictray/routing/streams.py
+++ b/turmerictray/routing/streams.py
@@ -3,6 +3,7 @@
 All times are passed in as arguments, so that the records can be tested without waiting.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -22,10 +23,13 @@
 """Records per generation, for 5,000 streams a second; beyond it, the older generation is dropped
 early."""
 
-_VERSION_RETENTION_S = 2 * _GENERATION_S
+VERSION_RETENTION_S = 2 * _GENERATION_S
 """How long a version counts after its last target is gone; a stream that it began may be taken up
 until then."""
 
+_REPORT_TOLERANCE_S = 5.0
+"""Difference up to which two reports of when a version has gone mean the same event."""
+
 _MAX_REPORT_SIZE = 4096
 """Records in one report to other routers; more wait for the next one."""
 
@@ -80,9 +84,22 @@
 
     def current(self, now: float) -> set[SoftwareVersion]:
         """Return the versions that may have begun a stream that is still awaited."""
-        gone_at = {v: at for v, at in self._gone_at.items() if now - at <= _VERSION_RETENTION_S}
-        self._gone_at = gone_at
-        return set(self._target_counts) | set(gone_at)
+        return set(self._target_counts) | set(self.gone(now))
+
+    def gone(self, now: float) -> dict[SoftwareVersion, float]:
+        """Return the versions whose last target has gone recently, and when."""
+        kept = {v: at for v, at in self._gone_at.items() if now - at <= 2 * VERSION_RETENTION_S}
+        self._gone_at = kept
+        return {v: at for v, at in kept.items() if now - at <= VERSION_RETENTION_S}
+
+    def note_gone(self, version: SoftwareVersion, gone_at: float) -> None:
+        """Record when the last target of a version has gone, as another router knows it.
+
+        Each report arrives a little late. A slightly later time is therefore no news; otherwise
+        routers that repeat each other's reports would keep a version forever.
+        """
+        if gone_at > self._gone_at.get(version, -math.inf) + _REPORT_TOLERANCE_S:
+            self._gone_at[version] = gone_at
 
 
 class StreamVersions:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -41,8 +41,9 @@
 from turmerictray.fairness.changed_usage import ChangedUsage
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.fairness.recent_usage import RecentUsage
-from turmerictray.membership.messages import PartRead, RouterSummary, TargetWork
+from turmerictray.membership.messages import GoneVersion, PartRead, RouterSummary, TargetWork
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
+from turmerictray.router.published import StorePosition
 from turmerictray.routing.cold import ColdLimits
 from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
@@ -84,6 +85,7 @@
 from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.grant_throttle import GrantThrottle
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
+from turmerictray.scheduling.observation import TargetObservation
 from turmerictray.scheduling.pool_gauges import PoolGauges
 from turmerictray.scheduling.resumptions import Resumptions, SendReport, TargetsView
 from turmerictray.scheduling.service_pools import ServicePools
@@ -169,7 +171,9 @@
         self.send_parts_read: Callable[[PartsRead], None] | None = None
         self.send_streams_begun: SendReport | None = None
         self.targets_age_s: Callable[[], float] = lambda: 0.0
+        self.targets_position: Callable[[], StorePosition] = StorePosition
         self._resumptions = Resumptions()
+        self._observation = TargetObservation()
         self.shard_usage_changes = ChangedUsage()
         self.fleet_size = 1
         self.live_routers: frozenset[str] = frozenset({node})
@@ -286,15 +290,17 @@
         """
         if msg.version is not None or msg.resumes is None:
             return msg.version
-        targets = TargetsView(
-            self._recent_versions(msg.service), self.targets_age_s(), self._router_lost_at
-        )
-        return self._resumptions.find_version(
-            msg.service, msg.resumes, None if msg.own_path else targets, now
-        )
+        targets = None if msg.own_path else self._targets_view(msg.service, now)
+        return self._resumptions.find_version(msg.service, msg.resumes, targets, now)
+
+    def _targets_view(self, service: ServiceName, now: float) -> TargetsView:
+        versions = self.pools.unsharded(service).targets.recent_versions(now)
+        return TargetsView(versions, self._targets_known_s(now))
 
-    def _recent_versions(self, service: ServiceName) -> set[SoftwareVersion]:
-        return self.pools.unsharded(service).targets.recent_versions(time.monotonic())
+    def _targets_known_s(self, now: float) -> float:
+        age_s = self.targets_age_s() if self.active_config.targets_listed else math.inf
+        self._observation.update(now, age_s, self._router_lost_at)
+        return self._observation.known_s(now)
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
@@ -388,6 +394,7 @@
             if len(pool.queue):
                 self._run_pool_step(partial(self._expire, pool, msg), msg, _EXPIRY)
                 self._grants.request_round(pool, msg.now)
+        self.run_step(partial(self._targets_known_s, msg.now), msg)
         steps = [] if msg.is_late() else [*self.tick_hooks, *self._reports()]
         for step in (*steps, self._report_gauges):
             self.run_step(partial(step, msg.now), msg)
@@ -418,7 +425,9 @@
 
     def _report_streams_begun(self, now: float) -> None:
         if self.send_streams_begun is not None:
-            self._resumptions.report(self._recent_versions, self.send_streams_begun, now)
+            self._resumptions.report(
+                partial(self._targets_view, now=now), self.send_streams_begun, now
+            )
 
     def _report_gauges(self, now: float) -> None:
         if self._gauges.is_due(now):
@@ -703,8 +712,19 @@
         self.ledger.note_waiting(node, map(TeamId, summary.waiting))
         for target in map(TargetId, summary.leaving):
             self._note_leaving(target, f"peer:{node}")
+        self._note_peer_observation(summary, now)
         self._schedule_all_grants()
 
+    def _note_peer_observation(self, summary: RouterSummary, now: float) -> None:
+        """Take over what a peer knows of targets that were there before this router's list."""
+        for gone in summary.gone_versions:
+            targets = self.pools.unsharded(ServiceName(gone.service)).targets
+            targets.note_gone_version(SoftwareVersion(gone.version), now - gone.gone_s)
+        peer = StorePosition(summary.targets_era, summary.targets_revision)
+        # The last targets of a version may be gone here that an older list still has.
+        if peer >= self.targets_position():
+            self._observation.extend(summary.targets_known_s, now)
+
     @handle.register
     def _(self, msg: ServiceHeard) -> None:
         report = msg.report
@@ -774,9 +794,11 @@
         self.send_parts_read = msg.send_parts_read
         self.send_streams_begun = msg.send_streams_begun
         self.targets_age_s = msg.targets_age_s
+        self.targets_position = msg.targets_position
 
     @handle.register
     def _(self, msg: SummaryQuery) -> RouterSummary:
+        now = time.monotonic()
         return RouterSummary(
             node=self.node,
             incarnation=self.incarnation,
@@ -787,6 +809,12 @@
             reads=self._collect_reads(),
             caught_up=self.active_config.confirmed,
             leaving=self.notices.leaving_among(self._known_targets(), _MAX_REPORTED_LEAVING),
+            targets_known_s=int(self._targets_known_s(now)),
+            gone_versions=[
+                GoneVersion(pool.name, version, round(now - gone_at, 1))
+                for pool in self.pools.all_unsharded()
+                for version, gone_at in pool.targets.gone_versions(now).items()
+            ],
         )
 
     def _known_targets(self) -> list[TargetId]:
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -344,6 +344,8 @@
         returns their number.
     targets_age_s : callable
         Returns the age of this router's list of targets, in seconds.
+    targets_position : callable
+        Returns the position in the store up to which that list is known.
     """
 
     hooks: tuple[Callable[[float], None], ...]
@@ -351,6 +353,7 @@
     send_parts_read: Callable[[PartsRead], None] | None = None
     send_streams_begun: Callable[[StreamsBegun], int] | None = None
     targets_age_s: Callable[[], float] = lambda: 0.0
+    targets_position: Callable[[], StorePosition] = StorePosition
 
 
 @dataclass(frozen=True)
--- a/turmerictray/scheduling/resumptions.py
+++ b/turmerictray/scheduling/resumptions.py
@@ -9,7 +9,12 @@
 from turmerictray.core.errors import CannotResume
 from turmerictray.core.ids import ServiceName, SoftwareVersion, StreamKey
 from turmerictray.core.logs import log_request
-from turmerictray.routing.streams import StreamVersions, pack_keys, unpack_keys
+from turmerictray.routing.streams import (
+    VERSION_RETENTION_S,
+    StreamVersions,
+    pack_keys,
+    unpack_keys,
+)
 from turmerictray.scheduling.messages import StreamsBegun
 
 _REPORT_INTERVAL_S = 0.1
@@ -20,10 +25,6 @@
 """Reports sent in this interval; with more receivers, the interval is longer. A service with many
 schedulers has hundreds of receivers."""
 
-_MAX_TARGETS_AGE_S = 4.0
-"""Age of the list of targets up to which it is taken as complete; a watch of the store that waits
-for changes is repeated sooner."""
-
 _UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
 """Retry-After in seconds for a stream whose version is not known; another router may know it."""
 
@@ -39,24 +40,18 @@
     ----------
     versions : set of SoftwareVersion
         Versions of the targets, and of those that have gone recently.
-    age_s : float
-        Seconds since the list of targets was current.
-    router_lost_at : float
-        When another router was last lost sight of, in monotonic seconds.
+    known_s : float
+        Seconds for which all targets are known; see
+        :class:`turmerictray.scheduling.observation.TargetObservation`.
     """
 
     versions: set[SoftwareVersion]
-    age_s: float
-    router_lost_at: float = -math.inf
-
-    def only_version(self, now: float) -> SoftwareVersion | None:
-        """Return the software version of all recent targets; None if not certain.
+    known_s: float
 
-        A router whose list of targets is old may have missed another version, unless it still
-        hears all routers: then none of them has a newer list.
-        """
-        is_current = self.age_s <= _MAX_TARGETS_AGE_S or self.router_lost_at < now - self.age_s
-        return next(iter(self.versions)) if len(self.versions) == 1 and is_current else None
+    def only_version(self) -> SoftwareVersion | None:
+        """Return the software version of all recent targets; None if not certain."""
+        is_certain = len(self.versions) == 1 and self.known_s >= VERSION_RETENTION_S
+        return next(iter(self.versions)) if is_certain else None
 
 
 class Resumptions:
@@ -100,7 +95,7 @@
         streams = self._streams[service]
         version, known_by = streams.find(stream, now), "record"
         if version is None and targets is not None:
-            version, known_by = targets.only_version(now), "only_version"
+            version, known_by = targets.only_version(), "only_version"
         known_by = "nothing" if version is None else known_by
         metrics.STREAMS_TAKEN_UP.labels(known_by).inc()
         log_request(
@@ -111,6 +106,7 @@
             software=version or "-",
             known_by=known_by,
             versions=",".join(sorted(targets.versions)) if targets else "-",
+            known_s=round(targets.known_s, 1) if targets else "-",
         )
         if version is None:
             raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
@@ -118,22 +114,22 @@
         return version
 
     def report(
-        self, versions: Callable[[ServiceName], set[SoftwareVersion]], send: SendReport, now: float
+        self, targets: Callable[[ServiceName], TargetsView], send: SendReport, now: float
     ) -> None:
-        """Tell other routers which versions have begun streams, of services that have several.
+        """Tell other routers which versions have begun streams, unless only one may have.
 
         A router that took up a stream without knowing would join what two versions generate.
 
         Parameters
         ----------
-        versions : callable
-            Returns the recent versions of a service's targets.
+        targets : callable
+            Returns what this router knows of a service's targets.
         """
         if now < self._report_due_at:
             return
         interval_s = _REPORT_INTERVAL_S
         for service, streams in self._streams.items():
-            begun = streams.take_unreported(is_mixed=len(versions(service)) > 1)
+            begun = streams.take_unreported(is_mixed=targets(service).only_version() is None)
             if begun:
                 packed = {version: pack_keys(keys) for version, keys in begun.items()}
                 receivers = send(StreamsBegun(service, packed))
