Changes of targets reach the broker in the order of the store

Cause: an answer became a list of changed and a list of removed targets, which don't keep the order. The broker removed first and added then. Later answers don't name the target again.

Change: one list in the order of the store, from the entries to the broker.

Why it works: each change is applied as if it had come alone.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -10,10 +10,10 @@
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.ids import TargetName
 from turmerictray.platform.documents import decode_target
-from turmerictray.platform.entries import TargetEntries
+from turmerictray.platform.entries import EntryChanges, TargetEntries
 from turmerictray.platform.store import Item
 from turmerictray.router.published import PublishedDocs, PublishedEntry, StorePosition
-from turmerictray.routing.load import TargetPhase
+from turmerictray.routing.load import TargetGone, TargetInfo, TargetPhase
 
 GOOD = {
     "service": "llm",
@@ -39,6 +39,14 @@
     return Item(f"servers/{name}", json.dumps({**GOOD, **changes}).encode(), pos(revision))
 
 
+def gone(changes: EntryChanges) -> list[str]:
+    return [change.id for change in changes if isinstance(change, TargetGone)]
+
+
+def written(changes: EntryChanges) -> list[TargetInfo]:
+    return [change for change in changes if isinstance(change, TargetInfo)]
+
+
 def removal(revision: int, name: str = "i-1") -> Item:
     """Return the removal of an entry."""
     return Item(f"servers/{name}", None, pos(revision))
@@ -96,10 +104,10 @@
     entries = TargetEntries()
     entries.apply_snapshot([make_item(1), make_item(2, "i-2")], 0.0, 0.0, pos(2))
     changes = entries.apply_changes([Item("servers/i-1", value, pos(3))], 1.0, 0.0)
-    assert changes.removed == ["i-1@1000"]
+    assert gone(changes) == ["i-1@1000"]
     assert [info.id for info in entries.targets()] == ["i-2@1000"]
     back = entries.apply_changes([make_item(4)], 2.0, 0.0)
-    assert [info.id for info in back.changed] == ["i-1@1000"]
+    assert [info.id for info in written(back)] == ["i-1@1000"]
 
 
 def test_entry_without_start_time_uses_name_as_id():
@@ -116,15 +124,15 @@
     entries = TargetEntries()
     entries.apply_snapshot([make_item(1, state="draining")], 0.0, 0.0, pos(1))
     changes = entries.apply_changes([make_item(2, born=2000)], 1.0, 0.0)
-    assert changes.removed == ["i-1@1000"]
-    (info,) = changes.changed
+    assert gone(changes) == ["i-1@1000"]
+    (info,) = written(changes)
     assert (info.id, info.instance_name, info.phase) == ("i-1@2000", "i-1", TargetPhase.READY)
 
 
 def test_restart_is_detected_although_clock_was_set_back():
     entries = TargetEntries()
     entries.apply_snapshot([make_item(1, born=5000)], 0.0, 0.0, pos(1))
-    assert entries.apply_changes([make_item(2, born=300)], 1.0, 0.0).removed == ["i-1@5000"]
+    assert gone(entries.apply_changes([make_item(2, born=300)], 1.0, 0.0)) == ["i-1@5000"]
 
 
 def test_delayed_items_do_not_restore_earlier_incarnation():
@@ -145,7 +153,7 @@
     assert not entries.apply_snapshot([make_item(2, "i-2")], 10.0, 12.0, pos(9))
     assert entries.next_timeout_s(10.0) == 2.0
     assert not entries.apply_timeouts(11.9)
-    assert entries.apply_timeouts(12.0).removed == ["i-1@1000"]
+    assert gone(entries.apply_timeouts(12.0)) == ["i-1@1000"]
     assert entries.next_timeout_s(12.0) is None
 
 
@@ -201,7 +209,7 @@
     peer.apply_peer_docs(published_docs(reader, 10.5), 10.5)
     assert [info.instance_name for info in peer.targets()] == ["i-1", "i-2"]
     assert peer.next_timeout_s(10.5) == pytest.approx(1.7)
-    assert peer.apply_timeouts(12.3).removed == ["i-1@1000"]
+    assert gone(peer.apply_timeouts(12.3)) == ["i-1@1000"]
 
 
 def test_expiring_target_of_a_peer_does_not_return():
@@ -220,7 +228,7 @@
     for entries in (reader, peer):
         entries.apply_snapshot([make_item(1), make_item(2, "i-2")], 0.0, 0.0, pos(2))
     peer.apply_changes([removal(5)], 10.0, 0.0)
-    assert reader.apply_peer_docs(published_docs(peer, 10.2), 10.2).removed == ["i-1@1000"]
+    assert gone(reader.apply_peer_docs(published_docs(peer, 10.2), 10.2)) == ["i-1@1000"]
     assert not reader.apply_changes([removal(5)], 10.4, 12.6)
     assert [info.instance_name for info in reader.targets()] == ["i-2"]
 
@@ -229,7 +237,7 @@
     entries = TargetEntries()
     entries.apply_snapshot([make_item(1)], 0.0, 0.0, pos(1))
     docs = PublishedDocs(targets={"i-1": PublishedEntry("%%%", 2)}, targets_revision=2)
-    assert entries.apply_peer_docs(docs, 1.0).removed == ["i-1@1000"]
+    assert gone(entries.apply_peer_docs(docs, 1.0)) == ["i-1@1000"]
 
 
 def item_in_era(era: int, revision: int, name: str = "i-1", **changes) -> Item:
@@ -242,7 +250,7 @@
     entries = TargetEntries()
     entries.apply_snapshot([item_in_era(1, 50)], 0.0, 0.0, pos(50, 1))
     changes = entries.apply_snapshot([item_in_era(2, 7, born=2000)], 1.0, 3.2, pos(9, 2))
-    assert changes.removed == ["i-1@1000"]
+    assert gone(changes) == ["i-1@1000"]
     assert [info.id for info in entries.targets()] == ["i-1@2000"]
     assert entries.apply_changes([item_in_era(2, 10, state="draining", born=2000)], 1.0, 0.0)
 
@@ -265,7 +273,7 @@
     assert not entries.apply_changes([item_in_era(2, 51, "i-2")], 2.0, 3.2)
     assert not entries.apply_timeouts(9.0)
     entries.apply_snapshot([item_in_era(3, 50)], 10.0, 12.2, pos(50, 3))
-    assert entries.apply_timeouts(12.2).removed == ["i-2@1000"]
+    assert gone(entries.apply_timeouts(12.2)) == ["i-2@1000"]
 
 
 def test_removed_target_listed_by_backup_is_not_trusted():
@@ -277,7 +285,7 @@
     listed = [item_in_era(2, 50), item_in_era(2, 51, "i-2")]
     assert not entries.apply_snapshot(listed, 2.0, 4.2, pos(51, 2))
     assert [info.id for info in entries.targets()] == ["i-2@2000"]
-    assert [info.id for info in entries.apply_changes([item_in_era(2, 52)], 3.0, 0.0).changed] == [
+    assert [info.id for info in written(entries.apply_changes([item_in_era(2, 52)], 3.0, 0.0))] == [
         "i-1@1000"
     ]
     entries.apply_changes([replace(removal(53, "i-2"), position=pos(53, 2))], 3.0, 4.2)
@@ -293,8 +301,8 @@
     peer.apply_changes([removal(7)], 1.0, 0.0)
     reader.apply_snapshot([make_item(6, "i-2")], 2.0, 4.2, pos(7))
     docs = published_docs(peer, 2.1)
-    assert reader.apply_peer_docs(docs, 2.1).removed == []
-    assert reader.apply_peer_docs(docs, 2.2, covers_gap=True).removed == ["i-1@1000"]
+    assert gone(reader.apply_peer_docs(docs, 2.1)) == []
+    assert gone(reader.apply_peer_docs(docs, 2.2, covers_gap=True)) == ["i-1@1000"]
     assert [info.id for info in reader.targets()] == ["i-2@1000"]
 
 
@@ -305,7 +313,7 @@
     entries.apply_snapshot([item_in_era(2, 50)], 2.0, 4.2, pos(50, 2))
     assert entries.targets() == []
     assert entries.next_timeout_s(2.0) == pytest.approx(5.0)
-    assert [info.id for info in entries.apply_timeouts(7.0).changed] == ["i-1@1000"]
+    assert [info.id for info in written(entries.apply_timeouts(7.0))] == ["i-1@1000"]
 
 
 def test_target_that_wrote_again_before_snapshot_is_trusted():
@@ -317,7 +325,7 @@
     reader, peer = TargetEntries(), TargetEntries()
     reader.apply_snapshot([item_in_era(1, 50)], 0.0, 0.0, pos(50, 1))
     reader.apply_snapshot([], 1.0, 3.2, pos(40, 2))
-    assert reader.apply_timeouts(3.2).removed == ["i-1@1000"]
+    assert gone(reader.apply_timeouts(3.2)) == ["i-1@1000"]
     reader.apply_snapshot([item_in_era(3, 44)], 5.0, 7.2, pos(45, 3))
     assert [info.id for info in reader.targets()] == ["i-1@1000"]
     peer.apply_peer_docs(published_docs(reader, 5.0), 5.0)
@@ -329,7 +337,7 @@
     entries = TargetEntries()
     bad = Item("servers/i-1", NESTED_TOO_DEEPLY, pos(5))
     changes = entries.apply_snapshot([bad, make_item(6, "i-2")], 0.0, 0.0, pos(6))
-    assert [info.name for info in changes.changed] == ["i-2"]
+    assert [info.name for info in written(changes)] == ["i-2"]
     docs = PublishedDocs(targets=entries.published(0.0), targets_revision=6)
     others = TargetEntries()
-    assert [info.name for info in others.apply_peer_docs(docs, 0.0).changed] == ["i-2"]
+    assert [info.name for info in written(others.apply_peer_docs(docs, 0.0))] == ["i-2"]
--- a/tests/platform/test_published_changes.py
+++ b/tests/platform/test_published_changes.py
@@ -127,7 +127,7 @@
     reader.publish()
     follower.fetch(reader)
     assert follower.targets() == set()
-    assert reader.entries.apply_timeouts(7.0).changed
+    assert [info.name for info in reader.entries.apply_timeouts(7.0)] == ["i-1"]
     other = Item("servers/i-2", json.dumps(GOOD).encode(), pos(52, 2))
     reader.entries.apply_changes([other], 8.0, 0.0)
     reader.publish()
--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -17,6 +17,7 @@
     PublishedEntry,
     StorePosition,
 )
+from turmerictray.routing.load import TargetGone
 from turmerictray.scheduling.broker_messages import TargetsChanged, TargetsListed
 
 
@@ -183,9 +184,11 @@
             self.lists += 1
             self.names = {info.name for info in msg.targets}
         elif isinstance(msg, TargetsChanged):
-            gone = {target.partition("@")[0] for target in msg.gone}
-            self.names = {name for name in self.names if name not in gone}
-            self.names |= {info.name for info in msg.changed}
+            for change in msg.changes:
+                if isinstance(change, TargetGone):
+                    self.names.discard(change.id.partition("@")[0])
+                else:
+                    self.names.add(change.name)
 
 
 def target_item(name: str, revision: int) -> Item:
@@ -292,7 +295,7 @@
         with pytest.raises(ValueError, match="unexpected"):
             source._entries.apply_peer_docs(docs, time.monotonic())
     changes = source._entries.apply_peer_docs(docs, time.monotonic())
-    assert [info.id for info in changes.changed] == ["a@2000"]
+    assert changes[-1].id == "a@2000"
 
 
 def test_first_list_that_fails_halfway_is_not_told():
--- a/tests/scheduling/test_broker_properties.py
+++ b/tests/scheduling/test_broker_properties.py
@@ -28,7 +28,7 @@
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.router.published import StorePosition
 from turmerictray.routing.cold import ColdSpec
-from turmerictray.routing.load import TargetInfo, TargetPhase
+from turmerictray.routing.load import TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -197,9 +197,9 @@
     def text_arrives(self, spec):
         self.send(TextArrived(self.config(spec), "test"))
 
-    @rule(changed=st.lists(infos, max_size=8), gone=st.lists(targets, max_size=6))
-    def targets_change(self, changed, gone):
-        self.send(TargetsChanged(changed, gone))
+    @rule(changes=st.lists(infos | targets.map(TargetGone), max_size=14))
+    def targets_change(self, changes):
+        self.send(TargetsChanged(changes))
 
     @rule(listed=st.lists(infos, max_size=30))
     def targets_are_listed(self, listed):
--- a/tests/scheduling/test_failed_messages.py
+++ b/tests/scheduling/test_failed_messages.py
@@ -27,7 +27,7 @@
 from turmerictray.core.timer import Tick
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, ServicePart
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import TargetInfo, TargetPhase
+from turmerictray.routing.load import TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -348,7 +348,7 @@
     leaving = replace(leaving, phase=TargetPhase.LEAVING)
     new = TargetInfo(TargetId("e3"), LLM, "h:3", ZONE, 8)
     if message is TargetsChanged:
-        changes = TargetsChanged([leaving, new], [info.id for info in ENGINES])
+        changes = TargetsChanged([*(TargetGone(info.id) for info in ENGINES), leaving, new])
     else:
         changes = TargetsListed([leaving, new])
     for _ in range(5):
@@ -368,7 +368,9 @@
     """Guards against requests that are sent to a target which is known to be gone."""
     gone, kept = ENGINES
     monkeypatch.setattr(pool_of(broker).targets, "remove", fail)
-    removed = TargetsListed([kept]) if message is TargetsListed else TargetsChanged([], [gone.id])
+    removed = (
+        TargetsListed([kept]) if message is TargetsListed else TargetsChanged([TargetGone(gone.id)])
+    )
     broker.on_receive(removed)
     monkeypatch.undo()
     assert broker.active_config.is_unavailable(gone.id)
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -23,7 +23,7 @@
 from turmerictray.membership.messages import GoneVersion, RouterSummary
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.router.published import StorePosition
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetGone, TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.routing.streams import pack_keys, unpack_keys
 from turmerictray.scheduling.broker import Broker
@@ -250,7 +250,7 @@
 
 def test_a_router_tells_its_peers_what_it_has_observed(watching):
     fixture = watching(V1, V2)
-    fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
+    fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
     fixture.tick(4.0)
     summary = fixture.broker.handle(SummaryQuery())
     assert summary.targets_known_s == 64
@@ -275,7 +275,7 @@
 
 def test_an_unknown_stream_is_refused_soon_after_the_end_of_a_release(watching):
     fixture = watching(V1, V2)
-    fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
+    fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
     with pytest.raises(CannotResume):
         fixture.take_up()
 
@@ -283,7 +283,7 @@
 def test_a_stream_whose_version_is_gone_is_refused_at_once(watching):
     fixture = watching(V1, V2)
     fixture.begin(V1)
-    fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
+    fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
     with pytest.raises(NoTarget):
         fixture.take_up()
 
@@ -299,7 +299,7 @@
     pool.targets.record_unreachable(TargetId("e0"), now)
     pool.targets.loads[TargetId("e0")].info = _engine("e0", V1)
     fixture.broker.handle(ask)
-    fixture.broker.handle(TargetsChanged(gone=[TargetId("e0")]))
+    fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
     with pytest.raises(NoTarget):
         _result(reply)
 
--- a/tests/scheduling/test_shard_pools.py
+++ b/tests/scheduling/test_shard_pools.py
@@ -10,7 +10,7 @@
 from turmerictray.core.reply import Reply
 from turmerictray.core.timer import Tick
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetGone, TargetInfo
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -66,7 +66,7 @@
 
 def test_engines_are_divided_into_shards_once_listed(broker):
     assert broker.active_config.shards[LLM].count == 2
-    broker.on_receive(TargetsChanged(gone=[info.id for info in INFOS[9:]]))
+    broker.on_receive(TargetsChanged([TargetGone(info.id) for info in INFOS[9:]]))
     assert broker.active_config.shards[LLM].count == 1
 
 
@@ -90,9 +90,9 @@
 def test_queued_requests_expire_after_shards_have_changed(broker):
     members = sum(shard_index(info.id, 2) == 1 for info in INFOS)
     replies = [ask(broker, n, SHARD) for n in range(members + 1)]
-    broker.on_receive(TargetsChanged(gone=[INFOS[0].id]))
+    broker.on_receive(TargetsChanged([TargetGone(INFOS[0].id)]))
     for info in INFOS[1:30]:
-        broker.on_receive(TargetsChanged(gone=[info.id]))
+        broker.on_receive(TargetsChanged([TargetGone(info.id)]))
     broker.on_receive(Tick("expire", time.monotonic() + 6))
     assert all(reply.done() for reply in replies)
 
@@ -137,5 +137,5 @@
     # A new configuration makes a plain service of one that has prompts queued here, in a shard.
     ask(broker, 1, SHARD)
     broker.pools.unsharded(LLM).targets.set_spec(ServiceSpec(LLM))
-    broker.on_receive(TargetsChanged(gone=[INFOS[0].id]))
+    broker.on_receive(TargetsChanged([TargetGone(INFOS[0].id)]))
     assert LLM not in broker.active_config.shards
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -20,7 +20,7 @@
 from turmerictray.core.reply import Reply
 from turmerictray.core.timer import Tick
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import TargetInfo, TargetPhase
+from turmerictray.routing.load import TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -79,7 +79,7 @@
     broker.on_receive(TargetLeaving(LLM, FIRST))
     broker.on_receive(TargetsChanged([ENGINES[0]]))
     assert phase_of(broker, FIRST) is TargetPhase.LEAVING
-    broker.on_receive(TargetsChanged(gone=[FIRST]))
+    broker.on_receive(TargetsChanged([TargetGone(FIRST)]))
     broker.on_receive(TargetsChanged([ENGINES[0]]))
     assert phase_of(broker, FIRST) is TargetPhase.LEAVING
     assert FIRST in broker.active_config.unavailable_targets
@@ -102,7 +102,7 @@
     peer.on_receive(TargetsListed(ENGINES))
     peer.on_receive(PeerHeard(summary))
     assert phase_of(peer, FIRST) is TargetPhase.LEAVING
-    broker.on_receive(TargetsChanged(gone=[FIRST]))
+    broker.on_receive(TargetsChanged([TargetGone(FIRST)]))
     assert broker.on_receive(SummaryQuery()).leaving == []
 
 
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from turmerictray.core.errors import ConfigError
@@ -20,7 +20,7 @@
     StorePosition,
     TargetHistory,
 )
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetGone, TargetInfo
 
 TARGETS_PREFIX = "servers/"
 
@@ -51,15 +51,11 @@
 """Minimum time until the next check for timeouts; prevents a busy loop caused by rounding."""
 
 
-@dataclass(frozen=True)
-class EntryChanges:
-    """Changes of the targets: new or changed targets, and removed incarnations."""
+EntryChanges = list[TargetInfo | TargetGone]
+"""New or changed targets and removed incarnations, in the order in which they follow from entries.
 
-    changed: list[TargetInfo] = field(default_factory=list)
-    removed: list[TargetId] = field(default_factory=list)
-
-    def __bool__(self) -> bool:
-        return bool(self.changed or self.removed)
+One answer of the store can bring several changes of a target, of which the last one counts.
+"""
 
 
 @dataclass
@@ -185,7 +181,7 @@
         if position.era > self.position.era:
             self.position = position
         self._complete_from = max(self._complete_from, position)
-        return _merge_changes(changes, self.apply_timeouts(now))
+        return changes + self.apply_timeouts(now)
 
     def apply_peer_docs(
         self, docs: PublishedDocs, now: float, covers_gap: bool = False
@@ -198,7 +194,7 @@
         ``covers_gap`` is True if the peer read the store while this router could not: targets that
         are kept here because of that and that the peer lacks have been removed.
         """
-        changes = EntryChanges()
+        changes: EntryChanges = []
         if docs.targets_era < self.position.era:
             return changes
         for name, published in docs.targets.items():
@@ -225,7 +221,7 @@
         if covers_gap and docs.removed is None:
             self._end_expiries(docs, now)
         self.position = max(self.position, docs.targets_position)
-        return _merge_changes(changes, self.apply_timeouts(now))
+        return changes + self.apply_timeouts(now)
 
     @staticmethod
     def _is_known(entry: _Entry, published: PublishedEntry) -> bool:
@@ -241,7 +237,7 @@
     def _apply_items(
         self, items: Iterable[Item], now: float, keep_until: float, is_snapshot: bool
     ) -> EntryChanges:
-        changes = EntryChanges()
+        changes: EntryChanges = []
         for item in items:
             name = name_of_target(item)
             entry = self._entries.setdefault(name, _Entry())
@@ -256,9 +252,11 @@
                 entry.unconfirmed_value = None
             if item.value is None or is_unconfirmed:
                 self._start_expiry(entry, now, keep_until)
+                # The same answer may bring the next entry under this name.
+                self._apply_due_timeout(name, entry, now, changes)
             else:
                 self._apply_value(name, entry, item.value, changes)
-        return _merge_changes(changes, self.apply_timeouts(now))
+        return changes + self.apply_timeouts(now)
 
     def _is_unconfirmed(self, name: TargetName, entry: _Entry, item: Item) -> bool:
         """Whether a list contains an incarnation that was removed in an earlier era."""
@@ -286,15 +284,20 @@
 
         One that fails keeps no other from being done, and is due again after a pause.
         """
-        changes = EntryChanges()
+        changes: EntryChanges = []
         for name, entry in self._entries.items():
-            try:
-                self._apply_timeout(name, entry, now, changes)
-            except Exception as exc:  # noqa: BLE001 - the other targets are independent of it
-                log_failure("timeout_failed", "targets", exc, target=name)
-                entry.postpone(now + _FAILED_TIMEOUT_PAUSE_S)
+            self._apply_due_timeout(name, entry, now, changes)
         return changes
 
+    def _apply_due_timeout(
+        self, name: TargetName, entry: _Entry, now: float, changes: EntryChanges
+    ) -> None:
+        try:
+            self._apply_timeout(name, entry, now, changes)
+        except Exception as exc:  # noqa: BLE001 - the other targets are independent of it
+            log_failure("timeout_failed", "targets", exc, target=name)
+            entry.postpone(now + _FAILED_TIMEOUT_PAUSE_S)
+
     def _apply_timeout(
         self, name: TargetName, entry: _Entry, now: float, changes: EntryChanges
     ) -> None:
@@ -317,7 +320,7 @@
         """Remove the target of an entry and remember its incarnation."""
         if entry.info is None:
             return
-        changes.removed.append(entry.info.id)
+        changes.append(TargetGone(entry.info.id))
         if len(self._removed_incarnations) >= _MAX_REMOVED_INCARNATIONS:
             del self._removed_incarnations[next(iter(self._removed_incarnations))]
         self._removed_incarnations[entry.info.id] = _RemovedIncarnation(
@@ -369,7 +372,7 @@
         entry.revisions |= {entry.position.revision}
         if info is not None and info != before:
             self._removed_incarnations.pop(info.id, None)
-            changes.changed.append(info)
+            changes.append(info)
 
     @staticmethod
     def _decode(name: TargetName, entry: _Entry, value: bytes) -> TargetInfo | None:
@@ -412,7 +415,3 @@
     except ValueError as exc:
         log_event("copied_entry_unreadable", level="WARNING", target=name, reason=str(exc))
         return b""
-
-
-def _merge_changes(first: EntryChanges, second: EntryChanges) -> EntryChanges:
-    return EntryChanges(first.changed + second.changed, first.removed + second.removed)
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -450,6 +450,6 @@
             self._initial_list_sent = True
             self._broker.tell(TargetsListed(self._entries.targets()))
         elif changes:
-            self._broker.tell(TargetsChanged(changes.changed, changes.removed))
+            self._broker.tell(TargetsChanged(changes))
         published = self._entries.published(time.monotonic())
         self._published_copy.put_targets(published, self._entries.position, self._entries.history())
--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -73,6 +73,13 @@
     GONE = "gone"
 
 
+@dataclass(frozen=True)
+class TargetGone:
+    """Removal of a target, or of one incarnation of it, from the discovery source."""
+
+    id: TargetId
+
+
 @dataclass(frozen=True)
 class TargetInfo:
     """Target as listed by the discovery source.
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -45,7 +45,7 @@
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.router.published import StorePosition
 from turmerictray.routing.cold import ColdLimits
-from turmerictray.routing.load import PeerLoad, TargetInfo, TargetPhase
+from turmerictray.routing.load import PeerLoad, TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
 from turmerictray.routing.target_notices import TargetNotices
@@ -537,7 +537,8 @@
         for pool in self.pools.all_unsharded():
             for target in set(pool.targets.loads) - listed_ids:
                 self._remove_alone(pool, target, msg)
-        self._update_targets(msg.targets, msg)
+        for info in msg.targets:
+            self.contain(partial(self._update_target, info), msg)
         self.active_config.targets_listed = True
         self.active_config.shards = self.pools.update_shards()
         self._refuse_unservable()
@@ -545,11 +546,11 @@
 
     @handle.register
     def _(self, msg: TargetsChanged) -> None:
-        for target in msg.gone:
-            for pool in self.pools.all_unsharded():
-                if target in pool.targets.loads:
-                    self._remove_alone(pool, target, msg)
-        self._update_targets(msg.changed, msg)
+        for change in msg.changes:
+            if isinstance(change, TargetGone):
+                self._remove_everywhere(change.id, msg)
+            else:
+                self.contain(partial(self._update_target, change), msg)
         self.active_config.shards = self.pools.update_shards()
         self._refuse_unservable()
         self._schedule_all_grants()
@@ -631,10 +632,6 @@
                 reason = unservable_reason(request, pool)
                 request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
 
-    def _update_targets(self, infos: list[TargetInfo], msg: object) -> None:
-        for info in infos:
-            self.contain(partial(self._update_target, info), msg)
-
     def _update_target(self, info: TargetInfo) -> None:
         for old_pool in self.pools.all_unsharded():
             if old_pool.name != info.service and info.id in old_pool.targets.loads:
@@ -668,6 +665,11 @@
         else:
             active_config.unavailable_targets = active_config.unavailable_targets | {info.id}
 
+    def _remove_everywhere(self, target: TargetId, msg: object) -> None:
+        for pool in self.pools.all_unsharded():
+            if target in pool.targets.loads:
+                self._remove_alone(pool, target, msg)
+
     def _remove_alone(self, pool: ServicePool, target: TargetId, msg: object) -> None:
         """Remove a target; if that fails, the rest of the message is applied all the same."""
         if not self.contain(partial(self._remove_target, pool, target), msg):
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from turmerictray.admission.pool_types import Outcome
 from turmerictray.config.routes import RoutingConfig
@@ -21,7 +21,7 @@
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, shared_parts
 from turmerictray.membership.messages import RouterSummary
 from turmerictray.router.published import StorePosition
-from turmerictray.routing.load import TargetInfo
+from turmerictray.routing.load import TargetGone, TargetInfo
 from turmerictray.routing.prompt import Prompt, PromptPart
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven, StreamsBegun
 from turmerictray.scheduling.shards import UNSHARDED, ShardId
@@ -230,10 +230,9 @@
 
 @dataclass(frozen=True)
 class TargetsChanged:
-    """Targets whose entries changed, and targets whose entries were removed."""
+    """Targets whose entries were written or removed, in this order."""
 
-    changed: list[TargetInfo] = field(default_factory=list)
-    gone: list[TargetId] = field(default_factory=list)
+    changes: list[TargetInfo | TargetGone]
 
 
 @dataclass(frozen=True)
