Connections to targets are reset where a request is given up

Cause: a connection that is closed in order, or left by a killed process, is kept by the kernel, which goes on sending what was not acknowledged.

Change: SO_LINGER of 0 s from the opening of a connection; only a close after a complete answer takes it back. It holds for a killed process too. The same for the product's own calls and for lists of cached parts. The relay of the tests drops what its sender has reset, as a partition does; before, it delivered it.

Why it works: a reset drops the unacknowledged bytes.

--- a/tests/loadtool/test_relay.py
+++ b/tests/loadtool/test_relay.py
@@ -7,6 +7,7 @@
 import pytest
 
 from turmerictray.loadtool.relay import Direction, Network
+from turmerictray.transport.reset import set_reset_on_close
 
 ENDPOINTS = ({"near"}, {"far"})
 
@@ -95,6 +96,19 @@
     assert sock.recv(100) == b"b"
 
 
+def test_bytes_held_up_are_lost_if_their_sender_resets_the_connection(network, connect, echo):
+    sock = connect()
+    assert exchange(sock, b"a") == b"a"
+    network.partition(*ENDPOINTS)
+    sock.sendall(b"b")
+    set_reset_on_close(sock, True)
+    sock.close()
+    time.sleep(0.1)
+    network.restore_all()
+    time.sleep(0.1)
+    assert echo.received == [b"a"]
+
+
 def test_one_way_partition_passes_the_opposite_direction(network, connect, echo):
     sock = connect()
     network.partition(*ENDPOINTS, (Direction.BACKWARD,))
--- a/turmerictray/loadtool/relay.py
+++ b/turmerictray/loadtool/relay.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import socket
-import struct
 import threading
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
+from turmerictray.transport.reset import set_reset_on_close
+
 _CHUNK_BYTES = 65536
-_LINGER_RESET = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` (on, 0 s) with which closing a socket sends a reset."""
 
 
 class Direction(Enum):
@@ -36,7 +35,7 @@
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
             if sock is not None and sock.fileno() >= 0:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+                set_reset_on_close(sock, True)
             writer.transport.abort()
 
 
@@ -99,7 +98,8 @@
         """Stop the bytes between any of ``sources`` and any of ``targets``.
 
         Connections stay open, as TCP connections do in a network partition: the ends receive
-        nothing, and bytes sent during the partition arrive once the link is restored.
+        nothing, and bytes sent during the partition arrive once the link is restored, unless their
+        sender has reset the connection by then.
         """
         self._apply_to_links(
             sources,
@@ -213,11 +213,15 @@
     async def _forward(
         self, link: Link, conn: _Connection, direction: Direction, reader, writer
     ) -> None:
+        client, server = conn.writers
+        sender = client if direction is Direction.FORWARD else server
         try:
             while data := await reader.read(_CHUNK_BYTES):
                 await asyncio.sleep(link.delay_s)
                 await conn.forwarding.wait()
                 await link.gates[direction].wait()
+                if _is_reset(reader, sender):
+                    raise ConnectionResetError
                 writer.write(data)
                 await writer.drain()
         except ConnectionResetError:
@@ -227,3 +231,12 @@
             pass
         finally:
             writer.close()
+
+
+def _is_reset(reader: asyncio.StreamReader, sender: asyncio.StreamWriter) -> bool:
+    """Return whether the sender of what was read has reset its connection since."""
+    if isinstance(reader.exception(), ConnectionResetError):
+        return True
+    # After the end of its data the transport doesn't watch a connection any more.
+    sock = sender.get_extra_info("socket")
+    return sock.fileno() < 0 or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -15,11 +15,19 @@
 from turmerictray.transport.answer_reader import StrictResponse
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.events import EventSplitter
+from turmerictray.transport.reset import RESET_ON_CLOSE
 from turmerictray.transport.retry_after import parse_retry_after_s
 
 _STREAM_CHUNK_BYTES = 4096
 
 
+_SOCKET_OPTIONS = [
+    *urllib3.connection.HTTPConnection.default_socket_options,
+    RESET_ON_CLOSE,
+]
+"""Without a reset, a call that is given up behind a partition reaches the target after it."""
+
+
 class _Connection(urllib3.connection.HTTPConnection):
     response_class = StrictResponse
 
@@ -38,7 +46,13 @@
     """
 
     def __init__(self, maxsize: int = 64) -> None:
-        self._pool = urllib3.PoolManager(num_pools=256, maxsize=maxsize, block=False, retries=False)
+        self._pool = urllib3.PoolManager(
+            num_pools=256,
+            maxsize=maxsize,
+            block=False,
+            retries=False,
+            socket_options=_SOCKET_OPTIONS,
+        )
         self._pool.pool_classes_by_scheme = {"http": _ConnectionPool}
 
     def open(
@@ -145,7 +159,7 @@
 def _request_on_new_connection(method: str, url: str, headers: dict[str, str], **options):
     # The pool and its single connection live only as long as the response and are not reused.
     parsed = urllib3.util.parse_url(url)
-    pool = _ConnectionPool(parsed.host, parsed.port, maxsize=1)
+    pool = _ConnectionPool(parsed.host, parsed.port, maxsize=1, socket_options=_SOCKET_OPTIONS)
     target = parsed.request_uri
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
 
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -2,7 +2,6 @@
 
 import select
 import socket
-import struct
 import threading
 import time
 
@@ -12,6 +11,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import report_item_failure
 from turmerictray.transport.framing import StrictRequest
+from turmerictray.transport.reset import set_reset_on_close
 
 _READ_TIMEOUT_MARGIN_S = 0.5
 """Added to the time limit of a single read to get the time limit of a whole head.
@@ -86,8 +86,7 @@
         the end of the answer.
         """
         self._resets = resets
-        linger = struct.pack("ii", resets, 0)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        set_reset_on_close(self.socket, resets)
 
     def close(self) -> None:
         """Close the connection, with a reset if that was set.
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -14,6 +14,7 @@
 from turmerictray.transport.answer_reader import AnswerReader
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.exchange import Header
+from turmerictray.transport.reset import RESET_ON_CLOSE, set_reset_on_close
 
 _MS_PER_S = 1000
 _READ_SIZE_BYTES = 65536
@@ -25,11 +26,14 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    RESET_ON_CLOSE,
 ]
 """Options of each connection to a target.
 
 TCP keepalive detects a dead peer (network partition, power loss) within about three seconds.
 Without it an idle connection seems usable for hours, and the next request on it is lost.
+
+A connection is reset unless it is closed after a complete answer, so also if the process is killed.
 """
 
 
@@ -99,6 +103,7 @@
         self._reader = _PersistentReader(raw, _READ_SIZE_BYTES)
         self._resp: http.client.HTTPResponse | None = None
         self._body: Body | None = None
+        self._is_answered = True
 
     def send(self, req: TargetRequest, timeout_s: float) -> None:
         """Send a request, head and body.
@@ -108,6 +113,7 @@
         OutcomeUnknown
             The connection broke; some or all of the request may have arrived.
         """
+        self._is_answered = False
         try:
             self._sock.settimeout(timeout_s)
             self._sock.sendall(_encode(req))
@@ -203,7 +209,7 @@
     def is_reusable(self) -> bool:
         """Return whether the answer is complete and the connection may carry another request."""
         body = self._body
-        if body is None or not body.is_complete or self._resp.will_close:
+        if not self._is_body_complete() or self._resp.will_close:
             return False
         return body.end is not BodyEnd.CONNECTION_CLOSE and not self._has_unexpected_data()
 
@@ -253,9 +259,20 @@
             return
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if a request has no complete answer.
+
+        After a normal close the kernel goes on sending what has not been acknowledged. Behind a
+        network partition a target would get the request that is given up here seconds later, when
+        it may already be leaving.
+        """
+        is_open = self._sock.fileno() >= 0
+        if is_open and (self._is_answered or self._is_body_complete()):
+            set_reset_on_close(self._sock, False)
         self._sock.close()
 
+    def _is_body_complete(self) -> bool:
+        return self._body is not None and self._body.is_complete
+
 
 def _call_error(exc: Exception, reason: str) -> OutcomeUnknown:
     """Return the error for a failed call.
