A router that begins to keep records of streams gets all of them

Cause: records of the versions that began streams were sent once, when these began, to those that were there. A router that started later got none, though its peers had them, and each restart lost one more copy.

Change: StreamReports knows by node and incarnation whom it has told. A new holder, since it has started or another has stopped, gets the whole table from two of those that were there before, a stopping one too while it runs. What can't be sent is kept. The list of holders is renewed at each change of routers.

Why it works: as long as one holder lives beside the next, it has the table.

--- a/tests/platform/features/software_versions.feature
+++ b/tests/platform/features/software_versions.feature
@@ -35,6 +35,11 @@
     Then at least 12 streams go on
     And each stream holds one version
 
+  Scenario: Streams are taken up after all routers have restarted one after the other
+    When 24 callers leave their streams and take them up once each router has restarted
+    Then at least 20 streams go on
+    And each stream holds one version
+
   Scenario: A stream whose version is gone does not go on at the other
     When 12 callers leave their streams, and take them up once their version is gone
     Then no stream goes on
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -269,7 +269,7 @@
                 hooks,
                 self._placement_client.send_usage_report,
                 self._placement_client.send_parts_read,
-                self._placement_client.send_streams_begun,
+                self._placement_client,
                 self._readers.age_s,
                 lambda: self._copy.position().targets,
             )
--- a/turmerictray/routing/streams.py
+++ b/turmerictray/routing/streams.py
@@ -30,9 +30,6 @@
 _REPORT_TOLERANCE_S = 5.0
 """Difference up to which two reports of when a version has gone mean the same event."""
 
-_MAX_REPORT_SIZE = 4096
-"""Records in one report to other routers; more wait for the next one."""
-
 
 def stream_key(team: TeamId, service: ServiceName, request_id: RequestId) -> StreamKey:
     """Return the key of the stream that a caller's request began.
@@ -103,17 +100,13 @@
 
 
 class StreamVersions:
-    """The software version that began each recent stream of one service.
-
-    While all targets have had one version, other routers can tell it without these records. They
-    are reported from the time at which a second version appears, and then all at once.
-    """
+    """The software version that began each recent stream of one service."""
 
     def __init__(self) -> None:
         self._current: dict[StreamKey, SoftwareVersion] = {}
         self._previous: dict[StreamKey, SoftwareVersion] = {}
         self._generation_started_at: float | None = None
-        self._unreported: list[StreamKey] | None = None
+        self._new: list[StreamKey] = []
 
     def __len__(self) -> int:
         return len(self._current) + len(self._previous)
@@ -121,8 +114,7 @@
     def record(self, stream: StreamKey, version: SoftwareVersion, now: float) -> None:
         """Record the version that wrote the first event of a stream."""
         self.merge([stream], version, now)
-        if self._unreported is not None:
-            self._unreported.append(stream)
+        self._new.append(stream)
 
     def merge(self, streams: Iterable[StreamKey], version: SoftwareVersion, now: float) -> None:
         """Add the records of another router."""
@@ -136,25 +128,24 @@
         found = self._current.get(stream)
         return self._previous.get(stream) if found is None else found
 
-    def take_unreported(self, is_mixed: bool) -> dict[SoftwareVersion, list[StreamKey]]:
-        """Return the records to send to other routers, by version.
+    def keys(self) -> list[StreamKey]:
+        """Return all streams that are recorded."""
+        return list(self._previous | self._current)
 
-        Parameters
-        ----------
-        is_mixed : bool
-            Whether more than one version may have begun the streams that are still awaited.
+    def take_new(self, count: int) -> list[StreamKey]:
+        """Return up to ``count`` streams that were recorded since the last call; 0 drops them.
+
+        Those that other routers have recorded are not included.
         """
-        if not is_mixed:
-            self._unreported = None
-            return {}
-        if self._unreported is None:
-            self._unreported = [*self._previous, *self._current]
-        taken, self._unreported = (
-            self._unreported[:_MAX_REPORT_SIZE],
-            self._unreported[_MAX_REPORT_SIZE:],
-        )
+        taken, self._new = self._new[:count], self._new[count:] if count else []
+        return taken
+
+    def group_by_version(
+        self, streams: Iterable[StreamKey]
+    ) -> dict[SoftwareVersion, list[StreamKey]]:
+        """Return the streams that are still recorded, by version."""
         by_version: dict[SoftwareVersion, list[StreamKey]] = {}
-        for stream in taken:
+        for stream in streams:
             version = self._current.get(stream, self._previous.get(stream))
             if version is not None:
                 by_version.setdefault(version, []).append(stream)
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -87,8 +87,9 @@
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven
 from turmerictray.scheduling.observation import TargetObservation
 from turmerictray.scheduling.pool_gauges import PoolGauges
-from turmerictray.scheduling.resumptions import Resumptions, SendReport, TargetsView
+from turmerictray.scheduling.resumptions import Resumptions, TargetsView
 from turmerictray.scheduling.service_pools import ServicePools
+from turmerictray.scheduling.stream_reports import RecordLink
 
 _PARTS_REPORT_INTERVAL_S = 0.25
 """Interval between two reports of what engines have read, in seconds."""
@@ -169,10 +170,10 @@
         self._failed_messages = FailedMessages(self.pools, self._failed_texts, self._record_verdict)
         self.send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
         self.send_parts_read: Callable[[PartsRead], None] | None = None
-        self.send_streams_begun: SendReport | None = None
+        self.stream_records: RecordLink | None = None
         self.targets_age_s: Callable[[], float] = lambda: 0.0
         self.targets_position: Callable[[], StorePosition] = StorePosition
-        self._resumptions = Resumptions()
+        self._resumptions = Resumptions(node)
         self._observation = TargetObservation()
         self.shard_usage_changes = ChangedUsage()
         self.fleet_size = 1
@@ -424,10 +425,8 @@
                 request.reply.try_set_exception(QueueTimeout("queue_timeout", FAILED_RETRY_AFTER_S))
 
     def _report_streams_begun(self, now: float) -> None:
-        if self.send_streams_begun is not None:
-            self._resumptions.report(
-                partial(self._targets_view, now=now), self.send_streams_begun, now
-            )
+        if self.stream_records is not None:
+            self._resumptions.report(partial(self._targets_view, now=now), self.stream_records, now)
 
     def _report_gauges(self, now: float) -> None:
         if self._gauges.is_due(now):
@@ -794,7 +793,7 @@
         self.tick_hooks = msg.hooks
         self.send_usage_report = msg.send_usage_report
         self.send_parts_read = msg.send_parts_read
-        self.send_streams_begun = msg.send_streams_begun
+        self.stream_records = msg.stream_records
         self.targets_age_s = msg.targets_age_s
         self.targets_position = msg.targets_position
 
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -25,6 +25,7 @@
 from turmerictray.routing.prompt import Prompt, PromptPart
 from turmerictray.scheduling.messages import PartsRead, ServiceGiven, StreamsBegun
 from turmerictray.scheduling.shards import UNSHARDED, ShardId
+from turmerictray.scheduling.stream_reports import RecordLink
 
 CachedParts = dict[TargetId, list[PromptPart]]
 """Cached prompt parts by engine, least recently used first."""
@@ -338,9 +339,8 @@
         service, its shard count and the report.
     send_parts_read : callable or None
         Sends what engines have read to the other schedulers.
-    send_streams_begun : callable or None
-        Sends the software versions that began streams to the routers that keep such records;
-        returns their number.
+    stream_records : RecordLink or None
+        Link to the routers that keep records of the software versions that began streams.
     targets_age_s : callable
         Returns the age of this router's list of targets, in seconds.
     targets_position : callable
@@ -350,7 +350,7 @@
     hooks: tuple[Callable[[float], None], ...]
     send_usage_report: Callable[[ServiceName, int, ServiceGiven], None] | None = None
     send_parts_read: Callable[[PartsRead], None] | None = None
-    send_streams_begun: Callable[[StreamsBegun], int] | None = None
+    stream_records: RecordLink | None = None
     targets_age_s: Callable[[], float] = lambda: 0.0
     targets_position: Callable[[], StorePosition] = StorePosition
 
--- a/turmerictray/scheduling/choice.py
+++ b/turmerictray/scheduling/choice.py
@@ -71,10 +71,15 @@
         self._selections: dict[str, tuple[float, MemberEntry | None]] = {}
         self._informed: _CachedMembers = {}
         self._record_holders: _CachedMembers = {}
+        self._incarnations: frozenset[tuple[str, int]] = frozenset()
 
     def set_members(self, members: Iterable[MemberEntry]) -> None:
         """Replace the list of members believed alive, which includes the local router."""
         self._members = tuple(members)
+        incarnations = frozenset((entry.node, entry.incarnation) for entry in self._members)
+        if incarnations != self._incarnations:
+            # A router that joins must be sent the records of streams before others stop.
+            self._incarnations, self._record_holders = incarnations, {}
         # Assign a new dict instead of clearing the old one, which other threads may be reading.
         self._selections = {}
 
@@ -124,10 +129,10 @@
         return self._cached_members(self._informed, self._find_informed, service, shards)
 
     def stream_record_holders(self, service: ServiceName, shards: int) -> list[MemberEntry]:
-        """Return the other routers that are to know which software version began each stream.
+        """Return the routers that are to know which software version began each stream.
 
-        These are the routers of :meth:`informed_members`, and those that have started too recently
-        to schedule but will do so in a moment.
+        These are the routers of :meth:`informed_members`, those that have started too recently to
+        schedule but will do so in a moment, and the local router if it is any of these.
         """
         return self._cached_members(
             self._record_holders, self._find_record_holders, service, shards
@@ -148,14 +153,18 @@
         return members
 
     def _find_record_holders(self, service: ServiceName, shards: int) -> list[MemberEntry]:
-        found = {entry.node: entry for entry in self.informed_members(service, shards)}
+        found = self._informed_by_node(service, shards)
         for index in range(shards):
             ranked = _rank_members(_key(service, ShardId(index, shards)), self._members)
             found.update((entry.node, entry) for entry in ranked[:_RANKS_INFORMED])
-        found.pop(self.node, None)
         return list(found.values())
 
     def _find_informed(self, service: ServiceName, shards: int) -> list[MemberEntry]:
+        found = self._informed_by_node(service, shards)
+        found.pop(self.node, None)
+        return list(found.values())
+
+    def _informed_by_node(self, service: ServiceName, shards: int) -> dict[str, MemberEntry]:
         found: dict[str, MemberEntry] = {}
         for count in {1, shards, 2 * shards}:
             for index in range(count):
@@ -164,8 +173,7 @@
                 if count == 1:
                     chosen += {entry.zone: entry for entry in reversed(ranked)}.values()
                 found.update((entry.node, entry) for entry in chosen)
-        found.pop(self.node, None)
-        return list(found.values())
+        return found
 
     def _select(self, key: str, now: float) -> MemberEntry | None:
         unresponsive = {node for node, (_, until) in self._unresponsive.items() if until > now}
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -294,19 +294,13 @@
         for entry in self._choice.informed_members(service, self._shards(service).count):
             self._link.send(entry.scheduling_address, report)
 
-    def send_streams_begun(self, report: StreamsBegun) -> int:
-        """Send the software versions that began streams to the routers that keep such records.
+    def stream_record_holders(self, service: ServiceName) -> list[MemberEntry]:
+        """Return the routers that keep records of which software versions began streams."""
+        return self._choice.stream_record_holders(service, self._shards(service).count)
 
-        Returns
-        -------
-        int
-            Number of these routers.
-        """
-        service = ServiceName(report.service)
-        holders = self._choice.stream_record_holders(service, self._shards(service).count)
-        for entry in holders:
-            self._link.send(entry.scheduling_address, report)
-        return len(holders)
+    def send_streams_begun(self, receiver: MemberEntry, report: StreamsBegun) -> bool:
+        """Send such records to a router; return whether they were sent."""
+        return self._link.send(receiver.scheduling_address, report)
 
     def _send_request(
         self,
--- a/turmerictray/scheduling/resumptions.py
+++ b/turmerictray/scheduling/resumptions.py
@@ -1,36 +1,20 @@
 """Decides at which software version a stream goes on that its caller takes up."""
 
-import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from turmerictray.core import metrics
 from turmerictray.core.errors import CannotResume
-from turmerictray.core.ids import ServiceName, SoftwareVersion, StreamKey
+from turmerictray.core.ids import NodeId, ServiceName, SoftwareVersion, StreamKey
 from turmerictray.core.logs import log_request
-from turmerictray.routing.streams import (
-    VERSION_RETENTION_S,
-    StreamVersions,
-    pack_keys,
-    unpack_keys,
-)
+from turmerictray.routing.streams import VERSION_RETENTION_S, StreamVersions, unpack_keys
 from turmerictray.scheduling.messages import StreamsBegun
-
-_REPORT_INTERVAL_S = 0.1
-"""Interval between two reports of the versions that began streams, in seconds. A caller whose
-stream breaks before the report is refused; it is sent before most streams break."""
-
-_MAX_REPORTS_PER_INTERVAL = 16
-"""Reports sent in this interval; with more receivers, the interval is longer. A service with many
-schedulers has hundreds of receivers."""
+from turmerictray.scheduling.stream_reports import RecordLink, StreamReports
 
 _UNKNOWN_STREAM_RETRY_AFTER_S = 0.3
 """Retry-After in seconds for a stream whose version is not known; another router may know it."""
 
-SendReport = Callable[[StreamsBegun], int]
-"""Sends a report to the routers that keep records of streams; returns their number."""
-
 
 @dataclass(frozen=True)
 class TargetsView:
@@ -55,11 +39,17 @@
 
 
 class Resumptions:
-    """Records of the software versions that began streams, by service."""
+    """Records of the software versions that began streams, by service.
+
+    Parameters
+    ----------
+    node : NodeId
+        The local router.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, node: NodeId) -> None:
         self._streams: defaultdict[ServiceName, StreamVersions] = defaultdict(StreamVersions)
-        self._report_due_at = -math.inf
+        self._reports = StreamReports(node)
 
     def record(
         self, service: ServiceName, stream: StreamKey, version: SoftwareVersion, now: float
@@ -114,7 +104,7 @@
         return version
 
     def report(
-        self, targets: Callable[[ServiceName], TargetsView], send: SendReport, now: float
+        self, targets: Callable[[ServiceName], TargetsView], link: RecordLink, now: float
     ) -> None:
         """Tell other routers which versions have begun streams, unless only one may have.
 
@@ -125,13 +115,12 @@
         targets : callable
             Returns what this router knows of a service's targets.
         """
-        if now < self._report_due_at:
+        if not self._reports.is_due(now):
             return
-        interval_s = _REPORT_INTERVAL_S
+        receiver_count = 0
         for service, streams in self._streams.items():
-            begun = streams.take_unreported(is_mixed=targets(service).only_version() is None)
-            if begun:
-                packed = {version: pack_keys(keys) for version, keys in begun.items()}
-                receivers = send(StreamsBegun(service, packed))
-                interval_s *= max(1.0, receivers / _MAX_REPORTS_PER_INTERVAL)
-        self._report_due_at = now + interval_s
+            if targets(service).only_version() is None:
+                receiver_count += self._reports.send(service, streams, link)
+            else:
+                self._reports.stop(service, streams)
+        self._reports.postpone(receiver_count, now)
