The table of streams is sent on a new connection to a router that returns

What callers saw: nothing yet, found by reading: a router that lost power ends none of its connections. The table that its peers send to its next incarnation would be the first message on the old connection, and be lost without an error.

Change: before the table is sent to a router that has been a receiver before, the connection is renewed.

--- a/tests/scheduling/test_broker_properties.py
+++ b/tests/scheduling/test_broker_properties.py
@@ -121,6 +121,9 @@
     def stream_record_holders(self, service: ServiceName) -> list[MemberEntry]:
         return [MemberEntry("peer", "z", "", 1, 20)]
 
+    def reconnect(self, receiver: MemberEntry) -> None:
+        pass
+
     def send_streams_begun(self, receiver: MemberEntry, report: StreamsBegun) -> bool:
         return bool(self.encode(report))
 
--- a/tests/scheduling/test_stream_reports.py
+++ b/tests/scheduling/test_stream_reports.py
@@ -22,6 +22,7 @@
     def __init__(self, *nodes: str) -> None:
         self.incarnations = dict.fromkeys(nodes, 1)
         self.sent: list[tuple[str, StreamsBegun]] = []
+        self.reconnected: list[str] = []
         self.unreachable: set[str] = set()
 
     def stream_record_holders(self, service: ServiceName) -> list[MemberEntry]:
@@ -30,6 +31,9 @@
             for node, incarnation in self.incarnations.items()
         ]
 
+    def reconnect(self, receiver: MemberEntry) -> None:
+        self.reconnected.append(receiver.node)
+
     def send_streams_begun(self, receiver: MemberEntry, report: StreamsBegun) -> bool:
         if receiver.node in self.unreachable:
             return False
@@ -93,6 +97,16 @@
     assert records.streams_of("b") == streams
 
 
+def test_the_table_is_not_sent_on_a_connection_to_the_past(router):
+    """Guards against a table that is lost, as a loss of power ends no connection."""
+    records = Records("a", "b", "c")
+    router.report(records, rounds=2)
+    assert records.reconnected == []
+    records.incarnations["b"] += 1
+    router.report(records, rounds=2)
+    assert records.reconnected == ["b"]
+
+
 def test_what_others_have_told_is_handed_on(streams):
     """Guards against records that are lost once the router that made them has stopped."""
     keeper, records = Router("b"), Records("b")
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -298,6 +298,10 @@
         """Return the routers that keep records of which software versions began streams."""
         return self._choice.stream_record_holders(service, self._shards(service).count)
 
+    def reconnect(self, receiver: MemberEntry) -> None:
+        """Close the connection to a router that has returned; the next message opens a new one."""
+        self._link.reconnect(receiver.scheduling_address)
+
     def send_streams_begun(self, receiver: MemberEntry, report: StreamsBegun) -> bool:
         """Send such records to a router; return whether they were sent."""
         return self._link.send(receiver.scheduling_address, report)
--- a/turmerictray/scheduling/stream_reports.py
+++ b/turmerictray/scheduling/stream_reports.py
@@ -48,6 +48,9 @@
         They include the local router if it is one of them.
         """
 
+    def reconnect(self, receiver: MemberEntry) -> None:
+        """Open a new connection to a router for what is sent from now on."""
+
     def send_streams_begun(self, receiver: MemberEntry, report: StreamsBegun) -> bool:
         """Send a report without blocking; return whether it was sent."""
 
@@ -72,6 +75,7 @@
     def __init__(self, node: NodeId) -> None:
         self._node = node
         self._receivers: dict[ServiceName, dict[_Incarnation, _Receiver]] = {}
+        self._past_receivers: set[str] = set()
         self._due_at = -math.inf
 
     def is_due(self, now: float) -> bool:
@@ -114,6 +118,7 @@
             if entry.node != self._node
         }
         joined = holders.keys() - known.keys()
+        self._renew_connections([holders[key] for key in joined], link)
         if not self._sends_table(holders.keys() - joined):
             joined = set()
         table = streams.keys() if joined else []
@@ -124,6 +129,13 @@
         }
         return joined
 
+    def _renew_connections(self, joined: Iterable[MemberEntry], link: RecordLink) -> None:
+        """Reconnect to routers that return: what is sent to one that lost power is lost."""
+        for entry in joined:
+            if entry.node in self._past_receivers:
+                link.reconnect(entry)
+            self._past_receivers.add(entry.node)
+
     def _send_new(
         self,
         report: StreamsBegun,
