--- a/tests/router/test_silent_stream.py
+++ b/tests/router/test_silent_stream.py
@@ -77,6 +77,9 @@
     def send(self, _req: object, _timeout_s: float) -> None:
         """Take a request in."""
 
+    def hold(self, _size: int) -> None:
+        """Count what is held of the answer."""
+
     def read_head(self, _method: str, _timeout_s: float) -> AnswerHead:
         return AnswerHead(200, [("Content-Type", "text/event-stream")])
 
--- a/tests/router/test_suspect_isolation.py
+++ b/tests/router/test_suspect_isolation.py
@@ -22,7 +22,7 @@
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint, shared_parts
 from turmerictray.crashes.parts import HOLD_S
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
-from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetInfo, TargetPhase
+from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, Prompt, PromptPart
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -146,9 +146,9 @@
 def test_only_announced_targets_count_as_leaving_when_removed(broker):
     """Guards against uncounted crashes when a target's entry is removed before its answer fails."""
     infos = {str(info.id): info for info in known_targets(broker)}
-    broker.on_receive(TargetsChanged(changed=[replace(infos["e1"], phase=TargetPhase.LEAVING)]))
+    broker.on_receive(TargetsChanged([replace(infos["e1"], phase=TargetPhase.LEAVING)]))
     broker.on_receive(TargetLeaving(LLM, TargetId("e2")))
-    broker.on_receive(TargetsChanged(gone=[TargetId(f"e{n}") for n in range(3)]))
+    broker.on_receive(TargetsChanged([TargetGone(TargetId(f"e{n}")) for n in range(3)]))
     assert broker.active_config.unavailable_targets == {"e0", "e1", "e2"}
     assert broker.active_config.announced_leaving == {"e1", "e2"}
 
