Events of a stream are split in linear time

What callers saw: an answer 0.32 s after its deadline where 0.3 s are allowed, in one of two runs of test_endless_answers[fast-events] at load 14 to 17.

Cause: the splitter copied what was left after each event. 64 kB of small events, which come in one read, took 0.22 s at load 17, between two looks at the clock.

Change: one pass over what was received.

--- a/turmerictray/transport/events.py
+++ b/turmerictray/transport/events.py
@@ -1,11 +1,14 @@
 """Splitting of a server-sent event stream into complete events."""
 
+import re
 from dataclasses import dataclass
 
 from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown
 from turmerictray.transport.body import BodyEnd
 
 _MAX_EVENT_BYTES = 1 << 20
+_EVENT_END = re.compile(rb"\n\r?\n")
+"""End of an event's last line, and the blank line after it."""
 
 
 class EventTooLarge(OutcomeUnknown):
@@ -48,14 +51,11 @@
         EventTooLarge
             An unfinished event exceeds the size limit.
         """
-        self._remainder += data
-        events = []
-        while True:
-            end = _find_event_end(self._remainder)
-            if end < 0:
-                break
-            events.append(_parse_event(self._remainder[:end]))
-            self._remainder = self._remainder[end:]
+        received, begin, events = self._remainder + data, 0, []
+        for blank_line in _EVENT_END.finditer(received):
+            events.append(_parse_event(received[begin : blank_line.end()]))
+            begin = blank_line.end()
+        self._remainder = received[begin:]
         self._event_count += len(events)
         if len(self._remainder) > _MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event is over {_MAX_EVENT_BYTES} bytes")
@@ -88,16 +88,6 @@
             raise error("the stream ended within an event, or before the first one")
 
 
-def _find_event_end(data: bytes) -> int:
-    """Return the index just after the first blank line, or -1 if there is none."""
-    ends = []
-    for separator in (b"\n\n", b"\n\r\n"):
-        index = data.find(separator)
-        if index >= 0:
-            ends.append(index + len(separator))
-    return min(ends, default=-1)
-
-
 def _parse_event(data: bytes) -> Event:
     event_id = None
     for line in data.splitlines():
