Only connections to routers that have restarted are renewed

What callers saw: nothing, found by reading the change. When a second version appeared again, a router renewed its connections to all that keep records, also to those that had never stopped; grants in their buffers would be lost.

Cause: that a node had been told before stood for its having restarted.

Change: the connection is renewed if the incarnation is another one.

--- a/tests/scheduling/test_stream_reports.py
+++ b/tests/scheduling/test_stream_reports.py
@@ -107,6 +107,16 @@
     assert records.reconnected == ["b"]
 
 
+def test_connections_to_routers_that_have_not_restarted_are_kept():
+    """Guards against grants that are lost with a connection as a second version appears."""
+    resumptions, records = Resumptions(NodeId("a")), Records("a", "b")
+    for now, view in enumerate([MIXED, ONLY, MIXED]):
+        resumptions.record(LLM, StreamKey(now), V1, now)
+        resumptions.report(lambda _service, view=view: view, records, now)
+    assert records.reconnected == []
+    assert records.streams_of("b") == {0: V1, 1: V1, 2: V1}
+
+
 def test_what_others_have_told_is_handed_on(streams):
     """Guards against records that are lost once the router that made them has stopped."""
     keeper, records = Router("b"), Records("b")
--- a/turmerictray/scheduling/stream_reports.py
+++ b/turmerictray/scheduling/stream_reports.py
@@ -75,7 +75,7 @@
     def __init__(self, node: NodeId) -> None:
         self._node = node
         self._receivers: dict[ServiceName, dict[_Incarnation, _Receiver]] = {}
-        self._past_receivers: set[str] = set()
+        self._incarnations: dict[str, int] = {}
         self._due_at = -math.inf
 
     def is_due(self, now: float) -> bool:
@@ -130,11 +130,11 @@
         return joined
 
     def _renew_connections(self, joined: Iterable[MemberEntry], link: RecordLink) -> None:
-        """Reconnect to routers that return: what is sent to one that lost power is lost."""
+        """Reconnect to routers that have restarted: an old connection may lose what is sent."""
         for entry in joined:
-            if entry.node in self._past_receivers:
+            if self._incarnations.get(entry.node, entry.incarnation) != entry.incarnation:
                 link.reconnect(entry)
-            self._past_receivers.add(entry.node)
+            self._incarnations[entry.node] = entry.incarnation
 
     def _send_new(
         self,
