One place for the socket options and pools of calls to targets

Found by reading the change: the options with a reset on close stood in upstream and in engines, and upstream built its pools as bounded_pool_manager does. Both call one piece now.

--- a/tests/platform/test_endless_targets.py
+++ b/tests/platform/test_endless_targets.py
@@ -16,7 +16,7 @@
 DEADLINE_S = 3.0
 SLACK_S = 0.5
 MAX_GROWTH_BYTES = 150 << 20
-"""A router may have 300 MB; one that has just started has about 40 MB."""
+"""Half of the memory that a router may have."""
 
 
 def _call(router, route: str, number: int) -> tuple[int, float]:
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -221,7 +221,7 @@
 
 
 def test_a_version_that_has_gone_at_a_peer_counts_at_a_router_that_has_just_started(start):
-    # Review case 1: the peers knew of it, and had not told.
+    # The peers knew of it, and had not told.
     fixture = start(V2, V2)
     fixture.tick(1.5)
     fixture.hear(known_s=60, v1=20.0)
--- a/turmerictray/platform/engines.py
+++ b/turmerictray/platform/engines.py
@@ -11,13 +11,7 @@
 from turmerictray.routing.load import TargetInfo
 from turmerictray.routing.prompt import PromptPart
 from turmerictray.transport.bounded_input import bounded_pool_manager
-from turmerictray.transport.reset import RESET_ON_CLOSE
-
-_SOCKET_OPTIONS = [
-    *urllib3.connection.HTTPConnection.default_socket_options,
-    RESET_ON_CLOSE,
-]
-"""Without a reset, a call that is given up behind a partition reaches the engine after it."""
+from turmerictray.transport.reset import CALL_SOCKET_OPTIONS
 
 _LIST_TIMEOUT_S = 1.0
 """Time limit of a request; a healthy engine answers within a few milliseconds."""
@@ -44,7 +38,7 @@
     headers = {"X-Expect-Instance": engine.instance_name, "Connection": "close"}
     url = f"http://{engine.address}/api/kv-list"
     try:
-        with bounded_pool_manager(socket_options=_SOCKET_OPTIONS) as http:
+        with bounded_pool_manager(socket_options=CALL_SOCKET_OPTIONS) as http:
             resp = http.request("GET", url, headers=headers, timeout=_LIST_TIMEOUT_S, retries=False)
         if resp.status != 200:
             raise EngineError(f"{engine.address} answered with status {resp.status}")
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -14,19 +14,17 @@
 
 from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
 from turmerictray.transport.body import BodyEnd
-from turmerictray.transport.bounded_input import BoundedConnectionPool, StreamedResponse
+from turmerictray.transport.bounded_input import (
+    BoundedConnectionPool,
+    StreamedResponse,
+    bounded_pool_manager,
+)
 from turmerictray.transport.events import EventSplitter
-from turmerictray.transport.reset import RESET_ON_CLOSE
+from turmerictray.transport.reset import CALL_SOCKET_OPTIONS
 from turmerictray.transport.retry_after import parse_retry_after_s
 
 _STREAM_CHUNK_BYTES = 4096
 
-_SOCKET_OPTIONS = [
-    *urllib3.connection.HTTPConnection.default_socket_options,
-    RESET_ON_CLOSE,
-]
-"""Without a reset, a call that is given up behind a partition reaches the target after it."""
-
 
 class _StreamConnection(urllib3.connection.HTTPConnection):
     response_class = StreamedResponse
@@ -51,7 +49,14 @@
 
     def __init__(self, maxsize: int = 64) -> None:
         self._pools = {
-            is_stream: _pool_manager(maxsize, pool_class)
+            is_stream: bounded_pool_manager(
+                pool_class,
+                num_pools=256,
+                maxsize=maxsize,
+                block=False,
+                retries=False,
+                socket_options=CALL_SOCKET_OPTIONS,
+            )
             for is_stream, pool_class in _POOL_CLASSES.items()
         }
 
@@ -170,16 +175,6 @@
             pool.clear()
 
 
-def _pool_manager(
-    maxsize: int, pool_class: type[urllib3.HTTPConnectionPool]
-) -> urllib3.PoolManager:
-    manager = urllib3.PoolManager(
-        num_pools=256, maxsize=maxsize, block=False, retries=False, socket_options=_SOCKET_OPTIONS
-    )
-    manager.pool_classes_by_scheme = {"http": pool_class}
-    return manager
-
-
 def _request_on_new_connection(
     pool_class: type[urllib3.HTTPConnectionPool],
     method: str,
@@ -189,7 +184,7 @@
 ):
     # The pool and its single connection live only as long as the response and are not reused.
     parsed = urllib3.util.parse_url(url)
-    pool = pool_class(parsed.host, parsed.port, maxsize=1, socket_options=_SOCKET_OPTIONS)
+    pool = pool_class(parsed.host, parsed.port, maxsize=1, socket_options=CALL_SOCKET_OPTIONS)
     target = parsed.request_uri
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
 
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -151,8 +151,10 @@
     ConnectionCls = BoundedConnection
 
 
-def bounded_pool_manager(**options: object) -> urllib3.PoolManager:
+def bounded_pool_manager(
+    pool_class: type[urllib3.HTTPConnectionPool] = BoundedConnectionPool, **options: object
+) -> urllib3.PoolManager:
     """Return a pool manager of bounded responses, for http addresses."""
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": BoundedConnectionPool}
+    manager.pool_classes_by_scheme = {"http": pool_class}
     return manager
