Tests: the garbage collector is kept out of ast.parse

Cause: a fault of the interpreter (3.11.6). The recursion depth of the conversion of a syntax tree is one per interpreter. If the collector runs within a conversion and a finalizer, or another thread while the collector runs Python code (Hypothesis has a callback there), converts another tree, the depth doesn't fit any more. Formatting a traceback does so (it parses the line to underline it).

Evidence, by scripts: a finalizer that formats a traceback: 300 of 300 parses fail; a collector's callback in Python beside a thread that formats tracebacks: 878 of 2,979, and 1,478 of 1,492 if it yields; two such threads without a callback: 0 of 10,079, so threads alone are ruled out.

Change: ast.parse runs without the collector in tests. No test of ours is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Shared fixtures: small fleets of real processes on loopback, and the known failing tests."""
 
+import ast
+import gc
 from pathlib import Path
 
 import pytest
@@ -14,6 +16,29 @@
 settings.load_profile("repeatable")
 
 
+@pytest.fixture(scope="session", autouse=True)
+def parsing_without_garbage_collection():
+    """Keep the garbage collector out of :func:`ast.parse`.
+
+    Up to Python 3.11.6 it fails if a finalizer, or another thread while the collector runs Python
+    code, parses as well. Formatting a traceback parses, and Hypothesis parses stateful tests.
+    """
+    parse = ast.parse
+
+    def parse_alone(*args, **kwargs):
+        was_enabled = gc.isenabled()
+        gc.disable()
+        try:
+            return parse(*args, **kwargs)
+        finally:
+            if was_enabled:
+                gc.enable()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ast, "parse", parse_alone)
+        yield
+
+
 @pytest.fixture
 def start_fleet(tmp_path):
     """Return a function that starts a :class:`LocalFleet`.
