--- a/tests/crashes/test_closed_answers.py
+++ b/tests/crashes/test_closed_answers.py
@@ -6,8 +6,7 @@
 
 from turmerictray.core.errors import ConnectionBroken
 from turmerictray.core.ids import RequestDigest, ServiceName, TargetId, ZoneId
-from turmerictray.crashes.closed_answers import ClosedAnswerChecks
-from turmerictray.crashes.evidence import ClosedAnswer, CrashEvidence
+from turmerictray.crashes.evidence import CrashEvidence
 from turmerictray.crashes.exit_detection import TargetExitDetector
 from turmerictray.crashes.fingerprint import Fingerprint
 from turmerictray.crashes.parts import Suspicion
@@ -17,52 +16,33 @@
 TARGET = TargetInfo(TargetId("e1"), ServiceName("llm"), "h:1", ZoneId("z1"), 4)
 
 
-def evidence(exited: bool, leaving: bool = False, check_later=lambda _answer: None):
+def make_evidence(exited: bool, leaving: bool = False) -> CrashEvidence:
     ids = frozenset({TARGET.id} if leaving else ())
-    return CrashEvidence(
-        ended_targets=TargetExitDetector(lambda _address: exited),
-        leaving=lambda: ids,
-        check_later=check_later,
-    )
+    detector = TargetExitDetector(lambda _address: exited)
+    return CrashEvidence(ended_targets=detector, leaving=lambda: ids)
 
 
-def answer(age_s: float = 0.0) -> ClosedAnswer:
-    return ClosedAnswer(REQUEST, TARGET, time.monotonic() - age_s)
+def suspicion_after(evidence: CrashEvidence, ran_s: float) -> Suspicion:
+    """Check an answer that ran for ``ran_s``; return what is then held against its request."""
+    now = time.monotonic()
+    with pytest.raises(ConnectionBroken) as caught:
+        evidence.check_closed_answer(TARGET, now)
+    evidence.record_if_crash(REQUEST, TARGET, caught.value, ran_s, now)
+    return evidence.quarantine.suspicion(REQUEST, now)
 
 
-def suspicion_after_check(crashes: CrashEvidence, found: ClosedAnswer) -> Suspicion:
-    checks = ClosedAnswerChecks.start(crashes)
-    checks.ask(found, timeout=2)
-    checks.stop()
-    return crashes.quarantine.suspicion(REQUEST, time.monotonic())
+def test_answer_of_a_running_target_is_complete():
+    evidence = make_evidence(exited=False)
+    evidence.check_closed_answer(TARGET, time.monotonic())
+    assert evidence.quarantine.suspicion(REQUEST, time.monotonic()) is Suspicion.NONE
 
 
-def test_first_crash_between_two_events_is_evidence_afterwards():
+def test_first_crash_between_two_events_is_evidence():
     """Guards against a storm of crashes of which each leaves an answer that looks complete."""
-    assert suspicion_after_check(evidence(exited=True), answer()) is Suspicion.SUSPECT
+    assert suspicion_after(make_evidence(exited=True), ran_s=0.1) is Suspicion.SUSPECT
 
 
-@pytest.mark.parametrize(
-    ("exited", "leaving", "age_s"), [(False, False, 0.0), (True, True, 0.0), (True, False, 1.5)]
-)
-def test_no_evidence_of_targets_that_run_or_leave_or_of_long_ago(exited, leaving, age_s):
-    crashes = evidence(exited, leaving)
-    assert suspicion_after_check(crashes, answer(age_s)) is Suspicion.NONE
-
-
-def test_caller_waits_for_the_check_only_after_another_crash():
-    later = []
-    crashes = evidence(exited=True, check_later=later.append)
-    first = answer()
-    assert not crashes.check_closed_answer(first, 0.1)
-    assert later == [first]
-    crashes.quarantine.record_crash(REQUEST, TARGET.id, time.monotonic())
-    with pytest.raises(ConnectionBroken):
-        crashes.check_closed_answer(answer(), 0.1)
-    assert later == [first]
-
-
-def test_answer_that_ran_for_long_is_not_checked():
-    later = []
-    assert not evidence(exited=True, check_later=later.append).check_closed_answer(answer(), 1.5)
-    assert not later
+@pytest.mark.parametrize(("leaving", "ran_s"), [(True, 0.1), (False, 1.5)])
+def test_cut_answer_that_is_no_evidence_does_not_look_complete(leaving, ran_s):
+    """Guards against a check that is left out where a crash is not the request's doing."""
+    assert suspicion_after(make_evidence(exited=True, leaving=leaving), ran_s) is Suspicion.NONE
--- a/tests/platform/features/answers.feature
+++ b/tests/platform/features/answers.feature
@@ -21,12 +21,13 @@
     And 1 app request(s) ran
 
     Examples:
-      | fault           |
-      | reset_after_run |
-      | busy_but_ran    |
-      | other_id        |
-      | unsigned        |
-      | truncated       |
+      | fault               |
+      | reset_after_run     |
+      | busy_but_ran        |
+      | other_id            |
+      | unsigned            |
+      | truncated           |
+      | crash_within_answer |
 
   Scenario: A request that all workers refused has not run
     Given a deployment with 1 router(s)
@@ -50,6 +51,14 @@
       | other_id        |
       | hang            |
 
+  Scenario: An answer without length or chunks that a crash ends is not passed off as complete
+    Given a deployment with 1 router(s)
+    And one app worker has the fault crash_within_answer
+    When a caller sends GET /ping/1
+    Then the answer is 200
+    And the caller received the whole answer to GET /ping/1
+    And 2 app request(s) ran
+
   Scenario: An error response of a worker is forwarded unchanged
     Given a deployment with 1 router(s)
     And the next 4 requests to app workers trigger error
--- a/tests/platform/features/streams.feature
+++ b/tests/platform/features/streams.feature
@@ -40,6 +40,21 @@
     And the caller received the events 1 to 2
     And 1 llm request(s) ran
 
+  Scenario: A resumable stream without length or chunks that a crash ends between two events continues on another engine
+    Given a deployment with 1 router(s)
+    And one llm worker has the fault crash_within_answer
+    When a caller requests the stream /plan/1
+    Then the answer is 200
+    And the caller received the events 1 to 5
+
+  Scenario: Another stream without length or chunks that a crash ends between two events is not passed off as complete
+    Given a deployment with 1 router(s)
+    And one llm worker has the fault crash_within_answer
+    When a caller requests the stream /recon/1
+    Then the answer is truncated
+    And the caller received the events 1 to 2
+    And 1 llm request(s) ran
+
   Scenario: A broken stream that is not resumable is visibly truncated
     Given a deployment with 1 router(s)
     And one llm worker has the fault broken_stream
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -27,6 +27,11 @@
     assert bodies == [f"POST /order/{n} {n}".encode() for n in range(len(bodies))]
 
 
+@then(parsers.parse("the caller received the whole answer to {method} {target}"))
+def received_whole_answer(ctx, method, target):
+    assert ctx["answer"].body == f"{method} {target} 0".encode()
+
+
 @then(
     parsers.parse("the answer took between {min_s:g} and {max_s:g} seconds"),
 )
--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -45,7 +45,9 @@
     """Read a whole request; closed with unread bytes, the connection would be reset."""
     data = b""
     while b"\r\n\r\n" not in data:
-        data += conn.recv(65536)
+        if not (received := conn.recv(65536)):
+            return
+        data += received
     head, _, body = data.partition(b"\r\n\r\n")
     length = re.search(rb"content-length: (\d+)", head.lower())
     while len(body) < (int(length[1]) if length else 0):
@@ -53,7 +55,7 @@
 
 
 class CuttingTarget:
-    """Sends some bytes on each connection and then ends it in one of four ways."""
+    """Sends some bytes on each connection and then ends it, by ``exit`` as all others."""
 
     def __init__(self) -> None:
         self.data = b""
@@ -76,7 +78,10 @@
             self._serve(conn)
 
     def _serve(self, conn: socket.socket) -> None:
-        _read_request(conn)
+        try:
+            _read_request(conn)
+        except ConnectionResetError:
+            return
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for piece in [bytes([b]) for b in self.data] if self.one_by_one else [self.data]:
             conn.sendall(piece)
@@ -86,6 +91,8 @@
             conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         if self.how == "half_close":
             conn.shutdown(socket.SHUT_WR)
+        if self.how == "exit":
+            self._server.close()
         if self.how in ("half_close", "silence"):
             self._held.append(conn)
         else:
--- a/tests/router/test_connections.py
+++ b/tests/router/test_connections.py
@@ -80,7 +80,7 @@
     ctx["answers"] = []
     for _ in range(2):
         resp = upstream.open(target_url, b"{}", {}, 1.0, 5.0, idempotent=False)
-        ctx["answers"].append((resp.status, b"".join(upstream.stream(resp))))
+        ctx["answers"].append((resp.status, b"".join(upstream.stream(resp, target_url))))
     upstream.close()
 
 
--- a/tests/router/test_endless_answers.py
+++ b/tests/router/test_endless_answers.py
@@ -65,15 +65,17 @@
     list_cached_parts(TargetInfo(TargetId("e"), ServiceName("s"), address, ZoneId("z"), 1))
 
 
+def call_upstream(address: str) -> None:
+    upstream, url = Upstream(), f"http://{address}/"
+    upstream.read(upstream.open(url, b"", {}, 0.5, 0.5), url)
+
+
 CALLS = {
     "engine": (call_engine, EngineError),
     "peer's documents": (lambda address: PeerDocs().fetch(address), PeerError),
     "peer's cached parts": (fetch_cached_parts, PeerError),
     "store": (lambda address: StoreClient(address).read_all("x/"), StoreUnavailable),
-    "own interface": (
-        lambda address: Upstream().read(Upstream().open(f"http://{address}/", b"", {}, 0.5, 0.5)),
-        OutcomeUnknown,
-    ),
+    "own interface": (call_upstream, OutcomeUnknown),
 }
 
 
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -22,10 +22,11 @@
 
 def _read(target: CuttingTarget, is_stream: bool) -> tuple[bool, bytes]:
     """Read an answer; return whether it ended as complete, and its body."""
-    upstream, data = Upstream(), b""
+    upstream, data, url = Upstream(), b"", f"http://{target.address}/"
     try:
-        resp = upstream.open(f"http://{target.address}/", b"{}", {}, 1.0, 2.0, idempotent=False)
-        for piece in upstream.stream_events(resp) if is_stream else upstream.stream(resp):
+        resp = upstream.open(url, b"{}", {}, 1.0, 2.0, idempotent=False)
+        read = upstream.stream_events if is_stream else upstream.stream
+        for piece in read(resp, url):
             data += piece
     except OutcomeUnknown:
         return False, data
@@ -45,3 +46,17 @@
         assert complete == (may_end if framing == "none" else cut == len(wire)), cut
         assert (STREAM if is_stream else BODY).startswith(body)
         assert not is_stream or len(body) in (0, *STREAM_BOUNDARIES)
+
+
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+def test_answer_that_only_the_exit_of_its_target_ends_is_not_complete(is_stream):
+    """Guards against a part of an answer, cut between two writes, that looks like the whole."""
+    _, wire = make_answer("none", is_stream, 200)
+    for cut in [*STREAM_BOUNDARIES[:-1], len(wire)] if is_stream else [0, 5, len(wire)]:
+        target = CuttingTarget()
+        head, _ = make_answer("none", is_stream, 200)
+        target.data, target.how = head + wire[:cut], "exit"
+        complete, body = _read(target, is_stream)
+        target.close()
+        assert not complete
+        assert body == wire[:cut]
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -16,27 +16,6 @@
     return frozenset()
 
 
-@dataclass(frozen=True)
-class ClosedAnswer:
-    """An answer that only the close of its connection ended, soon after its first event.
-
-    Attributes
-    ----------
-    fingerprint : Fingerprint
-        Of its request.
-    target : TargetInfo
-    closed_at : float
-        Monotonic time, in seconds.
-    isolated : bool
-        Whether no other suspect had just started there.
-    """
-
-    fingerprint: Fingerprint
-    target: TargetInfo
-    closed_at: float
-    isolated: bool = False
-
-
 @dataclass(frozen=True)
 class CrashEvidence:
     """Records target crashes against the requests that they interrupted.
@@ -48,15 +27,11 @@
     leaving : callable
         Returns the targets that have announced that they are leaving; their end is not counted
         against any request.
-    check_later : callable
-        Called with each answer that may have been broken off and is not checked before its caller
-        has it.
     """
 
     quarantine: Quarantine = field(default_factory=Quarantine)
     ended_targets: TargetExitDetector = field(default_factory=TargetExitDetector)
     leaving: Callable[[], frozenset[TargetId]] = _no_targets
-    check_later: Callable[[ClosedAnswer], None] = lambda _answer: None
 
     def record_if_crash(
         self,
@@ -88,41 +63,24 @@
         self.quarantine.record_crash(fingerprint, target.id, now, isolated)
         return True
 
-    def check_closed_answer(self, answer: ClosedAnswer, ran_s: float) -> bool:
-        """Check that an answer that only the close of its connection ends was not broken off.
+    def check_closed_answer(self, target: TargetInfo, closed_at: float) -> None:
+        """Check that an answer that only the close of its connection ended was not broken off.
 
-        A target that crashes between two events ends a stream as if it were complete. The check
-        takes a moment, so its caller waits for it only when another crash is likely.
+        A target that crashes between two writes ends its answer as if it were complete.
 
         Parameters
         ----------
-        answer : ClosedAnswer
-        ran_s : float
-            Seconds since the first event of the answer.
-
-        Returns
-        -------
-        bool
-            Whether the target was found to be running.
+        target : TargetInfo
+        closed_at : float
+            When the connection was closed, in monotonic seconds.
 
         Raises
         ------
         ConnectionBroken
-            The target has crashed.
+            The target has exited.
         """
-        if ran_s > CRASH_ATTRIBUTION_S:
-            return False
-        if not self.quarantine.is_alert(answer.closed_at):
-            self.check_later(answer)
-            return False
-        if self._has_crashed(answer.target, answer.closed_at):
-            raise ConnectionBroken(f"{answer.target.address} crashed at the end of the answer")
-        return True
-
-    def record_if_broken_off(self, answer: ClosedAnswer, now: float) -> None:
-        """Record a crash if the target of an answer that its caller already has does not run."""
-        if self._has_crashed(answer.target, answer.closed_at):
-            self.quarantine.record_crash(answer.fingerprint, answer.target.id, now, answer.isolated)
+        if self.ended_targets.has_exited(target.id, target.address, closed_at):
+            raise ConnectionBroken(f"{target.address} exited at the end of the answer")
 
     def _has_crashed(self, target: TargetInfo, now: float) -> bool:
         if target.id in self.leaving():
--- a/turmerictray/crashes/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -28,9 +28,6 @@
 """Time without a new send, crash or report after which a suspect is forgotten. It is also the
 ``Retry-After`` of a quarantined request, so a caller that honours it is served again."""
 
-ALERT_S = 10.0
-"""Time after a crash in which further ones are likely."""
-
 _CONCURRENT_COPY_RETRY_S = 0.5
 """``Retry-After`` while another copy of a suspect runs."""
 
@@ -53,7 +50,6 @@
         )
         self._parts = PartSuspects()
         self._attribution = Attribution()
-        self._alert_until = 0.0
         self.revision = 0
 
     # -- decisions -----------------------------------------------------------------------------
@@ -108,10 +104,6 @@
         """Return whether a request that failed may be sent to another target immediately."""
         return self.suspicion(fingerprint, now) < Suspicion.ISOLATED
 
-    def is_alert(self, now: float) -> bool:
-        """Return whether a target has crashed recently."""
-        return now < self._alert_until
-
     # -- local requests ------------------------------------------------------------------------
 
     def begin_run(self, fingerprint: Fingerprint, now: float, is_test: bool = False) -> bool:
@@ -153,7 +145,6 @@
         ``isolated`` tells whether no other suspect had just started there.
         """
         with self._lock:
-            self._alert_until = now + ALERT_S
             try:
                 if fingerprint.digest:
                     suspect = self._requests.find_or_add(fingerprint.digest, now, now)
@@ -214,7 +205,6 @@
                 )
                 changed |= self._add_findings(digest, suspect, found, "peer")
             if changed:
-                self._alert_until = now + ALERT_S
                 self._update_attribution()
 
     def has_pending_updates(self) -> bool:
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -43,6 +43,8 @@
     connection. ``RESET_UNSENT`` resets the connection before the request runs,
     ``RESET_AFTER_RUN`` after it started to run. ``UNFRAMED_STREAM`` sends a stream with neither a
     length nor chunks, ``UNFRAMED_CUT_STREAM`` also closes the connection within an event of it.
+    ``CRASH_WITHIN_ANSWER`` crashes the worker within an answer with neither a length nor chunks; in
+    a stream, between two events.
     """
 
     NONE = "none"
@@ -61,11 +63,16 @@
     SILENT_STREAM = "silent_stream"
     UNFRAMED_STREAM = "unframed_stream"
     UNFRAMED_CUT_STREAM = "unframed_cut_stream"
+    CRASH_WITHIN_ANSWER = "crash_within_answer"
 
     @property
     def is_unframed_stream(self) -> bool:
         """Whether a stream with this fault has neither a length nor chunks."""
-        return self in (WorkerFault.UNFRAMED_STREAM, WorkerFault.UNFRAMED_CUT_STREAM)
+        return self in (
+            WorkerFault.UNFRAMED_STREAM,
+            WorkerFault.UNFRAMED_CUT_STREAM,
+            WorkerFault.CRASH_WITHIN_ANSWER,
+        )
 
 
 @dataclass
@@ -404,9 +411,10 @@
             self.wfile.write(body)
             self.close_connection = True
         elif fault is WorkerFault.NO_LENGTH:
-            self._send_head(200, [("Connection", "close")])
-            self.wfile.write(body)
-            self.close_connection = True
+            self._send_unframed(body)
+        elif fault is WorkerFault.CRASH_WITHIN_ANSWER:
+            self._send_unframed(body[: len(body) // 2])
+            self.worker.crash()
         else:
             self._send_answer(200, body)
         if fault is WorkerFault.EXTRA_ANSWER:
@@ -445,6 +453,9 @@
         self._send_chunk(b"")
 
     def _break_stream(self, request: ReceivedRequest, fault: WorkerFault, event: bytes) -> None:
+        if fault is WorkerFault.CRASH_WITHIN_ANSWER:
+            self.worker.crash()
+            return
         self._send_chunk(event[: len(event) // 2])
         if fault is WorkerFault.SILENT_STREAM:
             request.client_disconnected = self._wait_for_close(_HANG_S)
@@ -485,6 +496,12 @@
         self.connection.close()
         self.close_connection = True
 
+    def _send_unframed(self, body: bytes) -> None:
+        """Send an answer that the close of its connection ends."""
+        self._send_head(200, [("Connection", "close")])
+        self.wfile.write(body)
+        self.close_connection = True
+
     def _send_answer(
         self, status: int, body: bytes, extra=(), signed=True, request_id=None
     ) -> None:
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -4,8 +4,6 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
-from dataclasses import replace
 from typing import Protocol
 
 import msgspec
@@ -17,8 +15,7 @@
 from turmerictray.core.app import Application
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
-from turmerictray.crashes.closed_answers import ClosedAnswerChecks
-from turmerictray.crashes.evidence import ClosedAnswer, CrashEvidence
+from turmerictray.crashes.evidence import CrashEvidence
 from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.membership.link import PERIOD_S, Leave, PeerLink
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
@@ -309,25 +306,15 @@
         self._scheduling_link.stop()
         self._connections.close()
 
-    def _start_crash_evidence(self) -> CrashEvidence:
-        evidence = CrashEvidence(
-            self._quarantine, leaving=lambda: self._active_config.announced_leaving
-        )
-        checks = ClosedAnswerChecks.start(evidence)
-
-        def check_later(answer: ClosedAnswer) -> None:
-            with suppress(pykka.ActorDeadError):  # The router is stopping.
-                checks.tell(answer)
-
-        return replace(evidence, check_later=check_later)
-
     def _start_servers(self) -> None:
         s = self.settings
         deps = RequestDependencies(
             self._placement_client,
             self._dialect,
             self._connections,
-            crashes=self._start_crash_evidence(),
+            crashes=CrashEvidence(
+                self._quarantine, leaving=lambda: self._active_config.announced_leaving
+            ),
             is_outdated=self._active_config.is_outdated,
             is_unavailable=self._active_config.is_unavailable,
             notices=self._notices,
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -299,7 +299,7 @@
         chunks = 0
         outcome = "done"
         try:
-            for chunk in self._stream_pieces(resp):
+            for chunk in self._stream_pieces(resp, grant.url):
                 chunks += 1
                 tail = (tail + chunk)[-_USAGE_TAIL_BYTES:]
                 yield chunk
@@ -315,18 +315,18 @@
         finally:
             self._record_finished(req, grant, _cost_tokens(tail, req, chunks), outcome)
 
-    def _stream_pieces(self, resp) -> Iterator[bytes]:
+    def _stream_pieces(self, resp, url: str) -> Iterator[bytes]:
         """Yield the body of a streamed answer; an event that is broken off is not passed on."""
         if resp.headers.get("Content-Type", "").startswith("text/event-stream"):
-            return self.upstream.stream_events(resp)
-        return self.upstream.stream(resp)
+            return self.upstream.stream_events(resp, url)
+        return self.upstream.stream(resp, url)
 
     def _read_body(self, req: CallerRequest, grant: Grant, resp, attempt: int) -> bytes:
         # The status of an answer that is not streamed is sent to the caller only after its last
         # byte has arrived. A connection lost within the body then gives the caller an "outcome
         # unknown" error instead of a 200 with a truncated body.
         try:
-            data = self.upstream.read(resp)
+            data = self.upstream.read(resp, grant.url)
         except OutcomeUnknown:
             self._record_unknown_outcome(req, grant, "body", attempt)
             raise
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -28,7 +28,7 @@
 from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_request
 from turmerictray.core.reply import Reply
-from turmerictray.crashes.evidence import ClosedAnswer, CrashEvidence
+from turmerictray.crashes.evidence import CrashEvidence
 from turmerictray.crashes.fingerprint import CrashVerdict, Fingerprint
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.progress import Progress
@@ -37,7 +37,6 @@
 from turmerictray.router.silence import min_next_try_s, patience_s
 from turmerictray.router.take_up import TakeUp, return_grant
 from turmerictray.router.trace import RequestTrace
-from turmerictray.routing.load import CRASH_ATTRIBUTION_S
 from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices, TargetReport
 from turmerictray.scheduling.broker_messages import (
     Ask,
@@ -49,7 +48,6 @@
     Withdraw,
 )
 from turmerictray.scheduling.placement_client import PlacementClient
-from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.disconnect import CancellableCall
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.pool import ConnectionPool
@@ -118,7 +116,6 @@
         self._progress = Progress(routed.route)
         self._withheld_failure: TargetFailed | None = None
         self._is_test = False
-        self._end_verified = False
         self._take_up: tuple[RoutedRequest, Granted] | None = None
         trace.progress = self._progress
 
@@ -418,7 +415,6 @@
             raise CallerGone("caller gone before the request was sent")
         target = granted.target
         self._progress.begin_attempt()
-        self._end_verified = False
         relay = self._relay(granted)
         try:
             head = self._exchange_heads(conn, granted)
@@ -452,21 +448,12 @@
 
     def _record_answer(self, head: AnswerHead) -> CrashVerdict | None:
         """Record a complete answer; return what the scheduler has to know of it."""
-        now = time.monotonic()
-        if not 200 <= head.status < 300 or not self._answer_proves_sound(now):
+        if not 200 <= head.status < 300:
             return None
-        news = self._deps.crashes.quarantine.record_answer(self._routed.fingerprint, now)
+        quarantine = self._deps.crashes.quarantine
+        news = quarantine.record_answer(self._routed.fingerprint, time.monotonic())
         return CrashVerdict(False, Fingerprint(parts=news)) if news else None
 
-    def _answer_proves_sound(self, now: float) -> bool:
-        """Return whether a complete successful answer proves that its request crashes no target.
-
-        An answer that only the close of its connection ends may have been broken off by a crash.
-        """
-        is_delimited = self._progress.body_end is not BodyEnd.CONNECTION_CLOSE
-        ran_s = self._progress.seconds_since_first_event(now)
-        return is_delimited or self._end_verified or ran_s > CRASH_ATTRIBUTION_S
-
     def _settle_broken_attempt(
         self, exc: TurmerictrayError, granted: Granted, slot: "_GrantedSlot"
     ) -> None:
@@ -536,10 +523,7 @@
             )
 
         def check_closed() -> None:
-            now = time.monotonic()
-            ran_s = self._progress.seconds_since_first_event(now)
-            answer = ClosedAnswer(routed.fingerprint, granted.target, now, granted.isolated)
-            self._end_verified = self._deps.crashes.check_closed_answer(answer, ran_s)
+            self._deps.crashes.check_closed_answer(granted.target, time.monotonic())
 
         return AnswerRelay(
             self._exchange,
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -13,6 +13,8 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
+from turmerictray.core.ids import TargetId
+from turmerictray.crashes.exit_detection import TargetExitDetector
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.bounded_input import (
     BoundedConnectionPool,
@@ -59,6 +61,7 @@
             )
             for is_stream, pool_class in _POOL_CLASSES.items()
         }
+        self._exits = TargetExitDetector()
 
     def open(
         self,
@@ -123,28 +126,29 @@
         except HTTPError as exc:
             raise OutcomeUnknown(f"call broke: {exc}") from exc
         if resp.status == 503 and resp.headers.get("X-Not-Run") == "1":
-            data = self.read(resp)
+            data = self.read(resp, url)
             rest_s = parse_retry_after_s(resp.headers.get("Retry-After"), time.time())
             raise UpstreamRefused(resp.status, data, rest_s)
         return resp
 
-    def read(self, resp: urllib3.BaseHTTPResponse) -> bytes:
-        """Return the body of a response that is not streamed.
+    def read(self, resp: urllib3.BaseHTTPResponse, url: str) -> bytes:
+        """Return the body of a response of ``url`` that is not streamed.
 
         Raises
         ------
         OutcomeUnknown
             The connection failed before the end of the body, or the body is too large or slow.
         """
-        return b"".join(self.stream(resp))
+        return b"".join(self.stream(resp, url))
 
-    def stream(self, resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-        """Yield the body of ``resp`` as it arrives.
+    def stream(self, resp: urllib3.BaseHTTPResponse, url: str) -> Iterator[bytes]:
+        """Yield the body of ``resp``, a response of ``url``, as it arrives.
 
         Raises
         ------
         OutcomeUnknown
-            The connection failed before the end of the body.
+            The connection failed before the end of the body, or the target has exited when only
+            the close of the connection ended it.
         """
         try:
             yield from resp.stream(_STREAM_CHUNK_BYTES, decode_content=False)
@@ -152,9 +156,13 @@
             raise OutcomeUnknown(f"stream broke: {exc}") from exc
         finally:
             resp.release_conn()
+        if _body_end(resp) is BodyEnd.CONNECTION_CLOSE:
+            address = urllib3.util.parse_url(url).netloc or ""
+            if self._exits.has_exited(TargetId(address), address, time.monotonic()):
+                raise OutcomeUnknown(f"stream broke: {address} exited at its end")
 
-    def stream_events(self, resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-        """Yield the complete events of ``resp`` as they arrive.
+    def stream_events(self, resp: urllib3.BaseHTTPResponse, url: str) -> Iterator[bytes]:
+        """Yield the complete events of ``resp``, a response of ``url``, as they arrive.
 
         Raises
         ------
@@ -162,7 +170,7 @@
             The connection failed, or the stream was broken off.
         """
         splitter = EventSplitter()
-        for data in self.stream(resp):
+        for data in self.stream(resp, url):
             if events := splitter.feed(data):
                 yield b"".join(event.data for event in events)
         splitter.check_complete(_body_end(resp))
