--- a/tests/transport/test_target_conn.py
+++ b/tests/transport/test_target_conn.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 
 import pytest
 
@@ -38,9 +39,9 @@
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn: socket.socket) -> None:
-        while conn.recv(65536) and self.answers:
-            conn.sendall(self.answers.pop(0))
-        conn.close()
+        with conn, suppress(ConnectionResetError):
+            while conn.recv(65536) and self.answers:
+                conn.sendall(self.answers.pop(0))
 
     def close(self) -> None:
         self._server.close()
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -11,6 +11,7 @@
 from urllib3.util.connection import create_connection
 
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
+from turmerictray.transport.acknowledgement import unacknowledged_bytes
 from turmerictray.transport.answer_reader import AnswerReader
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.bounded_input import MAX_HEAD_BYTES, BoundedInput
@@ -22,6 +23,11 @@
 _READ_SIZE_BYTES = 65536
 _METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
 
+_ACKNOWLEDGEMENT_TIMEOUT_S = 2.0
+"""How long a request may wait to be acknowledged by the kernel of its target's machine. By then it
+has been sent again three times. Keepalive would end the connection a second later, and then it
+can't be reset."""
+
 _SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -130,13 +136,15 @@
         Raises
         ------
         OutcomeUnknown
-            No valid head came within ``timeout_s`` seconds.
+            No valid head came within ``timeout_s`` seconds, or the request does not get through.
         """
         self._body = None
         self._resp = http.client.HTTPResponse(_ReaderSocket(self._reader), method=method)
+        deadline = time.monotonic() + timeout_s
         try:
+            self._await_acknowledgement(deadline)
             self._reader.begin_answer()
-            self._input.set_bounds(time.monotonic() + timeout_s, MAX_HEAD_BYTES)
+            self._input.set_bounds(deadline, MAX_HEAD_BYTES)
             self._resp.begin()
             self._body = body_of(self._resp, method, self._reader)
         except (OSError, http.client.HTTPException, ValueError) as exc:
@@ -144,6 +152,16 @@
         headers = [(name.title(), val) for name, val in self._resp.getheaders()]
         return AnswerHead(self._resp.status, headers)
 
+    def _await_acknowledgement(self, deadline: float) -> None:
+        """Wait for an answer for as long as the request may not have got through.
+
+        Left open, the connection would deliver it seconds after a network partition, when its
+        target may already be leaving.
+        """
+        until = time.monotonic() + _ACKNOWLEDGEMENT_TIMEOUT_S
+        if until < deadline and not self._poll(until) and unacknowledged_bytes(self._sock):
+            raise TimeoutError("the request is not acknowledged")
+
     def read_body(self, deadline: float) -> bytes:
         """Read the rest of the answer's body until ``deadline`` (monotonic seconds).
 
