Bodies of requests take a bounded part of a router's memory

Cause: bodies in hand were bounded by their size and by the number of requests only. Each is copied once more to be sent.

Change: what bounds the answers in hand bounds the requests too (HeldBytes, 48 MB for requests): one that would take more is read and dropped, and refused with 503, not run, Retry-After 0.5 s.

--- a/tests/router/test_endless_answers.py
+++ b/tests/router/test_endless_answers.py
@@ -22,7 +22,7 @@
 from turmerictray.router.published import PeerDocs
 from turmerictray.router.upstream import Upstream
 from turmerictray.routing.load import TargetInfo
-from turmerictray.transport.held_answers import HELD_ANSWERS, HeldAnswers
+from turmerictray.transport.held_bytes import HELD_ANSWERS, MAX_ANSWER_BYTES, HeldBytes
 
 DEADLINE_S = 0.4
 SLACK_S = 0.3
@@ -100,7 +100,7 @@
 
 def test_answers_share_a_bound_that_small_ones_do_not_meet():
     """Guards against answers without end that keep all others from being served."""
-    held = HeldAnswers(max_total_bytes=10 << 20)
+    held = HeldBytes(max_total_bytes=10 << 20, max_body_bytes=MAX_ANSWER_BYTES)
     assert held.resize(0, 6 << 20)
     assert not held.resize(0, 5 << 20)
     assert held.resize(0, 60 << 10)
--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -9,7 +9,8 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HTTPRequest
 
-from turmerictray.core.errors import CallerError, CallerGone
+from turmerictray.core.errors import CallerError, CallerGone, RouterFull
+from turmerictray.transport.held_bytes import HELD_REQUESTS
 
 HOP_BY_HOP = frozenset(
     {
@@ -31,6 +32,11 @@
 """A caller that accepts no data for this long counts as disconnected; otherwise an answer that is
 never read would keep the target's slot occupied."""
 
+_BODIES_FULL_RETRY_S = 0.5
+"""Retry-After while other bodies take all the memory for them, in seconds."""
+
+_DISCARD_SIZE_BYTES = 65536
+
 Header = tuple[str, str]
 
 
@@ -101,6 +107,7 @@
         self.answer_started = False
         self.status = 0
         self._is_unfinished = False
+        self._held_bytes = 0
 
     @property
     def sock(self) -> socket.socket:
@@ -112,10 +119,13 @@
         self._req.server.finish_reading(self._req.conn)
 
     def read_body(self) -> bytes:
-        """Read and return the whole body.
+        """Read and return the whole body; its memory counts as held until :meth:`close`.
 
         Raises
         ------
+        RouterFull
+            Other bodies take the memory for it. It has been read and dropped, so that the caller
+            can read the answer.
         CallerError
             The body is malformed or over the limit; the connection is closed after the answer.
         CallerGone
@@ -137,15 +147,32 @@
         rfile = self._req.rfile
         if not self._req.chunked_read:
             length = int(self._req.inheaders.get(b"Content-Length", 0))
-            data = rfile.read(length) if length else b""
-            if len(data) < length:
-                raise ConnectionResetError("body ended early")
-            return data
+            if not self._hold(length):
+                self._discard(length)
+                raise RouterFull("bodies_full", _BODIES_FULL_RETRY_S)
+            return self._read_exactly(length)
         data = rfile.read()
         # The trailer section belongs to the body. Left unread, it would be parsed as the next
         # request on this connection.
         for _ in rfile.read_trailer_lines():
             pass
+        if not self._hold(len(data)):
+            raise RouterFull("bodies_full", _BODIES_FULL_RETRY_S)
+        return data
+
+    def _hold(self, size: int) -> bool:
+        is_held = HELD_REQUESTS.resize(self._held_bytes, size)
+        self._held_bytes = size if is_held else 0
+        return is_held
+
+    def _discard(self, length: int) -> None:
+        while length:
+            length -= len(self._read_exactly(min(length, _DISCARD_SIZE_BYTES)))
+
+    def _read_exactly(self, size: int) -> bytes:
+        data = self._req.rfile.read(size) if size else b""
+        if len(data) < size:
+            raise ConnectionResetError("body ended early")
         return data
 
     def answer(self, status: int, headers: Iterable[Header], body: bytes) -> None:
@@ -182,6 +209,7 @@
 
     def close(self) -> None:
         """Abort the answer if it is unfinished; to be called when the request has been handled."""
+        self._hold(0)
         if self._is_unfinished:
             self.abort()
 
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -16,7 +16,7 @@
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.bounded_input import MAX_HEAD_BYTES, BoundedInput
 from turmerictray.transport.exchange import Header
-from turmerictray.transport.held_answers import HELD_ANSWERS
+from turmerictray.transport.held_bytes import HELD_ANSWERS
 from turmerictray.transport.reset import RESET_ON_CLOSE, set_reset_on_close
 
 _MS_PER_S = 1000
