The confirmation of a target's entry is due again if it fails

What callers would see: a target that a restored store lists, and whose confirmation met an exception, stays out of use until it writes its entry anew. Found by a reviewer who injected the exception; none is known.

Cause: _apply_value clears what is unconfirmed before it does anything that may fail. Change: it is put back if that fails, and due again after the pause for failed time-outs. Test: test_confirmation_that_fails_is_due_again failed before.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -341,3 +341,20 @@
     docs = PublishedDocs(targets=entries.published(0.0), targets_revision=6)
     others = TargetEntries()
     assert [info.name for info in written(others.apply_peer_docs(docs, 0.0))] == ["i-2"]
+
+
+def test_confirmation_that_fails_is_due_again(monkeypatch):
+    """Guards against a target that a restored store lists, and that stays out of use for good."""
+    entries = TargetEntries()
+    entries.apply_snapshot([make_item(5)], 0.0, 0.0, pos(5))
+    assert gone(entries.apply_changes([removal(6)], 1.0, 1.0))
+    restored = replace(make_item(5), position=pos(5, era=1))
+    assert not written(entries.apply_snapshot([restored], 2.0, 2.0, pos(5, era=1)))
+    with monkeypatch.context() as patch:
+
+        def fail(*_args):
+            raise ValueError("unexpected")
+
+        patch.setattr(entries, "_decode", fail)
+        assert not entries.apply_timeouts(60.0)
+    assert [info.name for info in written(entries.apply_timeouts(120.0))] == [NAME]
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -305,10 +305,20 @@
             self._remove_target(entry, changes)
             entry.expires_at = entry.value = None
         if entry.unconfirmed_value is not None and entry.confirm_at <= now:
-            self._apply_value(name, entry, entry.unconfirmed_value, changes)
+            self._confirm(name, entry, entry.unconfirmed_value, changes)
             # The entry's position is an old one, so that a list of changes would lack it.
             self._complete_from = self.position._replace(revision=self.position.revision + 1)
 
+    def _confirm(
+        self, name: TargetName, entry: _Entry, value: bytes, changes: EntryChanges
+    ) -> None:
+        try:
+            self._apply_value(name, entry, value, changes)
+        except Exception:
+            # Otherwise it would not be due again.
+            entry.unconfirmed_value = value
+            raise
+
     def next_timeout_s(self, now: float) -> float | None:
         """Return the seconds until the next expiry or confirmation, or None if none is pending."""
         entries = self._entries.values()
