--- a/tests/platform/test_restart.py
+++ b/tests/platform/test_restart.py
@@ -1,6 +1,7 @@
 """Routers that restart while the store answers with outdated documents."""
 
 import signal
+import socket
 import threading
 import time
 from collections import Counter
@@ -16,6 +17,9 @@
 OBSERVATION_S = 3.0
 """How long the answers of a router are checked after its start."""
 
+RECOVERY_S = 12.0
+"""Time within which routers that were all killed have to serve again, by the users' pages."""
+
 pytestmark = pytest.mark.process
 
 
@@ -162,6 +166,21 @@
         assert set(counts) <= {0, 404, 503} and counts[404], seen
 
 
+def test_all_routers_serve_again_beside_a_silent_address_among_the_seeds(start_deployment):
+    """Guards against waiting for an address that another program has taken over meanwhile."""
+    deployment = start_deployment(routers=3, seeds=4)
+    ip, port = deployment.routers[0].peer
+    with socket.create_server((ip.rpartition(".")[0] + ".4", port), backlog=1024):
+        for router in deployment.routers:
+            router.stop()
+        started_at = time.monotonic()
+        for router in deployment.routers:
+            router.start()
+        for router in deployment.routers:
+            assert wait_for(lambda router=router: status(router) == 200, 40.0)
+        assert time.monotonic() - started_at <= RECOVERY_S
+
+
 @pytest.mark.parametrize("alive", [0, 1])
 def test_router_without_reachable_peers_serves_by_store(start_deployment, alive):
     """Guards against a router that waits for peers that never start."""
--- a/tests/router/test_startup_check.py
+++ b/tests/router/test_startup_check.py
@@ -142,3 +142,36 @@
     startup_check.record_peer("r2", position(1), True, 0.1)
     assert startup_check.result(position(1), 2.9) is None
     assert startup_check.result(position(1), 3.1) is StartupResult.PEER
+
+
+def test_fleet_that_starts_as_a_whole_does_not_wait_long_for_a_silent_address():
+    """Guards against a fleet that waits for a seed's address that another program has."""
+    startup_check = make_check("r2")
+    startup_check.set_unresponsive(True)
+    startup_check.record_peer("r2", position(1), False, 0.5)
+    assert startup_check.update(position(1), 5.4) is None
+    assert startup_check.update(position(1), 5.6) is StartupResult.ALONE
+    assert startup_check.may_serve and not startup_check.confirmed
+
+
+def test_frozen_peer_that_wakes_reveals_newer_documents_to_a_fleet_that_serves():
+    """Guards against a fleet that takes the start for confirmed beside a frozen peer."""
+    startup_check = make_check("r2")
+    startup_check.set_unresponsive(True)
+    startup_check.record_peer("r2", position(1), False, 0.5)
+    startup_check.update(position(1), 5.6)
+    startup_check.record_peer("r3", position(2), True, 9.0)
+    assert startup_check.update(position(1), 9.1) is None
+    assert not startup_check.may_serve
+    assert startup_check.update(position(2), 9.2) is StartupResult.PEER
+
+
+def test_start_beside_a_silent_address_is_confirmed_at_last():
+    """Guards against starting routers that get no proof from a fleet beside such an address."""
+    startup_check = make_check("r2")
+    startup_check.set_unresponsive(True)
+    startup_check.record_peer("r2", position(1), False, 0.5)
+    startup_check.update(position(1), 5.6)
+    assert not startup_check.confirmed
+    startup_check.update(position(1), 30.1)
+    assert startup_check.confirmed
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -158,6 +158,11 @@
         """Address to which callers connect."""
         return self.ip, _FRONT_PORT
 
+    @property
+    def peer(self) -> tuple[str, int]:
+        """Address of its link to the other routers."""
+        return self.ip, _PEER_PORT
+
     @property
     def admin_url(self) -> str:
         """URL of the operators' pages."""
--- a/turmerictray/router/startup_check.py
+++ b/turmerictray/router/startup_check.py
@@ -26,9 +26,13 @@
         A router that knows of newer documents and can't fetch them serves with what it has after
         this long.
     unresponsive_s : float
-        The limit that replaces all of the above while a silent peer accepts connections. Its
+        The limit that replaces the above while a silent peer accepts connections. Its
         process is alive, perhaps frozen, and may have newer documents in force. The router can't
         tell it from a process that hangs forever, so the wait is bounded.
+    all_starting_unresponsive_s : float
+        The limit for a router whose known peers have all reported that they are starting too, while
+        an address accepts connections silently. It may belong to another program by now, so a fleet
+        that was down as a whole does not wait for it any longer.
     confirm_all_s : float
         Until then, one peer that serves does not suffice as long as others are silent.
     """
@@ -38,6 +42,7 @@
     no_report_s: float = 3.0
     behind_s: float = 10.0
     unresponsive_s: float = 30.0
+    all_starting_unresponsive_s: float = 5.0
     confirm_all_s: float = 0.0
 
 
@@ -139,10 +144,15 @@
         if not self.may_serve:
             self.may_serve = True
             self._newest_when_served = self._newest
-        heard_all = result is StartupResult.ALONE and bool(self._caught_up_by_peer)
-        self.confirmed = result is StartupResult.PEER or heard_all
+        self.confirmed = result is StartupResult.PEER or self._has_heard_all(result, now)
         return result
 
+    def _has_heard_all(self, result: StartupResult, now: float) -> bool:
+        if result is not StartupResult.ALONE or not self._caught_up_by_peer:
+            return False
+        # A frozen peer may still wake up and reveal newer documents.
+        return not self._unresponsive or now - self._started_at >= self._limits.unresponsive_s
+
     def _is_revealed_as_outdated(self, local: Position) -> bool:
         return local.is_behind(self._newest) and self._newest_when_served.is_behind(self._newest)
 
@@ -168,12 +178,14 @@
         return StartupResult.NO_REPORT if waited_s >= self._limit(limits.no_report_s) else None
 
     def _has_waited_for_serving_peer(self, now: float) -> bool:
+        limits = self._limits
+        if not self._caught_up_by_peer:
+            return now - self._started_at >= self._limit(limits.no_peers_s)
         # Peers that are all starting know no more than this router.
-        if self._caught_up_by_peer:
-            limit_s, since = self._limits.all_starting_s, self._first_heard_at
-        else:
-            limit_s, since = self._limits.no_peers_s, self._started_at
-        return now - since >= self._limit(limit_s)
+        limit_s = limits.all_starting_s
+        if self._unresponsive:
+            limit_s = max(limit_s, limits.all_starting_unresponsive_s)
+        return now - self._first_heard_at >= limit_s
 
     def _limit(self, limit_s: float) -> float:
         return max(limit_s, self._limits.unresponsive_s) if self._unresponsive else limit_s
