One record of when a router's heartbeat last advanced

StoreReaderSelection kept its own record of heartbeats beside that of MemberTable, with its own clock. The table now tells which live routers are silent, and the selection is told with the members. The limits are as before; the time counts from the receipt of a heartbeat, where it counted from the next publication of the members, up to 0.25 s later.

Tests: what tests/router/test_store_readers asserted of heartbeats is now asserted of the table (test_table: silent before it counts as down; not silent while three of four heartbeats are lost), and the selection's test passes the silent routers.

--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -24,6 +24,25 @@
     assert nodes(table, ALIVE_S + 0.3) == []
 
 
+def test_killed_router_is_silent_before_it_counts_as_down():
+    """Guards against a killed reader of the store that is relied on until it counts as down."""
+    table = MemberTable(NodeId("r1"))
+    for node in ("r2", "r3"):
+        table.update(entry(node), 0.0, direct=True)
+    for beat in range(1, 6):
+        table.update(entry("r3", heartbeat=1 + beat), 0.25 * beat, direct=True)
+    assert table.silent(1.25) == {"r2"}
+    assert nodes(table, 1.25) == ["r2", "r3"]
+
+
+def test_router_is_not_silent_while_three_of_four_of_its_heartbeats_are_lost():
+    """Guards against more reads of the store than two routers of a zone need."""
+    table = MemberTable(NodeId("r1"))
+    for beat in range(40):
+        table.update(entry("r2", heartbeat=1 + beat // 4), 0.25 * beat, direct=True)
+        assert not table.silent(0.25 * beat)
+
+
 def test_forwarded_old_entries_do_not_keep_a_stopped_router_alive():
     """Guards against a stopped router that counts as alive because old entries are forwarded."""
     table = MemberTable(NodeId("r1"))
--- a/tests/router/test_store_readers.py
+++ b/tests/router/test_store_readers.py
@@ -3,7 +3,6 @@
 from itertools import pairwise
 
 import pytest
-from msgspec.structs import replace
 
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.membership.messages import MemberEntry
@@ -211,24 +210,6 @@
         readers.record_peer_age(1.0)
     killed = current_readers(fleet)
     remaining = {node: readers for node, readers in fleet.items() if node not in killed}
-    for beat in range(1, 6):
-        clock.now += 0.25
-        beats = [e if e.node in killed else replace(e, heartbeat=20 + beat) for e in entries]
-        for readers in remaining.values():
-            readers.update_members(beats)
+    for readers in remaining.values():
+        readers.update_members(entries, killed)
     assert len(current_readers(remaining)) == READERS_PER_ZONE
-
-
-def test_readers_that_are_heard_are_not_replaced(clock):
-    """Guards against more reads of the store than two routers of a zone need."""
-    entries = members(5, zones=1)
-    fleet = {e.node: StoreReaderSelection(NodeId(e.node), ZoneId(e.zone), clock) for e in entries}
-    found = set()
-    for beat in range(40):
-        for readers in fleet.values():
-            # Three of four messages are lost.
-            readers.update_members([replace(e, heartbeat=20 + beat // 4) for e in entries])
-            readers.record_peer_age(1.0)
-        found |= set(current_readers(fleet))
-        clock.now += 0.25
-    assert len(found) == READERS_PER_ZONE
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -144,8 +144,8 @@
     on_peer : callable
         Called with each :class:`PeerMessage` that is received.
     on_members : callable
-        Called each period, and when their number changes, with the entries of the live routers.
-        They include this router unless it is leaving.
+        Called each period, and when their number changes, with the entries of the live routers,
+        which include this router unless it is leaving, and the nodes of those that are silent.
     scheduling_address : str
         ``tcp://host:port`` at which this router schedules requests of others.
     cores : float
@@ -166,7 +166,7 @@
         seeds: list[str],
         build_summary: Callable[[], RouterSummary | None],
         on_peer: Callable[[PeerMessage], None],
-        on_members: Callable[[tuple[MemberEntry, ...]], None],
+        on_members: Callable[[tuple[MemberEntry, ...], frozenset[str]], None],
         scheduling_address: str = "",
         cores: float = 1.0,
         crashes: CrashReports | None = None,
@@ -333,7 +333,7 @@
 
     def _publish_members(self, now: float) -> None:
         local = () if self._leaving else (self.entry,)
-        self._on_members((*local, *self.table.alive(now)))
+        self._on_members((*local, *self.table.alive(now)), self.table.silent(now))
 
     def _receive(self, pull: pynng.Pull0) -> None:
         receive_all(pull, "peers", "peer_receive_failed", self._enqueue_received)
--- a/turmerictray/membership/table.py
+++ b/turmerictray/membership/table.py
@@ -18,6 +18,14 @@
 through other routers, and half of them are older than what is known. At about 250 heartbeats/s,
 twelve of each router are expected in this time."""
 
+SILENT_S = 1.0
+"""Seconds without a new heartbeat after which a router is no longer relied on where a replacement
+does no harm; too soon to take it for down."""
+
+_SILENT_EXTRA_PER_ROUTER_S = 0.012
+"""Addition to :data:`SILENT_S` for each router in the table; heartbeats of a large fleet are
+rarer."""
+
 _UPDATE_ROUNDS = 4
 """Rounds in which a router forwards the start or shutdown of another one. With five recipients per
 round, an update reaches 300 routers in four rounds, and each receives it about twenty times."""
@@ -119,6 +127,15 @@
             if now - member.updated_at < self._alive_timeout_s() and not member.entry.leaving
         ]
 
+    def silent(self, now: float) -> frozenset[str]:
+        """Return the live routers whose heartbeat has stood still for a while."""
+        timeout_s = SILENT_S + _SILENT_EXTRA_PER_ROUTER_S * len(self._members)
+        return frozenset(
+            entry.node
+            for entry in self.alive(now)
+            if now - self._members[entry.node].updated_at > timeout_s
+        )
+
     def _alive_timeout_s(self) -> float:
         return ALIVE_S + _ALIVE_EXTRA_PER_ROUTER_S * len(self._members)
 
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -212,9 +212,9 @@
             if cache_warmup.is_alive():
                 cache_warmup.tell(message)
 
-        def on_members(members: tuple[MemberEntry, ...]) -> None:
+        def on_members(members: tuple[MemberEntry, ...], silent: frozenset[str]) -> None:
             choice.set_members(members)
-            self._readers.update_members(members)
+            self._readers.update_members(members, silent)
             alive = RoutersAlive(frozenset({s.node, *(m.node for m in members)}))
             self._broker.tell(alive)
             self._catch_up.tell(alive)
--- a/turmerictray/router/store_readers.py
+++ b/turmerictray/router/store_readers.py
@@ -9,7 +9,7 @@
 import math
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from turmerictray.core.ids import NodeId, ZoneId
@@ -45,14 +45,6 @@
 fleet, by which time it knows nearly all members. Earlier it knows few members and would rank among
 the first two of its zone, as would every router that starts at the same time."""
 
-_MAX_SILENCE_S = 1.0
-"""Seconds without a new heartbeat after which a reader is replaced. It is sooner than a router is
-considered down: an additional reader does no harm, while without readers a zone would miss a change
-of the configuration."""
-
-_EXTRA_SILENCE_PER_ROUTER_S = 0.012
-"""Addition to :data:`_MAX_SILENCE_S` for each router; heartbeats of a large fleet are rarer."""
-
 _KEY = "store-reader"
 
 
@@ -71,27 +63,6 @@
     gap_s: float | None
 
 
-class _Heartbeats:
-    """When the heartbeat of each router was last seen to advance."""
-
-    def __init__(self) -> None:
-        self._seen: dict[str, tuple[tuple[int, int], float]] = {}
-
-    def update(self, members: list[MemberEntry], now: float) -> None:
-        """Record the entries of all routers that are considered alive."""
-        self._seen = {entry.node: self._last_advance(entry, now) for entry in members}
-
-    def _last_advance(self, entry: MemberEntry, now: float) -> tuple[tuple[int, int], float]:
-        count = (entry.incarnation, entry.heartbeat)
-        known, at = self._seen.get(entry.node, (None, now))
-        return (count, now if known != count else at)
-
-    def is_silent(self, node: str, now: float) -> bool:
-        """Return whether a router's heartbeat has stood still for too long."""
-        max_silence_s = _MAX_SILENCE_S + _EXTRA_SILENCE_PER_ROUTER_S * len(self._seen)
-        return now - self._seen[node][1] > max_silence_s
-
-
 class StoreReaderSelection:
     """Decision whether this router reads the store.
 
@@ -119,7 +90,6 @@
         self._started_at = clock()
         self._is_designated = is_seed
         self._rank_steps = 0
-        self._heartbeats = _Heartbeats()
         self._lock = threading.Lock()
         self._read_at: dict[str, float] = {}
         self._reading_since: dict[str, float] = {}
@@ -127,25 +97,23 @@
         self._gap_started_at = -math.inf
         self._peer_read_at = -math.inf
 
-    def update_members(self, members: Iterable[MemberEntry]) -> None:
-        """Set the routers that are considered alive, including this one."""
+    def update_members(self, members: Iterable[MemberEntry], silent: Collection[str] = ()) -> None:
+        """Set the routers that are considered alive, including this one.
+
+        Silent ones are replaced as readers: an additional reader does no harm, while without
+        readers a zone would miss a change of the configuration.
+        """
         members = list(members)
-        self._heartbeats.update(members, self._clock())
         if not self._knows_members(members):
             self._is_designated = self._is_seed
             return
-        local_nodes = self._candidates(members)
+        local = [entry for entry in members if entry.zone == self.zone]
+        local_nodes = [entry.node for entry in local if entry.node not in silent]
         local_nodes.sort(key=lambda node: rank(_KEY, node), reverse=True)
         position_in_zone = local_nodes.index(self.node) if self.node in local_nodes else 0
         self._is_designated = position_in_zone < READERS_PER_ZONE
         self._rank_steps = min(_MAX_RANK_STEPS, max(0, position_in_zone - READERS_PER_ZONE))
 
-    def _candidates(self, members: list[MemberEntry]) -> list[str]:
-        """Return the routers of this zone that may read the store for the others."""
-        local_nodes = [entry.node for entry in members if entry.zone == self.zone]
-        is_silent, now = self._heartbeats.is_silent, self._clock()
-        return [node for node in local_nodes if node == self.node or not is_silent(node, now)]
-
     def _knows_members(self, members: list[MemberEntry]) -> bool:
         if len(members) == 1:
             return self._clock() - self._started_at > _NO_PEERS_TIMEOUT_S
