--- a/tests/crashes/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -1,7 +1,6 @@
 """Distinction between an exited target and one that only broke a connection."""
 
 import socket
-import struct
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +10,7 @@
 
 from turmerictray.core.ids import TargetId
 from turmerictray.crashes.exit_detection import TargetExitDetector, refuses_connections
+from turmerictray.transport.reset import set_reset_on_close
 
 TARGET = TargetId("e1")
 
@@ -96,9 +96,7 @@
                 while True:
                     conn, _ = server.accept()
                     if resets:
-                        conn.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-                        )
+                        set_reset_on_close(conn, True)
                     conn.close()
 
         threading.Thread(target=turn_away, daemon=True).start()
--- a/tests/loadtool/test_relay.py
+++ b/tests/loadtool/test_relay.py
@@ -1,35 +1,29 @@
 """Relayed links emulate partitions, delays, stalled connections and resets."""
 
 import socket
-import threading
 import time
 
 import pytest
 
+from tests.socket_target import SocketTarget
 from turmerictray.loadtool.relay import Direction, Network
 from turmerictray.transport.reset import set_reset_on_close
 
 ENDPOINTS = ({"near"}, {"far"})
 
 
-class Echo:
+class Echo(SocketTarget):
     """TCP server that sends received bytes back."""
 
     def __init__(self) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
         self.received: list[bytes] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                conn, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+    @property
+    def port(self) -> int:
+        return int(self.address.rpartition(":")[2])
 
-    def _serve(self, conn: socket.socket) -> None:
+    def serve(self, conn: socket.socket) -> None:
         try:
             while data := conn.recv(100):
                 self.received.append(data)
@@ -37,9 +31,6 @@
         except ConnectionError:
             pass
 
-    def close(self) -> None:
-        self._listener.close()
-
 
 @pytest.fixture
 def echo():
--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -3,10 +3,10 @@
 import itertools
 import re
 import socket
-import struct
 import time
 
 from tests.socket_target import SocketTarget
+from turmerictray.transport.reset import set_reset_on_close
 
 EVENTS = [f"id: {n}\r\ndata: piece-{n}\r\n\r\n".encode() for n in (1, 2, 3)]
 STREAM = b"".join(EVENTS)
@@ -76,7 +76,7 @@
         if self.how == "reset":
             # The reset must not overtake the data.
             time.sleep(0.002)
-            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            set_reset_on_close(conn, True)
         if self.how == "half_close":
             conn.shutdown(socket.SHUT_WR)
         if self.how == "exit":
--- a/tests/transport/test_wait_for_data.py
+++ b/tests/transport/test_wait_for_data.py
@@ -1,7 +1,6 @@
 """Waiting for more of an answer without reading it."""
 
 import socket
-import struct
 import threading
 import time
 from collections.abc import Iterator
@@ -9,6 +8,7 @@
 import pytest
 
 from turmerictray.core.errors import ConnectionBroken
+from turmerictray.transport.reset import set_reset_on_close
 from turmerictray.transport.target_conn import TargetConnection, TargetRequest
 
 CHUNKS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -99,7 +99,7 @@
     """Guards against a stream that is held at a target that has ended."""
     conn, target = _begin(link, head), link[1]
     assert _read(conn) == b"abc"
-    target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    set_reset_on_close(target, True)
     closer = threading.Timer(SHORT_S, target.close)
     closer.start()
     started_at = time.monotonic()
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -3,7 +3,6 @@
 import json
 import math
 import socket
-import struct
 import threading
 import time
 from collections import OrderedDict, deque
@@ -12,6 +11,7 @@
 from enum import Enum
 
 from turmerictray.platform.standins.http import BackgroundServer, QuietHandler
+from turmerictray.transport.reset import set_reset_on_close
 
 CRASH_MARKER = b"deadly"
 """A request whose body contains this crashes each worker that starts to run it."""
@@ -490,9 +490,7 @@
             self.connection.settimeout(None)
 
     def _reset(self) -> None:
-        # A linger time of 0 makes close() send a TCP reset.
-        linger = struct.pack("ii", 1, 0)
-        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        set_reset_on_close(self.connection, True)
         self.connection.close()
         self.close_connection = True
 
