Requests' log lines say who closed an answer, and what the check of its target found

Four of the five hypotheses on the incident (docs/incidents/answers-given-up-by-the-router.md) leave the same line. New fields: closed_by (target, caller, router_stop, router), target_check (running, exited, unknown), last_id. The check has three results now; what follows from them is as before: a target that can't be reached counts as running.

Tests: refuses_connections is check_listening with three results, its tests assert the same cases (a target at its limit of connections is now asserted to be UNKNOWN, where 'not refused' was asserted). test_exit_detection, test_closed_answers, test_disconnect, test_cut_answers, test_upstream, test_silent_stream, test_progress, test_answers, test_streams: 147 passed.

--- a/tests/crashes/test_closed_answers.py
+++ b/tests/crashes/test_closed_answers.py
@@ -7,7 +7,7 @@
 from turmerictray.core.errors import ConnectionBroken
 from turmerictray.core.ids import RequestDigest, ServiceName, TargetId, ZoneId
 from turmerictray.crashes.evidence import CrashEvidence
-from turmerictray.crashes.exit_detection import TargetExitDetector
+from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector
 from turmerictray.crashes.fingerprint import Fingerprint
 from turmerictray.crashes.parts import Suspicion
 from turmerictray.routing.load import TargetInfo
@@ -18,7 +18,8 @@
 
 def make_evidence(exited: bool, leaving: bool = False) -> CrashEvidence:
     ids = frozenset({TARGET.id} if leaving else ())
-    detector = TargetExitDetector(lambda _address: exited)
+    found = Liveness.EXITED if exited else Liveness.RUNNING
+    detector = TargetExitDetector(lambda _target: found)
     return CrashEvidence(ended_targets=detector, leaving=lambda: ids)
 
 
--- a/tests/crashes/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -8,23 +8,34 @@
 
 import pytest
 
-from turmerictray.core.ids import TargetId
-from turmerictray.crashes.exit_detection import TargetExitDetector, refuses_connections
+from turmerictray.core.ids import ServiceName, TargetId, ZoneId
+from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector, check_listening
+from turmerictray.routing.load import TargetInfo
 from turmerictray.transport.reset import set_reset_on_close
 
-TARGET = TargetId("e1")
+
+def target_at(address: str) -> TargetInfo:
+    return TargetInfo(TargetId("e1"), ServiceName("llm"), address, ZoneId("z1"), 4)
+
+
+TARGET = target_at("h:1")
+
+
+def check_server(server: socket.socket) -> Liveness:
+    """Check the target that listens, or listened, on ``server``."""
+    return check_listening(target_at("{}:{}".format(*server.getsockname())))
 
 
 def test_port_without_listener_refuses():
     with socket.socket() as closed:
         closed.bind(("127.0.0.1", 0))
-        address = "{}:{}".format(*closed.getsockname())
-    assert refuses_connections(address)
+        target = target_at("{}:{}".format(*closed.getsockname()))
+    assert check_listening(target) is Liveness.EXITED
 
 
 def test_target_that_accepts_connections_has_not_exited():
     with socket.create_server(("127.0.0.1", 0)) as server:
-        assert not refuses_connections("{}:{}".format(*server.getsockname()))
+        assert check_server(server) is Liveness.RUNNING
 
 
 def test_process_that_is_exiting_has_exited():
@@ -32,56 +43,54 @@
     server = socket.create_server(("127.0.0.1", 0))
     exiting = threading.Timer(0.01, server.close)
     exiting.start()
-    assert refuses_connections("{}:{}".format(*server.getsockname()))
+    assert check_server(server) is Liveness.EXITED
     exiting.join()
 
 
 def test_exited_target_is_checked_once_for_many_requests():
     checked = []
 
-    def refuses(address: str) -> bool:
-        checked.append(address)
-        return True
+    def check(target: TargetInfo) -> Liveness:
+        checked.append(target)
+        return Liveness.EXITED
 
-    detector = TargetExitDetector(refuses)
-    assert all(detector.has_exited(TARGET, "h:1", now) for now in range(20))
+    detector = TargetExitDetector(check)
+    assert all(detector.has_exited(TARGET, now) for now in range(20))
     assert len(checked) == 1
 
 
 def test_running_target_is_checked_again_for_a_later_break(monkeypatch):
     """Guards against a crash that is missed as the target was found running just before it."""
-    answers = [False, True]
+    answers = [Liveness.RUNNING, Liveness.EXITED]
     monkeypatch.setattr("time.monotonic", lambda: 10.0)
-    detector = TargetExitDetector(lambda _address: answers.pop(0))
-    assert not detector.has_exited(TARGET, "h:1", 9.9)
-    assert not detector.has_exited(TARGET, "h:1", 10.0)
-    assert detector.has_exited(TARGET, "h:1", 10.01)
+    detector = TargetExitDetector(lambda _target: answers.pop(0))
+    assert not detector.has_exited(TARGET, 9.9)
+    assert not detector.has_exited(TARGET, 10.0)
+    assert detector.has_exited(TARGET, 10.01)
 
 
 def test_exited_target_is_checked_again_later():
     """Guards against one mistaken check after which all answers of a target count as cut."""
-    answers = [True, False]
-    detector = TargetExitDetector(lambda _address: answers.pop(0))
+    answers = [Liveness.EXITED, Liveness.RUNNING]
+    detector = TargetExitDetector(lambda _target: answers.pop(0))
     now = time.monotonic()
-    assert detector.has_exited(TARGET, "h:1", now)
-    assert detector.has_exited(TARGET, "h:1", now + 0.5)
-    assert not detector.has_exited(TARGET, "h:1", now + 2.0)
+    assert detector.has_exited(TARGET, now)
+    assert detector.has_exited(TARGET, now + 0.5)
+    assert not detector.has_exited(TARGET, now + 2.0)
 
 
 def test_answers_that_end_during_a_check_share_the_next_one():
     """Guards against a new connection for each of many answers that end at the same time."""
     checked = []
 
-    def refuses(address: str) -> bool:
-        checked.append(address)
+    def check(target: TargetInfo) -> Liveness:
+        checked.append(target)
         time.sleep(0.1)
-        return False
+        return Liveness.RUNNING
 
-    detector = TargetExitDetector(refuses)
+    detector = TargetExitDetector(check)
     with ThreadPoolExecutor(8) as pool:
-        calls = [
-            pool.submit(detector.has_exited, TARGET, "h:1", time.monotonic()) for _ in range(8)
-        ]
+        calls = [pool.submit(detector.has_exited, TARGET, time.monotonic()) for _ in range(8)]
     assert not any(call.result() for call in calls)
     assert len(checked) <= 2
 
@@ -100,5 +109,5 @@
                     conn.close()
 
         threading.Thread(target=turn_away, daemon=True).start()
-        assert not refuses_connections("{}:{}".format(*server.getsockname()))
+        assert check_server(server) is Liveness.UNKNOWN
         server.shutdown(socket.SHUT_RDWR)
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -6,7 +6,7 @@
 
 from turmerictray.core.errors import ConnectionBroken, TurmerictrayError
 from turmerictray.core.ids import TargetId
-from turmerictray.crashes.exit_detection import TargetExitDetector
+from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector
 from turmerictray.crashes.fingerprint import Fingerprint
 from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.routing.load import CRASH_ATTRIBUTION_S, TargetInfo
@@ -63,7 +63,12 @@
         self.quarantine.record_crash(fingerprint, target.id, now, isolated)
         return True
 
-    def check_closed_answer(self, target: TargetInfo, closed_at: float) -> None:
+    def check_closed_answer(
+        self,
+        target: TargetInfo,
+        closed_at: float,
+        on_found: Callable[[Liveness], None] = lambda found: None,
+    ) -> None:
         """Check that an answer that only the close of its connection ended was not broken off.
 
         A target that crashes between two writes ends its answer as if it were complete.
@@ -73,19 +78,23 @@
         target : TargetInfo
         closed_at : float
             When the connection was closed, in monotonic seconds.
+        on_found : callable
+            Called with what the check found out about the target.
 
         Raises
         ------
         ConnectionBroken
             The target has exited.
         """
-        if self.ended_targets.has_exited(target.id, target.address, closed_at):
+        found = self.ended_targets.find(target, closed_at)
+        on_found(found)
+        if found is Liveness.EXITED:
             raise ConnectionBroken(f"{target.address} exited at the end of the answer")
 
     def _has_crashed(self, target: TargetInfo, now: float) -> bool:
         if target.id in self.leaving():
             return False
-        return self.ended_targets.has_exited(target.id, target.address, now)
+        return self.ended_targets.has_exited(target, now)
 
     @contextmanager
     def running(
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -6,8 +6,10 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from turmerictray.core.ids import TargetId
+from turmerictray.routing.load import TargetInfo
 
 _CONNECT_TIMEOUT_S = 0.25
 """A reachable machine accepts or refuses a connection within a round trip. No response at all, as
@@ -29,29 +31,44 @@
 _MAX_TARGETS = 1024
 
 
-def refuses_connections(address: str) -> bool:
-    """Return whether nothing listens at ``address`` (``host:port``) of a reachable machine.
+class Liveness(Enum):
+    """What a check found out about a target's process."""
+
+    RUNNING = "running"
+    EXITED = "exited"
+    UNKNOWN = "unknown"
+
+
+def check_listening(target: TargetInfo) -> Liveness:
+    """Return whether something listens at a target's address.
 
     A target that accepts a connection and closes it at once may be exiting, or be at its limit of
     connections. Only the former refuses another one soon.
     """
-    host, _, port = address.rpartition(":")
+    host, _, port = target.address.rpartition(":")
     for _ in range(_MAX_CONNECTIONS):
         try:
             with socket.create_connection((host, int(port)), _CONNECT_TIMEOUT_S) as sock:
-                sock.settimeout(_STAY_OPEN_S)
-                if sock.recv(1):
-                    return False
+                return _check_open(sock)
         except ConnectionRefusedError:
-            return True
+            return Liveness.EXITED
         except ConnectionError:
-            pass
+            time.sleep(_RECONNECT_PAUSE_S)
         except OSError:
-            # Either the connection stayed open, or there was no response, which may be a network
-            # partition as well as a machine without power.
-            return False
-        time.sleep(_RECONNECT_PAUSE_S)
-    return False
+            # No response may mean a network partition as well as a machine without power.
+            return Liveness.UNKNOWN
+    return Liveness.UNKNOWN
+
+
+def _check_open(sock: socket.socket) -> Liveness:
+    """Return RUNNING if a new connection stays open; raise :class:`ConnectionError` otherwise."""
+    sock.settimeout(_STAY_OPEN_S)
+    try:
+        if sock.recv(1):
+            return Liveness.RUNNING
+    except TimeoutError:
+        return Liveness.RUNNING
+    raise ConnectionResetError("closed at once")
 
 
 @dataclass
@@ -59,7 +76,7 @@
     """The newest check of a target; ``lock`` is held while it is made."""
 
     lock: threading.Lock = field(default_factory=threading.Lock)
-    exited: bool = False
+    found: Liveness = Liveness.RUNNING
     began_at: float = -math.inf
 
 
@@ -73,31 +90,37 @@
 
     Parameters
     ----------
-    refuses : callable
-        Returns whether nothing listens at an address; see :func:`refuses_connections`.
+    check : callable
+        Checks a target; see :func:`check_listening`.
     """
 
-    def __init__(self, refuses: Callable[[str], bool] = refuses_connections) -> None:
-        self._refuses = refuses
+    def __init__(self, check: Callable[[TargetInfo], Liveness] = check_listening) -> None:
+        self._check = check
         self._lock = threading.Lock()
         self._checks: dict[TargetId, _Check] = {}
 
-    def has_exited(self, target: TargetId, address: str, broken_at: float) -> bool:
-        """Return whether a target has exited.
+    def has_exited(self, target: TargetInfo, broken_at: float) -> bool:
+        """Return whether a target is known to have exited; see :meth:`find`."""
+        return self.find(target, broken_at) is Liveness.EXITED
+
+    def find(self, target: TargetInfo, broken_at: float) -> Liveness:
+        """Return whether a target runs.
 
         Parameters
         ----------
+        target : TargetInfo
         broken_at : float
             Monotonic time at which a connection to it broke, or ended an answer.
         """
-        check = self._check_of(target)
+        check = self._check_of(target.id)
         with check.lock:
-            valid_until = check.began_at + (_EXIT_VALIDITY_S if check.exited else 0.0)
+            exited = check.found is Liveness.EXITED
+            valid_until = check.began_at + (_EXIT_VALIDITY_S if exited else 0.0)
             if broken_at > valid_until:
                 began_at = time.monotonic()
-                check.exited = self._refuses(address)
+                check.found = self._check(target)
                 check.began_at = began_at
-            return check.exited
+            return check.found
 
     def _check_of(self, target: TargetId) -> _Check:
         with self._lock:
--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -13,7 +13,9 @@
     TurmerictrayError,
 )
 from turmerictray.core.ids import SoftwareVersion
+from turmerictray.crashes.exit_detection import Liveness
 from turmerictray.transport.body import BodyEnd
+from turmerictray.transport.disconnect import Closer
 from turmerictray.transport.events import Event
 
 _MIN_ATTEMPT_S = 0.03
@@ -53,6 +55,10 @@
         What delimits the body of the last answer whose head was received.
     unfinished_bytes : int
         Bytes received after the last complete event of the last stream.
+    closer : Closer or None
+        Who closed the connection of the last answer; None if it proved complete before.
+    liveness : Liveness or None
+        What the check of an answer that only a close ended found out about its target.
     """
 
     route: Route
@@ -68,6 +74,8 @@
     version: SoftwareVersion | None = None
     body_end: BodyEnd | None = None
     unfinished_bytes: int = 0
+    closer: Closer | None = None
+    liveness: Liveness | None = None
 
     def begin_attempt(self) -> None:
         """Begin an attempt at another target."""
@@ -105,6 +113,10 @@
             if event.event_id is not None:
                 self.last_event_id = event.event_id
 
+    def record_liveness(self, found: Liveness) -> None:
+        """Record what the check of an answer that only a close ended found out."""
+        self.liveness = found
+
     def allows_retry(self, left_s: float) -> bool:
         """Return whether the request may be sent to another target with ``left_s`` seconds left."""
         if left_s < _MIN_ATTEMPT_S or self.delivered_attempts >= self.route.max_attempts:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -13,6 +13,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    ConnectionBroken,
     NoTarget,
     NotSent,
     OutcomeUnknown,
@@ -48,7 +49,8 @@
     Withdraw,
 )
 from turmerictray.scheduling.placement_client import PlacementClient
-from turmerictray.transport.disconnect import CancellableCall
+from turmerictray.transport.body import BodyEnd
+from turmerictray.transport.disconnect import CancellableCall, Closer
 from turmerictray.transport.exchange import ClientExchange
 from turmerictray.transport.pool import ConnectionPool
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection, TargetRequest
@@ -433,6 +435,7 @@
             raise
         except TurmerictrayError as exc:
             conn.close()
+            self._progress.closer = self._closer(isinstance(exc, ConnectionBroken))
             self._settle_broken_attempt(exc, granted, slot)
             raise
         except Exception:
@@ -442,10 +445,15 @@
             raise
         finally:
             self._call.on_disconnect(None)
+        if self._progress.body_end is BodyEnd.CONNECTION_CLOSE:
+            self._progress.closer = self._closer(closed_by_target=True)
         self._progress.delivered_attempts += 1
         slot.settle(relay.outcome, self._routed.cost, self._record_answer(head))
         self._deps.pool.release(target.id, conn, head)
 
+    def _closer(self, closed_by_target: bool) -> Closer:
+        return self._call.closer or (Closer.TARGET if closed_by_target else Closer.ROUTER)
+
     def _record_answer(self, head: AnswerHead) -> CrashVerdict | None:
         """Record a complete answer; return what the scheduler has to know of it."""
         if not 200 <= head.status < 300:
@@ -523,7 +531,9 @@
             )
 
         def check_closed() -> None:
-            self._deps.crashes.check_closed_answer(granted.target, time.monotonic())
+            self._deps.crashes.check_closed_answer(
+                granted.target, time.monotonic(), self._progress.record_liveness
+            )
 
         return AnswerRelay(
             self._exchange,
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -127,6 +127,12 @@
                 fields["end"] = self.progress.body_end.value
             if self.progress.unfinished_bytes:
                 fields["unfinished_bytes"] = self.progress.unfinished_bytes
+            if self.progress.last_event_id is not None:
+                fields["last_id"] = self.progress.last_event_id[:_MAX_ID_LENGTH]
+            if self.progress.closer is not None:
+                fields["closed_by"] = self.progress.closer.value
+            if self.progress.liveness is not None:
+                fields["target_check"] = self.progress.liveness.value
         return fields
 
 
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -13,8 +13,9 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
-from turmerictray.core.ids import TargetId
+from turmerictray.core.ids import ServiceName, TargetId, ZoneId
 from turmerictray.crashes.exit_detection import TargetExitDetector
+from turmerictray.routing.load import TargetInfo
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.bounded_input import (
     BoundedConnectionPool,
@@ -157,9 +158,9 @@
         finally:
             resp.release_conn()
         if _body_end(resp) is BodyEnd.CONNECTION_CLOSE:
-            address = urllib3.util.parse_url(url).netloc or ""
-            if self._exits.has_exited(TargetId(address), address, time.monotonic()):
-                raise OutcomeUnknown(f"stream broke: {address} exited at its end")
+            target = _target_at(urllib3.util.parse_url(url).netloc or "")
+            if self._exits.has_exited(target, time.monotonic()):
+                raise OutcomeUnknown(f"stream broke: {target.address} exited at its end")
 
     def stream_events(self, resp: urllib3.BaseHTTPResponse, url: str) -> Iterator[bytes]:
         """Yield the complete events of ``resp``, a response of ``url``, as they arrive.
@@ -197,6 +198,11 @@
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
 
 
+def _target_at(address: str) -> TargetInfo:
+    """Return a target of which only the address is known."""
+    return TargetInfo(TargetId(address), ServiceName(""), address, ZoneId(""), slots=0)
+
+
 def _body_end(resp: urllib3.BaseHTTPResponse) -> BodyEnd:
     if resp.chunked:
         return BodyEnd.LAST_CHUNK
--- a/turmerictray/transport/disconnect.py
+++ b/turmerictray/transport/disconnect.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from enum import Enum
 
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import SupervisedThread
@@ -15,6 +16,19 @@
 _DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+class Closer(Enum):
+    """Who closed the connection of an answer first.
+
+    ``CALLER`` is the caller, for which the router closed it; ``ROUTER_STOP`` is the router, because
+    it stops; ``ROUTER`` is the router for any other reason, such as a deadline.
+    """
+
+    TARGET = "target"
+    CALLER = "caller"
+    ROUTER_STOP = "router_stop"
+    ROUTER = "router"
+
+
 class CancellableCall:
     """A request in progress that is cancelled when its caller disconnects.
 
@@ -27,6 +41,8 @@
     ----------
     caller_gone : bool
         Whether the caller has disconnected, or the request was aborted because of a shutdown.
+    closer : Closer or None
+        Who cancelled the request; None if it was not cancelled.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -34,15 +50,17 @@
         self.fd = sock.fileno()
         # A socket that was closed meanwhile, as on a shutdown, has no descriptor to poll.
         self.caller_gone = self.fd < 0
+        self.closer = Closer.CALLER if self.caller_gone else None
         self._lock = threading.Lock()
         self._abort: Callable[[], None] | None = None
 
-    def handle_disconnect(self) -> None:
+    def handle_disconnect(self, closer: Closer = Closer.CALLER) -> None:
         """Mark the caller as gone and abort the operation in progress, once."""
         with self._lock:
             if self.caller_gone:
                 return
             self.caller_gone = True
+            self.closer = closer
             abort, self._abort = self._abort, None
         if abort is not None:
             abort()
@@ -121,7 +139,7 @@
         with self._lock:
             calls = list(self._calls.values())
         for call in calls:
-            call.handle_disconnect()
+            call.handle_disconnect(Closer.ROUTER_STOP)
         return len(calls)
 
     def __len__(self) -> int:
