--- a/tests/platform/features/streams.feature
+++ b/tests/platform/features/streams.feature
@@ -55,6 +55,18 @@
     And the caller received the events 1 to 2
     And 1 llm request(s) ran
 
+  Scenario Outline: A stream without length or chunks that is cancelled for its caller is not passed off as complete
+    Given a deployment with 1 router(s)
+    And streams that last 10 seconds
+    And streams without length or chunks
+    When a caller of <target> closes its sending side after the first event
+    Then the answer is truncated
+
+    Examples:
+      | target   |
+      | /plan/1  |
+      | /recon/1 |
+
   Scenario: A broken stream that is not resumable is visibly truncated
     Given a deployment with 1 router(s)
     And one llm worker has the fault broken_stream
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -14,6 +14,34 @@
 STREAMS = 40
 
 
+@pytest.mark.process
+def test_no_stream_that_a_stop_ends_looks_complete(start_deployment):
+    """Guards against a stop whose end of a stream without length or chunks looks proper."""
+    deployment = start_deployment(routers=1, engines=4)
+    config = default_config(2)
+    for route in config["routes"]:
+        route["timeout_ms"] = 30_000
+    deployment.store.store.put("op/config", config)
+    for worker in deployment.of_service("llm"):
+        worker.behaviour.event_count, worker.behaviour.event_interval_s = 150, 0.1
+        worker.behaviour.is_chunked = False
+    time.sleep(1.0)
+    router = deployment.routers[0]
+    callers = [RawCaller(router.front) for _ in range(8)]
+    for number, caller in enumerate(callers):
+        path = f"/plan/{number}" if number % 2 else f"/recon/{number}"
+        headers = PROMPT_HEADERS | {"X_Deadline_Ms": "30000"}
+        caller.send(make_request("POST", path, b"x", **headers))
+    time.sleep(1.0)
+    router.signal(signal.SIGTERM)
+    answers = [caller.read() for caller in callers]
+    assert router.wait() == 0
+    for caller in callers:
+        caller.close()
+    assert all(answer.status == 200 and answer.event_ids() for answer in answers)
+    assert not any(answer.complete for answer in answers)
+
+
 @pytest.mark.process
 def test_router_stops_within_grace_period_despite_many_streams(start_deployment):
     """Guards against ending streams one after the other, which exceeds the grace period."""
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -1,9 +1,10 @@
 """Streams that break, stall or last too long, and callers that disconnect."""
 
+import socket
 import time
 
 import urllib3
-from pytest_bdd import parsers, scenarios, then, when
+from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, make_request
@@ -11,6 +12,8 @@
 scenarios("features/streams.feature")
 
 _DISCONNECT_NOTICE_S = 0.5
+_FIRST_EVENT_S = 0.5
+"""Time by which a stream's first event has arrived."""
 
 
 @when(parsers.parse("a caller disconnects after the first event of {target}"))
@@ -22,6 +25,21 @@
     ctx["disconnected_at"] = time.monotonic()
 
 
+@given("streams without length or chunks")
+def unframed_streams(deployment):
+    for worker in deployment.of_service("llm"):
+        worker.behaviour.is_chunked = False
+
+
+@when(parsers.parse("a caller of {target} closes its sending side after the first event"))
+def half_close_during_stream(deployment, caller_to, ctx, target):
+    caller = caller_to(deployment.routers[0])
+    caller.send(make_request("POST", target, b"prompt", **PROMPT_HEADERS))
+    time.sleep(_FIRST_EVENT_S)
+    caller.sock.shutdown(socket.SHUT_WR)
+    ctx["answer"] = caller.read()
+
+
 @when(parsers.parse("a caller disconnects while it waits for {target}"))
 def disconnect_while_waiting(deployment, caller_to, ctx, target):
     caller = caller_to(deployment.routers[0])
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -1,5 +1,6 @@
 """Answers that a target breaks off: never passed on as complete, wherever and however they end."""
 
+import threading
 import time
 from types import SimpleNamespace
 
@@ -55,6 +56,7 @@
     timeout_s: float = 2.0,
     started: bool = False,
     raises: bool = False,
+    abort_after_s: float | None = None,
 ) -> tuple[bool, _Caller, TargetConnection]:
     """Relay one answer, or the rest of a stream that ``started``; return whether it is complete."""
     deadline = time.monotonic() + timeout_s
@@ -66,6 +68,8 @@
     progress = Progress(route, answer_started=started)
     relay = AnswerRelay(caller, PlatformDialect(), routed, progress, lambda: None)
     conn = TargetConnection(target.address, 1.0)
+    if abort_after_s is not None:
+        threading.Timer(abort_after_s, conn.abort).start()
     try:
         conn.send(TargetRequest("POST", "/", [("Host", "h")], b""), 1.0)
         relay.relay_answer(conn, conn.read_head("POST", timeout_s), is_last_attempt=True)
@@ -137,6 +141,19 @@
         assert not complete, (cut, target.data[-20:])
 
 
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_no_answer_that_this_router_gives_up_looks_complete(target, framing, is_stream):
+    """Guards against a shutdown of the connection here that is taken for the target's close."""
+    head, wire = make_answer(framing, is_stream, 200)
+    target.how = "silence"
+    for cut in [-5, *(STREAM_BOUNDARIES[:-1] if is_stream else (0, 3, len(wire) - 1))]:
+        target.data = (head + wire)[: len(head) + cut]
+        complete, _, conn = relay(target, abort_after_s=_READ_TIMEOUT_S)
+        conn.close()
+        assert not complete, (cut, target.data[-20:])
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 @pytest.mark.parametrize("framing", ["length", "chunks", "none"])
 def test_answer_is_read_whole_byte_by_byte(target, framing, is_stream):
