An answer that this router gives up can't end as complete (ORDER, MIXED)

What callers saw: a stream ended as complete, in chunks, before its last event. Reproduced: with targets whose answers have neither a length nor chunks, 8 of 8 streams end with the last chunk when the grace period of a stopping router is over, and when the caller closes only its sending side (4 of 100 events); plain answers in the same way.

Cause: a caller's disconnect, or a stop, shuts the target's connection down from another thread. The reader then gets an end of the input, which is the proper end of such a body; the target runs on, so the check of closed answers finds nothing amiss, and the relay sends the last chunk. Class: an end of the input counts as the peer's, whoever caused it.

Ruled out: framed answers (4 of 4 cases pass before and after: an end within chunks or a length is an error).

Change: the raw input of a connection returns an end only if the peer closed; after give_up() each read raises ConnectionGivenUp. So neither heads, bodies nor streams can take the shutdown for the end of a message, wherever they are read. A request that a stop ends is logged as cut, no longer as caller_gone.

--- a/tests/transport/test_wait_for_data.py
+++ b/tests/transport/test_wait_for_data.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from turmerictray.core.errors import ConnectionBroken
+from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown
 from turmerictray.transport.reset import set_reset_on_close
 from turmerictray.transport.target_conn import TargetConnection, TargetRequest
 
@@ -116,6 +116,7 @@
     aborter = threading.Timer(SHORT_S, conn.abort)
     aborter.start()
     started_at = time.monotonic()
-    assert _wait(conn, LONG_S)
+    with pytest.raises(OutcomeUnknown, match="given up"):
+        _wait(conn, LONG_S)
     aborter.join()
     assert time.monotonic() - started_at < LONG_S / 2
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -27,7 +27,7 @@
 from turmerictray.router.run import RequestDependencies, RequestRun
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.streams import uniform_draw
-from turmerictray.transport.disconnect import CancellableCall, DisconnectMonitor
+from turmerictray.transport.disconnect import CancellableCall, Closer, DisconnectMonitor
 from turmerictray.transport.exchange import ClientExchange
 
 _NOT_READY_RETRY_S = 1.5
@@ -116,7 +116,7 @@
                 self._watch.remove(call)
         except CallerGone as exc:
             exchange.abort()
-            trace.end("caller_gone", 0, str(exc))
+            trace.end(_given_up_outcome(call), 0, str(exc))
         except TurmerictrayError as exc:
             self._fail(exchange, exc, trace, call)
         except Exception as exc:  # noqa: BLE001 - the caller has to get a truthful answer
@@ -185,7 +185,7 @@
     ) -> None:
         if call.caller_gone:
             exchange.abort()
-            trace.end("caller_gone", 0, str(exc))
+            trace.end(_given_up_outcome(call), 0, str(exc))
             return
         if exchange.answer_started:
             exchange.abort()
@@ -205,6 +205,11 @@
         trace.end("refused", answer.status, f"{type(exc).__name__}: {exc}")
 
 
+def _given_up_outcome(call: CancellableCall) -> str:
+    """Return the outcome of a request that ended without an answer, or within one."""
+    return "cut" if call.closer is Closer.ROUTER_STOP else "caller_gone"
+
+
 def _check_size(routed: RoutedRequest, config: RoutingConfig) -> None:
     """Refuse a prompt that each engine would turn away as if it were full."""
     spec = config.services.get(routed.service)
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -26,9 +26,16 @@
 """Time for a whole response, as a multiple of the time allowed for a single read."""
 
 
+class ConnectionGivenUp(OSError):
+    """This process has shut the connection down itself."""
+
+
 class BoundedInput(io.RawIOBase):
     """Raw input of a socket that ends at a deadline, and after a number of bytes.
 
+    Only a close by the peer is an end of the input. After :meth:`give_up` each read raises, so that
+    no reader can take the shutdown of the socket for the end of a message.
+
     Parameters
     ----------
     sock : socket.socket
@@ -42,6 +49,16 @@
         self._deadline: float | None = None
         self._read_timeout_s = math.inf
         self._left = math.inf
+        self._is_given_up = False
+
+    def give_up(self) -> None:
+        """Shut the connection down, from any thread; a blocked read or write fails at once."""
+        self._is_given_up = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # Already closed by the peer.
+            return
 
     def set_bounds(
         self,
@@ -86,6 +103,8 @@
             Nothing arrived in time.
         InputTooLarge
             More has arrived than may.
+        ConnectionGivenUp
+            The connection was given up.
         """
         if self._deadline is not None:
             left_s = min(self._deadline - time.monotonic(), self._read_timeout_s)
@@ -93,6 +112,8 @@
                 raise TimeoutError("timed out")
             self._sock.settimeout(None if left_s == math.inf else left_s)
         count = self._raw.readinto(buffer)
+        if self._is_given_up:
+            raise ConnectionGivenUp("given up by this process")
         self._left -= count or 0
         if self._left < 0:
             raise InputTooLarge("more bytes than an answer may have")
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -290,12 +290,8 @@
         return True
 
     def abort(self) -> None:
-        """Shut the connection down from another thread; a blocked read or write fails at once."""
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # Already closed by the target.
-            return
+        """Give the answer up, from any thread: what is being read of it raises at once."""
+        self._input.give_up()
 
     def close(self) -> None:
         """Close the connection; reset it if a request has no complete answer.
