--- a/tests/crashes/test_closed_answers.py
+++ b/tests/crashes/test_closed_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from turmerictray.core.errors import ConnectionBroken
+from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown
 from turmerictray.core.ids import RequestDigest, ServiceName, TargetId, ZoneId
 from turmerictray.crashes.evidence import CrashEvidence
 from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector
@@ -38,6 +38,15 @@
     assert evidence.quarantine.suspicion(REQUEST, time.monotonic()) is Suspicion.NONE
 
 
+def test_answer_of_a_target_that_nobody_can_ask_does_not_look_complete():
+    """Guards against a target that can't be reached, as in a partition, and counts as running."""
+    detector = TargetExitDetector(lambda _target: Liveness.UNKNOWN)
+    evidence = CrashEvidence(ended_targets=detector)
+    with pytest.raises(OutcomeUnknown) as caught:
+        evidence.check_closed_answer(TARGET, time.monotonic())
+    assert not isinstance(caught.value, ConnectionBroken)
+
+
 def test_first_crash_between_two_events_is_evidence():
     """Guards against a storm of crashes of which each leaves an answer that looks complete."""
     assert suspicion_after(make_evidence(exited=True), ran_s=0.1) is Suspicion.SUSPECT
--- a/tests/platform/features/streams.feature
+++ b/tests/platform/features/streams.feature
@@ -47,6 +47,18 @@
     Then the answer is 200
     And the caller received the events 1 to 5
 
+  Scenario Outline: A crash ends a stream without length or chunks, and the engine's address still accepts connections
+    Given a deployment with engines behind a relay that stays
+    And one llm worker has the fault crash_within_answer
+    When a caller requests the stream <target>
+    Then the answer is <outcome>
+    And the caller received the events 1 to <last>
+
+    Examples:
+      | target   | outcome   | last |
+      | /plan/1  | 200       | 5    |
+      | /recon/1 | truncated | 2    |
+
   Scenario: Another stream without length or chunks that a crash ends between two events is not passed off as complete
     Given a deployment with 1 router(s)
     And one llm worker has the fault crash_within_answer
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -7,6 +7,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.platform.conftest import wait_for
+from turmerictray.loadtool.relay import Network
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, make_request
 
 scenarios("features/streams.feature")
@@ -25,6 +26,14 @@
     ctx["disconnected_at"] = time.monotonic()
 
 
+@given("a deployment with engines behind a relay that stays", target_fixture="deployment")
+def deployment_behind_relays(start_deployment):
+    deployment = start_deployment(routers=1, network=Network())
+    for worker in deployment.of_service("llm"):
+        worker.before_exit = lambda: None
+    return deployment
+
+
 @given("streams without length or chunks")
 def unframed_streams(deployment):
     for worker in deployment.of_service("llm"):
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -10,6 +10,7 @@
     make_answer,
 )
 from turmerictray.core.errors import OutcomeUnknown
+from turmerictray.crashes import exit_detection
 from turmerictray.router.upstream import Upstream
 
 
@@ -60,3 +61,11 @@
         target.close()
         assert not complete
         assert body == wire[:cut]
+
+
+def test_answer_of_a_target_that_nobody_can_ask_is_not_complete(target, monkeypatch):
+    """Guards against a target that can't be reached and counts as running."""
+    monkeypatch.setattr(exit_detection, "CONNECT_TIMEOUT_S", 0.0)
+    head, wire = make_answer("none", False, 200)
+    target.data = head + wire
+    assert _read(target, False) == (False, BODY)
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from turmerictray.core.errors import ConnectionBroken, TurmerictrayError
+from turmerictray.core.errors import ConnectionBroken, OutcomeUnknown, TurmerictrayError
 from turmerictray.core.ids import TargetId
 from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector
 from turmerictray.crashes.fingerprint import Fingerprint
@@ -71,7 +71,8 @@
     ) -> None:
         """Check that an answer that only the close of its connection ended was not broken off.
 
-        A target that crashes between two writes ends its answer as if it were complete.
+        A target that crashes between two writes ends its answer as if it were complete. One that
+        nobody answers for may have crashed.
 
         Parameters
         ----------
@@ -85,11 +86,15 @@
         ------
         ConnectionBroken
             The target has exited.
+        OutcomeUnknown
+            Whether it runs can't be found out.
         """
         found = self.ended_targets.find(target, closed_at)
         on_found(found)
         if found is Liveness.EXITED:
             raise ConnectionBroken(f"{target.address} exited at the end of the answer")
+        if found is Liveness.UNKNOWN:
+            raise OutcomeUnknown(f"{target.address} can't be asked at the end of the answer")
 
     def _has_crashed(self, target: TargetInfo, now: float) -> bool:
         if target.id in self.leaving():
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -11,7 +11,7 @@
 from turmerictray.core.ids import TargetId
 from turmerictray.routing.load import TargetInfo
 
-_CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.25
 """A reachable machine accepts or refuses a connection within a round trip. No response at all, as
 behind a network partition, does not show whether the target is running."""
 
@@ -19,8 +19,8 @@
 """How long a new connection must stay open for the target to count as running. When a process
 exits, its connections may break before its listening socket is closed."""
 
-_MAX_CONNECTIONS = 3
-_RECONNECT_PAUSE_S = 0.01
+MAX_CONNECTIONS = 3
+RECONNECT_PAUSE_S = 0.01
 """Connections that a check opens at most to a target that closes them at once, and the pause
 between them."""
 
@@ -39,6 +39,10 @@
     UNKNOWN = "unknown"
 
 
+TargetCheck = Callable[[TargetInfo], Liveness]
+"""Checks whether a target's process runs."""
+
+
 def check_listening(target: TargetInfo) -> Liveness:
     """Return whether something listens at a target's address.
 
@@ -46,14 +50,14 @@
     connections. Only the former refuses another one soon.
     """
     host, _, port = target.address.rpartition(":")
-    for _ in range(_MAX_CONNECTIONS):
+    for _ in range(MAX_CONNECTIONS):
         try:
-            with socket.create_connection((host, int(port)), _CONNECT_TIMEOUT_S) as sock:
+            with socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S) as sock:
                 return _check_open(sock)
         except ConnectionRefusedError:
             return Liveness.EXITED
         except ConnectionError:
-            time.sleep(_RECONNECT_PAUSE_S)
+            time.sleep(RECONNECT_PAUSE_S)
         except OSError:
             # No response may mean a network partition as well as a machine without power.
             return Liveness.UNKNOWN
@@ -94,7 +98,7 @@
         Checks a target; see :func:`check_listening`.
     """
 
-    def __init__(self, check: Callable[[TargetInfo], Liveness] = check_listening) -> None:
+    def __init__(self, check: TargetCheck = check_listening) -> None:
         self._check = check
         self._lock = threading.Lock()
         self._checks: dict[TargetId, _Check] = {}
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -58,6 +58,7 @@
 A caller must not list them in ``Connection``, which would remove them on the way.
 """
 
+_HTTP_SERVER_ERROR = 500
 _HTTP_UNAVAILABLE = 503
 _HTTP_MISDIRECTED = 421
 """Status with which a process refuses a request that was meant for another instance."""
@@ -117,7 +118,7 @@
             headers = [(name, val) for name, val in headers if name != _RESUME_AFTER]
             headers.append((_RESUME_AFTER, resume_after))
         headers.append((_DEADLINE_MS, str(max(1, int(left_s * 1000)))))
-        headers.append((_EXPECTED_INSTANCE, target.instance_name))
+        headers.append(expectation_header(target))
         if team is not None:
             headers.append((_TEAM, team))
         if fetch_from:
@@ -127,7 +128,7 @@
     def read_answer(self, answer: AnswerHead, envelope: Envelope) -> AnswerFlags:
         """Read the flags in the head of a target's response."""
         echoed = answer.get(_REQUEST_ID)
-        wrong_instance = answer.status == _HTTP_MISDIRECTED
+        wrong_instance = is_other_instance(answer)
         not_run = wrong_instance or answer.get(_NOT_EXECUTED) is not None
         is_genuine = answer.get(_SIGNATURE) is not None
         is_own = is_genuine and echoed in (None, envelope.request_id)
@@ -155,6 +156,21 @@
         return ("Retry-After", f"{seconds:.2f}")
 
 
+def expectation_header(target: TargetInfo) -> Header:
+    """Return the header that makes any process but ``target`` refuse a request."""
+    return (_EXPECTED_INSTANCE, target.instance_name)
+
+
+def is_other_instance(answer: AnswerHead) -> bool:
+    """Return whether a process says that it is not the expected one."""
+    return answer.status == _HTTP_MISDIRECTED
+
+
+def is_from_target(answer: AnswerHead) -> bool:
+    """Return whether a target gave an answer, not a gateway in its place."""
+    return answer.status < _HTTP_SERVER_ERROR or answer.get(_NOT_EXECUTED) is not None
+
+
 def _rest_s(answer: AnswerHead) -> float:
     """Return for how many seconds a target that refuses a request wants no others; 0 if unsaid."""
     if answer.status != _HTTP_UNAVAILABLE:
--- a/turmerictray/platform/main.py
+++ b/turmerictray/platform/main.py
@@ -8,6 +8,7 @@
 from turmerictray.core.logs import close_logs, log_event, setup_logging
 from turmerictray.platform.engines import list_cached_parts
 from turmerictray.platform.headers import PlatformDialect
+from turmerictray.platform.identity import IdentityCheck
 from turmerictray.platform.settings import NodeFile, build_gateway_settings, load_node_file
 from turmerictray.platform.sources import OperatorSource, TargetSource
 from turmerictray.router.gateway import Gateway
@@ -31,6 +32,7 @@
         make_sources,
         lambda: build_gateway_settings(load_node_file()),
         list_cached_parts,
+        IdentityCheck,
     )
 
 
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -341,17 +341,30 @@
         if self.path == "/api/kv-list":
             self._send_answer(200, self.worker.encode_listing(), signed=False)
             return
+        if self.path == "/api/report":
+            self._send_report(headers)
+            return
         request = ReceivedRequest(self.command, self.path, headers, body)
         self.worker.received_requests.append(request)
-        expected = headers.get("X-Expect-Instance")
-        if expected is not None and expected != self.worker.id:
-            self._send_answer(421, b"", [("X-Instance-Id", self.worker.id)], signed=False)
+        if self._is_misdirected(headers):
             return
         self.worker.note_arrival()
         if self._refuses(request):
             return
         self._run(request, self._next_fault(headers))
 
+    def _is_misdirected(self, headers: dict[str, str]) -> bool:
+        """Refuse a request that expects another instance."""
+        if headers.get("X-Expect-Instance", self.worker.id) == self.worker.id:
+            return False
+        self._send_answer(421, b"", [("X-Instance-Id", self.worker.id)], signed=False)
+        return True
+
+    def _send_report(self, headers: dict[str, str]) -> None:
+        if not self._is_misdirected(headers):
+            report = {"stage": "both", "born": self.worker.born}
+            self._send_answer(200, json.dumps(report).encode(), signed=False)
+
     def _refuses(self, request: ReceivedRequest) -> bool:
         """Refuse a request if the worker is full for it."""
         behaviour = self.worker.behaviour
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -16,6 +16,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import TimerService
 from turmerictray.crashes.evidence import CrashEvidence
+from turmerictray.crashes.exit_detection import TargetCheck, TargetExitDetector
 from turmerictray.crashes.quarantine import Quarantine
 from turmerictray.membership.link import PERIOD_S, Leave, PeerLink
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
@@ -118,6 +119,8 @@
         Returns the current settings; raises :class:`SettingsError`.
     list_cached_parts : callable
         Requests the list of prompt parts that an engine caches.
+    make_target_check : callable
+        Makes a check whether a target runs, which may use the idle connections of a pool.
     """
 
     def __init__(
@@ -127,6 +130,7 @@
         sources: SourceFactory,
         load_settings: Callable[[], GatewaySettings],
         list_cached_parts: ListCachedParts,
+        make_target_check: Callable[[ConnectionPool], TargetCheck],
     ) -> None:
         self.settings = settings
         self.incarnation = time.time_ns()
@@ -135,6 +139,7 @@
         self._make_sources = sources
         self._load_settings = load_settings
         self._list_cached_parts = list_cached_parts
+        self._make_target_check = make_target_check
         self._active_config = ActiveConfig(settings.regions)
         self._copy = PublishedCopy(lambda: self._active_config.version)
         self._draining = threading.Lock()
@@ -313,7 +318,9 @@
             self._dialect,
             self._connections,
             crashes=CrashEvidence(
-                self._quarantine, leaving=lambda: self._active_config.announced_leaving
+                self._quarantine,
+                TargetExitDetector(self._make_target_check(self._connections)),
+                leaving=lambda: self._active_config.announced_leaving,
             ),
             is_outdated=self._active_config.is_outdated,
             is_unavailable=self._active_config.is_unavailable,
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -14,7 +14,7 @@
 
 from turmerictray.core.errors import NotSent, OutcomeUnknown, UpstreamRefused
 from turmerictray.core.ids import ServiceName, TargetId, ZoneId
-from turmerictray.crashes.exit_detection import TargetExitDetector
+from turmerictray.crashes.exit_detection import Liveness, TargetExitDetector
 from turmerictray.routing.load import TargetInfo
 from turmerictray.transport.body import BodyEnd
 from turmerictray.transport.bounded_input import (
@@ -148,8 +148,8 @@
         Raises
         ------
         OutcomeUnknown
-            The connection failed before the end of the body, or the target has exited when only
-            the close of the connection ended it.
+            The connection failed before the end of the body, or only its close ended the body and
+            the target is not known to run.
         """
         try:
             yield from resp.stream(_STREAM_CHUNK_BYTES, decode_content=False)
@@ -159,8 +159,9 @@
             resp.release_conn()
         if _body_end(resp) is BodyEnd.CONNECTION_CLOSE:
             target = _target_at(urllib3.util.parse_url(url).netloc or "")
-            if self._exits.has_exited(target, time.monotonic()):
-                raise OutcomeUnknown(f"stream broke: {target.address} exited at its end")
+            found = self._exits.find(target, time.monotonic())
+            if found is not Liveness.RUNNING:
+                raise OutcomeUnknown(f"stream broke: {target.address} is {found.value} at its end")
 
     def stream_events(self, resp: urllib3.BaseHTTPResponse, url: str) -> Iterator[bytes]:
         """Yield the complete events of ``resp``, a response of ``url``, as they arrive.
