A list of targets that nothing has confirmed lately is not known to be complete

Callers could get streams of two software versions: during a release a router is out of step for some seconds while targets of a new version join. Streams that began on these through other routers break, are taken up at that router, and go on at a target of the old version.

Cause: what a router had not observed counted as not there. TargetObservation took a list of up to 4 s as complete, and an older one too while no router was noted as lost; after a pause or in the first seconds of a cut none is. So a router without a record of the stream concluded from before the join that there was one version.

Evidence, by tests of the decision with the time passed in; all nine failed before and pass now: a router that stood still for 0.3, 1, 3 and 6 s and is asked as it wakes; one that wakes and reads messages from before; one cut off from store and routers for 1.5, 2.5 and 3.5 s, reached by callers; one that has heard of a newer list than its own. A cut of 5 s was refused before too.

Now the list counts as complete only while it is confirmed: by the store, or by hearing at least half of the other routers, within the time after which a router counts as silent. After a pause a confirmation counts once the messages are read that arrived during it. With most of the others lost since the store last answered, it is this router that may be cut off. A peer's newer position means that something is missing until it is here. None of this loses what was observed before, so streams go on again with the next confirmation.

The broker of test_resumption now ticks while time passes, as brokers do: a minute without a tick stands for a router that stood still. Its checks are the same. A callback in two tests takes the added argument.

Open: within a second of a cut, and within the delay of gossip, a router may still not know of a version that has joined.

--- a/tests/membership/test_link.py
+++ b/tests/membership/test_link.py
@@ -52,7 +52,7 @@
     seeds = ["tcp://127.0.0.1:8", "tcp://127.0.0.1:9"]
     link = PeerLink(
         NodeId("r1"), ZoneId("z"), 1, "tcp://127.0.0.1:7", "127.0.0.1:6", seeds,
-        lambda: summary, fail, lambda entries, _silent: members.append(entries),
+        lambda: summary, fail, lambda entries, *_: members.append(entries),
         crashes=FakeCrashes(),
     )  # fmt: skip
     link.supervisor, link.published, link.sent = supervisor, members, []
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -1,5 +1,6 @@
 """Routers believed alive when entries arrive late or through other routers."""
 
+import math
 import random
 
 from turmerictray.core.ids import NodeId
@@ -43,6 +44,21 @@
         assert not table.silent(0.25 * beat)
 
 
+def test_killed_router_is_told_from_a_cut_off_from_most():
+    """Guards against a router that is cut off and takes what it knows for current."""
+    table = MemberTable(NodeId("r1"))
+    assert table.heard_at(0.0) == math.inf
+    for node in ("r2", "r3", "r4"):
+        table.update(entry(node), 0.0, direct=True)
+    for node in ("r3", "r4"):
+        table.update(entry(node, heartbeat=2), 1.0, direct=True)
+    assert table.heard_at(2.0) == 1.0
+    table.update(entry("r4", heartbeat=3), 2.0, direct=True)
+    assert table.heard_at(2.0) == 1.0
+    table.update(entry("r3", heartbeat=3), 2.0, direct=False)
+    assert table.heard_at(2.0) == 2.0
+
+
 def test_forwarded_old_entries_do_not_keep_a_stopped_router_alive():
     """Guards against a stopped router that counts as alive because old entries are forwarded."""
     table = MemberTable(NodeId("r1"))
--- a/tests/router/test_late_broker.py
+++ b/tests/router/test_late_broker.py
@@ -63,7 +63,7 @@
             [f"tcp://127.0.0.1:{seed}"],
             build_summary=summary,
             on_peer=on_peer,
-            on_members=lambda members, silent: None,
+            on_members=lambda members, silent, heard_at: None,
         )
         for name, port, seed, summary, on_peer in (
             ("r1", first, second, gateway._build_summary, lambda message: None),
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -46,6 +46,9 @@
 LLM = ServiceName("llm")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 STREAM = StreamKey(77)
+_TICK_S = 0.05
+_GOSSIP_S = 0.25
+
 PROMPT = Prompt((PromptPart(PartId("own"), 100),), 100, 10)
 
 
@@ -103,9 +106,30 @@
         self._clock = clock
 
     def tick(self, after_s: float = 0.0) -> None:
-        self._clock.now += after_s
+        """Let time pass in which the broker runs, or end a pause in which it stood still."""
+        end = self._clock.now + after_s
+        while self._clock.now < end:
+            self._clock.now = min(end, self._clock.now + _TICK_S)
+            self.broker.handle(Tick("expire", self._clock.now))
         self.broker.handle(Tick("expire", self._clock.now))
 
+    def stand_still(self, for_s: float) -> None:
+        """Let time pass in which the broker does nothing and hears nothing."""
+        self._clock.now += for_s
+        self.age_s += for_s
+
+    def hear_routers(self, *others: str, heard_s: float = 0.0) -> None:
+        """Learn which other routers are alive, most of which were heard ``heard_s`` ago."""
+        heard_at = self._clock.now - heard_s
+        self.broker.handle(RoutersAlive(frozenset({"n", *others}), heard_at))
+
+    def run_beside(self, *others: str, for_s: float, store_answers: bool = True) -> None:
+        """Let time pass in which other routers are heard."""
+        for _ in range(round(for_s / _GOSSIP_S)):
+            self.tick(_GOSSIP_S)
+            self.age_s = 0.0 if store_answers else self.age_s + _GOSSIP_S
+            self.hear_routers(*others)
+
     def hear(self, known_s: int, revision: int = 0, **gone_s: float) -> None:
         """Hear a peer that has known all targets for a time, and versions that have gone."""
         gone = [GoneVersion(LLM, version, s) for version, s in gone_s.items()]
@@ -188,6 +212,81 @@
     assert fixture.take_up() == V1
 
 
+@pytest.mark.parametrize("pause_s", [0.3, 1.0, 3.0, 6.0])
+def test_a_router_that_stood_still_joins_no_streams_of_a_version_that_came_meanwhile(
+    watching, pause_s
+):
+    # Its list was a few seconds old, and counted as all that there was.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(pause_s)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_router_that_wakes_joins_no_streams_by_messages_from_before(watching):
+    # What was sent to it during the pause is read at the wake, and seems to be new.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(3.0)
+    fixture.tick()
+    fixture.age_s = 0.0
+    fixture.hear_routers("a", "b")
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_an_unknown_stream_goes_on_soon_after_a_pause(watching):
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(3.0)
+    fixture.run_beside("a", "b", for_s=0.75)
+    assert fixture.take_up() == V1
+
+
+@pytest.mark.parametrize("cut_s", [1.5, 2.5, 3.5, 5.0])
+def test_a_router_that_is_cut_off_joins_no_streams_of_a_version_that_came_meanwhile(
+    watching, cut_s
+):
+    # Callers and the targets that it knew still reached it.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    for n in range(1, round(cut_s / _GOSSIP_S) + 1):
+        fixture.tick(_GOSSIP_S)
+        fixture.age_s = heard_s = n * _GOSSIP_S
+        others = ("a", "b") if heard_s < 3.0 else ()
+        fixture.hear_routers(*others, heard_s=heard_s if others else 0.0)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_router_with_an_older_list_than_a_peer_joins_no_streams(watching):
+    # It heard of the newer list before it had it.
+    fixture = watching(V1, V1)
+    fixture.position = StorePosition(0, 6)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.hear(known_s=60, revision=7)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+    fixture.position = StorePosition(0, 7)
+    assert fixture.take_up() == V1
+
+
+def test_an_unknown_stream_goes_on_after_a_kill_of_a_router(watching):
+    # The routers that are left are in touch, and the store answers.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.run_beside("a", for_s=1.0, store_answers=False)
+    assert fixture.take_up() == V1
+
+
+def test_an_unknown_stream_goes_on_between_two_answers_of_the_store(watching):
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.run_beside("a", "b", for_s=2.5, store_answers=False)
+    assert fixture.take_up() == V1
+
+
 def test_an_unknown_stream_is_refused_after_a_cut_in_which_a_version_may_have_come_and_gone(
     watching,
 ):
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -145,7 +145,8 @@
         Called with each :class:`PeerMessage` that is received.
     on_members : callable
         Called each period, and when their number changes, with the entries of the live routers,
-        which include this router unless it is leaving, and the nodes of those that are silent.
+        which include this router unless it is leaving, the nodes of those that are silent, and
+        since when at least half of the others were heard.
     scheduling_address : str
         ``tcp://host:port`` at which this router schedules requests of others.
     cores : float
@@ -166,7 +167,7 @@
         seeds: list[str],
         build_summary: Callable[[], RouterSummary | None],
         on_peer: Callable[[PeerMessage], None],
-        on_members: Callable[[tuple[MemberEntry, ...], frozenset[str]], None],
+        on_members: Callable[[tuple[MemberEntry, ...], frozenset[str], float], None],
         scheduling_address: str = "",
         cores: float = 1.0,
         crashes: CrashReports | None = None,
@@ -333,7 +334,8 @@
 
     def _publish_members(self, now: float) -> None:
         local = () if self._leaving else (self.entry,)
-        self._on_members((*local, *self.table.alive(now)), self.table.silent(now))
+        members = (*local, *self.table.alive(now))
+        self._on_members(members, self.table.silent(now), self.table.heard_at(now))
 
     def _receive(self, pull: pynng.Pull0) -> None:
         receive_all(pull, "peers", "peer_receive_failed", self._enqueue_received)
--- a/turmerictray/membership/table.py
+++ b/turmerictray/membership/table.py
@@ -41,6 +41,11 @@
 network partition reconnect. After longer partitions they reconnect through the seeds."""
 
 
+def silent_timeout_s(router_count: int) -> float:
+    """Return the seconds without a new heartbeat after which a router counts as silent."""
+    return SILENT_S + _SILENT_EXTRA_PER_ROUTER_S * router_count
+
+
 @dataclass
 class _Member:
     """Newest entry of a router.
@@ -129,13 +134,21 @@
 
     def silent(self, now: float) -> frozenset[str]:
         """Return the live routers whose heartbeat has stood still for a while."""
-        timeout_s = SILENT_S + _SILENT_EXTRA_PER_ROUTER_S * len(self._members)
+        timeout_s = silent_timeout_s(len(self._members))
         return frozenset(
             entry.node
             for entry in self.alive(now)
             if now - self._members[entry.node].updated_at > timeout_s
         )
 
+    def heard_at(self, now: float) -> float:
+        """Return since when at least half of the live routers were heard; infinite if none is.
+
+        Whatever path their heartbeats took counts.
+        """
+        times = sorted(self._members[entry.node].updated_at for entry in self.alive(now))
+        return times[len(times) // 2] if times else math.inf
+
     def _alive_timeout_s(self) -> float:
         return ALIVE_S + _ALIVE_EXTRA_PER_ROUTER_S * len(self._members)
 
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -212,10 +212,12 @@
             if cache_warmup.is_alive():
                 cache_warmup.tell(message)
 
-        def on_members(members: tuple[MemberEntry, ...], silent: frozenset[str]) -> None:
+        def on_members(
+            members: tuple[MemberEntry, ...], silent: frozenset[str], heard_at: float
+        ) -> None:
             choice.set_members(members)
             self._readers.update_members(members, silent)
-            alive = RoutersAlive(frozenset({s.node, *(m.node for m in members)}))
+            alive = RoutersAlive(frozenset({s.node, *(m.node for m in members)}), heard_at)
             self._broker.tell(alive)
             self._catch_up.tell(alive)
             if cache_warmup.is_alive():
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -42,6 +42,7 @@
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.fairness.recent_usage import RecentUsage
 from turmerictray.membership.messages import GoneVersion, PartRead, RouterSummary, TargetWork
+from turmerictray.membership.table import silent_timeout_s
 from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.router.published import StorePosition
 from turmerictray.routing.cold import ColdLimits
@@ -179,6 +180,10 @@
         self.fleet_size = 1
         self.live_routers: frozenset[str] = frozenset({node})
         self._router_lost_at = -math.inf
+        # Routers that were lost since the store last confirmed the list of targets.
+        self._lost_routers: frozenset[str] = frozenset()
+        self._routers_heard_at = -math.inf
+        self._newest_position = StorePosition()
         self.evacuated_zones: frozenset[ZoneId] = frozenset()
         # Called on each tick that is not late. Components that run at the same interval share this
         # thread; a thread per component would wake up 20 times a second on every router.
@@ -300,8 +305,12 @@
 
     def _targets_known_s(self, now: float) -> float:
         age_s = self.targets_age_s() if self.active_config.targets_listed else math.inf
-        self._observation.update(now, age_s, self._router_lost_at)
-        return self._observation.known_s(now)
+        if now - age_s > self._router_lost_at:
+            self._lost_routers = frozenset()
+        self._observation.update(now, age_s, self._router_lost_at, self._routers_heard_at)
+        if self.targets_position() < self._newest_position:
+            return 0.0
+        return self._observation.known_s(now, silent_timeout_s(self.fleet_size))
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
@@ -722,6 +731,7 @@
             targets = self.pools.unsharded(ServiceName(gone.service)).targets
             targets.note_gone_version(SoftwareVersion(gone.version), now - gone.gone_s)
         peer = StorePosition(summary.targets_era, summary.targets_revision)
+        self._newest_position = max(self._newest_position, peer)
         # The last targets of a version may be gone here that an older list still has.
         if peer >= self.targets_position():
             self._observation.extend(summary.targets_known_s, now)
@@ -775,8 +785,13 @@
 
     @handle.register
     def _(self, msg: RoutersAlive) -> None:
-        if self.live_routers - msg.nodes:
-            self._router_lost_at = time.monotonic()
+        now, lost = time.monotonic(), self.live_routers - msg.nodes
+        if lost:
+            self._router_lost_at = now
+        self._lost_routers = (self._lost_routers | lost) - msg.nodes
+        # With most of the others lost, it is this router that may be cut off.
+        if len(self._lost_routers) < len(msg.nodes):
+            self._routers_heard_at = min(msg.heard_at, now)
         self.fleet_size = len(msg.nodes)
         self.live_routers = msg.nodes
         for pool in self.pools.all_unsharded():
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -305,9 +305,18 @@
 
 @dataclass(frozen=True)
 class RoutersAlive:
-    """The routers considered alive, including this router."""
+    """The routers considered alive, including this router.
+
+    Attributes
+    ----------
+    nodes : frozenset of str
+    heard_at : float
+        Since when at least half of the others were heard, in monotonic seconds; infinite if there
+        are none.
+    """
 
     nodes: frozenset[str]
+    heard_at: float = math.inf
 
 
 @dataclass(frozen=True)
