A list that is unconfirmed for a moment has no records of streams sent

Certainty now came and went with each changed target, for the moment in which a router had heard of a newer list that it didn't have yet; each time the table went to all that keep records.

What was observed and whether the list is confirmed are told apart: the first decides what is reported and what peers are told, as before, and both decide whether a stream without a record goes on. The line stream_taken_up says confirmed=, so that a refusal for this reason can be told.

test_no_records_are_sent_for_a_list_that_is_behind_for_a_moment failed before (1 of 34 in test_resumption); all of test_resumption and test_stream_reports passed with it.

--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -398,6 +398,16 @@
     assert len(records.sent) == 1
 
 
+def test_no_records_are_sent_for_a_list_that_is_behind_for_a_moment(watching):
+    # Each change of a target would have had all records sent to all that keep them.
+    fixture, records = watching(V1), Records("n", "other")
+    fixture.broker.handle(OnTick((), stream_records=records, targets_position=StorePosition))
+    fixture.begin(V1)
+    fixture.hear(known_s=60, revision=7)
+    fixture.tick(1.0)
+    assert not records.sent
+
+
 def test_an_unknown_stream_is_refused_soon_after_the_end_of_a_release(watching):
     fixture = watching(V1, V2)
     fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
--- a/tests/scheduling/test_stream_reports.py
+++ b/tests/scheduling/test_stream_reports.py
@@ -13,7 +13,7 @@
 
 LLM = ServiceName("llm")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
-MIXED, ONLY = TargetsView({V1, V2}, 60.0), TargetsView({V1}, 60.0)
+MIXED, ONLY = TargetsView({V1, V2}, 60.0, True), TargetsView({V1}, 60.0, True)
 
 
 class Records:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -302,16 +302,18 @@
 
     def _targets_view(self, service: ServiceName, now: float) -> TargetsView:
         versions = self.pools.unsharded(service).targets.recent_versions(now)
-        return TargetsView(versions, self._targets_known_s(now))
+        return TargetsView(versions, self._targets_known_s(now), self._is_list_confirmed(now))
 
     def _targets_known_s(self, now: float) -> float:
         age_s = self.targets_age_s() if self.active_config.targets_listed else math.inf
         if now - age_s > self._router_lost_at:
             self._lost_routers = frozenset()
         self._observation.update(now, age_s, self._router_lost_at, self._routers_heard_at)
-        if self.targets_position() < self._newest_position:
-            return 0.0
-        return self._observation.known_s(now, silent_timeout_s(self.fleet_size))
+        return self._observation.known_s(now)
+
+    def _is_list_confirmed(self, now: float) -> bool:
+        is_confirmed = self._observation.is_confirmed(now, silent_timeout_s(self.fleet_size))
+        return is_confirmed and self.targets_position() >= self._newest_position
 
     @handle.register
     def _(self, msg: Withdraw) -> None:
--- a/turmerictray/scheduling/observation.py
+++ b/turmerictray/scheduling/observation.py
@@ -30,9 +30,8 @@
     A router whose list of targets is old may have missed some, unless it still hears all routers:
     then none of them has a newer list.
 
-    While the list is not confirmed as current, nothing is known, as targets may have joined. That
-    alone loses nothing of what was observed before: once confirmed again, the list has the changes
-    that were missed.
+    While the list is not confirmed as current, targets may have joined. That alone loses nothing of
+    what was observed before: once confirmed again, the list has the changes that were missed.
     """
 
     def __init__(self) -> None:
@@ -80,15 +79,21 @@
         if self._observed_since is not None and now - self._observed_since >= _MIN_OVERLAP_S:
             self._known_since = min(self._known_since, now - known_s)
 
-    def known_s(self, now: float, max_unconfirmed_s: float) -> float:
-        """Return the seconds for which all targets are known; 0 if they are not.
+    def known_s(self, now: float) -> float:
+        """Return the seconds for which all targets were known; 0 if they are not.
+
+        The last of them are certain only if the list is confirmed.
+        """
+        return 0.0 if self._known_since is None else now - self._known_since
+
+    def is_confirmed(self, now: float, max_unconfirmed_s: float) -> bool:
+        """Return whether the list is known to be current.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
         max_unconfirmed_s : float
-            Time for which the list is taken as current after its last confirmation.
+            Time for which it is taken as current after its last confirmation.
         """
-        is_confirmed = self._confirmed_at >= max(self._settled_at, now - max_unconfirmed_s)
-        return now - self._known_since if is_confirmed and self._known_since is not None else 0.0
+        return self._confirmed_at >= max(self._settled_at, now - max_unconfirmed_s)
--- a/turmerictray/scheduling/resumptions.py
+++ b/turmerictray/scheduling/resumptions.py
@@ -25,12 +25,15 @@
     versions : set of SoftwareVersion
         Versions of the targets, and of those that have gone recently.
     known_s : float
-        Seconds for which all targets are known; see
+        Seconds for which all targets were known; see
         :class:`turmerictray.scheduling.observation.TargetObservation`.
+    is_confirmed : bool
+        Whether no others can have joined since.
     """
 
     versions: set[SoftwareVersion]
     known_s: float
+    is_confirmed: bool
 
     def only_version(self) -> SoftwareVersion | None:
         """Return the software version of all recent targets; None if not certain."""
@@ -84,7 +87,7 @@
         """
         streams = self._streams[service]
         version, known_by = streams.find(stream, now), "record"
-        if version is None and targets is not None:
+        if version is None and targets is not None and targets.is_confirmed:
             version, known_by = targets.only_version(), "only_version"
         known_by = "nothing" if version is None else known_by
         metrics.STREAMS_TAKEN_UP.labels(known_by).inc()
@@ -97,6 +100,7 @@
             known_by=known_by,
             versions=",".join(sorted(targets.versions)) if targets else "-",
             known_s=round(targets.known_s, 1) if targets else "-",
+            confirmed=targets.is_confirmed if targets else "-",
         )
         if version is None:
             raise CannotResume("stream_unknown", _UNKNOWN_STREAM_RETRY_AFTER_S)
