--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from tests.scheduling.test_stream_reports import Records
+from turmerictray.admission.pool_types import Outcome
 from turmerictray.config.routes import EngineSpec, ServiceSpec
 from turmerictray.core.errors import CannotResume, NoTarget
 from turmerictray.core.ids import (
@@ -34,6 +35,7 @@
     OnTick,
     PeerHeard,
     RoutersAlive,
+    Settled,
     StreamsBegunElsewhere,
     SummaryQuery,
     TargetsChanged,
@@ -46,11 +48,19 @@
 LLM = ServiceName("llm")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 STREAM = StreamKey(77)
-PROMPT = Prompt((PromptPart(PartId("own"), 100),), 100, 10)
+_TICK_S = 0.05
+_GOSSIP_S = 0.25
 
 
-def _engine(name: str, version: SoftwareVersion) -> TargetInfo:
-    return TargetInfo(TargetId(name), LLM, "10.0.0.1:80", ZoneId("z"), 64, version=version)
+def _prompt(part: str, tokens: int) -> Prompt:
+    return Prompt((PromptPart(PartId(part), tokens),), tokens, 10)
+
+
+PROMPT = _prompt("own", 100)
+
+
+def _engine(name: str, version: SoftwareVersion, slots: int = 64) -> TargetInfo:
+    return TargetInfo(TargetId(name), LLM, "10.0.0.1:80", ZoneId("z"), slots, version=version)
 
 
 class _Clock:
@@ -103,9 +113,30 @@
         self._clock = clock
 
     def tick(self, after_s: float = 0.0) -> None:
-        self._clock.now += after_s
+        """Let time pass in which the broker runs, or end a pause in which it stood still."""
+        end = self._clock.now + after_s
+        while self._clock.now < end:
+            self._clock.now = min(end, self._clock.now + _TICK_S)
+            self.broker.handle(Tick("expire", self._clock.now))
         self.broker.handle(Tick("expire", self._clock.now))
 
+    def stand_still(self, for_s: float) -> None:
+        """Let time pass in which the broker does nothing and hears nothing."""
+        self._clock.now += for_s
+        self.age_s += for_s
+
+    def hear_routers(self, *others: str, heard_s: float = 0.0) -> None:
+        """Learn which other routers are alive, most of which were heard ``heard_s`` ago."""
+        heard_at = self._clock.now - heard_s
+        self.broker.handle(RoutersAlive(frozenset({"n", *others}), heard_at))
+
+    def run_beside(self, *others: str, for_s: float, store_answers: bool = True) -> None:
+        """Let time pass in which other routers are heard."""
+        for _ in range(round(for_s / _GOSSIP_S)):
+            self.tick(_GOSSIP_S)
+            self.age_s = 0.0 if store_answers else self.age_s + _GOSSIP_S
+            self.hear_routers(*others)
+
     def hear(self, known_s: int, revision: int = 0, **gone_s: float) -> None:
         """Hear a peer that has known all targets for a time, and versions that have gone."""
         gone = [GoneVersion(LLM, version, s) for version, s in gone_s.items()]
@@ -118,6 +149,10 @@
 
     def take_up(self, **options) -> SoftwareVersion:
         """Return the version of the target that a request which takes up the stream is granted."""
+        return _result(self.ask(resumes=STREAM, **options)).target.version
+
+    def ask(self, prompt: Prompt = PROMPT, **options) -> Reply:
+        """Request a target."""
         now, reply = time.monotonic(), Reply()
         ask = Ask(
             next(self._calls),
@@ -125,16 +160,19 @@
             TeamId("t"),
             LLM,
             100.0,
-            PROMPT,
+            prompt,
             now + 5,
             reply,
             answer_deadline=now + 9,
-            resumes=STREAM,
             **options,
         )
         self.broker.handle(ask)
         self.broker._grants.run_due()
-        return _result(reply).target.version
+        return reply
+
+    def settle(self, call_id: int, target: str) -> None:
+        self.broker.handle(Settled(call_id, LLM, TargetId(target), Outcome.DONE, 100.0))
+        self.broker._grants.run_due()
 
 
 def _result(reply: Future):
@@ -155,6 +193,21 @@
     assert fixture.take_up() == V2
 
 
+def test_a_stream_taken_up_is_not_refused_behind_new_ones(watching):
+    # Callers lost streams to a crash; their prompts were long, and shorter ones came first.
+    fixture = watching(V1, V2)
+    fixture.broker.handle(TargetsChanged([_engine("e0", V1, slots=1)]))
+    fixture.begin(V1)
+    first = fixture.ask(version=V1)
+    assert _result(first).target.version == V1
+    new = [fixture.ask(_prompt(f"new{n}", 100), version=V1) for n in range(3)]
+    taken_up = fixture.ask(_prompt("long", 5000), resumes=STREAM)
+    assert not taken_up.done()
+    fixture.settle(1, "e0")
+    assert _result(taken_up).target.version == V1
+    assert not any(reply.done() for reply in new)
+
+
 def test_an_unknown_stream_goes_on_if_there_has_been_one_version(watching):
     assert watching(V1, V1).take_up() == V1
 
@@ -188,6 +241,81 @@
     assert fixture.take_up() == V1
 
 
+@pytest.mark.parametrize("pause_s", [0.3, 1.0, 3.0, 6.0])
+def test_a_router_that_stood_still_joins_no_streams_of_a_version_that_came_meanwhile(
+    watching, pause_s
+):
+    # Its list was a few seconds old, and counted as all that there was.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(pause_s)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_router_that_wakes_joins_no_streams_by_messages_from_before(watching):
+    # What was sent to it during the pause is read at the wake, and seems to be new.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(3.0)
+    fixture.tick()
+    fixture.age_s = 0.0
+    fixture.hear_routers("a", "b")
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_an_unknown_stream_goes_on_soon_after_a_pause(watching):
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.stand_still(3.0)
+    fixture.run_beside("a", "b", for_s=0.75)
+    assert fixture.take_up() == V1
+
+
+@pytest.mark.parametrize("cut_s", [1.5, 2.5, 3.5, 5.0])
+def test_a_router_that_is_cut_off_joins_no_streams_of_a_version_that_came_meanwhile(
+    watching, cut_s
+):
+    # Callers and the targets that it knew still reached it.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    for n in range(1, round(cut_s / _GOSSIP_S) + 1):
+        fixture.tick(_GOSSIP_S)
+        fixture.age_s = heard_s = n * _GOSSIP_S
+        others = ("a", "b") if heard_s < 3.0 else ()
+        fixture.hear_routers(*others, heard_s=heard_s if others else 0.0)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+
+
+def test_a_router_with_an_older_list_than_a_peer_joins_no_streams(watching):
+    # It heard of the newer list before it had it.
+    fixture = watching(V1, V1)
+    fixture.position = StorePosition(0, 6)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.hear(known_s=60, revision=7)
+    with pytest.raises(CannotResume):
+        fixture.take_up()
+    fixture.position = StorePosition(0, 7)
+    assert fixture.take_up() == V1
+
+
+def test_an_unknown_stream_goes_on_after_a_kill_of_a_router(watching):
+    # The routers that are left are in touch, and the store answers.
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.run_beside("a", for_s=1.0, store_answers=False)
+    assert fixture.take_up() == V1
+
+
+def test_an_unknown_stream_goes_on_between_two_answers_of_the_store(watching):
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=2.0)
+    fixture.run_beside("a", "b", for_s=2.5, store_answers=False)
+    assert fixture.take_up() == V1
+
+
 def test_an_unknown_stream_is_refused_after_a_cut_in_which_a_version_may_have_come_and_gone(
     watching,
 ):
@@ -270,6 +398,16 @@
     assert len(records.sent) == 1
 
 
+def test_no_records_are_sent_for_a_list_that_is_behind_for_a_moment(watching):
+    # Each change of a target would have had all records sent to all that keep them.
+    fixture, records = watching(V1), Records("n", "other")
+    fixture.broker.handle(OnTick((), stream_records=records, targets_position=StorePosition))
+    fixture.begin(V1)
+    fixture.hear(known_s=60, revision=7)
+    fixture.tick(1.0)
+    assert not records.sent
+
+
 def test_an_unknown_stream_is_refused_soon_after_the_end_of_a_release(watching):
     fixture = watching(V1, V2)
     fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0"))]))
