An interim answer is never taken for the answer

What callers saw: where a target sent an interim answer other than 100 (102 or 103) before its final one, callers of the routed path got that status, with the head and the body of the final answer as its body. If the target closed within that head, the caller still got the 103, framed as whole. An unsigned interim answer was refused as unsigned, although a good answer followed. On the product's own path the answer was 103 with an empty body, complete whatever followed. A 101 that no router asks for passed likewise.

Cause: http.client skips an interim answer only if its status is 100. Any other one is the answer to it, and has neither length nor chunks: what follows is its body, up to the close.

Fix: AnswerResponse reads heads up to that of the final answer and refuses 101. Connections to targets and all bounded responses (store, peers, load, configuration service) use it. AnswerReader's bound on lines without body data, and the bounds on a head in time and bytes, hold over all interim heads together.

Ruled out: cuts within and after a 100, with fields or without, passed before the change too, on both paths.

--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -13,6 +13,16 @@
 STREAM_BOUNDARIES = list(itertools.accumulate(len(event) for event in EVENTS))
 BODY = b'{"slot": "confirmed"}'
 
+_SIGNED = b"X-Request-Id: a1\r\nX-Server-Seal: s\r\n"
+INTERIM_ANSWERS = {
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "100-fields": b"HTTP/1.1 100 Continue\r\n" + _SIGNED + b"Content-Length: 0\r\n\r\n",
+    "102": b"HTTP/1.1 102 Processing\r\n\r\n",
+    "103": b"HTTP/1.1 103 Early Hints\r\n" + _SIGNED + b"Link: </a>; rel=preload\r\n\r\n",
+    "several": b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" * 3,
+}
+"""Answers that may come before a final one, by name."""
+
 
 def _chunked(body: bytes) -> bytes:
     size = len(body) // 3 + 1
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -8,6 +8,7 @@
 from tests.endless_target import EndlessTarget
 from tests.router.cutting_target import (
     BODY,
+    INTERIM_ANSWERS,
     STREAM,
     STREAM_BOUNDARIES,
     CuttingTarget,
@@ -112,6 +113,33 @@
         conn.close()
 
 
+@pytest.mark.parametrize("how", ["fin", "reset"])
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("interim", INTERIM_ANSWERS.values(), ids=INTERIM_ANSWERS)
+def test_no_interim_answer_passes_for_the_answer(target, interim, is_stream, how):
+    """Guards against a 103 that reached the caller, with the final answer as its body."""
+    head, wire = make_answer("length", is_stream, 200)
+    data = interim + head + wire
+    target.how = how
+    for size in [*range(1, len(interim + head) + 1), len(data) - 1, len(data)]:
+        target.data = data[:size]
+        complete, caller, conn = relay(target)
+        conn.close()
+        assert complete == (size == len(data)), (size, target.data[-20:])
+        assert caller.status in ((200,) if complete else (0, 200))
+        assert (STREAM if is_stream else BODY).startswith(caller.body)
+
+
+def test_no_change_of_protocol_passes_for_the_answer(target):
+    """Guards against a 101 that nobody asked for, with all that follows as its body."""
+    head, wire = make_answer("none", False, 101)
+    target.data = head + wire
+    complete, caller, conn = relay(target)
+    conn.close()
+    assert not complete
+    assert caller.status == 0
+
+
 @pytest.mark.parametrize("status", [404, 500, 503])
 @pytest.mark.parametrize("framing", ["length", "chunks", "none"])
 def test_no_events_of_a_failure_go_into_an_open_stream(target, framing, status):
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -4,6 +4,7 @@
 
 from tests.router.cutting_target import (
     BODY,
+    INTERIM_ANSWERS,
     STREAM,
     STREAM_BOUNDARIES,
     CuttingTarget,
@@ -48,6 +49,27 @@
         assert not is_stream or len(body) in (0, *STREAM_BOUNDARIES)
 
 
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("interim", INTERIM_ANSWERS.values(), ids=INTERIM_ANSWERS)
+def test_no_interim_answer_passes_for_the_answer(target, interim, is_stream):
+    """Guards against a 103 that was an empty answer, complete whatever followed it."""
+    head, wire = make_answer("length", is_stream, 200)
+    data = interim + head + wire
+    for size in [*range(1, len(interim + head) + 1), len(data) - 1, len(data)]:
+        target.data = data[:size]
+        complete, body = _read(target, is_stream)
+        assert complete == (size == len(data)), (size, target.data[-20:])
+        assert (STREAM if is_stream else BODY).startswith(body)
+        assert not complete or body
+
+
+def test_no_change_of_protocol_passes_for_the_answer(target):
+    """Guards against a 101 that nobody asked for, which was an empty answer."""
+    head, wire = make_answer("none", False, 101)
+    target.data = head + wire
+    assert _read(target, False) == (False, b"")
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 def test_answer_that_only_the_exit_of_its_target_ends_is_not_complete(is_stream):
     """Guards against a part of an answer, cut between two writes, that looks like the whole."""
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -4,7 +4,6 @@
 end, would keep a reader of lines for any time, and fill its memory.
 """
 
-import http.client
 import io
 import math
 import socket
@@ -13,6 +12,7 @@
 import urllib3
 
 from turmerictray.transport.answer_reader import AnswerReader, InputTooLarge
+from turmerictray.transport.answer_response import AnswerResponse
 
 MAX_HEAD_BYTES = 256 << 10
 """Bytes that may be received for the head of an answer, interim answers included. A reader's buffer
@@ -104,7 +104,7 @@
         super().close()
 
 
-class BoundedResponse(http.client.HTTPResponse):
+class BoundedResponse(AnswerResponse):
     """A response that is bounded as a whole, by the time-out of its socket.
 
     The end of the connection within a line is an error; see :class:`AnswerReader`.
@@ -135,7 +135,7 @@
         """Read the head."""
         deadline = time.monotonic() + _TIME_FACTOR * self._read_timeout_s
         self._input.set_bounds(deadline, MAX_HEAD_BYTES, self._read_timeout_s)
-        http.client.HTTPResponse.begin(self)
+        AnswerResponse.begin(self)
         self._input.remove_bounds(self._read_timeout_s)
 
 
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -13,6 +13,7 @@
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
 from turmerictray.transport.acknowledgement import unacknowledged_bytes
 from turmerictray.transport.answer_reader import AnswerReader
+from turmerictray.transport.answer_response import AnswerResponse
 from turmerictray.transport.body import Body, BodyEnd, body_of
 from turmerictray.transport.bounded_input import MAX_HEAD_BYTES, BoundedInput
 from turmerictray.transport.exchange import Header
@@ -139,7 +140,7 @@
             No valid head came within ``timeout_s`` seconds, or the request does not get through.
         """
         self._body = None
-        self._resp = http.client.HTTPResponse(_ReaderSocket(self._reader), method=method)
+        self._resp = AnswerResponse(_ReaderSocket(self._reader), method=method)
         deadline = time.monotonic() + timeout_s
         try:
             self._await_acknowledgement(deadline)
