A line that is no header field no longer hides an answer's length

What callers saw: where the head of an answer had a line without a colon, with a blank before the colon, with a byte outside ASCII in its name, or with a carriage return within it, a part of the answer that was cut in its body reached the caller as whole: 200, framed by the router with the length of the part. On the routed path and on the product's own one.

Cause: http.client hands the head to the parser of e-mail headers, which takes such a line for the beginning of the body and drops all fields after it, Content-Length and Transfer-Encoding among them. A carriage return is the end of a line to it, so a value could also add a field. What is left has no length and no chunks, and ends wherever the connection does.

Requests have been refused for the same lines all along (transport/framing.py).

Ruled out: a folded Content-Length (obs-fold), which the parser unfolds; cut in the body it was refused before. A folded value in other fields is passed on as before.

--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -23,6 +23,18 @@
 }
 """Answers that may come before a final one, by name."""
 
+LINES_WITHOUT_FIELD = {
+    "no-colon": b"X-Note\r\n",
+    "blank-before-colon": b"X-Note : 1\r\n",
+    "no-name": b": 1\r\n",
+    "invalid-name": b"X-N\xf6te: 1\r\n",
+    "envelope": b"From a: 1\r\n",
+    "cr": b"X-Note: a\rb\r\n",
+    "cr-field": b"X-Note: a\rContent-Length: 5\r\n",
+    "cr-end": b"X-Note: a\r\r\n",
+}
+"""Lines of a head that parsers read differently, by name."""
+
 
 def _chunked(body: bytes) -> bytes:
     size = len(body) // 3 + 1
@@ -52,6 +64,12 @@
     return head.encode(), wire
 
 
+def add_line(head: bytes, line: bytes) -> bytes:
+    """Return a head with a line before its last field."""
+    before, _, last = head[:-4].rpartition(b"\r\n")
+    return before + b"\r\n" + line + last + b"\r\n\r\n"
+
+
 def _read_request(conn: socket.socket) -> None:
     """Read a whole request; closed with unread bytes, the connection would be reset."""
     data = b""
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -9,9 +9,11 @@
 from tests.router.cutting_target import (
     BODY,
     INTERIM_ANSWERS,
+    LINES_WITHOUT_FIELD,
     STREAM,
     STREAM_BOUNDARIES,
     CuttingTarget,
+    add_line,
     make_answer,
 )
 from turmerictray.core.errors import OutcomeUnknown
@@ -140,6 +142,20 @@
     assert caller.status == 0
 
 
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("line", LINES_WITHOUT_FIELD.values(), ids=LINES_WITHOUT_FIELD)
+def test_no_line_hides_the_length_of_an_answer(target, line, framing, is_stream):
+    """Guards against a part of an answer, whose length was lost, that looks like the whole."""
+    head, wire = make_answer(framing, is_stream, 200)
+    for cut in [0, 5, *STREAM_BOUNDARIES, len(wire)] if is_stream else [0, 5, len(wire)]:
+        target.data = add_line(head, line) + wire[:cut]
+        complete, caller, conn = relay(target)
+        conn.close()
+        assert not complete, cut
+        assert caller.body == b""
+
+
 @pytest.mark.parametrize("status", [404, 500, 503])
 @pytest.mark.parametrize("framing", ["length", "chunks", "none"])
 def test_no_events_of_a_failure_go_into_an_open_stream(target, framing, status):
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -5,9 +5,11 @@
 from tests.router.cutting_target import (
     BODY,
     INTERIM_ANSWERS,
+    LINES_WITHOUT_FIELD,
     STREAM,
     STREAM_BOUNDARIES,
     CuttingTarget,
+    add_line,
     make_answer,
 )
 from turmerictray.core.errors import OutcomeUnknown
@@ -70,6 +72,17 @@
     assert _read(target, False) == (False, b"")
 
 
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("line", LINES_WITHOUT_FIELD.values(), ids=LINES_WITHOUT_FIELD)
+def test_no_line_hides_the_length_of_an_answer(target, line, framing, is_stream):
+    """Guards against a part of an answer, whose length was lost, that looks like the whole."""
+    head, wire = make_answer(framing, is_stream, 200)
+    for cut in [0, 5, *STREAM_BOUNDARIES, len(wire)] if is_stream else [0, 5, len(wire)]:
+        target.data = add_line(head, line) + wire[:cut]
+        assert _read(target, is_stream) == (False, b""), cut
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 def test_answer_that_only_the_exit_of_its_target_ends_is_not_complete(is_stream):
     """Guards against a part of an answer, cut between two writes, that looks like the whole."""
--- a/turmerictray/transport/answer_reader.py
+++ b/turmerictray/transport/answer_reader.py
@@ -29,6 +29,8 @@
         ------
         http.client.IncompleteRead
             The connection ended within the line.
+        http.client.HTTPException
+            There is a carriage return within the line.
         InputTooLarge
             There were too many lines.
         """
@@ -38,6 +40,9 @@
         line = super().readline(size)
         if not line.endswith(b"\n") and len(line) != size:
             raise http.client.IncompleteRead(line)
+        # The parser of header fields takes it for the end of a line.
+        if b"\r" in line[:-2]:
+            raise http.client.HTTPException("a carriage return within a line")
         return line
 
     def read(self, size: int | None = -1) -> bytes:
