--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -44,7 +44,7 @@
     return chunks + b"0\r\nX-Trailer: 1\r\n\r\n"
 
 
-def _framed(body: bytes, framing: str) -> tuple[str, bytes]:
+def frame(body: bytes, framing: str) -> tuple[str, bytes]:
     """Return the header field that delimits a body, and its bytes on the wire."""
     if framing == "length":
         return f"Content-Length: {len(body)}\r\n", body
@@ -55,7 +55,7 @@
 
 def make_answer(framing: str, is_stream: bool, status: int) -> tuple[bytes, bytes]:
     """Return the head of an answer and its body on the wire."""
-    header, wire = _framed(STREAM if is_stream else BODY, framing)
+    header, wire = frame(STREAM if is_stream else BODY, framing)
     kind = "text/event-stream" if is_stream else "application/json"
     head = (
         f"HTTP/1.1 {status} OK\r\nX-Request-Id: a1\r\nX-Server-Seal: s\r\n"
