A cut answer of the configuration service is no invalid revision

What operators would see: where the configuration service sends neither length nor chunks and its connection is closed within the body, the router logged config_rejected, confirmed the revision to the placer, and named it in If-None-Match from then on. The service answers "not modified", so the router never read that revision.

Cause: the close of the connection was taken for the end of the answer, and the part of the document for an invalid document.

Fix: an answer that only the close ends, and that is no JSON, counts as a failure of the service and is asked for again. A revision that is no JSON but is proven whole by its length or last chunk is rejected as before. body_end_of is shared with the product's own path.

Evidence: the answer cut after each byte, in three framings: without length and chunks the test failed before from the first byte after the head on, with them it passed before; all pass now. Seen in the test only: whether a service of the platform ever answers like that is not known.

Not changed: the walk back to an earlier revision reads an answer that is cut like this as an invalid one too, and goes on to the one before it.

--- a/tests/router/test_cut_documents.py
+++ b/tests/router/test_cut_documents.py
@@ -12,9 +12,10 @@
 from turmerictray.placement.engine import EngineClient
 from turmerictray.platform.engines import list_cached_parts
 from turmerictray.platform.store import StoreClient
-from turmerictray.router import watch_load
+from turmerictray.router import watch_config, watch_load
 from turmerictray.router.cache_warmup import fetch_cached_parts
 from turmerictray.router.published import PeerDocs, StorePosition
+from turmerictray.router.watch_config import ConfigWatcher
 from turmerictray.router.watch_instances import InstancePoller
 from turmerictray.router.watch_load import LoadPoller
 from turmerictray.routing.load import TargetInfo
@@ -139,3 +140,22 @@
         expected = 3 if size == len(pages[1]) else 0
         assert len(_read(_read_range, store)) == expected, (size, pages[1][:size][-20:])
     store.close()
+
+
+@pytest.mark.parametrize("framing", _FRAMINGS)
+def test_no_configuration_that_is_cut_counts_as_an_invalid_revision(target, framing, monkeypatch):
+    """Guards against a router that is told "not modified" of a revision it has never read."""
+    monkeypatch.setattr(watch_config, "_BACKOFF_S", (0.0,))
+    monkeypatch.setattr(watch_config, "_UNCHANGED_PAUSE_S", 0.0)
+    service = {"name": "s", "kind": "plain", "targets": []}
+    config = {"version": 1, "services": [service], "teams": [{"id": "a"}]}
+    field, wire = frame(msgspec.json.encode(config), framing)
+    data = f'HTTP/1.1 200 OK\r\nETag: "1"\r\n{field}\r\n'.encode() + wire
+    for size in range(len(data) + 1):
+        target.data = data[:size]
+        listener = _Listener()
+        watcher = ConfigWatcher(f"http://{target.address}", listener, listener, 1.0)
+        watcher._poll()
+        watcher.http.clear()
+        is_whole = size == len(data)
+        assert (bool(listener.messages), watcher.last_revision) == (is_whole, is_whole), size
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -19,6 +19,7 @@
 from turmerictray.transport.bounded_input import (
     BoundedConnectionPool,
     StreamedResponse,
+    body_end_of,
     bounded_pool_manager,
 )
 from turmerictray.transport.events import EventSplitter
@@ -156,7 +157,7 @@
             raise OutcomeUnknown(f"stream broke: {exc}") from exc
         finally:
             resp.release_conn()
-        if _body_end(resp) is BodyEnd.CONNECTION_CLOSE:
+        if body_end_of(resp) is BodyEnd.CONNECTION_CLOSE:
             address = urllib3.util.parse_url(url).netloc or ""
             if self._exits.has_exited(TargetId(address), address, time.monotonic()):
                 raise OutcomeUnknown(f"stream broke: {address} exited at its end")
@@ -173,7 +174,7 @@
         for data in self.stream(resp, url):
             if events := splitter.feed(data):
                 yield b"".join(event.data for event in events)
-        splitter.check_complete(_body_end(resp))
+        splitter.check_complete(body_end_of(resp))
         if splitter.rest:
             yield splitter.rest
 
@@ -195,9 +196,3 @@
     pool = pool_class(parsed.host, parsed.port, maxsize=1, socket_options=CALL_SOCKET_OPTIONS)
     target = parsed.request_uri
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
-
-
-def _body_end(resp: urllib3.BaseHTTPResponse) -> BodyEnd:
-    if resp.chunked:
-        return BodyEnd.LAST_CHUNK
-    return BodyEnd.LENGTH if "Content-Length" in resp.headers else BodyEnd.CONNECTION_CLOSE
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -7,6 +7,7 @@
 
 import time
 
+import msgspec
 import pykka
 import urllib3
 
@@ -16,7 +17,8 @@
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed
-from turmerictray.transport.bounded_input import bounded_pool_manager
+from turmerictray.transport.body import BodyEnd
+from turmerictray.transport.bounded_input import body_end_of, bounded_pool_manager
 
 _BACKOFF_S = (0.2, 0.5, 1.0, 2.0)
 _UNCHANGED_PAUSE_S = 0.5
@@ -35,6 +37,15 @@
     return True
 
 
+def _is_broken_off(resp: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether only the close of the connection ends an answer, and not its document."""
+    try:
+        msgspec.json.decode(resp.data)
+    except msgspec.DecodeError:
+        return body_end_of(resp) is BodyEnd.CONNECTION_CLOSE
+    return False
+
+
 class _Poll:
     """Message from the watcher to itself that starts the next long poll."""
 
@@ -109,6 +120,10 @@
         if resp.status != 200:
             self._back_off(f"status {resp.status}")
             return
+        if _is_broken_off(resp):
+            # Taken for an invalid revision, it would never be asked for again.
+            self._back_off("answer broken off")
+            return
         self.failures = 0
         etag = resp.headers.get("ETag", "").strip('"')
         if etag.isdecimal():
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -206,6 +206,13 @@
     ConnectionCls = BoundedConnection
 
 
+def body_end_of(resp: urllib3.BaseHTTPResponse) -> BodyEnd:
+    """Return what delimits the body of a bounded response."""
+    if resp.chunked:
+        return BodyEnd.LAST_CHUNK
+    return BodyEnd.LENGTH if "Content-Length" in resp.headers else BodyEnd.CONNECTION_CLOSE
+
+
 def bounded_pool_manager(
     pool_class: type[urllib3.HTTPConnectionPool] = BoundedConnectionPool, **options: object
 ) -> urllib3.PoolManager:
