The rest of a stream whose caller left is never before another's answer

What callers saw: on the product's own path, where an engine sends a stream with a Content-Length and its caller left before the end, the connection went back to the pool with the rest of the stream unread. The next idempotent request to that engine was sent on it and failed as unknown, though the engine had it (ResponseNotReady). It was tried again elsewhere at best.

Cause: Upstream.stream released the connection however it ended. urllib3 closes a chunked response that is given up, and http.client takes a connection that only its close delimits out of the pool; a response with a length stays open.

Fix: a response that has not been read to its end is closed, with its connection, before the release.

Evidence: a caller that leaves a pausing stream, three times, by length, chunks and neither: the length failed before, the others passed; all pass now, one request on each connection.

--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -1,5 +1,8 @@
 """Streams of the product's own path that an engine breaks off."""
 
+from contextlib import suppress
+from types import SimpleNamespace
+
 import pytest
 
 from tests.router.cutting_target import (
@@ -12,9 +15,13 @@
     STREAM_BOUNDARIES,
     CuttingTarget,
     add_line,
+    frame,
     make_answer,
 )
+from tests.socket_target import SocketTarget
+from turmerictray.config.schema import ServiceKind
 from turmerictray.core.errors import OutcomeUnknown
+from turmerictray.router.proxy import Proxy
 from turmerictray.router.upstream import Upstream
 
 
@@ -111,3 +118,42 @@
         target.close()
         assert not complete
         assert body == wire[:cut]
+
+
+class _PausingTarget(SocketTarget):
+    """Answers each request with the beginning of a stream, and then sends nothing more."""
+
+    def __init__(self, head: bytes, begin: bytes) -> None:
+        self._answer = head + begin
+        self.requests: list[int] = []
+        super().__init__()
+
+    def serve(self, conn) -> None:
+        number = len(self.requests)
+        self.requests.append(0)
+        with conn, suppress(OSError):
+            while data := conn.recv(65536):
+                if data.startswith(b"POST"):
+                    self.requests[number] += 1
+                    conn.sendall(self._answer)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_connection_of_a_stream_that_its_caller_left_takes_no_other_request(framing):
+    """Guards against a request that is sent within another's answer, and lost."""
+    event = b"data: " + 5000 * b"x" + b"\n\n"
+    field, wire = frame(3 * event, framing)
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{field}\r\n"
+    target = _PausingTarget(head.encode(), wire[: 2 * len(event)])
+    upstream, url = Upstream(), f"http://{target.address}"
+    proxy = Proxy(SimpleNamespace(tell=lambda _message: None), upstream, None, "r")
+    req = SimpleNamespace(
+        req_id="a1", team="a", stream=True, estimated_cost=1.0, kind=ServiceKind.PLAIN
+    )
+    for _ in range(3):
+        resp = upstream.open(url, b"{}", {}, 1.0, 2.0, is_stream=True)
+        pieces = proxy._stream_body(req, SimpleNamespace(target="t", url=url), resp)
+        assert next(pieces)
+        pieces.close()
+    target.close()
+    assert target.requests == [1, 1, 1]
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -156,6 +156,9 @@
         except HTTPError as exc:
             raise OutcomeUnknown(f"stream broke: {exc}") from exc
         finally:
+            if not resp.closed:
+                # The caller has left. The rest of the answer would be the next request's.
+                resp.close()
             resp.release_conn()
         if body_end_of(resp) is BodyEnd.CONNECTION_CLOSE:
             address = urllib3.util.parse_url(url).netloc or ""
