The product's own path drops a connection with bytes after an answer

What callers saw: on the product's own path, where an engine sends bytes after an answer (a whole answer, or a head that is cut), the ones that were read with it were lost with its reader, and the connection was used again. The next answer was read from the middle of the other one, which ends in an unknown outcome, or no answer came at all. An engine that is one answer ahead gives the next caller the answer of another.

Cause: urllib3 looks for bytes in the socket before it uses a connection again, but each http.client response has a buffer of its own, which may hold them. Connections to targets of the routed path share a reader over all answers, and have been checked for such bytes all along.

Fix: at the end of an answer its reader looks for more bytes, in its buffer and the socket, and shuts the connection down if there are any, so that no pool uses it. This holds for all bounded responses.

Ruled out: bytes that come later but before the next request, which urllib3 sees; the routed path (tests/transport/test_target_conn.py).

--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -120,11 +120,11 @@
         assert body == wire[:cut]
 
 
-class _PausingTarget(SocketTarget):
-    """Answers each request with the beginning of a stream, and then sends nothing more."""
+class _KeepingTarget(SocketTarget):
+    """Sends the same bytes for each request, and keeps the connection."""
 
-    def __init__(self, head: bytes, begin: bytes) -> None:
-        self._answer = head + begin
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
         self.requests: list[int] = []
         super().__init__()
 
@@ -144,7 +144,7 @@
     event = b"data: " + 5000 * b"x" + b"\n\n"
     field, wire = frame(3 * event, framing)
     head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{field}\r\n"
-    target = _PausingTarget(head.encode(), wire[: 2 * len(event)])
+    target = _KeepingTarget(head.encode() + wire[: 2 * len(event)])
     upstream, url = Upstream(), f"http://{target.address}"
     proxy = Proxy(SimpleNamespace(tell=lambda _message: None), upstream, None, "r")
     req = SimpleNamespace(
@@ -157,3 +157,28 @@
         pieces.close()
     target.close()
     assert target.requests == [1, 1, 1]
+
+
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_connection_with_bytes_after_an_answer_takes_no_other_request(framing, is_stream):
+    """Guards against an answer that goes to the next caller, and a head without its beginning."""
+    head, wire = make_answer(framing, False, 200)
+    for size in [*range(1, len(head) + 1), len(head + wire)]:
+        target = _KeepingTarget(head + wire + (head + wire)[:size])
+        upstream, url = Upstream(), f"http://{target.address}"
+        for _ in range(2):
+            resp = upstream.open(url, b"{}", {}, 1.0, 2.0, is_stream=is_stream)
+            assert upstream.read(resp, url) == BODY
+        upstream.close()
+        target.close()
+        assert target.requests == [1, 1], size
+
+
+def test_connection_without_further_bytes_takes_the_next_request():
+    target = _KeepingTarget(b"".join(make_answer("chunks", False, 200)))
+    upstream, url = Upstream(), f"http://{target.address}"
+    for _ in range(3):
+        assert upstream.read(upstream.open(url, b"{}", {}, 1.0, 2.0), url) == BODY
+    target.close()
+    assert target.requests == [3]
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -9,6 +9,7 @@
 import math
 import socket
 import time
+from contextlib import suppress
 
 import urllib3
 
@@ -100,12 +101,38 @@
             raise InputTooLarge("more bytes than an answer may have")
         return count
 
+    def shut_down(self) -> None:
+        """End the connection, so that no pool uses it again."""
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the socket's reader."""
         self._raw.close()
         super().close()
 
 
+class _SingleAnswerReader(AnswerReader):
+    """A reader of one answer, which ends the connection if it has read more.
+
+    The bytes are lost with the reader, and the next answer would be read from its middle, or be
+    that of another request.
+    """
+
+    def __init__(self, raw: BoundedInput) -> None:
+        super().__init__(raw)
+        self._input = raw
+
+    def close(self) -> None:
+        """Close the reader."""
+        if not self.closed:
+            with suppress(OSError):
+                self._input.set_nonblocking()
+                if self.peek(1):
+                    self._input.shut_down()
+        super().close()
+
+
 class _StrictChunks:
     """File of a chunked body, of which each chunk is validated.
 
@@ -156,7 +183,7 @@
     def __init__(self, sock: socket.socket, *args: object, **options: object) -> None:
         super().__init__(sock, *args, **options)
         self._input = BoundedInput(sock, self.fp.detach())
-        self.fp = AnswerReader(self._input)
+        self.fp = _SingleAnswerReader(self._input)
         self._read_timeout_s = sock.gettimeout() or math.inf
         deadline = time.monotonic() + _TIME_FACTOR * self._read_timeout_s
         self._input.set_bounds(deadline, _MAX_RESPONSE_BYTES, self._read_timeout_s)
