A cut answer without events is never ended as whole on the own path

What callers saw: a caller of the product's own path that asks for a stream, and whose engine answers with something else (a document, an error as JSON), got the part that came before the engine closed, then an event of ours, then the last chunk: 200, framed as whole, and neither JSON nor events.

Cause: the event that tells of the broken stream was sent whatever the content type, and the answer ended properly after it.

Fix: only an answer of events ends with that event. Any other one that breaks raises, so that the server closes the caller's connection without the last chunk, or answers 500 if nothing was sent yet.

A cut stream of events still ends with its event.

Not changed: to a caller of HTTP/1.0 the close is an answer's proper end, so such a part looks whole there. cheroot logs a traceback of the raised error.

--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -1,9 +1,11 @@
 """Streams of the product's own path that an engine breaks off."""
 
+from collections.abc import Iterator
 from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
+import urllib3
 
 from tests.router.cutting_target import (
     AMBIGUOUS_LENGTHS,
@@ -21,7 +23,9 @@
 from tests.socket_target import SocketTarget
 from turmerictray.config.schema import ServiceKind
 from turmerictray.core.errors import OutcomeUnknown
+from turmerictray.platform.standins.caller import RawAnswer, RawCaller
 from turmerictray.router.proxy import Proxy
+from turmerictray.router.server import HttpServer
 from turmerictray.router.upstream import Upstream
 
 
@@ -138,6 +142,59 @@
                     conn.sendall(self._answer)
 
 
+def _stream(upstream: Upstream, url: str) -> tuple[urllib3.BaseHTTPResponse, Iterator[bytes]]:
+    """Return an answer and its body as the proxy passes it on to the caller of a stream."""
+    proxy = Proxy(SimpleNamespace(tell=lambda _message: None), upstream, None, "r")
+    req = SimpleNamespace(
+        req_id="a1", team="a", stream=True, estimated_cost=1.0, kind=ServiceKind.PLAIN
+    )
+    resp = upstream.open(url, b"{}", {}, 1.0, 2.0, is_stream=True)
+    return resp, proxy._stream_body(req, SimpleNamespace(target="t", url=url), resp)
+
+
+@pytest.fixture
+def call_router(target):
+    """Call a router's server that passes the target's answer on; return the caller's answer."""
+
+    def serve(_environ, start_response):
+        resp, pieces = _stream(Upstream(), f"http://{target.address}/")
+        start_response("200 OK", [("Content-Type", resp.headers["Content-Type"])])
+        return pieces
+
+    def call() -> RawAnswer:
+        caller = RawCaller(server.server.bind_addr)
+        answer = caller.request("GET", "/")
+        caller.close()
+        return answer
+
+    server = HttpServer("127.0.0.1", 0, serve, 2, "r")
+    server.start()
+    yield call
+    server.stop()
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_no_cut_answer_without_events_is_framed_as_whole(target, call_router, framing):
+    """Guards against a part of a document, with an event after it, that ended as a whole one."""
+    head, wire = make_answer(framing, False, 200)
+    for cut in (0, 9, len(wire) - 1, len(wire)):
+        target.data = head + wire[:cut]
+        answer = call_router()
+        is_whole = cut == len(wire)
+        assert (answer.status == 200 and answer.complete) == is_whole, cut
+        assert b"data: " not in answer.body
+        assert not is_whole or answer.body == BODY
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_cut_stream_ends_with_an_event_of_its_failure(target, call_router, framing):
+    head, wire = make_answer(framing, True, 200)
+    target.data = head + wire[:-9]
+    answer = call_router()
+    assert answer.complete
+    assert b'"outcome_unknown"' in answer.body
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "none"])
 def test_connection_of_a_stream_that_its_caller_left_takes_no_other_request(framing):
     """Guards against a request that is sent within another's answer, and lost."""
@@ -146,13 +203,8 @@
     head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{field}\r\n"
     target = _KeepingTarget(head.encode() + wire[: 2 * len(event)])
     upstream, url = Upstream(), f"http://{target.address}"
-    proxy = Proxy(SimpleNamespace(tell=lambda _message: None), upstream, None, "r")
-    req = SimpleNamespace(
-        req_id="a1", team="a", stream=True, estimated_cost=1.0, kind=ServiceKind.PLAIN
-    )
     for _ in range(3):
-        resp = upstream.open(url, b"{}", {}, 1.0, 2.0, is_stream=True)
-        pieces = proxy._stream_body(req, SimpleNamespace(target="t", url=url), resp)
+        _, pieces = _stream(upstream, url)
         assert next(pieces)
         pieces.close()
     target.close()
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import pykka
+import urllib3
 
 from turmerictray.config.schema import Config, ServiceKind
 from turmerictray.core import metrics
@@ -306,8 +307,10 @@
         except OutcomeUnknown:
             outcome = "broken"
             log_event("stream_broken", level="WARNING", req=req.req_id, target=grant.target)
-            if req.stream:
-                yield _STREAM_ERROR
+            if not _is_event_stream(resp):
+                # The caller's answer must end without its last chunk.
+                raise
+            yield _STREAM_ERROR
         except GeneratorExit:
             outcome = "caller_gone"
             resp.release_conn()
@@ -317,7 +320,7 @@
 
     def _stream_pieces(self, resp, url: str) -> Iterator[bytes]:
         """Yield the body of a streamed answer; an event that is broken off is not passed on."""
-        if resp.headers.get("Content-Type", "").startswith("text/event-stream"):
+        if _is_event_stream(resp):
             return self.upstream.stream_events(resp, url)
         return self.upstream.stream(resp, url)
 
@@ -362,6 +365,10 @@
         self.dispatcher.tell(report)
 
 
+def _is_event_stream(resp: urllib3.BaseHTTPResponse) -> bool:
+    return resp.headers.get("Content-Type", "").startswith("text/event-stream")
+
+
 def _cost_tokens(tail: bytes, req: CallerRequest, chunks: int) -> float:
     """Return the actual cost of a request in tokens.
 
