Tests: cut answers of HTTP/1.0 and without a body never look complete

Asked along with the other cuts, and not so: heads of HTTP/1.0, 204 and 304 cut after each byte are refused on both paths, and whole answers of HTTP/1.0 with a length in their bodies too.

--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -117,6 +117,30 @@
         conn.close()
 
 
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+@pytest.mark.parametrize("framing", ["length", "none"])
+def test_no_answer_of_the_old_protocol_that_is_cut_looks_complete(target, framing, is_stream):
+    head, wire = make_answer(framing, is_stream, 200)
+    head = head.replace(b"HTTP/1.1", b"HTTP/1.0")
+    for cut in range(-len(head) + 1, len(wire) + 1):
+        target.data = (head + wire)[: len(head) + cut]
+        complete, _, conn = relay(target)
+        assert not conn.is_reusable()
+        conn.close()
+        assert complete == _may_be_complete(framing, is_stream, "fin", cut, len(wire)), cut
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_no_answer_without_body_that_is_cut_looks_complete(target, status):
+    head, _ = make_answer("length", False, status)
+    for size in range(len(head) + 1):
+        target.data = head[:size]
+        complete, caller, conn = relay(target)
+        conn.close()
+        assert complete == (size == len(head)), size
+        assert caller.body == b""
+
+
 @pytest.mark.parametrize("how", ["fin", "reset"])
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 @pytest.mark.parametrize("interim", INTERIM_ANSWERS.values(), ids=INTERIM_ANSWERS)
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -64,6 +64,14 @@
         assert not is_stream or len(body) in (0, *STREAM_BOUNDARIES)
 
 
+@pytest.mark.parametrize("status", [204, 304])
+def test_no_answer_without_body_that_is_cut_looks_complete(target, status):
+    head, _ = make_answer("length", False, status)
+    for size in range(len(head) + 1):
+        target.data = head[:size]
+        assert _read(target, False) == (size == len(head), b""), size
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 @pytest.mark.parametrize("interim", INTERIM_ANSWERS.values(), ids=INTERIM_ANSWERS)
 def test_no_interim_answer_passes_for_the_answer(target, interim, is_stream):
