One boundary for decoding what other processes wrote

What callers saw: a body, text, report or message that is nested too deeply raised RecursionError past every reader, as the readers expected only the errors of msgspec. Where a general handler caught it, what came after it was lost: the load reports of all targets after an odd one, the search for a valid configuration before an odd one, an engine's answer whose usage could not be read, a caller's bad body that was answered as an internal failure. The thread that receives heartbeats counted it as its own failure, so that three such messages of one peer made each router that got them unfit.

Cause: msgspec raises its own errors for most invalid input and the interpreter's for the rest (RecursionError, UnicodeDecodeError), and each reader translated them by itself. Revisions in headers were read by int(), which raises ValueError for thousands of digits.

core.decoding is now the only place that calls a decoder on what others wrote, and raises DecodingError for any failure. Readers translate that one into the error of their layer, as before. Numbers that are added up or passed on are bounded to 63 bits.

Ruled out: a number of 5,000 digits, 1e999 and a lone surrogate in JSON raise msgspec's own errors, which were handled; only the header with 5,000 digits failed. Target entries and op/config held before, by a general handler.

--- a/turmerictray/config/load.py
+++ b/turmerictray/config/load.py
@@ -8,9 +8,8 @@
 from pathlib import Path
 from typing import TypeVar
 
-import msgspec
-
 from turmerictray.config.schema import Config, ServiceKind
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConfigError, SettingsError
 
 T = TypeVar("T")
@@ -40,19 +39,17 @@
     if len(raw) > MAX_CONFIG_BYTES:
         raise ConfigError(f"text is {len(raw)} bytes, over the 1 MiB limit")
     try:
-        cfg = msgspec.json.decode(raw, type=Config)
-    except msgspec.ValidationError as exc:
-        raise ConfigError(str(exc), _version_of_invalid(raw)) from exc
-    except msgspec.DecodeError as exc:
-        raise ConfigError(f"not JSON: {exc}") from exc
+        cfg = decode_json(raw, Config)
+    except DecodingError as exc:
+        raise ConfigError(_reason(exc), _version_of_invalid(raw)) from exc
     _check_consistency(cfg)
     return cfg
 
 
 def _version_of_invalid(raw: bytes) -> int | None:
     try:
-        doc = msgspec.json.decode(raw)
-    except msgspec.DecodeError:
+        doc = decode_json(raw)
+    except DecodingError:
         return None
     version = doc.get("version") if isinstance(doc, dict) else None
     return version if isinstance(version, int) else None
@@ -139,8 +136,10 @@
 def decode_settings(raw: bytes, kind: type[T], source: str = "<settings>") -> T:
     """Decode settings from JSON bytes; see :func:`load_settings`."""
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.ValidationError as exc:
-        raise SettingsError(source, str(exc)) from exc
-    except msgspec.DecodeError as exc:
-        raise SettingsError(source, f"not JSON: {exc}") from exc
+        return decode_json(raw, kind)
+    except DecodingError as exc:
+        raise SettingsError(source, _reason(exc)) from exc
+
+
+def _reason(exc: DecodingError) -> str:
+    return str(exc) if exc.is_valid_syntax else f"not JSON: {exc}"
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -17,6 +17,7 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
+from turmerictray.core.decoding import DecodingError, MessageDecoder
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -45,6 +46,8 @@
 that a network partition left half open loses messages without an error."""
 
 
+_DECODER = MessageDecoder(PeerMessage)
+
 _SENDING = "PeerLink:sending"
 """Kind of work under which failures to tell peers of this router itself are counted."""
 
@@ -225,9 +228,9 @@
     @handle.register
     def _(self, msg: _Received) -> None:
         try:
-            message = msgspec.msgpack.decode(msg.data, type=PeerMessage)
-        except msgspec.DecodeError as exc:
-            log_event("peer_message_refused", level="WARNING", reason=str(exc))
+            message = _DECODER.decode(msg.data)
+        except DecodingError as exc:
+            log_event("peer_message_refused", level="WARNING", reason=str(exc)[:200])
             return
         now = time.monotonic()
         if self.table.update(message.sender, now, direct=True):
--- a/turmerictray/orders/link.py
+++ b/turmerictray/orders/link.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-import msgspec
 import pykka
 import pynng
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
+from turmerictray.core.decoding import DecodingError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
 from turmerictray.core.timer import Tick
@@ -121,7 +121,7 @@
             raw = self._req.recv()
             metrics.count_control_bytes("claims", len(data), len(raw))
             answer = ANSWER_DECODER.decode(raw)
-        except (pynng.NNGException, msgspec.DecodeError) as exc:
+        except (pynng.NNGException, DecodingError) as exc:
             if self.unreachable_until == 0.0:
                 log_event("home_silent", peer=self.peer, reason=type(exc).__name__)
             self.unreachable_until = time.monotonic() + _UNREACHABLE_PAUSE_S
--- a/turmerictray/orders/replica.py
+++ b/turmerictray/orders/replica.py
@@ -4,13 +4,13 @@
 import time
 from functools import singledispatchmethod
 
-import msgspec
 import pykka
 import pynng
 
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
+from turmerictray.core.decoding import DecodingError
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event, log_unknown_message
@@ -141,7 +141,7 @@
             answer = self.actor_ref.ask(request, timeout=_ASK_TIMEOUT_S)
             if answer is not None:
                 return ENCODER.encode(answer)
-        except msgspec.DecodeError:
+        except DecodingError:
             log_event("peer_bad_message", level="WARNING", size=len(data))
         except (pykka.ActorDeadError, pykka.Timeout):
             log_event("claims_home_stalled", level="WARNING")
--- a/turmerictray/orders/wire.py
+++ b/turmerictray/orders/wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from turmerictray.core.decoding import MessageDecoder
 from turmerictray.core.ids import NodeId
 from turmerictray.orders.keys import ClaimKey
 from turmerictray.orders.vote import Vote
@@ -51,6 +52,6 @@
 ReplicaRequest = Take | Release | Sync
 ReplicaAnswer = Voted | Records
 
-REQUEST_DECODER = msgspec.msgpack.Decoder(ReplicaRequest)
-ANSWER_DECODER = msgspec.msgpack.Decoder(ReplicaAnswer)
+REQUEST_DECODER = MessageDecoder(ReplicaRequest)
+ANSWER_DECODER = MessageDecoder(ReplicaAnswer)
 ENCODER = msgspec.msgpack.Encoder()
--- a/turmerictray/placement/engine.py
+++ b/turmerictray/placement/engine.py
@@ -4,6 +4,7 @@
 import urllib3
 
 from turmerictray.core import metrics
+from turmerictray.core.decoding import DecodingError, convert, decode_json
 from turmerictray.core.errors import EngineError, StaleFence
 from turmerictray.transport.bounded_input import bounded_pool_manager
 
@@ -40,7 +41,11 @@
         EngineError
             If the engine could not be reached or its response is invalid.
         """
-        return msgspec.convert(self._call("GET", url + "/admin/models"), EngineModels)
+        doc = self._call("GET", url + "/admin/models")
+        try:
+            return convert(doc, EngineModels)
+        except DecodingError as exc:
+            raise EngineError(f"{url}: {exc}") from exc
 
     def order(self, url: str, order: ModelOrder, node: str) -> None:
         """Send an order to the engine at ``url``.
@@ -62,8 +67,8 @@
     def _call(self, method: str, url: str, body: bytes | None = None, headers=None) -> object:
         try:
             resp = self._http.request(method, url, body=body, headers=headers, timeout=_TIMEOUT)
-            doc = msgspec.json.decode(resp.data)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            doc = decode_json(resp.data)
+        except (urllib3.exceptions.HTTPError, DecodingError) as exc:
             raise EngineError(f"{url}: {type(exc).__name__}") from exc
         metrics.count_control_bytes(
             "placement",
--- a/turmerictray/placement/placer.py
+++ b/turmerictray/placement/placer.py
@@ -9,8 +9,6 @@
 import time
 from functools import partial, singledispatchmethod
 
-import msgspec
-
 from turmerictray.config.schema import Config, Target
 from turmerictray.config.snapshot import ConfigSnapshot
 from turmerictray.core.actor import VitalActor
@@ -136,7 +134,7 @@
         except StaleFence as exc:
             self._warn_once(target, "order_refused", str(exc))
             return
-        except (EngineError, msgspec.ValidationError) as exc:
+        except EngineError as exc:
             self._warn_once(target, "order_failed", str(exc))
             return
         self._last_warning.pop(target.id, None)
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -17,6 +17,7 @@
     ServiceSpec,
     TeamSpec,
 )
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.ids import (
     RegionId,
@@ -181,8 +182,8 @@
 
 def _decode_lenient(data: bytes, kind: type, what: str):
     try:
-        return msgspec.json.decode(data, type=kind, strict=False)
-    except msgspec.DecodeError as exc:
+        return decode_json(data, kind, strict=False)
+    except DecodingError as exc:
         raise ConfigError(f"{what}: {exc}") from exc
 
 
@@ -254,8 +255,8 @@
         The entry is not valid; the reason names the field.
     """
     try:
-        entry = msgspec.json.decode(data, type=_Server)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        entry = decode_json(data, _Server)
+    except DecodingError as exc:
         raise ConfigError(f"target {name}: {exc}") from exc
     if not _is_ip_and_port(entry.address):
         raise ConfigError(
--- a/turmerictray/platform/engines.py
+++ b/turmerictray/platform/engines.py
@@ -5,6 +5,7 @@
 import msgspec
 import urllib3
 
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import EngineError
 from turmerictray.platform.documents import target_id
 from turmerictray.platform.headers import MAX_TOKENS, to_part_id
@@ -42,8 +43,8 @@
             resp = http.request("GET", url, headers=headers, timeout=_LIST_TIMEOUT_S, retries=False)
         if resp.status != 200:
             raise EngineError(f"{engine.address} answered with status {resp.status}")
-        listing = msgspec.json.decode(resp.data, type=_Listing)
-    except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+        listing = decode_json(resp.data, _Listing)
+    except (urllib3.exceptions.HTTPError, DecodingError) as exc:
         raise EngineError(f"{engine.address}: {exc}") from exc
     if (
         listing.born is not msgspec.UNSET
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from turmerictray.core import metrics
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import HistoryGone, StoreUnavailable
 from turmerictray.core.logs import log_event
 from turmerictray.router.published import StorePosition
@@ -185,6 +186,6 @@
         if resp.status != 200:
             raise StoreUnavailable(f"{path}: status {resp.status}")
         try:
-            return msgspec.json.decode(resp.data, type=kind), _parse_era(resp)
-        except msgspec.DecodeError as exc:
+            return decode_json(resp.data, kind), _parse_era(resp)
+        except DecodingError as exc:
             raise StoreUnavailable(f"{path}: {exc}") from exc
--- a/turmerictray/router/cache_warmup.py
+++ b/turmerictray/router/cache_warmup.py
@@ -8,11 +8,11 @@
 import time
 from collections.abc import Callable
 
-import msgspec
 import pykka
 import urllib3
 
 from turmerictray.core.actor import BackgroundActor, ask_with_timeout
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import EngineError, PeerError
 from turmerictray.core.ids import NodeId, TargetId
 from turmerictray.core.logs import log_event
@@ -210,6 +210,6 @@
             resp = http.request("GET", f"http://{admin}/kept", timeout=_PEER_TIMEOUT_S)
         if resp.status != 200:
             raise PeerError(f"{admin} answered {resp.status}")
-        return msgspec.json.decode(resp.data, type=dict[TargetId, list[PromptPart]])
-    except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+        return decode_json(resp.data, dict[TargetId, list[PromptPart]])
+    except (urllib3.exceptions.HTTPError, DecodingError) as exc:
         raise PeerError(f"{admin}: {exc}") from exc
--- a/turmerictray/router/peers.py
+++ b/turmerictray/router/peers.py
@@ -19,6 +19,7 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor, ask_with_timeout
+from turmerictray.core.decoding import DecodingError, MessageDecoder
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import NodeId
 from turmerictray.core.logs import log_event
@@ -82,7 +83,7 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Heartbeat)
+_DECODER = MessageDecoder(Heartbeat)
 
 
 class PeerLink(VitalActor):
@@ -216,7 +217,7 @@
             metrics.count_control_bytes("peer", 0, len(data))
             try:
                 heartbeat = _DECODER.decode(data)
-            except msgspec.DecodeError:
+            except DecodingError:
                 log_event("peer_bad_message", level="WARNING", size=len(data))
                 continue
             if heartbeat.node == self.node:
--- a/turmerictray/router/proxy.py
+++ b/turmerictray/router/proxy.py
@@ -15,6 +15,7 @@
 
 from turmerictray.config.schema import Config, ServiceKind
 from turmerictray.core import metrics
+from turmerictray.core.decoding import Counter, DecodingError, decode_json
 from turmerictray.core.errors import (
     AdmissionError,
     ClaimUnavailable,
@@ -42,7 +43,7 @@
 
 
 class _Usage(msgspec.Struct):
-    total_tokens: int = 0
+    total_tokens: Counter = 0
 
 
 class _UsageEvent(msgspec.Struct):
@@ -388,8 +389,8 @@
         end = tail.find(b"\n", idx)
         event = tail[start : end if end >= 0 else len(tail)]
         try:
-            usage = msgspec.json.decode(event, type=_UsageEvent).usage
-        except msgspec.DecodeError:
+            usage = decode_json(event, _UsageEvent).usage
+        except DecodingError:
             usage = None
         if usage is not None and usage.total_tokens:
             return float(usage.total_tokens)
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from turmerictray.core import metrics
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import TargetName, ZoneId
 from turmerictray.transport.bounded_input import bounded_pool_manager
@@ -354,8 +355,8 @@
                 resp = self._get(admin, PUBLISHED_PAGE)
             if resp.status != 200:
                 raise PeerError(f"{admin} answered {resp.status}")
-            return msgspec.json.decode(resp.data, type=PublishedDocs)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            return decode_json(resp.data, PublishedDocs)
+        except (urllib3.exceptions.HTTPError, DecodingError) as exc:
             raise PeerError(f"{admin}: {exc}") from exc
 
     def _get(self, admin: str, page: str) -> urllib3.BaseHTTPResponse:
--- a/turmerictray/router/request.py
+++ b/turmerictray/router/request.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from turmerictray.config.schema import Config, PartitionPolicy, Service, ServiceKind
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import CallerError
 from turmerictray.core.ids import RequestId, ServiceName, TeamId
 
@@ -91,8 +92,8 @@
         The body is not a JSON object of the OpenAI-style API, or no pool serves the model.
     """
     try:
-        doc = msgspec.json.decode(body, type=_ModelBody)
-    except msgspec.DecodeError as exc:
+        doc = decode_json(body, _ModelBody)
+    except DecodingError as exc:
         raise CallerError(f"bad request body: {exc}") from exc
     svc = cfg.model_service(doc.model)
     if svc is None:
--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -13,6 +13,7 @@
 from turmerictray.config.load import parse_config
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
+from turmerictray.core.decoding import parse_counter
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed
@@ -111,8 +112,9 @@
             return
         self.failures = 0
         etag = resp.headers.get("ETag", "").strip('"')
-        if etag.isdecimal():
-            self.last_revision = int(etag)
+        revision = parse_counter(etag)
+        if revision is not None:
+            self.last_revision = revision
             self.placer.tell(ConfigConfirmed(self.last_revision, requested_at))
         previous = self.version
         if not self.offer(resp.data):
--- a/turmerictray/router/watch_instances.py
+++ b/turmerictray/router/watch_instances.py
@@ -9,6 +9,7 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.ids import TargetId
 from turmerictray.core.logs import log_event
 from turmerictray.core.timer import Tick
@@ -58,8 +59,8 @@
             return
         try:
             resp = self.http.request("GET", self.url, timeout=urllib3.Timeout(1.0, read=1.0))
-            listing = msgspec.json.decode(resp.data, type=InstanceList)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            listing = decode_json(resp.data, InstanceList)
+        except (urllib3.exceptions.HTTPError, DecodingError) as exc:
             if not self.down:
                 log_event("instances_down", level="WARNING", reason=type(exc).__name__)
             self.down = True
--- a/turmerictray/router/watch_load.py
+++ b/turmerictray/router/watch_load.py
@@ -11,6 +11,7 @@
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor, ask_with_timeout
+from turmerictray.core.decoding import Counter, DecodingError, decode_json
 from turmerictray.core.ids import TargetId
 from turmerictray.core.timer import Tick
 from turmerictray.router.messages import LoadReport, TargetsQuery
@@ -24,8 +25,8 @@
 class LoadFigures(msgspec.Struct, frozen=True):
     """Load report of a target: running and waiting requests, and the report's age in seconds."""
 
-    running: int
-    waiting: int
+    running: Counter
+    waiting: Counter
     age_s: float = 0.0
 
 
@@ -57,8 +58,8 @@
                 resp = self.http.request(
                     "GET", url + "/load", timeout=urllib3.Timeout(0.3, read=0.3)
                 )
-                figures = msgspec.json.decode(resp.data, type=LoadFigures)
-            except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+                figures = decode_json(resp.data, LoadFigures)
+            except (urllib3.exceptions.HTTPError, DecodingError):
                 continue
             metrics.count_control_bytes("load", 120, len(resp.data) + 120)
             busy = figures.running + figures.waiting
--- a/turmerictray/scheduling/link.py
+++ b/turmerictray/scheduling/link.py
@@ -12,6 +12,7 @@
 import pynng
 
 from turmerictray.core import metrics
+from turmerictray.core.decoding import DecodingError, MessageDecoder
 from turmerictray.core.errors import PeerError
 from turmerictray.core.logs import log_event
 from turmerictray.core.receive import Receiver, receive_all
@@ -25,7 +26,7 @@
 """Received messages that are not handled yet: three for each of 300 requests that arrive while the
 process is paused."""
 
-_DECODER = msgspec.msgpack.Decoder(SchedulingMessage)
+_DECODER = MessageDecoder(SchedulingMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -116,7 +117,7 @@
     def _handle(self, data: bytes) -> None:
         try:
             message = _DECODER.decode(data)
-        except msgspec.DecodeError as exc:
+        except DecodingError as exc:
             log_event("scheduling_message_refused", level="WARNING", reason=str(exc)[:200])
             return
         self._on_message(message)
