Entries of targets: values that no target has name no target

An entry from another writer was taken as a target although its name can't be the value of a header (line breaks, spaces, other than ASCII, 900,000 characters), its address is of no machine (0.0.0.0, multicast, broadcast), its numbers are beyond 64 bits or any date (born, sequence, cold_left_ms 1e308), or its service, zone or version has control characters or 900,000 characters. Each request sent there would fail, and names and versions go into log lines, headers and the messages between routers. An entry named `i-1@1000` without a start time had the id of the incarnation 1000 of `i-1`, and with its removal took that target away.

Cause: types were checked and most ranges were not.

The bounds stand where entries are translated, one entry at a time, so that the others hold. The name of a refused entry is logged in part.

`slots`, the port, negative numbers and unreadable bytes were refused before.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -77,6 +77,10 @@
             {"address": "10.0.0.1:99999"},
             {"address": "somewhere.example:80"},
             {"address": 80},
+            {"address": "0.0.0.0:80"},
+            {"address": "0.1.2.3:80"},
+            {"address": "224.0.0.1:80"},
+            {"address": "255.255.255.255:80"},
             {"service": ""},
             {"service": None},
             {"zone": ["z1"]},
@@ -86,6 +90,15 @@
             {"born": "1000"},
             {"born": None},
             {"sequence": "x"},
+            {"sequence": 1 << 63},
+            {"born": 1 << 63},
+            {"cold_left_ms": 1e308},
+            {"cold_left_ms": -1},
+            {"version": "v" * 900_000},
+            {"version": "v1\r\nX-Tenant: a"},
+            {"service": "llm\x00"},
+            {"service": "llm" * 1000},
+            {"zone": "z1\u2028"},
         )
     ],
     b"",
@@ -110,6 +123,20 @@
     assert [info.id for info in written(back)] == ["i-1@1000"]
 
 
+@pytest.mark.parametrize("name", ["", "i-\r\nX-Tenant: a", "i 1", "i-\u00fc", "i" * 900_000])
+def test_entry_whose_name_no_header_can_hold_names_no_target(name):
+    """Guards against requests that fail, or gain headers, by the name of their target."""
+    entries = TargetEntries()
+    entries.apply_snapshot([make_item(1, name), make_item(2)], 0.0, 0.0, pos(2))
+    assert [info.id for info in entries.targets()] == ["i-1@1000"]
+
+
+def test_entry_whose_name_holds_a_start_time_names_no_target():
+    """Guards against an entry that takes the id of another's target, and removes it."""
+    with pytest.raises(ConfigError):
+        decode_target(TargetName("i-1@1000"), entry_without("born"))
+
+
 def test_entry_without_start_time_uses_name_as_id():
     assert decode_target(NAME, entry_without("born")).id == "i-1"
 
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -17,7 +17,7 @@
     ServiceSpec,
     TeamSpec,
 )
-from turmerictray.core.decoding import DecodingError, decode_json
+from turmerictray.core.decoding import MAX_INT64, Counter, DecodingError, decode_json
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.ids import (
     RegionId,
@@ -46,10 +46,6 @@
 A larger value in an entry would make that target attract all requests.
 """
 
-_MAX_VERSION = (1 << 63) - 1
-"""Upper limit on a configuration's version; the messages between routers hold 64 bits."""
-
-
 _MAX_NUMBER = 10**15
 """Upper limit on the magnitude of a configuration's numbers, so that no computation overflows.
 
@@ -114,7 +110,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: Annotated[int, msgspec.Meta(le=_MAX_VERSION)]
+    version: Annotated[int, msgspec.Meta(le=MAX_INT64)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -128,7 +124,20 @@
 
 _PHASES = {_State.READY: TargetPhase.READY, _State.DRAINING: TargetPhase.LEAVING}
 
-_NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
+_MAX_NAME_CHARS = 256
+"""Upper limit on the length of a name or version of a target.
+
+They are part of log lines, of requests' headers and of the messages between routers.
+"""
+
+_Text = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
+_NonEmptyText = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_CHARS)]
+
+
+_BORN_SEPARATOR = "@"
+
+_FIRST_MULTICAST_OCTET = 224
+"""IPv4 addresses from here on are multicast, reserved or broadcast, those with 0 of no machine."""
 
 
 class _Server(msgspec.Struct, frozen=True):
@@ -138,17 +147,17 @@
     that lacks one was not written by a target.
     """
 
-    service: _NonEmptyStr
-    address: _NonEmptyStr
-    zone: _NonEmptyStr
-    version: str
+    service: _NonEmptyText
+    address: _NonEmptyText
+    zone: _NonEmptyText
+    version: _Text
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: _State
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
-    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    sequence: Counter
+    cold_left_ms: _NonNegative
     # Start time of the process in Unix milliseconds. A restarted target keeps its entry's name and
     # writes a new start time. Targets of older releases omit it and get a new name at each start.
-    born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
+    born: Counter | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_routing_config(data: bytes) -> RoutingConfig:
@@ -254,14 +263,21 @@
     ConfigError
         The entry is not valid; the reason names the field.
     """
+    if not re.fullmatch("[!-~]+", name) or len(name) > _MAX_NAME_CHARS:
+        raise ConfigError(f"name {name[:_MAX_NAME_CHARS]!r} can't be in a header")
     try:
         entry = decode_json(data, _Server)
     except DecodingError as exc:
         raise ConfigError(f"target {name}: {exc}") from exc
     if not _is_ip_and_port(entry.address):
         raise ConfigError(
-            f"target {name}: address {entry.address!r} is not an IPv4 address and port"
+            f"target {name}: address {entry.address!r} is not an IPv4 address and port of a machine"
         )
+    if not all(text.isprintable() for text in (entry.service, entry.zone, entry.version)):
+        raise ConfigError(f"target {name}: service, zone or version has control characters")
+    if entry.born is msgspec.UNSET and _BORN_SEPARATOR in name:
+        # Its id could be that of an incarnation of another target.
+        raise ConfigError(f"target {name}: name has a start time, and the entry has none")
     return TargetInfo(
         target_id(name, entry.born),
         ServiceName(entry.service),
@@ -284,7 +300,7 @@
     born : int or UNSET
         Start time of the incarnation in Unix milliseconds; unset for targets of older releases.
     """
-    return TargetId(name if born is msgspec.UNSET else f"{name}@{born}")
+    return TargetId(name if born is msgspec.UNSET else f"{name}{_BORN_SEPARATOR}{born}")
 
 
 def _is_ip_and_port(text: str) -> bool:
@@ -292,7 +308,7 @@
     if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) < 1 << 16:
         return False
     try:
-        ipaddress.IPv4Address(host)
+        first, *_ = ipaddress.IPv4Address(host).packed
     except ValueError:
         return False
-    return True
+    return 0 < first < _FIRST_MULTICAST_OCTET
--- a/turmerictray/platform/entries.py
+++ b/turmerictray/platform/entries.py
@@ -45,6 +45,9 @@
 _MAX_REMOVED_INCARNATIONS = 4096
 """How many removed incarnations are remembered; the oldest are forgotten first."""
 
+_MAX_LOGGED_CHARS = 300
+"""How much of the name of an entry that is refused is logged; it may be of any length."""
+
 _BEFORE_FIRST_POSITION = StorePosition(-1, -1)
 
 _MIN_TIMEOUT_S = 0.05
@@ -392,7 +395,8 @@
             # The same invalid entry may be written repeatedly; log it once.
             if exc.reason != entry.last_error:
                 entry.last_error = exc.reason
-                log_event("target_refused", level="ERROR", target=name, reason=exc.reason[:200])
+                fields = {"target": name[:_MAX_LOGGED_CHARS], "reason": exc.reason[:200]}
+                log_event("target_refused", level="ERROR", **fields)
             return None
         except Exception as exc:  # noqa: BLE001 - the other targets must not be lost for this one
             if repr(exc) != entry.last_error:
