One odd item in the store's answers hides no other

A page or watch answer in which one item was no object, had no key, or a revision that is no number (of another type, negative, beyond 64 bits, 5,000 digits, 1e999) was refused whole, so that its router could not read the list at all: it counted the store as lost, read again, and so without an end. Half a surrogate pair in a key, which another writer may leave, did the same. A revision or era beyond 64 bits was taken, and every message that tells it to the peers fails when it is encoded.

Cause: the items were decoded with their page, as one value.

Items are decoded one by one from the raw page, and those that can't be read are logged and left out. An item with a readable key and a value that is no text has a value that can't be read, as for invalid Base64 before, so that the target of the entry before does not stay in use. Positions, of the store and in the documents of peers, are bounded to what messages hold.

Ruled out: bytes that are no UTF-8 in a key or a value (one item, held once items are decoded by themselves).

--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -1,6 +1,8 @@
 """Client of the platform's metadata store: reads items and watches for changes."""
 
 import base64
+import contextlib
+import re
 import socket
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -9,7 +11,7 @@
 import urllib3
 
 from turmerictray.core import metrics
-from turmerictray.core.decoding import DecodingError, decode_json
+from turmerictray.core.decoding import Counter, DecodingError, decode_json, parse_counter
 from turmerictray.core.errors import HistoryGone, StoreUnavailable
 from turmerictray.core.logs import log_event
 from turmerictray.router.published import StorePosition
@@ -29,6 +31,10 @@
 _ERA_HEADER = "Store-Era"
 """Response header with the store's era, which rises each time it is restored from a backup."""
 
+_HALF_SURROGATE_PAIR = re.compile(
+    rb"\\ud[89ab]..(?!\\ud[c-f])|(?<!\\ud[89ab]..)\\ud[c-f]..", re.IGNORECASE
+)
+
 _KEEPALIVE_OPTIONS = [
     *urllib3.connection.HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -60,10 +66,14 @@
     position: StorePosition
 
 
+class _Key(msgspec.Struct, frozen=True):
+    key: str
+
+
 class _Item(msgspec.Struct, frozen=True):
     key: str
-    revision: int = 0
-    value: str = ""
+    revision: Counter = 0
+    value: msgspec.Raw = msgspec.Raw(b'""')
     tombstone: bool = False
 
     def decode(self, era: int) -> Item:
@@ -71,29 +81,65 @@
         return Item(self.key, value, StorePosition(era, self.revision))
 
 
-def _decode_value(value: str) -> bytes:
-    # A single invalid value must not make the whole page and all later pages unreadable.
-    try:
-        return base64.b64decode(value, validate=True)
-    except ValueError as exc:
-        log_event("store_value_unreadable", level="WARNING", reason=str(exc))
-        return b""
-
-
 class _Range(msgspec.Struct, frozen=True):
-    items: list[_Item]
-    store_revision: int
+    # Items are decoded one by one, so that one that can't be read hides no other.
+    items: list[msgspec.Raw]
+    store_revision: Counter
     has_more: bool = False
 
 
 class _Events(msgspec.Struct, frozen=True):
-    events: list[_Item]
-    store_revision: int
+    events: list[msgspec.Raw]
+    store_revision: Counter
+
+
+def _decode_page(data: bytes, kind: type) -> _Range | _Events:
+    try:
+        return decode_json(data, kind)
+    except DecodingError:
+        # A key may have been written in no encoding that JSON knows. The decoder refuses the whole
+        # page for half a surrogate pair.
+        repaired = _HALF_SURROGATE_PAIR.sub(rb"\\ufffd", data)
+        if repaired == data:
+            raise
+        return decode_json(repaired, kind)
+
+
+def _decode_items(items: list[msgspec.Raw], era: int) -> list[Item]:
+    """Decode the items that can be read."""
+    decoded = []
+    for item in items:
+        try:
+            decoded.append(decode_json(item, _Item).decode(era))
+        except DecodingError as exc:
+            log_event("store_item_unreadable", level="WARNING", reason=str(exc)[:200])
+    return decoded
+
+
+def _decode_value(value: msgspec.Raw) -> bytes:
+    # An item whose value can't be read replaces the one before all the same.
+    try:
+        return base64.b64decode(decode_json(value, str), validate=True)
+    except (DecodingError, ValueError) as exc:
+        log_event("store_value_unreadable", level="WARNING", reason=str(exc)[:200])
+        return b""
+
+
+def _last_key(items: list[msgspec.Raw]) -> str | None:
+    """Return the last key that can be read, or None."""
+    for item in reversed(items):
+        with contextlib.suppress(DecodingError):
+            return decode_json(item, _Key).key
+    return None
 
 
 def _parse_era(resp: urllib3.BaseHTTPResponse) -> int:
-    text = resp.headers.get(_ERA_HEADER, "")
-    return int(text) if text.isdecimal() else 0
+    """Return the era of an answer; raise :class:`DecodingError` if it is not a number."""
+    text = resp.headers.get(_ERA_HEADER, "0")
+    era = parse_counter(text)
+    if era is None:
+        raise DecodingError(f"{_ERA_HEADER} {text[:20]!r} is not a number")
+    return era
 
 
 class StoreClient:
@@ -125,11 +171,14 @@
             page, era = self._get("/api/kv-range", query, _Range, _READ_TIMEOUT_S)
             start = start or StorePosition(era, page.store_revision)
             self._check_era(era, start)
-            items += [item.decode(era) for item in page.items]
+            items += _decode_items(page.items, era)
             if not page.has_more or not page.items:
                 return Snapshot(items, start)
+            last_key = _last_key(page.items)
+            if last_key in (None, query.get("after_revision")):
+                raise StoreUnavailable("a page does not end after the one before")
             # Despite its name, this parameter takes the key after which the next page begins.
-            query["after_revision"] = page.items[-1].key
+            query["after_revision"] = last_key
 
     def watch(self, prefix: str, since: StorePosition, wait_s: float) -> Snapshot:
         """Read the changes under ``prefix`` after ``since``; wait up to ``wait_s`` for the first.
@@ -157,7 +206,7 @@
         page, era = self._get("/api/kv-watch", query, _Events, wait_s + _WATCH_RESPONSE_MARGIN_S)
         self._check_era(era, since)
         position = StorePosition(era, page.store_revision)
-        return Snapshot([item.decode(era) for item in page.events], position)
+        return Snapshot(_decode_items(page.events, era), position)
 
     @staticmethod
     def _check_era(era: int, since: StorePosition) -> None:
@@ -186,6 +235,6 @@
         if resp.status != 200:
             raise StoreUnavailable(f"{path}: status {resp.status}")
         try:
-            return decode_json(resp.data, kind), _parse_era(resp)
+            return _decode_page(resp.data, kind), _parse_era(resp)
         except DecodingError as exc:
             raise StoreUnavailable(f"{path}: {exc}") from exc
--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from turmerictray.core import metrics
-from turmerictray.core.decoding import DecodingError, decode_json
+from turmerictray.core.decoding import Counter, DecodingError, decode_json, parse_counter
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import TargetName, ZoneId
 from turmerictray.transport.bounded_input import bounded_pool_manager
@@ -44,8 +44,8 @@
     @classmethod
     def from_query(cls, query: str) -> "StorePosition | None":
         """Return the position in a query; None if it is not valid."""
-        era, _, revision = query.partition(".")
-        return cls(int(era), int(revision)) if era.isdecimal() and revision.isdecimal() else None
+        era, revision = map(parse_counter, query.partition(".")[::2])
+        return None if era is None or revision is None else cls(era, revision)
 
 
 class PublishedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -65,9 +65,9 @@
     """
 
     value: str
-    revision: int
+    revision: Counter
     expires_in_s: float | None = None
-    era: int = 0
+    era: Counter = 0
 
     @classmethod
     def encode(
@@ -98,8 +98,8 @@
     """
 
     evacuated: bool
-    revision: int
-    era: int = 0
+    revision: Counter
+    era: Counter = 0
 
     @property
     def position(self) -> StorePosition:
@@ -136,11 +136,11 @@
     """
 
     text: str | None = None
-    text_version: int = 0
+    text_version: Counter = 0
     targets: dict[str, PublishedEntry] = {}
     removed: list[str] | None = None
-    targets_revision: int = 0
-    targets_era: int = 0
+    targets_revision: Counter = 0
+    targets_era: Counter = 0
     zones: dict[str, ZoneState] = {}
     uninterrupted_s: float = 0.0
     gap_s: float | None = None
