A configuration's version is above zero

A text in op/config with the version 0 or -1 was taken and told to the broker, which drops it without a word, as 0 stands for no configuration. The operator saw no error. It is now refused with one that names the field, as other odd texts are.

--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -110,7 +110,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: Annotated[int, msgspec.Meta(le=MAX_INT64)]
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_INT64)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
