Limits of connections that no socket can hold are refused

What callers saw: no answer at all. A text in op/config whose limits.header timeout or idle timeout is 10**15 ms, or negative, was put in force; from then on a router closed each connection without an answer, with nothing in its log. With a negative max_header_bytes or max_body_bytes each request got 414 or 413, with a negative timeout_ms 503, with a negative target_latency_ms 503 on plain routes. All routers read the same text.

Cause: numbers were bounded for computations, while socket.settimeout() refuses negative times and those beyond the platform's clock.

Times of connections are now between 0 and 10**9 ms, times of routes and sizes not negative; the error names the field and the last good text stays in force.

Not shown: target_latency_ms 0 also makes plain routes answer 503. It is left as it is, as 0 may be meant.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,6 +1,7 @@
 """Decoding of what operators and targets write to the store."""
 
 import json
+import socket
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 from turmerictray.core.errors import ConfigError
 from turmerictray.platform.documents import decode_routing_config, decode_target
 from turmerictray.platform.standins.local import default_config
+from turmerictray.transport.server import _IDLE_TIMEOUT_FACTOR
 
 
 def encode(doc: object) -> bytes:
@@ -79,6 +81,10 @@
         decode_routing_config(encode(default_config(version)))
 
 
+TIMES = (1e15, 10**10, -1)
+"""Times with which sockets can't be read, or may not be on another machine."""
+
+
 @pytest.mark.parametrize(
     ("part", "field", "value"),
     [
@@ -91,6 +97,12 @@
         ("engine", "link_mbps", "nan"),
         ("limits", "tokens_per_s", "inf"),
         ("limits", "tokens_per_s", "nan"),
+        *[("limits", f"{name}_timeout_ms", n) for name in ("header", "idle") for n in TIMES],
+        ("limits", "max_header_bytes", -1),
+        ("limits", "max_body_bytes", -1),
+        ("routes", "timeout_ms", -1),
+        ("routes", "target_latency_ms", -1),
+        ("routes", "gap_aim_ms", -1),
     ],
 )
 def test_number_that_no_computation_can_hold_is_refused(part, field, value):
@@ -105,6 +117,16 @@
         decode_routing_config(encode(config))
 
 
+@pytest.mark.parametrize("milliseconds", [0, 10**9])
+def test_sockets_hold_each_time_that_is_accepted(milliseconds):
+    """Guards against a configuration with which all connections of the whole fleet fail."""
+    limits = {"header_timeout_ms": milliseconds, "idle_timeout_ms": milliseconds}
+    found = decode_routing_config(encode(default_config(1, limits=limits))).limits
+    with socket.socket() as sock:
+        sock.settimeout(found.header_timeout_s)
+        sock.settimeout(found.idle_timeout_s * _IDLE_TIMEOUT_FACTOR)
+
+
 def test_route_without_service_is_refused():
     config = default_config(1)
     del config["routes"][0]["service"]
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -52,9 +52,14 @@
 Lenient decoding also reads ``"nan"`` and ``"inf"``, which are outside any bounds.
 """
 
+_MAX_SOCKET_TIMEOUT_MS = 10**9
+"""Upper limit on the time limits of connections; some systems hold 31 bits of milliseconds."""
+
 _Number = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 _NonNegative = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 _Integer = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_Size = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_SocketTimeout = Annotated[float, msgspec.Meta(ge=0, le=_MAX_SOCKET_TIMEOUT_MS)]
 
 
 class _Backend(msgspec.Struct, frozen=True):
@@ -67,8 +72,8 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    timeout_ms: _Number
-    target_latency_ms: _Number
+    timeout_ms: _NonNegative
+    target_latency_ms: _NonNegative
     # A route has either a single service or several weighted backends.
     service: str | None = None
     backends: list[_Backend] = []
@@ -76,7 +81,7 @@
     max_attempts: _Integer = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: _Number = 1000.0
+    gap_aim_ms: _NonNegative = 1000.0
     allowed_regions: list[str] = []
 
 
@@ -96,10 +101,10 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: _Integer = 16384
-    max_body_bytes: _Integer = 4 << 20
-    header_timeout_ms: _Number = 3000.0
-    idle_timeout_ms: _Number = 75_000.0
+    max_header_bytes: _Size = 16384
+    max_body_bytes: _Size = 4 << 20
+    header_timeout_ms: _SocketTimeout = 3000.0
+    idle_timeout_ms: _SocketTimeout = 75_000.0
     tokens_per_s: _Number = 0.0
 
 
