Own configuration: values with which no router can work are refused

A configuration of the product's own service with a version beyond 64 bits was put in force, and each heartbeat that tells it to the peers failed when it was encoded; after the third one the router counted as unfit and would end, as would each that has read it. A target's URL could have port 99999, port 0, no host or a line break, and a name could end with one, as `$` in a pattern matches before it.

Times were bounded before (3,600 s).

--- a/turmerictray/config/load.py
+++ b/turmerictray/config/load.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import TypeVar
 
+import urllib3
+
 from turmerictray.config.schema import Config, ServiceKind
 from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConfigError, SettingsError
@@ -82,6 +84,9 @@
                 fail(f"depends on unknown service {dep!r} - at `$.services[{idx}].depends_on`")
         if svc.kind is ServiceKind.PLAIN and any(tgt.models for tgt in svc.targets):
             fail(f"only engines load models - at `$.services[{idx}].targets[*].models`")
+        for number, tgt in enumerate(svc.targets):
+            if not _names_a_port(tgt.url):
+                fail(f"{tgt.url!r} names no port - at `$.services[{idx}].targets[{number}].url`")
         if not svc.targets:
             fail(f"service has no targets - at `$.services[{idx}].targets`")
     cycle = _dependency_cycle({svc.name: svc.depends_on for svc in cfg.services})
@@ -97,6 +102,15 @@
         fail(f"default team {cfg.default_team!r} is not a team - at `$.default_team`")
 
 
+def _names_a_port(url: str) -> bool:
+    """Return whether a URL has a host, and a port in range or none."""
+    try:
+        parsed = urllib3.util.parse_url(url)
+    except urllib3.exceptions.LocationParseError:
+        return False
+    return bool(parsed.host) and parsed.port != 0
+
+
 def _make_fail(version: int):
     def fail(reason: str) -> None:
         raise ConfigError(reason, version)
--- a/turmerictray/config/schema.py
+++ b/turmerictray/config/schema.py
@@ -9,10 +9,15 @@
 
 import msgspec
 
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
+from turmerictray.core.decoding import MAX_INT64
+
+_MAX_NUMBER = 10**15
+"""Upper limit on the numbers of a configuration, so that no computation overflows."""
+
+Positive = Annotated[float, msgspec.Meta(ge=1 / _MAX_NUMBER, le=_MAX_NUMBER)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=_MAX_NUMBER)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9_.:-]+$")]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9_.:-]+\Z")]
 
 
 class ServiceKind(Enum):
@@ -55,7 +60,7 @@
     """
 
     id: Name
-    url: Annotated[str, msgspec.Meta(pattern=r"^https?://")]
+    url: Annotated[str, msgspec.Meta(pattern=r"^https?://[!-~]+\Z")]
     zone: Name
     slots: Count = 4
     fencing: bool = False
@@ -163,7 +168,7 @@
         Team of callers that do not name one; if None, such callers are refused.
     """
 
-    version: Annotated[int, msgspec.Meta(ge=1)]
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_INT64)]
     services: list[Service]
     teams: list[Team]
     limits: Limits = msgspec.field(default_factory=Limits)
