Log values with control characters stay within their line

A value from others, such as the name of an entry or the reason of a refused text, that holds a carriage return, a line or paragraph separator or an escape sequence was logged as it is. Readers that know more ends of a line than the line feed, among them the timeline and explain commands, took what follows for a line of its own; half a surrogate pair could not be written.

Cause: only the line feed was escaped.

A plain value costs one more look.

--- a/turmerictray/core/logs.py
+++ b/turmerictray/core/logs.py
@@ -27,9 +27,17 @@
 
 def _quote(value: object) -> str:
     text = str(value)
-    if text == "" or any(ch in text for ch in ' ="\n'):
-        return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
-    return text
+    if text != "" and text.isprintable() and not any(ch in text for ch in ' ="'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    if not escaped.isprintable():
+        # Readers take more characters than the line feed as the end of a line.
+        escaped = "".join(ch if ch.isprintable() else _escape(ch) for ch in escaped)
+    return f'"{escaped}"'
+
+
+def _escape(character: str) -> str:
+    return character.encode("unicode_escape").decode()
 
 
 def format_event(event: str, fields: dict[str, object]) -> str:
