Odd log lines end no analysis and no explanation

What callers saw: shown by tests. A line with a time that is none, a count of nan, inf or 5,000 digits, a sequence number of 5,000 digits, or without a field that it normally has, ended the analyse, timeline and explain commands with a traceback, or turned up as NaN in sums. A line that is cut when its process ends has the same effect.

Cause: int(), float() and fromisoformat() on fields as they were found.

Numbers that are not finite or beyond 10**15 count as missing, and lines whose time can't be read are left out, as lines without any were.

--- a/tests/analysis/test_analysis.py
+++ b/tests/analysis/test_analysis.py
@@ -165,3 +165,40 @@
 def test_command_reports_missing_log(tmp_path, capsys):
     assert analyse([tmp_path / "none.log"]) == 2
     assert "none.log" in capsys.readouterr().err
+
+
+ODD_NUMBERS = ["nan", "inf", "-inf", "1e308", "9" * 5000, "x", "\u0664"]
+
+
+@pytest.mark.parametrize("odd", ODD_NUMBERS)
+@pytest.mark.parametrize(
+    ("event", "name"),
+    [
+        ("request", "wait_ms"),
+        ("request", "first_ms"),
+        ("request", "miss_tokens"),
+        ("request", "own"),
+        ("refused_early", "count"),
+        ("lines_left_out", "count"),
+        ("pool", "waiting"),
+        ("pool", "pace_per_s"),
+    ],
+)
+def test_odd_number_in_a_line_ends_no_analysis(event, name, odd):
+    """Guards against logs that can't be analysed for one of their lines."""
+    odd_line = request_line(**{name: odd}) if event == "request" else line(event, **{name: odd})
+    assert_analysed(odd_line)
+
+
+@pytest.mark.parametrize("ts", ["x", "0001-01-01", "9999-99-99T00:00:00Z", "9" * 5000, "\xff"])
+@pytest.mark.parametrize("event", ["request", "refused_early", "pool"])
+def test_odd_time_of_a_line_ends_no_analysis(event, ts):
+    """Guards against logs that can't be analysed for one of their lines."""
+    assert_analysed(line(event).replace("2026-12-03T10:00:01.000000Z", ts))
+
+
+def assert_analysed(odd_line):
+    analysis = Analysis()
+    for text in (odd_line, odd_line.replace(" ts=", " "), request_line()):
+        analysis.add(parse_record(text))
+    assert format_analysis(analysis, 5) and analysis_json(analysis)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -1,5 +1,6 @@
 """The ``explain`` command: the cause of a request's outcome, from logs alone."""
 
+import pytest
 from pytest_bdd import parsers, scenarios, then, when
 
 from tests.platform.conftest import *  # noqa: F403 - fixtures and steps of the local deployment
@@ -54,3 +55,22 @@
     log.write_text("ts=2026-12-03T10:00:00.000000Z node=r1 zone=z1 seq=1 event=starting\n")
     assert explain_command("b2", [log]) == 1
     assert "no line mentions b2" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        "ts=x node=r1 role=router seq=1 event=drain_started",
+        "ts=0001-01-01 node=r1 role=router seq=1 event=drain_started",
+        "ts=9999-99-99T00:00:00Z node=r1 role=router seq=1 event=drain_started",
+        f"ts=2026-12-03T10:00:01Z node=r1 role=router seq={'9' * 5000} event=drain_started",
+        "ts=2026-12-03T10:00:01Z node=r1 role=router seq=1 event=text_in_force version=3",
+        "ts=2026-12-03T10:00:01Z node=r1 role=router seq=1 event=target target=e1",
+    ],
+)
+def test_odd_line_ends_no_explanation(tmp_path, odd):
+    """Guards against a request that can't be explained for a line of something else."""
+    sound = "ts=2026-12-03T10:00:02Z node=r1 role=router seq=2 event=request req=q1 text=3"
+    path = tmp_path / "r1.log"
+    path.write_text(f"{odd}\n{sound} target=e1 outcome=refused reason=queue_full\n")
+    assert "queue_full" in list(explain("q1", [path]))[-1]
--- a/turmerictray/analysis/records.py
+++ b/turmerictray/analysis/records.py
@@ -14,6 +14,9 @@
 _POOL = " event=pool "
 _MISSING = "-"
 
+_MAX_NUMBER = 1e15
+"""Numbers beyond this, infinity and NaN are missing ones, so that no sum overflows."""
+
 _IMMEDIATE_REFUSAL_MS = 50
 """A request refused within this time has not waited for a target."""
 
@@ -126,7 +129,17 @@
 
 
 def parse_record(line: str) -> Record | PoolSample | OmittedLines | None:
-    """Parse a log line; return None unless it reports requests, a pool or omitted lines."""
+    """Parse a log line; return None unless it reports requests, a pool or omitted lines.
+
+    Lines that were cut or written by something else have no time, or none that can be read.
+    """
+    try:
+        return _parse_record(line)
+    except (KeyError, ValueError, OverflowError):
+        return None
+
+
+def _parse_record(line: str) -> Record | PoolSample | OmittedLines | None:
     if _REQUEST_ENDED in line:
         return _parse_request(parse_event(line))
     if _REFUSED_EARLY in line:
@@ -135,12 +148,12 @@
         return _parse_pool(parse_event(line))
     if _OMITTED_LINES in line:
         fields = parse_event(line)
-        return OmittedLines(fields.get("node", _MISSING), int(fields.get("count", 0)))
+        return OmittedLines(fields.get("node", _MISSING), int(_number(fields, "count") or 0))
     return None
 
 
 def _parse_early_refusal(fields: dict[str, str]) -> Record:
-    count = int(fields.get("count", 1))
+    count = int(_number(fields, "count") or 1)
     return _make_record(
         fields, RequestOutcome.REFUSED_IMMEDIATELY, count, fields.get("reason", _MISSING)
     )
@@ -216,9 +229,10 @@
 
 def _number(fields: dict[str, str], name: str) -> float | None:
     try:
-        return float(fields[name])
+        number = float(fields[name])
     except (KeyError, ValueError):
         return None
+    return number if abs(number) <= _MAX_NUMBER else None
 
 
 def _seconds(fields: dict[str, str], name: str) -> float | None:
--- a/turmerictray/cli/explain.py
+++ b/turmerictray/cli/explain.py
@@ -84,6 +84,13 @@
         """Time of the event, in seconds since 1970."""
         return datetime.fromisoformat(self.fields["ts"]).timestamp()
 
+    def has_time(self) -> bool:
+        """Return whether the time of the event can be read."""
+        try:
+            return self.at > 0
+        except (ValueError, OverflowError):
+            return False
+
 
 def parse_line(text: str) -> LogEvent:
     """Parse a line of ``key=value`` pairs."""
@@ -105,7 +112,7 @@
     str
         Human-readable lines: the request's events, the state known to the router, and the cause.
     """
-    lines = [parse_line(text) for text in merge_logs(paths)]
+    lines = [line for line in map(parse_line, merge_logs(paths)) if line.has_time()]
     request_lines = [line for line in lines if request_id in _requests_of(line)]
     if not request_lines:
         yield f"no line mentions {request_id}: its logs are missing, or its lines were omitted"
@@ -139,14 +146,14 @@
         if line.event == "text_in_force" and line.fields.get("version") == version:
             yield (
                 f"configuration {version} active for {at - line.at:.1f} s, "
-                f"from {line.fields['source']}"
+                f"from {line.fields.get('source', '-')}"
             )
     for target in sorted(
         {line.fields["target"] for line in request_lines if "target" in line.fields}
     ):
         for line in router_lines:
             if line.event == "target" and line.fields.get("target") == target:
-                yield f"target {target} {line.fields['phase']} for {at - line.at:.1f} s"
+                yield f"target {target} {line.fields.get('phase', '-')} for {at - line.at:.1f} s"
     for line in router_lines:
         if line.event in _DEPENDENCY_EVENTS and at - line.at <= _CONTEXT_S:
             yield f"{at - line.at:.1f} s before: {line.text.partition(' event=')[2]}"
--- a/turmerictray/cli/timeline.py
+++ b/turmerictray/cli/timeline.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-_ENTRY_KEY = re.compile(r"^ts=(\S+) .*?\bnode=(\S+) .*?\bseq=(\d+)")
+_ENTRY_KEY = re.compile(r"^ts=(\S+) .*?\bnode=(\S+) .*?\bseq=([0-9]{1,18})\b")
 
 
 def merge_logs(paths: Iterable[str | Path]) -> Iterator[str]:
