--- a/turmerictray/router/published.py
+++ b/turmerictray/router/published.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from turmerictray.core import metrics
+from turmerictray.core.decoding import Counter, DecodingError, decode_json, parse_counter
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import TargetName, ZoneId
 from turmerictray.transport.bounded_input import bounded_pool_manager
@@ -43,8 +44,8 @@
     @classmethod
     def from_query(cls, query: str) -> "StorePosition | None":
         """Return the position in a query; None if it is not valid."""
-        era, _, revision = query.partition(".")
-        return cls(int(era), int(revision)) if era.isdecimal() and revision.isdecimal() else None
+        era, revision = map(parse_counter, query.partition(".")[::2])
+        return None if era is None or revision is None else cls(era, revision)
 
 
 class PublishedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -64,9 +65,9 @@
     """
 
     value: str
-    revision: int
+    revision: Counter
     expires_in_s: float | None = None
-    era: int = 0
+    era: Counter = 0
 
     @classmethod
     def encode(
@@ -97,8 +98,8 @@
     """
 
     evacuated: bool
-    revision: int
-    era: int = 0
+    revision: Counter
+    era: Counter = 0
 
     @property
     def position(self) -> StorePosition:
@@ -135,11 +136,11 @@
     """
 
     text: str | None = None
-    text_version: int = 0
+    text_version: Counter = 0
     targets: dict[str, PublishedEntry] = {}
     removed: list[str] | None = None
-    targets_revision: int = 0
-    targets_era: int = 0
+    targets_revision: Counter = 0
+    targets_era: Counter = 0
     zones: dict[str, ZoneState] = {}
     uninterrupted_s: float = 0.0
     gap_s: float | None = None
@@ -354,8 +355,8 @@
                 resp = self._get(admin, PUBLISHED_PAGE)
             if resp.status != 200:
                 raise PeerError(f"{admin} answered {resp.status}")
-            return msgspec.json.decode(resp.data, type=PublishedDocs)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            return decode_json(resp.data, PublishedDocs)
+        except (urllib3.exceptions.HTTPError, DecodingError) as exc:
             raise PeerError(f"{admin}: {exc}") from exc
 
     def _get(self, admin: str, page: str) -> urllib3.BaseHTTPResponse:
