--- a/turmerictray/platform/identity.py
+++ b/turmerictray/platform/identity.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
 from turmerictray.crashes.exit_detection import (
     CONNECT_TIMEOUT_S,
@@ -83,8 +84,8 @@
     if not is_from_target(head):
         return Liveness.UNKNOWN
     try:
-        born = msgspec.json.decode(body, type=_Report).born
-    except (msgspec.DecodeError, RecursionError):
+        born = decode_json(body, _Report).born
+    except DecodingError:
         # Plain services give no report, but the answer is theirs.
         return Liveness.RUNNING
     is_known = born is not msgspec.UNSET
