--- a/turmerictray/router/watch_config.py
+++ b/turmerictray/router/watch_config.py
@@ -7,14 +7,13 @@
 
 import time
 
-import msgspec
 import pykka
 import urllib3
 
 from turmerictray.config.load import parse_config
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
-from turmerictray.core.decoding import parse_counter
+from turmerictray.core.decoding import DecodingError, decode_json, parse_counter
 from turmerictray.core.errors import ConfigError
 from turmerictray.core.logs import log_event
 from turmerictray.router.messages import ConfigApplied, ConfigConfirmed
@@ -41,8 +40,8 @@
 def _is_broken_off(resp: urllib3.BaseHTTPResponse) -> bool:
     """Return whether only the close of the connection ends an answer, and not its document."""
     try:
-        msgspec.json.decode(resp.data)
-    except msgspec.DecodeError:
+        decode_json(resp.data)
+    except DecodingError:
         return body_end_of(resp) is BodyEnd.CONNECTION_CLOSE
     return False
 
