A repeat that is refused is taken off the retry budget

What callers saw: nothing that is known, found by a reviewer. While a stream is silent another target is asked for once a second, and each ask was charged to the retry budget though nothing was sent: a pause of 7 s made 5 asks. By reading, many silent streams use up their service's budget, after which repeats that could be sent are refused (repeats_used_up).

Cause: a repeat is charged when it reaches the broker, and nothing took the charge back.

Change: the charge is kept with the queued request, and taken back wherever the broker lets the request go without a grant: refused at once, withdrawn (the silent target goes on), expired, held back, its targets gone or resting, the router stopping, its placement failed, or its caller gone as it was granted. It is taken back before the answer is given, as the request may be asked for again at once. What is granted stays charged, so that nothing is sent uncharged.

Ruled out: marking later asks as counted; those whose first ask was refused before it was charged would never be charged. Not covered: a grant that is returned unsent stays charged, as its end looks the same as that of a request that was sent and turned away.

Test: a broker under arbitrary messages is charged for exactly the repeats that are granted or queued; one case for each kind of refusal, and a silent stream that no target takes up.

--- a/tests/router/test_take_up.py
+++ b/tests/router/test_take_up.py
@@ -2,17 +2,26 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
 from turmerictray.admission.pool_types import Outcome
 from turmerictray.core.errors import ConnectionBroken, NoTarget
-from turmerictray.core.ids import RequestId, ServiceName, TargetId, TeamId, ZoneId
+from turmerictray.core.ids import NodeId, RequestId, ServiceName, TargetId, TeamId, ZoneId
 from turmerictray.core.reply import Reply
 from turmerictray.router import take_up
+from turmerictray.router.active_config import ActiveConfig, RetryLimits
 from turmerictray.router.take_up import TakeUp
 from turmerictray.routing.load import TargetInfo
-from turmerictray.scheduling.broker_messages import Ask, Granted, Settled, Withdraw
+from turmerictray.scheduling.broker import Broker
+from turmerictray.scheduling.broker_messages import (
+    Ask,
+    Granted,
+    Settled,
+    TargetsListed,
+    Withdraw,
+)
 
 LLM = ServiceName("llm")
 CALL_ID = 7
@@ -88,6 +97,22 @@
     assert not client.others
 
 
+def test_silent_stream_that_no_target_takes_up_leaves_the_retry_budget_as_it_is():
+    """Guards against silent streams that use up the budget although nothing of them is sent."""
+    broker = Broker(NodeId("r1"), ZoneId("z"), 1, ActiveConfig(), RetryLimits())
+    broker.on_receive(TargetsListed([OTHER.target]))
+    asks = []
+
+    def refuse(reply: Reply) -> None:
+        ask = replace(client.asks[-1], exclude=frozenset({OTHER.target.id}), repeat=True)
+        asks.append(broker.on_receive(replace(ask, retry=True, reply=reply)))
+
+    client = _Client(refuse, refuse, refuse)
+    assert _find(client, _SilentConnection(5)) is None
+    assert len(asks) == 3
+    assert not broker.pools.unsharded(LLM).budget._retries
+
+
 def test_target_is_found_that_may_take_the_stream_up_later():
     """Guards against a silent stream that stays at a dead target after one refusal."""
     assert _find(_Client(_refuse, _refuse, _grant), _SilentConnection(9)) is OTHER
--- a/tests/scheduling/test_broker_properties.py
+++ b/tests/scheduling/test_broker_properties.py
@@ -97,10 +97,12 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.broker = Broker(NodeId("r1"), ZONES[0], 1, ActiveConfig(), RetryLimits())
+        limits = RetryLimits(window_s=3600.0)
+        self.broker = Broker(NodeId("r1"), ZONES[0], 1, ActiveConfig(), limits)
         self.ids = itertools.count(1)
         self.versions = itertools.count(1)
         self.asked: dict[int, Reply] = {}
+        self.repeats: set[int] = set()
         self.send(OnTick((), self.encode, self.encode, self))
         self.send(
             TextArrived(self.config(ServiceSpec(SERVICES[0], EngineSpec(4, 100_000))), "test")
@@ -136,7 +138,7 @@
         service=services,
         prompt=prompts | st.none(),
         shard=st.sampled_from([ShardId(), ShardId(0, 2), ShardId(1, 2), ShardId(3, 4)]),
-        retry=st.booleans(),
+        attempt=st.sampled_from(["first", "retry", "repeat"]),
         origin=st.sampled_from(["", *NODES]),
         home_zones=st.none() | zones,
         version=st.none() | st.sampled_from(VERSIONS),
@@ -144,9 +146,12 @@
         is_gone=st.booleans(),
     )
     def ask(
-        self, team, service, prompt, shard, retry, origin, home_zones, version, resumes, is_gone
+        self, team, service, prompt, shard, attempt, origin, home_zones, version, resumes, is_gone
     ):
         call_id, reply, now = next(self.ids), Reply(), time.monotonic()
+        retry = attempt != "first"
+        if attempt == "repeat":
+            self.repeats.add(call_id)
         if is_gone:
             reply.cancel()
         self.asked[call_id] = reply
@@ -161,6 +166,7 @@
             reply,
             frozenset(TARGETS[:2]) if retry else frozenset(),
             retry,
+            attempt == "repeat",
             origin=NodeId(origin),
             answer_deadline=now + 2 * WAIT_S,
             shard=shard,
@@ -243,14 +249,27 @@
         self.encode(self.send(SummaryQuery()))
         msgspec.json.encode(self.send(BrokerQuery()))
 
-    @invariant()
-    def unanswered_requests_are_queued(self):
-        queued = {
+    def queued(self) -> set[int]:
+        return {
             request.context.call_id
             for pool in self.broker.pools.all()
             for request in pool.waiting_requests()
         }
-        assert {call_id for call_id, reply in self.asked.items() if not reply.done()} <= queued
+
+    @invariant()
+    def unanswered_requests_are_queued(self):
+        unanswered = {call_id for call_id, reply in self.asked.items() if not reply.done()}
+        assert unanswered <= self.queued()
+
+    @invariant()
+    def retry_budget_is_charged_for_repeats_that_are_granted_or_queued(self):
+        granted = {
+            call_id
+            for call_id, reply in self.asked.items()
+            if reply.done() and not reply.cancelled() and reply.exception() is None
+        }
+        charged = sum(len(pool.budget._retries) for pool in self.broker.pools.all_unsharded())
+        assert charged == len(self.repeats & (granted | self.queued()))
 
 
 TestBroker = BrokerMachine.TestCase
--- a/tests/scheduling/test_target_notices.py
+++ b/tests/scheduling/test_target_notices.py
@@ -32,6 +32,7 @@
     TargetResting,
     TargetsChanged,
     TargetsListed,
+    Withdraw,
 )
 
 pytestmark = pytest.mark.usefixtures("unthrottled_rounds")
@@ -49,8 +50,10 @@
     return broker
 
 
-def ask(broker: Broker, call_id: int, origin: str = "", **options) -> Reply:
-    reply, now = Reply(), time.monotonic()
+def ask(
+    broker: Broker, call_id: int, origin: str = "", reply: Reply | None = None, **options
+) -> Reply:
+    reply, now = reply or Reply(), time.monotonic()
     prompt = Prompt((PromptPart(PartId(f"p{call_id}"), 100),), 100, 10)
     broker.on_receive(
         Ask(
@@ -181,6 +184,36 @@
     assert (len(budget._requests), len(budget._retries)) == (1, int(repeat))
 
 
+@pytest.mark.parametrize("cause", ["no_target", "resting", "leaving", "withdrawn", "expired"])
+def test_repeat_that_is_refused_is_not_charged(broker, cause):
+    """Guards against a retry budget that is used up by requests which are never sent."""
+    charged = broker.pools.unsharded(LLM).budget._retries
+    if cause == "no_target":
+        options = {"exclude": frozenset({FIRST, SECOND})}
+    else:
+        options, rest_s = {}, 30.0 if cause == "resting" else 2.0
+        for info in ENGINES:
+            broker.notices.note_rest(info.id, rest_s, NodeId("r2"), time.monotonic())
+    reply = ask(broker, 1, "r2", retry=True, repeat=True, **options)
+    assert reply.done() == (not charged) == (cause in ("no_target", "resting"))
+    if cause == "leaving":
+        for info in ENGINES:
+            broker.on_receive(TargetLeaving(LLM, info.id))
+    elif cause == "withdrawn":
+        broker.on_receive(Withdraw(1, LLM))
+    elif cause == "expired":
+        broker.on_receive(Tick("expire", time.monotonic() + 6))
+    assert reply.exception(0)
+    assert not charged
+
+
+def test_repeat_whose_caller_has_gone_as_it_is_granted_is_not_charged(broker):
+    reply = Reply()
+    reply.cancel()
+    ask(broker, 1, "r2", reply, retry=True, repeat=True)
+    assert not broker.pools.unsharded(LLM).budget._retries
+
+
 def test_counted_repeat_is_placed_although_the_budget_is_used_up(broker):
     """Guards against a repeat that is refused for its own first placement."""
     budget = broker.pools.unsharded(LLM).budget
--- a/turmerictray/admission/budget.py
+++ b/turmerictray/admission/budget.py
@@ -1,6 +1,7 @@
 """Retry budget of the fleet, of which each router spends only its own share."""
 
 from collections import deque
+from contextlib import suppress
 
 _USED_FRACTION = 0.85
 """Fraction of the allowance that is used. The margin covers the offset between this router's window
@@ -53,6 +54,12 @@
         self._retries.append(now)
         return True
 
+    def refund(self, spent_at: float) -> None:
+        """Take back a retry that was spent at ``spent_at`` and is not sent."""
+        # One that has left the window is charged no more.
+        with suppress(ValueError):
+            self._retries.remove(spent_at)
+
     def _allowance(self) -> float:
         share = self.floor / max(self.router_count, 1)
         return _USED_FRACTION * (self.ratio * len(self._requests) + share)
--- a/turmerictray/admission/pool_types.py
+++ b/turmerictray/admission/pool_types.py
@@ -68,6 +68,8 @@
         The request is placed on a target that may be full only if no other can serve it in time.
     urgent_from : float
         Monotonic seconds from which the request waits for no silent engine, and may be a trial.
+    charged_at : float or None
+        When the request was charged to the retry budget; None if it isn't.
     """
 
     call_id: int
@@ -90,6 +92,7 @@
     is_test: bool = False
     avoids_trials: bool = False
     urgent_from: float = math.inf
+    charged_at: float | None = None
 
 
 @dataclass(frozen=True)
--- a/turmerictray/router/take_up.py
+++ b/turmerictray/router/take_up.py
@@ -20,8 +20,7 @@
 """Interval at which a reply is polled while events are awaited, in seconds."""
 
 _ASK_AGAIN_S = 1.0
-"""Time after a refusal until a target is asked for again, in seconds. Each ask of a stream is
-charged to the retry budget, also if it is refused."""
+"""Time after a refusal until a target is asked for again, in seconds."""
 
 
 class TakeUp:
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -51,6 +51,8 @@
 from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker_answers import (
     draining,
+    give_back_charge,
+    refuse,
     refuse_expired,
     to_granted,
     unservable_reason,
@@ -238,18 +240,29 @@
             pool.budget.note_request(now)
         try:
             context = self._placement_context(msg, now)
-            request = PendingRequest(
-                msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
-            )
+        except AdmissionError as exc:
+            msg.reply.try_set_exception(exc)
+            return
+        request = PendingRequest(
+            msg.req_id, msg.team, msg.cost, msg.queue_deadline, msg.reply, context
+        )
+        try:
             self.quarantine.check(context.fingerprint, now, msg.is_test)
-            if msg.repeat and not msg.is_counted and not pool.budget.try_spend(now):
-                raise RepeatsUsedUp("repeats_used_up", _BUDGET_RETRY_AFTER_S)
+            if msg.repeat and not msg.is_counted:
+                self._charge(request, pool, now)
             pool.enqueue(request, now, msg.retry)
         except AdmissionError as exc:
-            msg.reply.try_set_exception(exc)
+            refuse(request, pool, exc)
             return
         self._grants.request_round(pool, now)
 
+    @staticmethod
+    def _charge(request: PendingRequest, pool: ServicePool, now: float) -> None:
+        """Charge a request to the retry budget; it is given back if the request is not granted."""
+        if not pool.budget.try_spend(now):
+            raise RepeatsUsedUp("repeats_used_up", _BUDGET_RETRY_AFTER_S)
+        request.context.charged_at = now
+
     @handle.register
     def _(self, _msg: RefuseWaiting) -> None:
         self._is_closing = True
@@ -259,7 +272,7 @@
     @staticmethod
     def _refuse_all(pool: ServicePool) -> None:
         for request in pool.take_waiting():
-            request.reply.try_set_exception(draining())
+            refuse(request, pool, draining())
 
     def _placement_context(self, msg: Ask, now: float) -> PlacementContext:
         return PlacementContext(
@@ -308,7 +321,7 @@
         for pool in self.pools.for_service(msg.service):
             request = pool.withdraw(msg.call_id)
             if request is not None:
-                request.reply.try_set_exception(CallerGone("caller gone while waiting"))
+                refuse(request, pool, CallerGone("caller gone while waiting"))
                 return
 
     @handle.register
@@ -366,8 +379,7 @@
         except PlacementFailed as exc:
             request = exc.pending
             self.log_failed(request, exc.__cause__)
-            refusal = InternalFailure("internal_failure", FAILED_RETRY_AFTER_S)
-            request.reply.try_set_exception(refusal)
+            refuse(request, pool, InternalFailure("internal_failure", FAILED_RETRY_AFTER_S))
             return False
         return True
 
@@ -381,6 +393,7 @@
             # The caller's thread stopped waiting concurrently. A booking that is never settled
             # would make the target look busy indefinitely.
             pool.cancel_dispatch(sent)
+            give_back_charge(sent.pending, pool)
 
     @handle.register
     def _(self, msg: Tick) -> None:
@@ -422,7 +435,7 @@
     def _expire(self, pool: ServicePool, msg: Tick) -> None:
         for request in pool.expire(msg.now):
             if not self.run_step(partial(refuse_expired, request, pool, msg.now), msg):
-                request.reply.try_set_exception(QueueTimeout("queue_timeout", FAILED_RETRY_AFTER_S))
+                refuse(request, pool, QueueTimeout("queue_timeout", FAILED_RETRY_AFTER_S))
 
     def _report_streams_begun(self, now: float) -> None:
         if self.stream_records is not None:
@@ -447,7 +460,7 @@
     @staticmethod
     def _refuse_held(pool: ServicePool, now: float) -> None:
         for request in pool.take_held(now):
-            request.reply.try_set_exception(Quarantined("quarantined: while it waited", HOLD_S))
+            refuse(request, pool, Quarantined("quarantined: while it waited", HOLD_S))
 
     def _report_usage(self, now: float) -> None:
         """Send per-team usage and the waiting teams to the schedulers of the other shards.
@@ -577,7 +590,7 @@
         metrics.RESTING_TARGETS.set(self.notices.resting_count(now))
         for pool in self.pools.for_service(msg.service):
             for request, wait_s in pool.take_resting(now):
-                request.reply.try_set_exception(TargetsResting("targets_resting", wait_s))
+                refuse(request, pool, TargetsResting("targets_resting", wait_s))
         self._schedule_grants(msg.service, now)
 
     def _note_leaving(self, target: TargetId, source: str) -> None:
@@ -629,7 +642,7 @@
         for pool in self.pools.all():
             for request in pool.take_unservable():
                 reason = unservable_reason(request, pool)
-                request.reply.try_set_exception(NoTarget(reason, NO_TARGET_RETRY_S))
+                refuse(request, pool, NoTarget(reason, NO_TARGET_RETRY_S))
 
     def _update_target(self, info: TargetInfo) -> None:
         for old_pool in self.pools.all_unsharded():
--- a/turmerictray/scheduling/broker_answers.py
+++ b/turmerictray/scheduling/broker_answers.py
@@ -2,7 +2,7 @@
 
 from turmerictray.admission.pool import ServicePool
 from turmerictray.admission.pool_types import Dispatch
-from turmerictray.core.errors import Draining, QueueTimeout
+from turmerictray.core.errors import Draining, QueueTimeout, TurmerictrayError
 from turmerictray.fairness.queue import PendingRequest
 from turmerictray.routing.load import TargetPhase
 from turmerictray.scheduling.broker_messages import Granted
@@ -38,10 +38,24 @@
     return Draining("unfit", _DRAINING_RETRY_AFTER_S)
 
 
+def refuse(request: PendingRequest, pool: ServicePool, exc: TurmerictrayError) -> None:
+    """Refuse a request that is not or no longer queued, and that no target was granted to."""
+    # Before the answer, as the request may be asked for again at once.
+    give_back_charge(request, pool)
+    request.reply.try_set_exception(exc)
+
+
+def give_back_charge(request: PendingRequest, pool: ServicePool) -> None:
+    """Take a request that is not sent off the retry budget."""
+    charged_at, request.context.charged_at = request.context.charged_at, None
+    if charged_at is not None:
+        pool.budget.refund(charged_at)
+
+
 def refuse_expired(request: PendingRequest, pool: ServicePool, now: float) -> None:
     """Refuse a request whose time in the queue is over."""
     reason = _timeout_reason(request, pool, now)
-    request.reply.try_set_exception(QueueTimeout(reason, pool.expected_wait_s(request)))
+    refuse(request, pool, QueueTimeout(reason, pool.expected_wait_s(request)))
 
 
 def _timeout_reason(request: PendingRequest, pool: ServicePool, now: float) -> str:
--- a/turmerictray/scheduling/failed_messages.py
+++ b/turmerictray/scheduling/failed_messages.py
@@ -11,6 +11,7 @@
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import place_of
 from turmerictray.crashes.fingerprint import CrashVerdict
+from turmerictray.scheduling.broker_answers import give_back_charge
 from turmerictray.scheduling.broker_messages import Ask, Settled, TextArrived
 from turmerictray.scheduling.failed_texts import FailedTexts
 from turmerictray.scheduling.service_pools import ServicePools
@@ -49,7 +50,9 @@
     def _(self, message: Ask, _exc: Exception) -> None:
         message.reply.try_set_exception(InternalFailure("internal_failure", FAILED_RETRY_AFTER_S))
         for pool in self._pools.for_service(message.service):
-            pool.withdraw(message.call_id)
+            request = pool.withdraw(message.call_id)
+            if request is not None:
+                give_back_charge(request, pool)
 
     @undo.register
     def _(self, message: Settled, _exc: Exception) -> None:
