A request that is placed after a refusal is counted and charged once

What callers saw: nothing that is known, found by a reviewer. A request that a scheduler refuses (it knows no target, its shard is full or rests) goes to another shard's scheduler or to the router's own broker.

Cause: the ask that follows a refusal was the first one unchanged, and the refused charge was kept.

Change: the ask that follows says that it is counted. One whose first grant was returned stays charged there, as before. A scheduler that stops refuses before it counts, and its budget ends with it, so such a request is counted where it is placed.

No message changes.

Ruled out: telling the next broker that a refused repeat is charged, as one that was refused before it was charged (stream_unknown) would be sent uncharged.

Test: real brokers on both sides of the client, each refusal, first sends and repeats; a stopping scheduler; a returned grant followed by a refusal. One existing test compared the whole ask and now expects it to be counted.

--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -70,8 +70,8 @@
     is_test : bool
         The router sends the prompt as a test of a part that is held back.
     is_counted : bool
-        A scheduler has counted this attempt, but its grant was returned; no other one counts the
-        request, or charges the retry budget, once more.
+        A scheduler has counted this attempt, but refused it or its grant was returned; no other
+        one counts the request, or charges the retry budget, once more.
     reply : Reply
         Receives a :class:`Granted` or an :class:`~turmerictray.core.errors.AdmissionError`.
     """
--- a/turmerictray/scheduling/placement_client.py
+++ b/turmerictray/scheduling/placement_client.py
@@ -439,13 +439,13 @@
         if msg.error in _UNKNOWN_ERRORS:
             # The scheduler may know fewer targets or streams than this router: it may be
             # partitioned from the store or have just started.
-            self._place_locally(call.ask)
+            self._place_locally(_as_counted(call.ask, msg))
             return True
         if msg.error in _SHARD_FULL_ERRORS:
             self._backlogs.record(call.ask, msg.retry_after_s, time.monotonic())
         if call.fallback_shards and msg.error in _OTHER_SHARD_ERRORS:
             # Another shard may have capacity while this one is full or rests.
-            self._request_placement(call.ask, call.fallback_shards)
+            self._request_placement(_as_counted(call.ask, msg), call.fallback_shards)
         else:
             call.ask.reply.try_set_exception(_to_error(msg))
         return True
@@ -556,6 +556,16 @@
     )
 
 
+def _as_counted(ask: Ask, msg: PlaceRefused) -> Ask:
+    """Return a refused request for another broker, which counts it if it still has to be.
+
+    Schedulers count a request before they refuse it, unless they stop. They charge a repeat only
+    once it is granted, or give the charge back.
+    """
+    is_counted = not ask.repeat and msg.error != Draining.__name__
+    return replace(ask, is_counted=ask.is_counted or is_counted)
+
+
 def _to_error(msg: PlaceRefused) -> AdmissionError:
     error_class = getattr(errors, msg.error, None)
     if not (isinstance(error_class, type) and issubclass(error_class, AdmissionError)):
