Soak: callers that close their sending side and read on, and an engine whose streams end with their connections

A router gives such a request up as for a disconnect; its caller sees how the answer ends, and must not see a part as whole.

--- a/turmerictray/platform/soak/callers.py
+++ b/turmerictray/platform/soak/callers.py
@@ -2,8 +2,10 @@
 
 import itertools
 import random
+import socket
 import threading
 import time
+from contextlib import suppress
 
 from turmerictray.platform.soak.record import RESUMABLE, STREAMS, SoakRecord, SoakRequest
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller, make_request
@@ -20,6 +22,10 @@
 _DISCONNECT_FRACTION = 0.06
 """Fraction of requests whose caller disconnects before it reads the answer."""
 
+_HALF_CLOSE_FRACTION = 0.04
+"""Fraction of requests whose caller closes its sending side and reads on. The router gives them up
+as for a disconnect, and the caller sees how the answer ends."""
+
 _MAX_DISCONNECT_DELAY_S = 0.15
 _PAUSE_S = 0.02
 _MAX_REFUSAL_PAUSE_S = 0.3
@@ -131,8 +137,15 @@
             caller.close()
             request.ended_at = request.disconnected_at = time.monotonic()
             return False
+        if self._rng.random() < _HALF_CLOSE_FRACTION:
+            time.sleep(self._rng.uniform(0, _MAX_DISCONNECT_DELAY_S))
+            request.disconnected_at = time.monotonic()
+            with suppress(OSError):  # The router may have closed the connection.
+                caller.sock.shutdown(socket.SHUT_WR)
         request.answer = caller.read()
         request.ended_at = time.monotonic()
+        if request.disconnected_at is not None:
+            return False
         closes = request.answer.headers.get("Connection", "").lower() == "close"
         if request.answer.status in (0, 503):
             time.sleep(self._rng.uniform(0, _MAX_REFUSAL_PAUSE_S))
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -134,6 +134,8 @@
             _SERVICE_TIME_S,
         )
         worker.behaviour.crashing_parts = frozenset(CRASHING_PARTS)
+    # The close of its connection ends each of its streams.
+    deployment.of_service("llm")[0].behaviour.is_chunked = False
     try:
         deployment.start()
         record = SoakRecord()
