A target runs only if its own answer shows it; one without a start time in its entry isn't taken for another

The whole check takes a second at most, and goes on asking a target that closes its connections, with doubled pauses.

Tests: test_identity, 404, 302, HTML, 503 and a report without the start time that the entry has are UNKNOWN now (404, deep nesting and a report without one were asserted as RUNNING before: too lenient); entries without a start time; a report after 0.5 s. test_upstream -k nobody raises a time-out where it made the socket non-blocking.

--- a/tests/platform/test_identity.py
+++ b/tests/platform/test_identity.py
@@ -27,10 +27,11 @@
     def __init__(self, answer: bytes | None) -> None:
         self.answer = answer
         self.max_connections = 100
+        self.delay_s = 0.0
         super().__init__()
 
-    def info(self) -> TargetInfo:
-        ids = TargetId(f"e1@{BORN}"), ServiceName("llm"), self.address, ZoneId("z1")
+    def info(self, target_id: str = f"e1@{BORN}") -> TargetInfo:
+        ids = TargetId(target_id), ServiceName("llm"), self.address, ZoneId("z1")
         return TargetInfo(*ids, slots=4, name=TargetName("e1"))
 
     def serve(self, conn: socket.socket) -> None:
@@ -41,6 +42,7 @@
                     time.sleep(2)
                 if not self.answer:
                     return
+                time.sleep(self.delay_s)
                 conn.sendall(self.answer)
 
 
@@ -55,10 +57,14 @@
     ("answer", "found"),
     [
         (make_answer("200 OK", b'{"born":%d}' % BORN), Liveness.RUNNING),
-        (make_answer("200 OK", b'{"busy":false}'), Liveness.RUNNING),
-        (make_answer("200 OK", b"[" * 100_000), Liveness.RUNNING),
-        (make_answer("404 Not Found"), Liveness.RUNNING),
+        (make_answer("400 No Id", field="X-Not-Executed: 1\r\n"), Liveness.RUNNING),
         (make_answer("503 Full", field="X-Not-Executed: 1\r\n"), Liveness.RUNNING),
+        (make_answer("200 OK", b'{"busy":false}'), Liveness.UNKNOWN),
+        (make_answer("200 OK", b"[" * 100_000), Liveness.UNKNOWN),
+        (make_answer("200 OK", b"<html>"), Liveness.UNKNOWN),
+        (make_answer("302 Found"), Liveness.UNKNOWN),
+        (make_answer("404 Not Found"), Liveness.UNKNOWN),
+        (make_answer("503 Unavailable"), Liveness.UNKNOWN),
         (make_answer("200 OK", b'{"born":%d}' % (BORN + 5)), Liveness.EXITED),
         (make_answer("421 Misdirected"), Liveness.EXITED),
         (make_answer("502 Bad Gateway"), Liveness.UNKNOWN),
@@ -75,6 +81,22 @@
     target.close()
 
 
+@pytest.mark.parametrize("body", [b'{"born":%d}' % BORN, b'{"busy":false}'])
+def test_target_whose_entry_has_no_start_time_runs_if_it_reports(check, body):
+    """Guards against answers of a sound target that count as cut, and requests that are blamed."""
+    target = AnsweringTarget(make_answer("200 OK", body))
+    assert check(target.info("e1")) is Liveness.RUNNING
+    target.close()
+
+
+def test_target_that_stands_still_for_a_moment_runs(check):
+    """Guards against whole answers that are dropped as their target answers late."""
+    target = AnsweringTarget(make_answer("200 OK", b'{"born":%d}' % BORN))
+    target.delay_s = 0.5
+    assert check(target.info()) is Liveness.RUNNING
+    target.close()
+
+
 def test_address_without_listener_has_exited(check):
     target = AnsweringTarget(b"")
     info = target.info()
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -135,7 +135,11 @@
 
 def test_answer_of_a_target_that_nobody_can_ask_is_not_complete(target, monkeypatch):
     """Guards against a target that can't be reached and counts as running."""
-    monkeypatch.setattr(exit_detection, "CONNECT_TIMEOUT_S", 0.0)
+
+    def connect(*_args: object) -> None:
+        raise TimeoutError
+
+    monkeypatch.setattr(exit_detection, "socket", SimpleNamespace(create_connection=connect))
     head, wire = make_answer("none", False, 200)
     target.data = head + wire
     assert _read(target, False) == (False, BODY)
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -94,7 +94,9 @@
         if found is Liveness.EXITED:
             raise ConnectionBroken(f"{target.address} exited at the end of the answer")
         if found is Liveness.UNKNOWN:
-            raise OutcomeUnknown(f"{target.address} can't be asked at the end of the answer")
+            raise OutcomeUnknown(
+                f"the state of {target.address} is unknown at the end of the answer"
+            )
 
     def _has_crashed(self, target: TargetInfo, now: float) -> bool:
         if target.id in self.leaving():
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -19,8 +19,8 @@
 """How long a new connection must stay open for the target to count as running. When a process
 exits, its connections may break before its listening socket is closed."""
 
-MAX_CONNECTIONS = 3
-RECONNECT_PAUSE_S = 0.01
+_MAX_CONNECTIONS = 3
+_RECONNECT_PAUSE_S = 0.01
 """Connections that a check opens at most to a target that closes them at once, and the pause
 between them."""
 
@@ -50,14 +50,14 @@
     connections. Only the former refuses another one soon.
     """
     host, _, port = target.address.rpartition(":")
-    for _ in range(MAX_CONNECTIONS):
+    for _ in range(_MAX_CONNECTIONS):
         try:
             with socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S) as sock:
                 return _check_open(sock)
         except ConnectionRefusedError:
             return Liveness.EXITED
         except ConnectionError:
-            time.sleep(RECONNECT_PAUSE_S)
+            time.sleep(_RECONNECT_PAUSE_S)
         except OSError:
             # No response may mean a network partition as well as a machine without power.
             return Liveness.UNKNOWN
--- a/turmerictray/platform/headers.py
+++ b/turmerictray/platform/headers.py
@@ -58,7 +58,6 @@
 A caller must not list them in ``Connection``, which would remove them on the way.
 """
 
-_HTTP_SERVER_ERROR = 500
 _HTTP_UNAVAILABLE = 503
 _HTTP_MISDIRECTED = 421
 """Status with which a process refuses a request that was meant for another instance."""
@@ -129,7 +128,7 @@
         """Read the flags in the head of a target's response."""
         echoed = answer.get(_REQUEST_ID)
         wrong_instance = is_other_instance(answer)
-        not_run = wrong_instance or answer.get(_NOT_EXECUTED) is not None
+        not_run = wrong_instance or says_not_run(answer)
         is_genuine = answer.get(_SIGNATURE) is not None
         is_own = is_genuine and echoed in (None, envelope.request_id)
         is_own = is_own or (not_run and echoed == envelope.request_id)
@@ -166,9 +165,9 @@
     return answer.status == _HTTP_MISDIRECTED
 
 
-def is_from_target(answer: AnswerHead) -> bool:
-    """Return whether a target gave an answer, not a gateway in its place."""
-    return answer.status < _HTTP_SERVER_ERROR or answer.get(_NOT_EXECUTED) is not None
+def says_not_run(answer: AnswerHead) -> bool:
+    """Return whether a target states that it has not run a request; no gateway does."""
+    return answer.get(_NOT_EXECUTED) is not None
 
 
 def _rest_s(answer: AnswerHead) -> float:
--- a/turmerictray/platform/identity.py
+++ b/turmerictray/platform/identity.py
@@ -10,22 +10,23 @@
 
 from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
-from turmerictray.crashes.exit_detection import (
-    CONNECT_TIMEOUT_S,
-    MAX_CONNECTIONS,
-    RECONNECT_PAUSE_S,
-    Liveness,
-)
+from turmerictray.crashes.exit_detection import CONNECT_TIMEOUT_S, Liveness
 from turmerictray.platform.documents import target_id
-from turmerictray.platform.headers import expectation_header, is_from_target, is_other_instance
+from turmerictray.platform.headers import expectation_header, is_other_instance, says_not_run
 from turmerictray.routing.load import TargetInfo
 from turmerictray.transport.pool import ConnectionPool
 from turmerictray.transport.target_conn import AnswerHead, TargetConnection, TargetRequest
 
 _REPORT_PATH = "/api/report"
-_ANSWER_TIMEOUT_S = 0.25
-"""A report takes no slot and is given within a round trip. No report within this time, as by a
-target that stands still, does not show whether it will go on."""
+_HTTP_OK = 200
+
+_CHECK_TIMEOUT_S = 1.0
+"""Time for a check. A report takes no slot and is given within a round trip, but a target may stand
+still for a moment; without a report, its whole answer would be dropped."""
+
+_FIRST_PAUSE_S = 0.01
+"""Pause after a connection that was closed without an answer; doubled each time. A target that is
+exiting soon refuses connections, one at its connection limit may accept one."""
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -36,7 +37,7 @@
 class IdentityCheck:
     """Asks targets for their reports, on idle connections where there are any.
 
-    A target at its limit of connections would turn a new one away.
+    A target at its limit of connections may turn a new one away.
 
     Parameters
     ----------
@@ -48,46 +49,61 @@
 
     def __call__(self, target: TargetInfo) -> Liveness:
         """Return whether the target's process runs; UNKNOWN if nobody answers for it."""
-        for _ in range(MAX_CONNECTIONS):
-            try:
-                conn = self._pool.acquire(target.id, target.address, CONNECT_TIMEOUT_S)
-            except NotSent as exc:
-                if isinstance(exc.__cause__, ConnectionRefusedError):
-                    return Liveness.EXITED
-                if not isinstance(exc.__cause__, ConnectionError):
-                    return Liveness.UNKNOWN
-                time.sleep(RECONNECT_PAUSE_S)
-                continue
+        deadline, pause_s = time.monotonic() + _CHECK_TIMEOUT_S, _FIRST_PAUSE_S
+        while time.monotonic() + pause_s < deadline:
             try:
-                return self._ask(target, conn)
-            except ConnectionBroken:
-                conn.close()
-                time.sleep(RECONNECT_PAUSE_S)
-            except OutcomeUnknown:
-                conn.close()
+                return self._ask(target, deadline)
+            except ConnectionRefusedError:
+                return Liveness.EXITED
+            except (ConnectionError, ConnectionBroken):
+                time.sleep(pause_s)
+                pause_s *= 2
+            except (OSError, OutcomeUnknown):
                 return Liveness.UNKNOWN
         return Liveness.UNKNOWN
 
-    def _ask(self, target: TargetInfo, conn: TargetConnection) -> Liveness:
-        deadline = time.monotonic() + _ANSWER_TIMEOUT_S
-        headers = [("Host", target.address), expectation_header(target)]
-        conn.send(TargetRequest("GET", _REPORT_PATH, headers, b""), _ANSWER_TIMEOUT_S)
-        head = conn.read_head("GET", _ANSWER_TIMEOUT_S)
-        found = _liveness(target, head, conn.read_body(deadline))
+    def _ask(self, target: TargetInfo, deadline: float) -> Liveness:
+        try:
+            conn = self._pool.acquire(target.id, target.address, CONNECT_TIMEOUT_S)
+        except NotSent as exc:
+            raise exc.__cause__ from None
+        head = None
+        try:
+            head, body = _request_report(target, conn, deadline)
+        finally:
+            if head is None:
+                conn.close()
         self._pool.release(target.id, conn, head)
-        return found
+        return _liveness(target, head, body)
+
+
+def _request_report(
+    target: TargetInfo, conn: TargetConnection, deadline: float
+) -> tuple[AnswerHead, bytes]:
+    left_s = max(0.0, deadline - time.monotonic())
+    headers = [("Host", target.address), expectation_header(target)]
+    conn.send(TargetRequest("GET", _REPORT_PATH, headers, b""), left_s)
+    head = conn.read_head("GET", left_s)
+    return head, conn.read_body(deadline)
 
 
 def _liveness(target: TargetInfo, head: AnswerHead, body: bytes) -> Liveness:
+    """Return what an answer shows; a gateway's in the place of the target's shows nothing."""
     if is_other_instance(head):
         return Liveness.EXITED
-    if not is_from_target(head):
+    if says_not_run(head):
+        # Plain services give no report, but refuse what has no request id.
+        return Liveness.RUNNING
+    if head.status != _HTTP_OK:
         return Liveness.UNKNOWN
     try:
         born = decode_json(body, _Report).born
     except DecodingError:
-        # Plain services give no report, but the answer is theirs.
+        return Liveness.UNKNOWN
+    if target.id == target_id(target.instance_name, msgspec.UNSET):
+        # Its entry has no start time to compare.
         return Liveness.RUNNING
-    is_known = born is not msgspec.UNSET
-    restarted = is_known and target_id(target.instance_name, born) != target.id
-    return Liveness.EXITED if restarted else Liveness.RUNNING
+    if born is msgspec.UNSET:
+        return Liveness.UNKNOWN
+    is_same = target.id == target_id(target.instance_name, born)
+    return Liveness.RUNNING if is_same else Liveness.EXITED
--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -32,7 +32,7 @@
         Called when the whole answer, or the first event of a stream, has arrived.
     check_closed_answer : callable
         Called when the close of its connection has ended an answer; raises
-        :class:`~turmerictray.core.errors.ConnectionBroken` if the target has crashed.
+        :class:`~turmerictray.core.errors.OutcomeUnknown` unless the target is known to run.
     on_report : callable
         Called with what the head of the answer tells of its target, if it tells anything.
     await_other_target : callable
