An abort of a call is over before its connection serves another; calls after a stop's abort are aborted

And requests that began after abort_all() ended by the server's own shutdown of their sockets, which looks like their callers' close.

The abort runs within the lock, so that on_disconnect(None) waits for it; the monitor aborts calls that are added later. Both tests failed before: the first returned before the abort was over, the second had no closer.

--- a/tests/transport/test_disconnect.py
+++ b/tests/transport/test_disconnect.py
@@ -1,8 +1,9 @@
 """Immediate detection of a caller's disconnect."""
 
 import socket
+from threading import Event, Thread, Timer
 
-from turmerictray.transport.disconnect import CancellableCall, DisconnectMonitor
+from turmerictray.transport.disconnect import CancellableCall, Closer, DisconnectMonitor
 
 
 def test_check_detects_disconnect_and_aborts_the_call():
@@ -33,3 +34,34 @@
     assert not gone.on_disconnect(lambda: None)
     monitor.remove(gone)
     near.close()
+
+
+def test_abort_of_a_call_ends_before_its_connection_serves_another():
+    """Guards against a caller that leaves late and ends the next request on its connection."""
+    near, far = socket.socketpair()
+    call, is_aborting, may_go_on, aborted = CancellableCall(near), Event(), Event(), []
+
+    def abort() -> None:
+        is_aborting.set()
+        may_go_on.wait(5)
+        aborted.append(True)
+
+    call.on_disconnect(abort)
+    Thread(target=call.handle_disconnect).start()
+    assert is_aborting.wait(5)
+    Timer(0.05, may_go_on.set).start()
+    assert not call.on_disconnect(None)
+    assert aborted
+    near.close()
+    far.close()
+
+
+def test_call_that_begins_after_a_stop_has_aborted_all_is_aborted():
+    """Guards against a late request whose end by this router counts as its caller's."""
+    near, far = socket.socketpair()
+    monitor, call = DisconnectMonitor(), CancellableCall(near)
+    assert monitor.abort_all() == 0
+    monitor.add(call)
+    assert call.closer is Closer.ROUTER_STOP
+    near.close()
+    far.close()
--- a/turmerictray/transport/disconnect.py
+++ b/turmerictray/transport/disconnect.py
@@ -50,7 +50,7 @@
         self.fd = sock.fileno()
         # A socket that was closed meanwhile, as on a shutdown, has no descriptor to poll.
         self.caller_gone = self.fd < 0
-        self.closer = Closer.CALLER if self.caller_gone else None
+        self.closer = Closer.ROUTER_STOP if self.caller_gone else None
         self._lock = threading.Lock()
         self._abort: Callable[[], None] | None = None
 
@@ -62,8 +62,10 @@
             self.caller_gone = True
             self.closer = closer
             abort, self._abort = self._abort, None
-        if abort is not None:
-            abort()
+            # Within the lock: once on_disconnect() has returned, the operation's connection may
+            # belong to another request.
+            if abort is not None:
+                abort()
 
     def check_disconnected(self) -> bool:
         """Poll the caller's connection now; return whether the caller has disconnected."""
@@ -104,6 +106,7 @@
 
     def __init__(self, on_scan: Callable[[], None] = lambda: None) -> None:
         self._calls: dict[int, CancellableCall] = {}
+        self._is_aborted = False
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._on_scan = on_scan
@@ -119,10 +122,13 @@
         self._thread.join(timeout=2)
 
     def add(self, call: CancellableCall) -> None:
-        """Start monitoring a call's connection."""
+        """Start monitoring a call's connection; cancel it at once after :meth:`abort_all`."""
         with self._lock:
             if call.fd >= 0:
                 self._calls[call.fd] = call
+            is_aborted = self._is_aborted
+        if is_aborted:
+            call.handle_disconnect(Closer.ROUTER_STOP)
 
     def remove(self, call: CancellableCall) -> None:
         """Stop monitoring a call's connection, which then belongs to the server again."""
@@ -130,13 +136,16 @@
             self._calls.pop(call.fd, None)
 
     def abort_all(self) -> int:
-        """Abort all calls in progress as if their callers had disconnected; return their number.
+        """Abort all calls as if their callers had disconnected; return how many are in progress.
+
+        Calls that are added later are aborted at once.
 
         On shutdown the server waits for its threads one after another. If each stream were aborted
         only when the server waits for its thread, all streams together would take far longer than
         a process is given to stop.
         """
         with self._lock:
+            self._is_aborted = True
             calls = list(self._calls.values())
         for call in calls:
             call.handle_disconnect(Closer.ROUTER_STOP)
