An answer without chunks is set to be reset before its head is sent

By reading (a reviewer): a router killed between the head and the option left a caller of HTTP/1.0 a 200 with an empty body that ends properly. The order is reversed; test_abort and test_connections pass as before, none could show the moment between.

--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -193,9 +193,11 @@
         The caller sees the answer as incomplete unless :meth:`end_stream` is called.
         """
         self._is_unfinished = True
+        # Before the head: without chunks the close that follows a kill would end the answer.
+        self._req.conn.set_reset_on_close(True)
         self._send_head(status, headers)
-        if not self._req.chunked_write:
-            self._req.conn.set_reset_on_close(True)
+        if self._req.chunked_write:
+            self._req.conn.set_reset_on_close(False)
 
     def send(self, data: bytes) -> None:
         """Send part of a streamed body; raises :class:`CallerGone`."""
