--- a/tests/platform/features/streams.feature
+++ b/tests/platform/features/streams.feature
@@ -53,6 +53,7 @@
     When a caller requests the stream <target>
     Then the answer is <outcome>
     And the caller received the events 1 to <last>
+    And the log says closed_by=target target_check=unknown
 
     Examples:
       | target   | outcome   | last |
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -40,6 +40,7 @@
         caller.close()
     assert all(answer.status == 200 and answer.event_ids() for answer in answers)
     assert not any(answer.complete for answer in answers)
+    assert "closed_by=router_stop outcome=cut" in router.log_path.read_text()
 
 
 @pytest.mark.process
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -81,6 +81,12 @@
     assert not ctx["answer"].complete
 
 
+@then(parsers.parse("the log says {fields}"))
+def log_says(deployment, fields):
+    log = deployment.routers[0].log_path
+    assert wait_for(lambda: f" {fields} " in log.read_text())
+
+
 @then(parsers.parse("the caller received the events {first:d} to {last:d}"))
 def received_events(ctx, first, last):
     assert ctx["answer"].event_ids() == list(range(first, last + 1))
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -217,11 +217,11 @@
     """Guards against a shutdown of the connection here that is taken for the target's close."""
     head, wire = make_answer(framing, is_stream, 200)
     target.how = "silence"
-    for cut in [-5, *(STREAM_BOUNDARIES[:-1] if is_stream else (0, 3, len(wire) - 1))]:
+    cuts = [-5, *(STREAM_BOUNDARIES[:-1] if is_stream else (0, 3, len(wire) - 1))]
+    for cut in cuts + [len(wire)] * (framing == "none"):
         target.data = (head + wire)[: len(head) + cut]
-        complete, _, conn = relay(target, abort_after_s=_READ_TIMEOUT_S)
-        conn.close()
-        assert not complete, (cut, target.data[-20:])
+        with pytest.raises(OutcomeUnknown, match="given up"):
+            relay(target, abort_after_s=_READ_TIMEOUT_S, raises=True)
 
 
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
--- a/turmerictray/router/progress.py
+++ b/turmerictray/router/progress.py
@@ -56,7 +56,7 @@
     unfinished_bytes : int
         Bytes received after the last complete event of the last stream.
     closer : Closer or None
-        Who closed the connection of the last answer; None if it proved complete before.
+        Who closed the connection of the last attempt; None if its answer proved complete before.
     liveness : Liveness or None
         What the check of an answer that only a close ended found out about its target.
     """
@@ -79,7 +79,7 @@
 
     def begin_attempt(self) -> None:
         """Begin an attempt at another target."""
-        self.first_event_at = None
+        self.first_event_at = self.closer = self.liveness = None
 
     def seconds_since_first_event(self, now: float) -> float:
         """Return the seconds since the first event of the current attempt; 0 before it."""
@@ -117,6 +117,11 @@
         """Record what the check of an answer that only a close ended found out."""
         self.liveness = found
 
+    def end_fields(self) -> dict[str, str]:
+        """Return log fields: who closed the connection of the last attempt, and its check."""
+        fields = {"closed_by": self.closer, "target_check": self.liveness}
+        return {name: found.value for name, found in fields.items() if found is not None}
+
     def allows_retry(self, left_s: float) -> bool:
         """Return whether the request may be sent to another target with ``left_s`` seconds left."""
         if left_s < _MIN_ATTEMPT_S or self.delivered_attempts >= self.route.max_attempts:
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -13,7 +13,6 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
-    ConnectionBroken,
     NoTarget,
     NotSent,
     OutcomeUnknown,
@@ -196,6 +195,7 @@
             may_have_run=self._progress.may_have_run,
             left_ms=round(left_s * 1000),
             again=again,
+            **self._progress.end_fields(),
             reason=f"{type(exc).__name__}: {exc}"[:200],
         )
 
@@ -419,8 +419,13 @@
         self._progress.begin_attempt()
         relay = self._relay(granted)
         try:
-            head = self._exchange_heads(conn, granted)
-            relay.relay_answer(conn, head, is_last_attempt=not self._progress.may_abandon_attempt())
+            try:
+                head = self._exchange_heads(conn, granted)
+                is_last = not self._progress.may_abandon_attempt()
+                relay.relay_answer(conn, head, is_last_attempt=is_last)
+            finally:
+                # Before the connection is closed or used for another request.
+                self._call.on_disconnect(None)
         except TargetBusy:
             self._progress.record_not_run(target.id)
             slot.settle(Outcome.NOT_RUN, 0.0)
@@ -435,7 +440,7 @@
             raise
         except TurmerictrayError as exc:
             conn.close()
-            self._progress.closer = self._closer(isinstance(exc, ConnectionBroken))
+            self._progress.closer = self._closer(conn)
             self._settle_broken_attempt(exc, granted, slot)
             raise
         except Exception:
@@ -443,16 +448,16 @@
             conn.close()
             self._progress.record_possible_run(target.id)
             raise
-        finally:
-            self._call.on_disconnect(None)
         if self._progress.body_end is BodyEnd.CONNECTION_CLOSE:
-            self._progress.closer = self._closer(closed_by_target=True)
+            self._progress.closer = self._closer(conn)
         self._progress.delivered_attempts += 1
         slot.settle(relay.outcome, self._routed.cost, self._record_answer(head))
         self._deps.pool.release(target.id, conn, head)
 
-    def _closer(self, closed_by_target: bool) -> Closer:
-        return self._call.closer or (Closer.TARGET if closed_by_target else Closer.ROUTER)
+    def _closer(self, conn: TargetConnection) -> Closer:
+        if conn.is_closed_by_target:
+            return Closer.TARGET
+        return self._call.closer or Closer.ROUTER
 
     def _record_answer(self, head: AnswerHead) -> CrashVerdict | None:
         """Record a complete answer; return what the scheduler has to know of it."""
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -129,10 +129,7 @@
                 fields["unfinished_bytes"] = self.progress.unfinished_bytes
             if self.progress.last_event_id is not None:
                 fields["last_id"] = self.progress.last_event_id[:_MAX_ID_LENGTH]
-            if self.progress.closer is not None:
-                fields["closed_by"] = self.progress.closer.value
-            if self.progress.liveness is not None:
-                fields["target_check"] = self.progress.liveness.value
+            fields.update(self.progress.end_fields())
         return fields
 
 
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -44,6 +44,11 @@
     sock : socket.socket
     raw : socket.SocketIO
         Reads from ``sock``.
+
+    Attributes
+    ----------
+    is_closed_by_peer : bool
+        Whether a read has found the connection closed or broken by the peer.
     """
 
     def __init__(self, sock: socket.socket, raw: socket.SocketIO) -> None:
@@ -53,6 +58,7 @@
         self._read_timeout_s = math.inf
         self._left = math.inf
         self._is_given_up = False
+        self.is_closed_by_peer = False
 
     def give_up(self) -> None:
         """Shut the connection down, from any thread; a blocked read or write fails at once."""
@@ -112,9 +118,14 @@
             if left_s <= 0:
                 raise TimeoutError("timed out")
             self._sock.settimeout(None if left_s == math.inf else left_s)
-        count = self._raw.readinto(buffer)
+        try:
+            count = self._raw.readinto(buffer)
+        except ConnectionError:
+            self.is_closed_by_peer = not self._is_given_up
+            raise
         if self._is_given_up:
             raise ConnectionGivenUp("given up by this process")
+        self.is_closed_by_peer = count == 0
         self._left -= count or 0
         if self._left < 0:
             raise InputTooLarge("more bytes than an answer may have")
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -247,6 +247,11 @@
         """What delimits the body of the current answer."""
         return self._body.end
 
+    @property
+    def is_closed_by_target(self) -> bool:
+        """Whether the target was seen to close or break the connection, not this router."""
+        return self._input.is_closed_by_peer
+
     def is_reusable(self) -> bool:
         """Return whether the answer is complete and the connection may carry another request."""
         body = self._body
