A stopping router answers what it has accepted before it ends

Cause: the front went on accepting after the drain, until its loop ended. Connections that the loop had accepted but not read, and those in the kernel's queue, were then closed with their requests unread, which resets them.

Change: at the end of its drain, a router lets the front's loop accept what the kernel has queued, closes the listening socket and goes on serving, until each request that has arrived is decided on: it is answered, mostly refused as draining. Connections that were opened and have sent nothing get a second for it, if the drain has that much left; idle ones of answered callers are not waited for. Only then is the drain done. The former daemon's server does the same in stop(), as does a front that is stopped without a drain, for 0.2 s at most. The drain's deadline stays where it was: where streams use up all of the grace period, the socket is closed 0.2 s before it.

Ruled out: closing the socket from the stopping thread, as the loop's selector allows no other, and the close resets what is queued.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -2,6 +2,8 @@
 
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
 
 import pytest
 
@@ -12,6 +14,7 @@
 """Grace period in the settings of :class:`LocalDeployment`, after which a process is killed."""
 
 STREAMS = 40
+CALLERS = 4
 
 
 @pytest.mark.process
@@ -38,3 +41,33 @@
     for caller in callers:
         caller.close()
     assert took_s < GRACE_S
+
+
+@pytest.mark.process
+def test_every_caller_whose_connection_a_stopping_router_accepts_is_answered(start_deployment):
+    """Guards against requests that arrive between the end of a drain and that of its process."""
+    router = start_deployment(routers=1, engines=1).routers[0]
+    time.sleep(1.0)
+    with ThreadPoolExecutor(CALLERS) as pool:
+        results = [pool.submit(_ask_until_refused, router.front) for _ in range(CALLERS)]
+        time.sleep(0.2)
+        router.signal(signal.SIGTERM)
+        statuses = [status for result in results for status in result.result(2 * GRACE_S)]
+    assert router.wait() == 0
+    assert set(statuses) == {200, 503}
+
+
+def _ask_until_refused(front: tuple[str, int]) -> list[int]:
+    """Return the statuses of requests, each on a connection of its own; 0 for no answer."""
+    statuses = []
+    while True:
+        try:
+            caller = RawCaller(front)
+        except ConnectionRefusedError:
+            return statuses
+        with closing(caller):
+            try:
+                statuses.append(caller.request("GET", "/ping/1").status)
+            except ConnectionError:
+                statuses.append(0)
+        time.sleep(0.002)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -59,6 +59,7 @@
 from turmerictray.transport.pool import ConnectionPool
 from turmerictray.transport.probe import FrontProbe
 from turmerictray.transport.server import FrontServer
+from turmerictray.transport.strict_server import LAST_REQUESTS_S
 
 _EXPIRY_INTERVAL_S = 0.05
 """Interval in seconds at which pending requests past their deadline expire; the maximum delay of
@@ -388,7 +389,11 @@
         return time.monotonic()
 
     def _finish_drain(self, begun_at: float) -> None:
-        self._wait_idle(begun_at + self.settings.grace_s - _STOP_RESERVE_S)
+        deadline = begun_at + self.settings.grace_s - _STOP_RESERVE_S
+        self._wait_idle(deadline - LAST_REQUESTS_S)
+        if self._front is not None:
+            self._front.stop_accepting(max(LAST_REQUESTS_S, deadline - time.monotonic()))
+        self._wait_idle(deadline)
         log_event(
             "drain_done", in_progress=len(self._watch), s=round(time.monotonic() - begun_at, 2)
         )
--- a/turmerictray/router/server.py
+++ b/turmerictray/router/server.py
@@ -8,7 +8,7 @@
 from turmerictray.config.routes import FrontLimits
 from turmerictray.core.logs import log_event
 from turmerictray.core.supervision import SupervisedThread
-from turmerictray.transport.strict_server import HeadDeadlines, StrictServerMixin
+from turmerictray.transport.strict_server import LAST_REQUESTS_S, HeadDeadlines, StrictServerMixin
 
 _LIMITS_CHECK_INTERVAL_S = 0.25
 """Interval between checks for overdue request heads and for changed limits."""
@@ -74,6 +74,7 @@
 
     def stop(self) -> None:
         """Stop accepting connections and wait up to cheroot's shutdown timeout for requests."""
+        self.server.stop_accepting(LAST_REQUESTS_S)
         self._stop.set()
         self.server.stop()
         self._thread.join(timeout=10)
--- a/turmerictray/transport/server.py
+++ b/turmerictray/transport/server.py
@@ -12,7 +12,7 @@
 from turmerictray.core.supervision import SupervisedThread, report_item_failure
 from turmerictray.transport.exchange import ClientExchange, RequestHead
 from turmerictray.transport.fast_path import is_complete_request, peek_received, try_fast_path
-from turmerictray.transport.strict_server import HeadDeadlines, StrictServerMixin
+from turmerictray.transport.strict_server import LAST_REQUESTS_S, HeadDeadlines, StrictServerMixin
 from turmerictray.transport.threads import GrowingThreadPool
 
 _IDLE_TIMEOUT_FACTOR = 1.2
@@ -106,6 +106,7 @@
         if conn.last_used is None:
             super().process_conn(conn)
             return
+        self.unread.add(conn, has_arrived=True)
         data = None if conn.rfile.has_data() else peek_received(conn.socket)
         if data == b"":
             # The caller has closed an idle connection.
@@ -162,6 +163,7 @@
 
     def finish_reading(self, conn: HTTPConnection) -> None:
         """Free the connection's read slot for another request."""
+        super().finish_reading(conn)
         self.requests.read_limiter.release(conn)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
@@ -211,8 +213,13 @@
         """Close each connection after its next answer."""
         self._server.draining = True
 
+    def stop_accepting(self, timeout_s: float) -> None:
+        """Refuse new connections, and answer or decide on what has arrived on the open ones."""
+        self._server.stop_accepting(timeout_s)
+
     def stop(self) -> None:
         """Stop accepting; requests in progress get a short time to finish."""
+        self.stop_accepting(LAST_REQUESTS_S)
         self._server.stop()
         self._thread.join(timeout=2)
 
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 
 from cheroot.server import HTTPConnection
 
@@ -24,6 +25,44 @@
 """Connections accepted in one iteration of the server's loop; bounded so that a flood of new
 connections doesn't delay the open ones."""
 
+LAST_REQUESTS_S = 0.2
+"""Time that a server always has for requests on open connections before it stops, in seconds."""
+
+_EXPECTED_S = 1.0
+"""Time for which a server that stops waits at most for the first request on a connection, in
+seconds. It follows within a round trip, but some callers connect long before they ask."""
+
+
+class UnreadConnections:
+    """Connections on which a request is expected or has not been read and decided on yet.
+
+    These are new ones, and those with a request that has arrived. Idle connections of callers that
+    have their answer don't count.
+    """
+
+    def __init__(self) -> None:
+        self._connections: dict[HTTPConnection, bool] = {}
+        self._changed = threading.Condition()
+
+    def add(self, conn: HTTPConnection, has_arrived: bool) -> None:
+        """Expect a request on a connection, of which some bytes have arrived or none."""
+        with self._changed:
+            self._connections[conn] = has_arrived
+
+    def discard(self, conn: HTTPConnection) -> None:
+        """Note that a connection's request is decided on, or that the connection is closed."""
+        with self._changed:
+            if self._connections.pop(conn, None) is not None:
+                self._changed.notify_all()
+
+    def wait(self, deadline: float) -> None:
+        """Wait until all requests are decided on, and briefly for those of which none has come."""
+        with self._changed:
+            left_s = deadline - time.monotonic()
+            self._changed.wait_for(lambda: not self._connections, min(left_s, _EXPECTED_S))
+            left_s = deadline - time.monotonic()
+            self._changed.wait_for(lambda: not any(self._connections.values()), left_s)
+
 
 class HeadDeadlines:
     """Time limit for whole request heads.
@@ -79,6 +118,10 @@
     RequestHandlerClass = _TimedRequest
     _resets = False
 
+    def __init__(self, server: "StrictServerMixin", *args: object) -> None:
+        super().__init__(server, *args)
+        server.unread.add(self, has_arrived=False)
+
     def set_reset_on_close(self, resets: bool) -> None:
         """Set whether closing the connection resets it, also if the process is killed.
 
@@ -93,6 +136,7 @@
 
         An exception here would end the worker thread, and with it the whole server.
         """
+        self.server.unread.discard(self)
         try:
             self._close()
         except Exception as exc:  # noqa: BLE001 - one connection must not end all others
@@ -130,28 +174,63 @@
     """Connections that may wait to be accepted; the kernel drops further ones, and their callers
     try again after a second."""
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        self.unread = UnreadConnections()
+        self._accepts_no_more = threading.Event()
+        self._is_listening_closed = threading.Event()
+        super().__init__(*args, **kwargs)
+
     def process_conn(self, conn: HTTPConnection) -> None:
         """Process a connection that is new or has data to read."""
         if conn.last_used is not None:
+            self.unread.add(conn, has_arrived=True)
             super().process_conn(conn)
             return
         self.add_new_connection(conn)
-        self._accept_pending()
+        if self._accepts_no_more.is_set():
+            self._close_listening()
+        else:
+            self._accept_pending(_MAX_ACCEPTS_PER_ITERATION)
+
+    def stop_accepting(self, timeout_s: float) -> None:
+        """Close the listening socket, and wait until what callers have sent is decided on.
+
+        Only the first call has an effect.
+
+        Connections that the kernel has accepted are served like all others; closing the socket
+        would reset them. The server's loop does so, as its selector is not safe for other threads.
+        """
+        if self._accepts_no_more.is_set() or not self.ready:
+            return
+        deadline = time.monotonic() + timeout_s
+        self._accepts_no_more.set()
+        # The loop wakes for a new connection only; if none can be opened, some are waiting.
+        with suppress(OSError), socket.create_connection(self.bind_addr, timeout_s):
+            self._is_listening_closed.wait(deadline - time.monotonic())
+        self.unread.wait(deadline)
+
+    def _close_listening(self) -> None:
+        self._accept_pending(self.request_queue_size)
+        self._connections._selector.unregister(self.socket.fileno())
+        self.socket.close()
+        self.socket = None
+        self._is_listening_closed.set()
 
     def add_new_connection(self, conn: HTTPConnection) -> None:
         """Process a connection that has just been accepted."""
         super().process_conn(conn)
 
     def finish_reading(self, conn: HTTPConnection) -> None:
-        """Hook: a connection's request has been read and decided on, or has ended."""
+        """Note that a connection's request has been read and decided on, or has ended."""
+        self.unread.discard(conn)
 
-    def _accept_pending(self) -> None:
+    def _accept_pending(self, max_accepts: int) -> None:
         # cheroot's loop accepts one connection per iteration, and an iteration handles every open
         # connection that has a request. During a flood on open connections, each new caller would
         # otherwise wait one more iteration.
         poller = select.poll()
         poller.register(self.socket, select.POLLIN)
-        for _ in range(_MAX_ACCEPTS_PER_ITERATION):
+        for _ in range(max_accepts):
             if not poller.poll(0):
                 return
             self.accept_connection()
