The relay of an exited worker holds its port and truly stops listening

Cause: not seen at work, as the failure came once. Two ways were found by which such a connection is accepted after refuse_connections(), each of which a test shows: a process that is forked at that moment has a copy of the listening socket, which goes on listening after the close; and the port, chosen by the system, is free at once, so that any other process may get it for its own socket.

Change: the socket is shut down before it is closed, which ends it in all processes, and a second socket that never listens keeps the port until the network is closed.

Ruled out: keeping the shut-down socket open in place of a second one; Linux gives up a port that it has chosen itself when the socket is shut down (by reading).

Test tool only, no part of the router.

--- a/tests/loadtool/test_relay.py
+++ b/tests/loadtool/test_relay.py
@@ -1,5 +1,6 @@
 """Relayed links emulate partitions, delays, stalled connections and resets."""
 
+import os
 import socket
 import time
 
@@ -146,3 +147,26 @@
         connect()
     sock.sendall(b"b")
     assert sock.recv(1) == b"b"
+
+
+def test_exited_target_refuses_connections_while_a_new_process_has_its_descriptors(
+    network, connect
+):
+    """Guards against a socket that listens on in a process that is forked at that moment."""
+    (link,) = network.links
+    copy = os.dup(link.server.sockets[0].fileno())
+    try:
+        network.refuse_connections("far")
+        with pytest.raises(ConnectionRefusedError):
+            connect()
+    finally:
+        os.close(copy)
+
+
+def test_port_of_an_exited_target_is_taken_by_no_other_process(network):
+    """Guards against a connection to an exited target that another process accepts."""
+    port = network.add_link("near", "far", 1)
+    network.refuse_connections("far")
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        other.bind(("127.0.0.1", port))
--- a/turmerictray/loadtool/relay.py
+++ b/turmerictray/loadtool/relay.py
@@ -53,6 +53,8 @@
         The open connections.
     server : asyncio.Server or None
         Listens on ``port``.
+    port_holder : socket.socket or None
+        Keeps ``port`` from being taken by another process once ``server`` is closed.
     """
 
     source: str
@@ -63,6 +65,7 @@
     delay_s: float = 0.0
     connections: set[_Connection] = field(default_factory=set)
     server: asyncio.Server | None = None
+    port_holder: socket.socket | None = None
 
     def connects(self, sources: set[str], targets: set[str]) -> bool:
         """Return whether the link connects any of ``sources`` and ``targets``, either way."""
@@ -132,7 +135,7 @@
         async def close() -> None:
             for link in self.links:
                 if link.target == target:
-                    link.server.close()
+                    _stop_listening(link.server)
 
         self._run(close())
 
@@ -157,6 +160,8 @@
     def close(self) -> None:
         """Stop relaying and end the open connections."""
         self._run(self._cancel_tasks())
+        for link in self.links:
+            link.port_holder.close()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(timeout=2)
 
@@ -187,8 +192,9 @@
             with suppress(asyncio.CancelledError):  # The network is being closed.
                 await self._relay_connection(link, host, reader, writer)
 
-        link.server = await asyncio.start_server(accept, "127.0.0.1", 0)
-        link.port = link.server.sockets[0].getsockname()[1]
+        link.port_holder = _hold_port()
+        link.port = link.port_holder.getsockname()[1]
+        link.server = await asyncio.start_server(accept, "127.0.0.1", link.port, reuse_port=True)
         self.links.append(link)
         return link.port
 
@@ -233,6 +239,24 @@
             writer.close()
 
 
+def _hold_port() -> socket.socket:
+    """Return a socket that is bound to a free port and doesn't listen.
+
+    The port can be shared by a socket that listens, but is given to no other process.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
+def _stop_listening(server: asyncio.Server) -> None:
+    # A process that is forked at this moment has a copy of the socket, which the close leaves open.
+    for sock in server.sockets:
+        sock.shutdown(socket.SHUT_RDWR)
+    server.close()
+
+
 def _is_reset(reader: asyncio.StreamReader, sender: asyncio.StreamWriter) -> bool:
     """Return whether the sender of what was read has reset its connection since."""
     if isinstance(reader.exception(), ConnectionResetError):
