Requests that come after a stop's abort are refused as before

Each stop refuses new requests before it aborts those in progress, so such a call is answered 503 (draining, not run); aborted at once, it would have ended without an answer.

--- a/turmerictray/transport/disconnect.py
+++ b/turmerictray/transport/disconnect.py
@@ -106,7 +106,6 @@
 
     def __init__(self, on_scan: Callable[[], None] = lambda: None) -> None:
         self._calls: dict[int, CancellableCall] = {}
-        self._is_aborted = False
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._on_scan = on_scan
@@ -122,13 +121,10 @@
         self._thread.join(timeout=2)
 
     def add(self, call: CancellableCall) -> None:
-        """Start monitoring a call's connection; cancel it at once after :meth:`abort_all`."""
+        """Start monitoring a call's connection."""
         with self._lock:
             if call.fd >= 0:
                 self._calls[call.fd] = call
-            is_aborted = self._is_aborted
-        if is_aborted:
-            call.handle_disconnect(Closer.ROUTER_STOP)
 
     def remove(self, call: CancellableCall) -> None:
         """Stop monitoring a call's connection, which then belongs to the server again."""
@@ -136,16 +132,13 @@
             self._calls.pop(call.fd, None)
 
     def abort_all(self) -> int:
-        """Abort all calls as if their callers had disconnected; return how many are in progress.
-
-        Calls that are added later are aborted at once.
+        """Abort all calls in progress as if their callers had disconnected; return their number.
 
         On shutdown the server waits for its threads one after another. If each stream were aborted
         only when the server waits for its thread, all streams together would take far longer than
         a process is given to stop.
         """
         with self._lock:
-            self._is_aborted = True
             calls = list(self._calls.values())
         for call in calls:
             call.handle_disconnect(Closer.ROUTER_STOP)
