An answer to an HTTP/1.0 caller that breaks is reset on the product's own path too

What callers would see: without a length, the close of the connection is the answer's proper end to them, so that a part of a document, cut at its engine or by the end of the router's process, looked whole. Found by a reviewer (a raised exception ended it by FIN).

--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -24,7 +24,7 @@
 from turmerictray.config.schema import ServiceKind
 from turmerictray.core.errors import OutcomeUnknown
 from turmerictray.crashes import exit_detection
-from turmerictray.platform.standins.caller import RawAnswer, RawCaller
+from turmerictray.platform.standins.caller import RawAnswer, RawCaller, make_request
 from turmerictray.router.proxy import Proxy
 from turmerictray.router.server import HttpServer
 from turmerictray.router.upstream import Upstream
@@ -182,9 +182,10 @@
         start_response("200 OK", [("Content-Type", resp.headers["Content-Type"])])
         return pieces
 
-    def call() -> RawAnswer:
+    def call(version: bytes = b"1.1") -> RawAnswer:
         caller = RawCaller(server.server.bind_addr)
-        answer = caller.request("GET", "/")
+        caller.send(make_request("GET", "/").replace(b"HTTP/1.1", b"HTTP/" + version))
+        answer = caller.read()
         caller.close()
         return answer
 
@@ -194,13 +195,14 @@
     server.stop()
 
 
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
 @pytest.mark.parametrize("framing", ["length", "chunks"])
-def test_no_cut_answer_without_events_is_framed_as_whole(target, call_router, framing):
+def test_no_cut_answer_without_events_is_framed_as_whole(target, call_router, framing, version):
     """Guards against a part of a document, with an event after it, that ended as a whole one."""
     head, wire = make_answer(framing, False, 200)
     for cut in (0, 9, len(wire) - 1, len(wire)):
         target.data = head + wire[:cut]
-        answer = call_router()
+        answer = call_router(version)
         is_whole = cut == len(wire)
         assert (answer.status == 200 and answer.complete) == is_whole, cut
         assert b"data: " not in answer.body
--- a/turmerictray/router/server.py
+++ b/turmerictray/router/server.py
@@ -14,6 +14,20 @@
 """Interval between checks for overdue request heads and for changed limits."""
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Resets the connection of an HTTP/1.0 answer that doesn't come to its end.
+
+    Without a length a normal close would be the proper end of what has been sent.
+    """
+
+    def respond(self) -> None:
+        """Send the application's answer."""
+        conn = self.req.conn
+        conn.set_reset_on_close(self.req.response_protocol == "HTTP/1.0")
+        super().respond()
+        conn.set_reset_on_close(False)
+
+
 class _WsgiServer(StrictServerMixin, wsgi.Server):
     """A WSGI server with strict framing and limits on request heads."""
 
@@ -53,6 +67,7 @@
             shutdown_timeout=5,
             request_queue_size=1024,
         )
+        self.server.gateway = _Gateway
         self.server.head_deadlines = HeadDeadlines()
         self._limits = limits
         self.server.apply_limits(limits())
