A stop whose wake-up is accepted with other connections closes the port at once

Found by a reader of the change (shown: stop_accepting(3.0) took 3.0 s and the port still accepted): the loop looked at the flag before it accepted what waits, and the connection that wakes it may be among these. It looks afterwards now. The new test holds the loop there.

--- a/tests/transport/test_stop_accepting.py
+++ b/tests/transport/test_stop_accepting.py
@@ -94,6 +94,31 @@
     stopping.join(10)
 
 
+def test_wake_up_that_the_loop_accepts_with_others_ends_the_wait(servers, caller, monkeypatch):
+    """Guards against a stop that waits for the next caller, and a port that stays open."""
+    component, cheroot_server = servers
+    accept_pending = cheroot_server._accept_pending
+    is_held, may_go_on = threading.Event(), threading.Event()
+
+    def wait_and_accept(max_accepts):
+        is_held.set()
+        may_go_on.wait(5)
+        accept_pending(max_accepts)
+
+    monkeypatch.setattr(cheroot_server, "_accept_pending", wait_and_accept)
+    first = caller()
+    assert is_held.wait(5)
+    stopping = threading.Thread(target=cheroot_server.stop_accepting, args=(4.0,))
+    stopping.start()
+    time.sleep(0.2)
+    may_go_on.set()
+    first.send(REQUEST)
+    assert first.read().body == b"whole"
+    stopping.join(2)
+    assert not stopping.is_alive()
+    assert cheroot_server._is_listening_closed.is_set()
+
+
 def test_request_on_its_way_as_the_server_stops_is_answered(servers, caller):
     """Guards against a caller that has connected and is reset as its request arrives."""
     component, cheroot_server = servers
--- a/turmerictray/transport/strict_server.py
+++ b/turmerictray/transport/strict_server.py
@@ -187,10 +187,10 @@
             super().process_conn(conn)
             return
         self.add_new_connection(conn)
+        self._accept_pending(_MAX_ACCEPTS_PER_ITERATION)
+        # After the accepts, as the connection that wakes the loop may be among them.
         if self._accepts_no_more.is_set():
             self._close_listening()
-        else:
-            self._accept_pending(_MAX_ACCEPTS_PER_ITERATION)
 
     def stop_accepting(self, timeout_s: float) -> None:
         """Close the listening socket, and wait until what callers have sent is decided on.
