An escaped backslash before a half surrogate pair's letters leaves a key as it is

Found by a reader of the change (shown): on a page that is repaired, a key with a literal backslash was changed too, and two characters of any kind, a quote among them, counted as digits. test_store -k half_surrogate has such a key.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -61,10 +61,15 @@
 def test_half_surrogate_pairs_leave_whole_ones():
     """Guards against keys that are changed beside one that can't be read."""
     keys = [b'"\\ud83d\\ude00"', b'"\\ude00\\ud83d"', b'"\\ud83d\\ud83d\\ude00"']
+    keys.append(rb'"a\\ud800b"')
     items = [b'{"key": %s, "revision": 5}' % key for key in keys]
     with answering(page(*items)) as server:
         read = StoreClient(server.address).read_all("")
-    assert [item.key for item in read.items] == ["\U0001f600", "\ufffd\ufffd", "\ufffd\U0001f600"]
+    assert [item.key for item in read.items] == [
+        "\U0001f600",
+        "\ufffd\ufffd",
+        "\ufffd\U0001f600",
+    ] + [r"a\ud800b"]
 
 
 @pytest.mark.parametrize("value", [b"5", b"null", b"[1]", b'"\\ud800"', b'"x"', b"1e999"])
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -32,8 +32,12 @@
 """Response header with the store's era, which rises each time it is restored from a backup."""
 
 _HALF_SURROGATE_PAIR = re.compile(
-    rb"\\ud[89ab]..(?!\\ud[c-f])|(?<!\\ud[89ab]..)\\ud[c-f]..", re.IGNORECASE
+    rb"(?<!\\)((?:\\\\)*)"
+    rb"(?:\\ud[89ab][0-9a-f]{2}(?!\\ud[c-f][0-9a-f]{2})"
+    rb"|(?<!\\ud[89ab][0-9a-f]{2})\\ud[c-f][0-9a-f]{2})",
+    re.IGNORECASE,
 )
+"""An escape of half a pair; its backslash is not itself escaped."""
 
 _KEEPALIVE_OPTIONS = [
     *urllib3.connection.HTTPConnection.default_socket_options,
@@ -99,7 +103,7 @@
     except DecodingError:
         # A key may have been written in no encoding that JSON knows. The decoder refuses the whole
         # page for half a surrogate pair.
-        repaired = _HALF_SURROGATE_PAIR.sub(rb"\\ufffd", data)
+        repaired = _HALF_SURROGATE_PAIR.sub(rb"\1\\ufffd", data)
         if repaired == data:
             raise
         return decode_json(repaired, kind)
