The check of a target reads its address as the call does, and isn't asked about answers without a body

Found by a reader of the change (shown): on the product's own path an IPv6 address in brackets, or a URL without a port, could not be asked, which counts as unknown since this change, so that whole answers were dropped; so were 204 and 304 without a length. And breaks during a check that finds nothing out each waited for another one; they share its result now, as nobody had answered up to its end.

Tests: an IPv6 target, 204 and 304 without a check, eight breaks during one check.

--- a/tests/crashes/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -38,6 +38,32 @@
         assert check_server(server) is Liveness.RUNNING
 
 
+def test_target_at_an_ipv6_address_has_not_exited():
+    """Guards against whole answers that are dropped as brackets are taken for a part of a name."""
+    with socket.create_server(("::1", 0), family=socket.AF_INET6) as server:
+        port = server.getsockname()[1]
+        assert check_listening(target_at(f"[::1]:{port}")) is Liveness.RUNNING
+
+
+def test_breaks_during_a_check_that_finds_nothing_out_share_its_result():
+    """Guards against requests that wait one after the other for a target that doesn't answer."""
+    checked = []
+
+    def check(target: TargetInfo) -> Liveness:
+        checked.append(target)
+        time.sleep(0.1)
+        return Liveness.UNKNOWN
+
+    detector = TargetExitDetector(check)
+    with ThreadPoolExecutor(8) as pool:
+        calls = []
+        for _ in range(8):
+            calls.append(pool.submit(detector.find, TARGET, time.monotonic()))
+            time.sleep(0.005)
+    assert all(call.result() is Liveness.UNKNOWN for call in calls)
+    assert len(checked) == 1
+
+
 def test_process_that_is_exiting_has_exited():
     """Guards against missing an exit when connections break before the listener is closed."""
     server = socket.create_server(("127.0.0.1", 0))
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -73,6 +73,14 @@
         assert _read(target, False) == (size == len(head), b""), size
 
 
+@pytest.mark.parametrize("status", [204, 304])
+def test_answer_that_has_no_body_needs_no_check_of_its_target(target, status, monkeypatch):
+    """Guards against a whole answer that is dropped as nobody answers for its target."""
+    monkeypatch.setattr(exit_detection, "socket", None)
+    target.data, _ = make_answer("none", False, status)
+    assert _read(target, False) == (True, b"")
+
+
 @pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
 @pytest.mark.parametrize("interim", INTERIM_ANSWERS.values(), ids=INTERIM_ANSWERS)
 def test_no_interim_answer_passes_for_the_answer(target, interim, is_stream):
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -52,7 +52,8 @@
     host, _, port = target.address.rpartition(":")
     for _ in range(_MAX_CONNECTIONS):
         try:
-            with socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S) as sock:
+            address = host.strip("[]"), int(port)
+            with socket.create_connection(address, CONNECT_TIMEOUT_S) as sock:
                 return _check_open(sock)
         except ConnectionRefusedError:
             return Liveness.EXITED
@@ -81,7 +82,19 @@
 
     lock: threading.Lock = field(default_factory=threading.Lock)
     found: Liveness = Liveness.RUNNING
-    began_at: float = -math.inf
+    valid_until: float = -math.inf
+
+    def make(self, check: "TargetCheck", target: TargetInfo) -> None:
+        """Check the target, and note for which breaks the result holds."""
+        began_at = time.monotonic()
+        self.found = check(target)
+        if self.found is Liveness.EXITED:
+            self.valid_until = began_at + _EXIT_VALIDITY_S
+        elif self.found is Liveness.UNKNOWN:
+            # Nobody has answered for the target up to now.
+            self.valid_until = time.monotonic()
+        else:
+            self.valid_until = began_at
 
 
 class TargetExitDetector:
@@ -108,7 +121,7 @@
         return self.find(target, broken_at) is Liveness.EXITED
 
     def find(self, target: TargetInfo, broken_at: float) -> Liveness:
-        """Return whether a target runs.
+        """Return what is known of a target's process.
 
         Parameters
         ----------
@@ -118,12 +131,8 @@
         """
         check = self._check_of(target.id)
         with check.lock:
-            exited = check.found is Liveness.EXITED
-            valid_until = check.began_at + (_EXIT_VALIDITY_S if exited else 0.0)
-            if broken_at > valid_until:
-                began_at = time.monotonic()
-                check.found = self._check(target)
-                check.began_at = began_at
+            if broken_at > check.valid_until:
+                check.make(self._check, target)
             return check.found
 
     def _check_of(self, target: TargetId) -> _Check:
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -28,6 +28,7 @@
 from turmerictray.transport.retry_after import parse_retry_after_s
 
 _STREAM_CHUNK_BYTES = 4096
+_DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
 class _StreamConnection(urllib3.connection.HTTPConnection):
@@ -162,7 +163,7 @@
                 resp.close()
             resp.release_conn()
         if body_end_of(resp) is BodyEnd.CONNECTION_CLOSE:
-            target = _target_at(urllib3.util.parse_url(url).netloc or "")
+            target = _target_at(urllib3.util.parse_url(url))
             found = self._exits.find(target, time.monotonic())
             if found is not Liveness.RUNNING:
                 raise OutcomeUnknown(f"stream broke: {target.address} is {found.value} at its end")
@@ -203,6 +204,7 @@
     return pool.request(method, target, headers=headers | {"Connection": "close"}, **options)
 
 
-def _target_at(address: str) -> TargetInfo:
+def _target_at(url: urllib3.util.Url) -> TargetInfo:
     """Return a target of which only the address is known."""
+    address = f"{url.host}:{url.port or _DEFAULT_PORTS[url.scheme]}"
     return TargetInfo(TargetId(address), ServiceName(""), address, ZoneId(""), slots=0)
--- a/turmerictray/transport/body.py
+++ b/turmerictray/transport/body.py
@@ -16,7 +16,7 @@
 _DIGITS = re.compile(r"[0-9]{1,15}")
 CHUNK_HEADER = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r?\n")
 _LINE_ENDS = (b"\r\n", b"\n")
-_STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 class BodyEnd(Enum):
@@ -162,7 +162,7 @@
     ValueError
         The head delimits the body ambiguously.
     """
-    if method == "HEAD" or resp.status in _STATUSES_WITHOUT_BODY:
+    if method == "HEAD" or resp.status in STATUSES_WITHOUT_BODY:
         return LengthBody(reader, 0)
     codings = _values(resp, "Transfer-Encoding")
     lengths = set(_values(resp, "Content-Length"))
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -15,7 +15,7 @@
 
 from turmerictray.transport.answer_reader import AnswerReader, InputTooLarge
 from turmerictray.transport.answer_response import AnswerResponse
-from turmerictray.transport.body import CHUNK_HEADER, BodyEnd, body_of
+from turmerictray.transport.body import CHUNK_HEADER, STATUSES_WITHOUT_BODY, BodyEnd, body_of
 
 MAX_HEAD_BYTES = 256 << 10
 """Bytes that may be received for the head of an answer, interim answers included. A reader's buffer
@@ -262,7 +262,8 @@
     """Return what delimits the body of a bounded response."""
     if resp.chunked:
         return BodyEnd.LAST_CHUNK
-    return BodyEnd.LENGTH if "Content-Length" in resp.headers else BodyEnd.CONNECTION_CLOSE
+    has_length = "Content-Length" in resp.headers or resp.status in STATUSES_WITHOUT_BODY
+    return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION_CLOSE
 
 
 def bounded_pool_manager(
