A caller whose write fails, and a target whose connection breaks at the send, are logged as who closed

Found by a reader of the change, by reading: both were logged as closed_by=router. Whether a broken stream was out of time is decided by the moment of the break, not after the check of its target, which may take a second.

--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -13,6 +13,7 @@
 from turmerictray.core.errors import (
     AdmissionError,
     CallerGone,
+    ConnectionBroken,
     NoTarget,
     NotSent,
     OutcomeUnknown,
@@ -440,7 +441,7 @@
             raise
         except TurmerictrayError as exc:
             conn.close()
-            self._progress.closer = self._closer(conn)
+            self._progress.closer = self._closer(conn, exc)
             self._settle_broken_attempt(exc, granted, slot)
             raise
         except Exception:
@@ -454,10 +455,14 @@
         slot.settle(relay.outcome, self._routed.cost, self._record_answer(head))
         self._deps.pool.release(target.id, conn, head)
 
-    def _closer(self, conn: TargetConnection) -> Closer:
+    def _closer(self, conn: TargetConnection, exc: TurmerictrayError | None = None) -> Closer:
         if conn.is_closed_by_target:
             return Closer.TARGET
-        return self._call.closer or Closer.ROUTER
+        if self._call.closer is not None:
+            return self._call.closer
+        if isinstance(exc, CallerGone):
+            return Closer.CALLER
+        return Closer.TARGET if isinstance(exc, ConnectionBroken) else Closer.ROUTER
 
     def _record_answer(self, head: AnswerHead) -> CrashVerdict | None:
         """Record a complete answer; return what the scheduler has to know of it."""
@@ -491,7 +496,7 @@
             return Outcome.TARGET_ENDED
         # A stream cut at the route's time-out while its events still arrive is no failure of the
         # target. Counted as one, every long answer would divert prompts from the target.
-        out_of_time = time.monotonic() >= self._routed.bounds.answer_deadline
+        out_of_time = now >= self._routed.bounds.answer_deadline
         if out_of_time and self._progress.event_count:
             return Outcome.OUT_OF_TIME
         return Outcome.FAILED
