--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -260,6 +260,9 @@
         except AdmissionError as exc:
             refuse(request, pool, exc)
             return
+        except Exception:
+            give_back_charge(request, pool)
+            raise
         self._grants.request_round(pool, now)
 
     @staticmethod
