--- a/turmerictray/router/server.py
+++ b/turmerictray/router/server.py
@@ -1,5 +1,6 @@
 """A cheroot HTTP server for a WSGI application, as an application component."""
 
+import sys
 import threading
 from collections.abc import Callable
 
@@ -24,8 +25,12 @@
         """Send the application's answer."""
         conn = self.req.conn
         conn.set_reset_on_close(self.req.response_protocol == "HTTP/1.0")
-        super().respond()
-        conn.set_reset_on_close(False)
+        try:
+            super().respond()
+        finally:
+            # An application that raises before its head is answered with a failure.
+            is_cut = self.req.sent_headers and sys.exception() is not None
+            conn.set_reset_on_close(is_cut and self.req.response_protocol == "HTTP/1.0")
 
 
 class _WsgiServer(StrictServerMixin, wsgi.Server):
