--- a/tests/router/test_silent_stream.py
+++ b/tests/router/test_silent_stream.py
@@ -66,6 +66,8 @@
 
     body_end = BodyEnd.LAST_CHUNK
 
+    is_closed_by_target = False
+
     def __init__(self, before: list[bytes], after: list[bytes], goes_on: bool) -> None:
         self.address = "a"
         self.closed = False
