Logs and metrics tell who reads the store, why, and how old a router's data is

Nothing told which router reads the store, who confirmed its data, or how long a peer's message waited.

- store_reading: a line at each change, with the reason, the age of the data, the peer that confirmed it and the position
- lines of requests, refused ones without a route too, have text= (the version by which they were routed) and newest=, if a newer one was known to be in force at a peer
- /status: reads_store, store_age_s, confirmed_by, newest_text_version
- metrics: age of the store's state, whether the store is read, time of the last fetch from a peer, how long messages wait at PeerLink and CatchUp

--- a/tests/router/test_catch_up.py
+++ b/tests/router/test_catch_up.py
@@ -1,10 +1,12 @@
 """Tests for when a router that missed a routing configuration asks a peer for it."""
 
+import time
+
 import pytest
 
 from turmerictray.core.ids import NodeId, TargetName, ZoneId
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
-from turmerictray.router.catch_up import CatchUp, LagTracker
+from turmerictray.router.catch_up import CatchUp, LagTracker, MessageArrived
 from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PeerDocs,
@@ -102,12 +104,13 @@
     )
 
 
-def message_from_reader(uninterrupted_s: float) -> PeerMessage:
+def message_from_reader(uninterrupted_s: float) -> MessageArrived:
     """Return the message of a peer that knows the same documents."""
     summary = RouterSummary(
         "r2", 1, 3, [], {}, [], targets_revision=7, uninterrupted_s=uninterrupted_s
     )
-    return PeerMessage(MemberEntry("r2", "z", "tcp://r2", 1, 9), summary, [], "r2:80")
+    message = PeerMessage(MemberEntry("r2", "z", "tcp://r2", 1, 9), summary, [], "r2:80")
+    return MessageArrived(message, time.monotonic())
 
 
 @pytest.mark.parametrize(("peer_s", "fetches"), [(3.0, 0), (9.0, 1)])
@@ -137,7 +140,8 @@
 def hear_text(catch_up: CatchUp, peer: str, version: int) -> None:
     summary = RouterSummary(peer, 1, version, [], {}, [])
     entry = MemberEntry(peer, "z", f"tcp://{peer}", 1, 9)
-    catch_up.on_receive(PeerMessage(entry, summary, [], f"{peer}:80"))
+    message = PeerMessage(entry, summary, [], f"{peer}:80")
+    catch_up.on_receive(MessageArrived(message, time.monotonic()))
 
 
 @pytest.mark.parametrize(
--- a/tests/router/test_late_broker.py
+++ b/tests/router/test_late_broker.py
@@ -66,8 +66,8 @@
             on_members=lambda members, silent, heard_at: None,
         )
         for name, port, seed, summary, on_peer in (
-            ("r1", first, second, gateway._build_summary, lambda message: None),
-            ("r2", second, first, lambda: None, received.append),
+            ("r1", first, second, gateway._build_summary, lambda message, at: None),
+            ("r2", second, first, lambda: None, lambda message, at: received.append(message)),
         )
     ]
     deadline = time.monotonic() + 8
--- a/turmerictray/core/metrics.py
+++ b/turmerictray/core/metrics.py
@@ -109,6 +109,26 @@
 CLAIMS_KEPT = Gauge(
     "turmerictray_claims_kept", "Claims this router remembers as a home.", registry=REGISTRY
 )
+STORE_STATE_AGE = Gauge(
+    "turmerictray_store_state_age_seconds",
+    "Age of the store's newest state that this router is known to have.",
+    registry=REGISTRY,
+)
+READS_STORE = Gauge(
+    "turmerictray_reads_store", "Whether this router reads the store: 1 or 0.", registry=REGISTRY
+)
+PEER_FETCHED_AT = Gauge(
+    "turmerictray_peer_fetched_timestamp_seconds",
+    "Unix time of the last successful fetch of documents from a peer; 0 for none.",
+    registry=REGISTRY,
+)
+MESSAGE_WAIT = Histogram(
+    "turmerictray_message_wait_seconds",
+    "Time from the arrival of a peer's message until an actor handles it.",
+    ["actor"],
+    buckets=(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10),
+    registry=REGISTRY,
+)
 CONFIG_VERSION = Gauge(
     "turmerictray_config_version", "Configuration version in force.", registry=REGISTRY
 )
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -53,10 +53,11 @@
 
 
 class _Received:
-    """An encoded :class:`PeerMessage` received over the peer link."""
+    """An encoded :class:`PeerMessage` received over the peer link at ``at``, monotonic seconds."""
 
     def __init__(self, data: bytes) -> None:
         self.data = data
+        self.at = time.monotonic()
 
 
 @dataclass(frozen=True)
@@ -145,7 +146,8 @@
     build_summary : callable
         Returns this router's :class:`RouterSummary`, or None if it is not available in time.
     on_peer : callable
-        Called with each :class:`PeerMessage` that is received.
+        Called with each :class:`PeerMessage` that is received, and when it arrived, in monotonic
+        seconds.
     on_members : callable
         Called each period, and when their number changes, with the entries of the live routers,
         which include this router unless it is leaving, the nodes of those that are silent, and
@@ -169,7 +171,7 @@
         admin: str,
         seeds: list[str],
         build_summary: Callable[[], RouterSummary | None],
-        on_peer: Callable[[PeerMessage], None],
+        on_peer: Callable[[PeerMessage, float], None],
         on_members: Callable[[tuple[MemberEntry, ...], frozenset[str], float], None],
         scheduling_address: str = "",
         cores: float = 1.0,
@@ -234,6 +236,7 @@
             log_event("peer_message_refused", level="WARNING", reason=str(exc)[:200])
             return
         now = time.monotonic()
+        metrics.MESSAGE_WAIT.labels("PeerLink").observe(now - msg.at)
         if self.table.update(message.sender, now, direct=True):
             sender = message.sender
             log_event("peer_heard", peer=sender.node, zone=sender.zone, life=sender.incarnation)
@@ -243,7 +246,7 @@
             self.table.update_heartbeat(pulse, now)
         if message.sender.node != self.entry.node:
             self.table.note_member_count(message.sender.node, message.member_count, now)
-            self._on_peer(message)
+            self._on_peer(message, msg.at)
         self._update_size(now)
 
     @handle.register
--- a/turmerictray/platform/soak/internal_faults.py
+++ b/turmerictray/platform/soak/internal_faults.py
@@ -14,7 +14,7 @@
     "Broker:RoutersAlive",
     "PeerLink:Received",
     "PeerLink:Tick",
-    "CatchUp:PeerMessage",
+    "CatchUp:MessageArrived",
     "SettingsReloader:Tick",
 )
 """Messages that routers handle under load, as ``Actor:Message``."""
--- a/turmerictray/router/active_config.py
+++ b/turmerictray/router/active_config.py
@@ -44,6 +44,8 @@
         nobody for too long. Until then no caller is served.
     confirmed : bool
         Whether the configuration was compared with the peers' since the start.
+    newest_heard : int
+        Newest version that a peer is known to have in force.
     min_version : int
         Version when this router began to serve. Requests that were routed with an older one are
         not served.
@@ -64,6 +66,7 @@
         self.targets_listed = False
         self.caught_up = False
         self.confirmed = False
+        self.newest_heard = 0
         self.min_version = 0
         self.unavailable_targets: frozenset[TargetId] = frozenset()
         self.announced_leaving: frozenset[TargetId] = frozenset()
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
 from turmerictray.core.errors import PeerError
 from turmerictray.core.ids import ZoneId
@@ -94,6 +95,14 @@
         return True
 
 
+@dataclass(frozen=True)
+class MessageArrived:
+    """A peer's message, and when it arrived, in monotonic seconds."""
+
+    message: PeerMessage
+    at: float
+
+
 @dataclass(frozen=True)
 class CheckStartup:
     """Triggers a check whether the router has caught up after its start."""
@@ -124,7 +133,7 @@
         Decides when to ask for an older configuration; None never does.
     """
 
-    uncounted_messages = (PeerMessage, RoutersAlive, CheckStartup, PeersProbed)
+    uncounted_messages = (MessageArrived, RoutersAlive, CheckStartup, PeersProbed)
 
     def __init__(
         self,
@@ -159,9 +168,10 @@
         return None
 
     @handle.register
-    def _(self, message: PeerMessage) -> None:
+    def _(self, arrived: MessageArrived) -> None:
+        message, now = arrived.message, time.monotonic()
+        metrics.MESSAGE_WAIT.labels("CatchUp").observe(now - arrived.at)
         peer, local = position_of_summary(message.summary), self._position()
-        now = time.monotonic()
         if self._peer_texts is not None:
             self._peer_texts.record(message.sender.node, peer.text_version)
         # A router that may not serve yet fetches at once instead of waiting for its own read. So
@@ -179,7 +189,7 @@
         elif self._lacks_text(message.sender.node, local, now):
             self._fetch(message, in_force=True)
         if not local.is_behind(peer) and not peer.is_behind(local):
-            self._readers.record_peer_age(message.summary.store_age_s)
+            self._readers.record_peer_age(message.summary.store_age_s, message.sender.node)
         if self._startup_check is not None:
             self._startup_check.record_peer(
                 message.sender.node, peer, message.summary.caught_up, now
@@ -270,6 +280,7 @@
         except PeerError as exc:
             log_event("catch_up_failed", level="WARNING", peer=peer, reason=str(exc)[:200])
             return
+        metrics.PEER_FETCHED_AT.set_to_current_time()
         if not in_force and not self._has_text():
             # Other peers may serve by a newer one, and this router by none.
             docs = msgspec.structs.replace(docs, text_in_force=None)
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -137,6 +137,8 @@
             self._refuse_unready()
         # Read only now: a configuration from before the router had caught up may be outdated.
         config = self._active_config.current
+        trace.text_version = config.version
+        trace.newest_version = self._active_config.newest_heard
         trace.routed = self._route(exchange, body, config)
         if trace.routed.envelope.prompt is not None:
             _check_size(trace.routed, config)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -1,5 +1,6 @@
 """Router that serves routes from a published routing configuration: components and life cycle."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -22,7 +23,7 @@
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.active_config import ActiveConfig
 from turmerictray.router.cache_warmup import WARMUP_TICK_INTERVAL_S, ListCachedParts, Recall
-from turmerictray.router.catch_up import CatchUp, CheckStartup
+from turmerictray.router.catch_up import CatchUp, CheckStartup, MessageArrived
 from turmerictray.router.dialect import Dialect
 from turmerictray.router.early_refusals import EarlyRefusals
 from turmerictray.router.flow import RequestFlow
@@ -39,7 +40,7 @@
 from turmerictray.router.run import RequestDependencies
 from turmerictray.router.settings_reloader import SETTINGS_POLL_S, Reload, SettingsReloader
 from turmerictray.router.startup_check import StartupCheck
-from turmerictray.router.store_readers import StoreReaderSelection
+from turmerictray.router.store_readers import ReadReason, StoreReaderSelection
 from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker import Broker
 from turmerictray.scheduling.broker_messages import (
@@ -211,10 +212,12 @@
         cache_warmup = Recall.start(self._broker, s.node, self._list_cached_parts)
         self._timer.subscribe(cache_warmup, "recall", WARMUP_TICK_INTERVAL_S)
 
-        def on_peer(message: PeerMessage) -> None:
+        def on_peer(message: PeerMessage, arrived_at: float) -> None:
+            heard_version = max(self._active_config.newest_heard, message.summary.text_version)
+            self._active_config.newest_heard = heard_version
             self._broker.tell(PeerHeard(message.summary))
             self._quarantine.merge(message.crashes, time.monotonic(), message.part_crashes)
-            self._catch_up.tell(message)
+            self._catch_up.tell(MessageArrived(message, arrived_at))
             if cache_warmup.is_alive():
                 cache_warmup.tell(message)
 
@@ -345,7 +348,7 @@
                 )
             ),
             "/kept": self._cached_parts_page,
-            "/metrics": _metrics_page,
+            "/metrics": self._metrics_page,
         }
         ready = {s.ready_path: self._ready_page}
         for address, pages in ((s.ready, ready), (s.admin, operators), (s.metrics, operators)):
@@ -444,6 +447,10 @@
         state |= {
             "store_era": targets.era,
             "targets_revision": targets.revision,
+            "newest_text_version": self._active_config.newest_heard,
+            "reads_store": self._readers.reason.value,
+            "store_age_s": _round_age(self._readers.age_s()),
+            "confirmed_by": self._readers.confirmed_by,
             "in_progress": len(self._watch),
             "draining": self._is_draining,
             "quarantined": self._quarantine.quarantined_count(),
@@ -451,6 +458,12 @@
         }
         return Page(200, msgspec.json.encode(state))
 
+    def _metrics_page(self) -> Page:
+        metrics.STORE_STATE_AGE.set(self._readers.age_s())
+        metrics.READS_STORE.set(self._readers.reason is not ReadReason.NONE)
+        body = generate_latest(metrics.REGISTRY)
+        return Page(200, body, "text/plain; version=0.0.4")
+
     def _on_scan(self) -> None:
         config = self._active_config.current
         if self._front is None:
@@ -489,5 +502,6 @@
         self.stop = stop
 
 
-def _metrics_page() -> Page:
-    return Page(200, generate_latest(metrics.REGISTRY), "text/plain; version=0.0.4")
+def _round_age(age_s: float) -> float | None:
+    """Return an age for a page, in seconds; None if it is not known."""
+    return round(age_s, 2) if math.isfinite(age_s) else None
--- a/turmerictray/router/store_readers.py
+++ b/turmerictray/router/store_readers.py
@@ -10,9 +10,11 @@
 import threading
 import time
 from collections.abc import Callable, Collection, Iterable
+from enum import Enum
 from typing import NamedTuple
 
 from turmerictray.core.ids import NodeId, ZoneId
+from turmerictray.core.logs import log_event
 from turmerictray.membership.messages import MemberEntry
 from turmerictray.router.published import Position
 from turmerictray.routing.rendezvous import rank
@@ -48,6 +50,18 @@
 _KEY = "store-reader"
 
 
+class ReadReason(Enum):
+    """Why a router reads the store, or that it does not.
+
+    ``DESIGNATED``: for the others of its zone. ``UNCONFIRMED``: for too long, no peer has told that
+    this router's data is current.
+    """
+
+    NONE = "-"
+    DESIGNATED = "designated"
+    UNCONFIRMED = "unconfirmed"
+
+
 class ReadContinuity(NamedTuple):
     """How continuously a router has read the store.
 
@@ -74,6 +88,13 @@
         Monotonic seconds.
     is_seed : bool
         Whether starting routers contact this one first; a seed reads the store from the beginning.
+
+    Attributes
+    ----------
+    reason : ReadReason
+        Why the store was read when it was last decided.
+    confirmed_by : str
+        The peer that last told that this router's data is current; "-" for none.
     """
 
     def __init__(
@@ -96,6 +117,8 @@
         self._failed_prefixes: set[str] = set()
         self._gap_started_at = -math.inf
         self._peer_read_at = -math.inf
+        self.reason = ReadReason.NONE
+        self.confirmed_by = "-"
 
     def update_members(self, members: Iterable[MemberEntry], silent: Collection[str] = ()) -> None:
         """Set the routers that are considered alive, including this one.
@@ -128,12 +151,32 @@
         position : Position
             The versions of the documents that this router has.
         """
+        reason = self._reason(position)
+        self._log_change(reason, position)
+        return reason is not ReadReason.NONE
+
+    def _reason(self, position: Position) -> ReadReason:
         if self._is_designated:
-            return True
+            return ReadReason.DESIGNATED
         has_read = position.text_version and position.targets.revision
         max_age_s = _MAX_AGE_S if has_read else _MAX_INITIAL_AGE_S
         unconfirmed_s = min(self.age_s(), self._clock() - self._started_at)
-        return unconfirmed_s > max_age_s + self._rank_steps * _RANK_DELAY_S
+        is_unconfirmed = unconfirmed_s > max_age_s + self._rank_steps * _RANK_DELAY_S
+        return ReadReason.UNCONFIRMED if is_unconfirmed else ReadReason.NONE
+
+    def _log_change(self, reason: ReadReason, position: Position) -> None:
+        with self._lock:
+            before, self.reason = self.reason, reason
+        if reason is not before:
+            log_event(
+                "store_reading",
+                reason=reason.value,
+                before=before.value,
+                age_s=round(self.age_s(), 2),
+                confirmed_by=self.confirmed_by,
+                text_version=position.text_version,
+                targets_revision=position.targets.revision,
+            )
 
     def is_designated(self) -> bool:
         """Return whether this router reads the store for others."""
@@ -187,10 +230,11 @@
         gap_s = self.continuity().gap_s
         return gap_s is not None and uninterrupted_s > gap_s
 
-    def record_peer_age(self, age_s: float) -> None:
+    def record_peer_age(self, age_s: float, peer: str = "-") -> None:
         """Record that the state of a peer that is not behind is ``age_s`` seconds old."""
         with self._lock:
             self._peer_read_at = max(self._peer_read_at, self._clock() - age_s)
+            self.confirmed_by = peer
 
     def age_s(self) -> float:
         """Return the age in seconds of the store's last known state; infinite if there is none."""
--- a/turmerictray/router/trace.py
+++ b/turmerictray/router/trace.py
@@ -24,12 +24,17 @@
     ----------
     caller_timeout_s : float or None
         Seconds that the caller of a request without a route waits; None if not known.
+    text_version, newest_version : int
+        Versions of the configuration by which the request was routed, and of the newest one that
+        was then known to exist; 0 for a request that was not routed.
     """
 
     def __init__(self, head: RequestHead, arrived: float) -> None:
         self.head = head
         self.arrived = arrived
         self.caller_timeout_s: float | None = None
+        self.text_version = 0
+        self.newest_version = 0
         self.routed: RoutedRequest | None = None
         self.granted: Granted | None = None
         self.granted_at: float | None = None
@@ -89,13 +94,18 @@
     def _fields(self) -> dict[str, object]:
         routed = self.routed
         if routed is None:
-            return {"req": self.request_id, "method": self.head.method, "path": self.head.path[:80]}
+            return {
+                "req": self.request_id,
+                "method": self.head.method,
+                "path": self.head.path[:80],
+                **self._versions(),
+            }
         fields: dict[str, object] = {
             "req": routed.envelope.request_id,
             "team": routed.accounting_team,
             "route": routed.route.name,
             "service": routed.service,
-            "text": routed.text_version,
+            **self._versions(),
             "due_ms": _ms(routed.bounds.answer_deadline - self.arrived),
             "aim_ms": _ms(routed.route.objective_s),
         }
@@ -132,6 +142,14 @@
             fields.update(self.progress.end_fields())
         return fields
 
+    def _versions(self) -> dict[str, object]:
+        versions: dict[str, object] = {}
+        if self.text_version:
+            versions["text"] = self.text_version
+        if self.newest_version > self.text_version:
+            versions["newest"] = self.newest_version
+        return versions
+
 
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
