--- a/turmerictray/platform/standins/failing_router.py
+++ b/turmerictray/platform/standins/failing_router.py
@@ -20,6 +20,7 @@
 from turmerictray.membership.link import PeerLink
 from turmerictray.platform.main import main_and_exit
 from turmerictray.platform.standins.local import CONTROL_FILE_ENV_VAR
+from turmerictray.platform.standins.relayed_router import relay_peers
 from turmerictray.router.catch_up import CatchUp
 from turmerictray.router.peer_prober import PeerProber
 from turmerictray.router.settings_reloader import SettingsReloader
@@ -145,6 +146,7 @@
 
 
 def _main() -> None:
+    relay_peers()
     for actor in ACTORS:
         _wrap_actor(actor)
     for owner, name in set(THREAD_STEPS.values()):
--- a/turmerictray/platform/standins/local.py
+++ b/turmerictray/platform/standins/local.py
@@ -1,11 +1,13 @@
 """A small deployment on loopback: store and workers in this process, routers as processes."""
 
+import json
 import os
 import signal
 import socket
 import subprocess
 import sys
 import time
+from enum import Enum
 from functools import partial
 from pathlib import Path
 
@@ -22,12 +24,29 @@
 _PEER_PORT = 7400
 _MODULE = "turmerictray.platform.main"
 _FAILING_MODULE = "turmerictray.platform.standins.failing_router"
+_RELAYED_MODULE = "turmerictray.platform.standins.relayed_router"
 CONTROL_FILE_ENV_VAR = "TURMERICTRAY_FAULTS_FILE"
 """Names the file over which faults of a failing router are armed."""
 
+RELAYS_ENV_VAR = "TURMERICTRAY_RELAYS_FILE"
+"""Names a JSON file with the relay's ``host:port`` for each ``host:port`` of another router."""
+
 _START_TIMEOUT_S = 15.0
 _STOP_TIMEOUT_S = 15.0
 
+
+class PeerPort(Enum):
+    """Ports to which other routers connect: gossip, scheduling messages, operators' pages."""
+
+    GOSSIP = _PEER_PORT
+    CALLS = _PEER_PORT + 1
+    PAGES = _CONTROL_PORT
+
+    def of(self, router: str) -> str:
+        """Return the target of the links to this port of a router."""
+        return f"{router}/{self.name.lower()}"
+
+
 HOST = "shop.example"
 """Host of all routes of :func:`default_config`."""
 
@@ -147,6 +166,7 @@
         self.ip = f"{network}.{number}"
         self.log_path = folder / f"{self.name}.log"
         self.faults_path = folder / f"{self.name}.faults"
+        self._relays_path = folder / f"{self.name}.relays"
         self._module = _FAILING_MODULE if fails else _MODULE
         self._settings = folder / f"{self.name}.toml"
         self._store = store
@@ -179,6 +199,18 @@
         self._settings.write_text(settings)
         self._store = address
 
+    def use_relays(self, relays: dict[str, str]) -> None:
+        """Have the process reach other routers through relays.
+
+        Parameters
+        ----------
+        relays : dict of str to str
+            The relay's ``host:port`` for each ``host:port`` of another router.
+        """
+        self._relays_path.write_text(json.dumps(relays))
+        if self._module == _MODULE:
+            self._module = _RELAYED_MODULE
+
     def start(self) -> None:
         """Start the process."""
         # What was armed for the last process must not fail this one.
@@ -188,6 +220,8 @@
             SETTINGS_ENV_VAR: str(self._settings),
             CONTROL_FILE_ENV_VAR: str(self.faults_path),
         }
+        if self._relays_path.exists():
+            env[RELAYS_ENV_VAR] = str(self._relays_path)
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", self._module],
@@ -280,6 +314,9 @@
         Relays connections, so that a test can disturb them. Link sources are ``callers`` for
         callers' connections to routers, the router's name for its connections to the store, and
         ``routers`` for connections of all routers to workers.
+    relays_peers : bool
+        Whether the network also relays connections between routers: from a router's name to
+        :meth:`PeerPort.of` another's.
     """
 
     def __init__(
@@ -292,6 +329,7 @@
         seeds: int = 1,
         network: Network | None = None,
         fails: bool = False,
+        relays_peers: bool = False,
     ) -> None:
         self.network = network
         self._relayed_addresses: dict[tuple[str, str, str], str] = {}
@@ -312,6 +350,17 @@
             )
             for number in range(1, routers + 1)
         ]
+        if relays_peers:
+            for router in self.routers:
+                router.use_relays(self._peer_relays(router))
+
+    def _peer_relays(self, router: LocalRouter) -> dict[str, str]:
+        relays = {}
+        for other in self.routers:
+            for port in PeerPort if other is not router else ():
+                address = f"{other.ip}:{port.value}"
+                relays[address] = self._relay(router.name, port.of(other.name), address)
+        return relays
 
     def start(self) -> "LocalDeployment":
         """Publish the configuration and start the routers."""
