A watch of the store on a dead connection fails in time for what was missed

What callers saw: a configuration 3.4 s late where all open connections to the store stall and new ones work. Cause: a watch waited 2.5 s and its answer another second, though a change has to be in force in 2 s.

The limits of reads now are parts of the time that a change may take, which the settings name (config_apply_ms, drain_ms; ReadLimits): a watch and the wait for its answer take 0.75 of it. A router that reads for itself alone pauses longer between attempts, and closes a connection that it does not use, which might be dead at the next read. The store's answer counts for peers only once its changes are applied.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 
 from turmerictray.core.errors import SettingsError
 from turmerictray.platform.settings import build_gateway_settings, load_node_file
+from turmerictray.router.read_limits import ReadLimits
 
 GOOD = """
 node = "front-1"
@@ -39,6 +40,26 @@
     assert (settings.retry_limits.ratio, settings.retry_limits.floor) == (0.2, 56.0)
 
 
+@pytest.mark.parametrize(
+    ("bounds", "limit_s"),
+    [
+        ("", 2.0),
+        ("config_apply_ms = 4000\ndrain_ms = 3000", 3.0),
+        ("config_apply_ms = 0", 1.0),
+        ("config_apply_ms = nan", 1.0),
+        ("drain_ms = nan", 2.0),
+        ("config_apply_ms = inf\ndrain_ms = 1e9", 5.0),
+    ],
+)
+def test_store_is_read_as_often_as_changes_have_to_be_in_force(tmp_path, bounds, limit_s):
+    """Guards against reads too rare for a deployment's limits, or without pause beside odd ones."""
+    text = GOOD.replace("[bounds]", f"[bounds]\n{bounds}")
+    limits = build_gateway_settings(load(tmp_path, text)).read_limits
+    assert limits == ReadLimits.from_apply_limit(limit_s)
+    assert 0.4 * limit_s <= limits.watch_s
+    assert limits.watch_s + limits.response_margin_s <= 0.8 * limit_s
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -7,6 +7,8 @@
 import pykka
 import pytest
 
+from tests.platform.conftest import wait_for
+from turmerictray.core.errors import StoreUnavailable
 from turmerictray.core.supervision import Supervisor, install_supervisor
 from turmerictray.platform import entries
 from turmerictray.platform.sources import PrefixWatch, TargetSource
@@ -34,6 +36,9 @@
     def should_read(self, position) -> bool:
         return True
 
+    def is_designated(self) -> bool:
+        return True
+
     def record_store_read(self, prefix: str) -> None:
         """Ignore the answer."""
 
@@ -53,6 +58,63 @@
     watch._run()
 
 
+STORE_READS_PER_S = {9: 2000, 79: 6000, 195: 16000}
+"""Read calls that the store of a fleet answers a second, by the number of routers."""
+
+
+class UnavailableStore:
+    """A store that refuses all reads."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def read_all(self, prefix: str) -> Snapshot:
+        self.calls += 1
+        raise StoreUnavailable("503")
+
+
+def test_fleet_that_reads_for_itself_spares_a_store_that_refuses_it():
+    """Guards against an outage in which the reads of all routers keep the store busy."""
+    store, gate = UnavailableStore(), AlwaysOpenGate()
+    gate.is_designated = lambda: False
+    watch = PrefixWatch(store, "op/", gate, PublishedCopy(), lambda _: None, lambda _: None)
+    calls = []
+    watch.start()
+    for _ in range(3):
+        time.sleep(1.0)
+        calls.append(store.calls)
+    watch.stop()
+    for routers, reads_per_s in STORE_READS_PER_S.items():
+        assert 2 * routers * calls[0] <= reads_per_s / 4
+    assert calls[2] - calls[0] <= 2
+
+
+class RecordingStore(SingleAnswerStore):
+    """A store that answers reads and records reconnects."""
+
+    def __init__(self) -> None:
+        self.reads = self.reconnects = 0
+
+    def read_all(self, prefix: str) -> Snapshot:
+        self.reads += 1
+        return super().read_all(prefix)
+
+    def reconnect(self) -> None:
+        self.reconnects += 1
+
+
+def test_connection_that_is_not_used_is_closed():
+    """Guards against a read that waits for a connection that died while nothing was read."""
+    store, gate = RecordingStore(), AlwaysOpenGate()
+    gate.should_read = lambda _position: not store.reads
+    watch = PrefixWatch(store, "op/", gate, PublishedCopy(), lambda _: None, lambda _: None)
+    watch.start()
+    assert wait_for(lambda: store.reconnects)
+    time.sleep(0.3)
+    watch.stop()
+    assert (store.reads, store.reconnects) == (1, 1)
+
+
 class ChangingStore:
     """A store with one item, whose changes a watch returns once."""
 
--- a/turmerictray/platform/main.py
+++ b/turmerictray/platform/main.py
@@ -19,15 +19,16 @@
 def build_gateway(node_file: NodeFile) -> Gateway:
     """Create the gateway for a settings file."""
     address = node_file.platform.address
+    settings = build_gateway_settings(node_file)
 
     def make_sources(gate, broker, published_copy):
         return [
-            OperatorSource(address, gate, broker, published_copy),
-            TargetSource(address, gate, broker, published_copy),
+            source(address, gate, broker, published_copy, settings.read_limits)
+            for source in (OperatorSource, TargetSource)
         ]
 
     return Gateway(
-        build_gateway_settings(node_file),
+        settings,
         PlatformDialect(),
         make_sources,
         lambda: build_gateway_settings(load_node_file()),
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -9,6 +9,7 @@
 from turmerictray.core.ids import NodeId, RegionId, ZoneId
 from turmerictray.router.active_config import RetryLimits
 from turmerictray.router.gateway_settings import Address, GatewaySettings
+from turmerictray.router.read_limits import DEFAULT_APPLY_LIMIT_S, ReadLimits
 from turmerictray.routing.cold import ColdLimits
 
 SETTINGS_ENV_VAR = "TURMERICTRAY_NODE_FILE"
@@ -34,6 +35,9 @@
     # Tolerance above the configured rate of requests to a cold target: a factor, and a number.
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    # Time within which a new configuration, and a target's leaving, have to be in force.
+    config_apply_ms: float = 1000 * DEFAULT_APPLY_LIMIT_S
+    drain_ms: float = 1000 * DEFAULT_APPLY_LIMIT_S
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -116,6 +120,9 @@
         regions={ZoneId(zone): RegionId(region) for zone, region in node_file.zones.items()},
         cold_limits=ColdLimits(bounds.cold_over, bounds.cold_slack),
         cores=node_file.limits.cpu_share * node_file.limits.cores,
+        read_limits=ReadLimits.from_apply_limit(
+            min(bounds.config_apply_ms, bounds.drain_ms) / 1000
+        ),
     )
 
 
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -24,6 +24,7 @@
 from turmerictray.platform.store import Snapshot, StoreClient
 from turmerictray.router.evacuations import Evacuations, ZoneChange
 from turmerictray.router.published import Position, PublishedCopy, PublishedDocs, StorePosition
+from turmerictray.router.read_limits import ReadLimits
 from turmerictray.scheduling.broker_messages import (
     TargetsChanged,
     TargetsListed,
@@ -35,14 +36,6 @@
 _CONFIG_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 
-_WATCH_TIMEOUT_S = 2.5
-"""How long a watch waits for changes.
-
-If the store stops responding during a wait and returns without ever answering it, the watch fails
-one second after its wait would have ended. A change made at the store's return has to be active
-within two seconds of the time when routers count as reconnected, three seconds after the return.
-"""
-
 _LOST_WATCH_TIMEOUT_S = 0.3
 """How long a watch waits while the store is unavailable.
 
@@ -57,12 +50,12 @@
 this pause.
 """
 
-_GATE_POLL_S = 0.25
+_GATE_POLL_S = 0.1
 """Interval at which a router that does not read the store checks whether it should."""
 
 _INITIAL_RETRY_PAUSE_S = 0.1
 _MAX_RETRY_PAUSE_S = 0.8
-"""Maximum pause between attempts while the store is unavailable.
+"""Maximum pause between attempts of a designated reader while the store is unavailable.
 
 Changes have to be active within two seconds of the store's return.
 """
@@ -80,6 +73,9 @@
             Position up to which this router knows the published documents.
         """
 
+    def is_designated(self) -> bool:
+        """Return whether this router reads the store for others."""
+
     def record_store_read(self, prefix: str) -> None:
         """Record that the store has answered a read of ``prefix``."""
 
@@ -111,6 +107,7 @@
         Called before each wait; returns the seconds after which to call it again, or None.
     pause_s : float
         Seconds between a change and the next watch, in which further changes accumulate.
+    limits : ReadLimits
 
     Attributes
     ----------
@@ -128,8 +125,11 @@
         on_changes: Callable[[Snapshot], None],
         on_idle: Callable[[], float | None] = lambda: None,
         pause_s: float = 0.0,
+        limits: ReadLimits | None = None,
     ) -> None:
         self.store_returned_at = 0.0
+        self._limits = limits or ReadLimits.from_apply_limit()
+        self._is_connected = False
         self._pause_s = pause_s
         self._client = client
         self._prefix = prefix
@@ -141,6 +141,7 @@
         self._since: StorePosition | None = None
         self._era: int | None = None
         self._lost = False
+        self._paused_s = 0.0
         self._next_idle_at = -math.inf
         self._stop = threading.Event()
         self._thread = SupervisedThread(self._run, f"watch-{prefix}")
@@ -173,7 +174,7 @@
             except StoreUnavailable as exc:
                 self._record_failure(exc)
                 self._stop.wait(pause)
-                pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
+                pause = min(self._max_retry_pause_s(), 2 * pause)
             except Exception as exc:  # noqa: BLE001 - what could not be applied is read again
                 # It does not count towards unfit: all routers read the same documents.
                 report_item_failure(f"watch-{self._prefix}", exc)
@@ -181,7 +182,13 @@
                 self._stop.wait(pause)
                 pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
 
+    def _max_retry_pause_s(self) -> float:
+        return _MAX_RETRY_PAUSE_S if self._gate.is_designated() else self._limits.retry_pause_s
+
     def _wait_without_reading(self) -> None:
+        if self._is_connected:
+            self._is_connected = False
+            self._client.reconnect()
         # Peers provide the changes made meanwhile. The next read lists all items again, because the
         # position of the last watch is outdated by then.
         self._since = None
@@ -204,6 +211,7 @@
             return _MAX_RETRY_PAUSE_S
 
     def _read_store(self) -> None:
+        self._is_connected = True
         if self._since is None:
             snapshot = self._client.read_all(self._prefix)
             if self._era is not None and snapshot.position.era < self._era:
@@ -211,19 +219,30 @@
                     f"answer of era {snapshot.position.era} after one of era {self._era}"
                 )
             self._since = snapshot.position
-            self._record_answer()
+            self._record_return()
             self._record_era(snapshot.position)
-            self._on_snapshot(snapshot)
+            self._apply(self._on_snapshot, snapshot)
             return
         wait = self._run_idle()
-        max_wait_s = _LOST_WATCH_TIMEOUT_S if self._lost else _WATCH_TIMEOUT_S
+        # The pause after a change is part of the time in which a dead connection is noticed.
+        max_wait_s = _LOST_WATCH_TIMEOUT_S if self._lost else self._limits.watch_s - self._paused_s
         wait = max_wait_s if wait is None else min(wait, max_wait_s)
+        self._paused_s = 0.0
         snapshot = self._client.watch(self._prefix, self._since, wait)
         self._since = max(self._since, snapshot.position)
-        self._record_answer()
+        self._record_return()
+        self._apply(self._on_changes if snapshot.items else None, snapshot)
         if snapshot.items:
-            self._on_changes(snapshot)
             self._stop.wait(self._pause_s)
+            self._paused_s = self._pause_s
+
+    def _apply(self, apply: Callable[[Snapshot], None] | None, snapshot: Snapshot) -> None:
+        try:
+            if apply is not None:
+                apply(snapshot)
+        finally:
+            # Only now, as peers take what this router tells from then on for complete.
+            self._gate.record_store_read(self._prefix)
 
     def _record_failure(self, exc: StoreUnavailable) -> None:
         self._gate.record_store_failure(self._prefix)
@@ -231,11 +250,10 @@
             self._lost = True
             log_event("store_lost", level="WARNING", prefix=self._prefix, reason=str(exc)[:200])
 
-    def _record_answer(self) -> None:
+    def _record_return(self) -> None:
         # Must run before the changes are passed on: the first answer after the store's return
         # reports entries that expired during the outage, and their targets are kept only if the
         # return is already recorded.
-        self._gate.record_store_read(self._prefix)
         if self._lost:
             self._lost = False
             self.store_returned_at = time.monotonic()
@@ -262,19 +280,26 @@
     """Follows what operators publish: the routing configuration and the evacuated zones."""
 
     def __init__(
-        self, address: str, gate: ReadGate, broker: pykka.ActorRef, published_copy: PublishedCopy
+        self,
+        address: str,
+        gate: ReadGate,
+        broker: pykka.ActorRef,
+        published_copy: PublishedCopy,
+        limits: ReadLimits | None = None,
     ) -> None:
+        limits = limits or ReadLimits.from_apply_limit()
         self._broker = broker
         self._published_copy = published_copy
         self._lock = threading.Lock()
         self._evacuations = Evacuations()
         self._watch = PrefixWatch(
-            StoreClient(address),
+            StoreClient(address, limits.response_margin_s),
             _OPERATOR_PREFIX,
             gate,
             published_copy,
             self._apply_snapshot,
             self._apply_changes,
+            limits=limits,
         )
 
     def start(self) -> None:
@@ -360,8 +385,14 @@
     """Follows the entries of the targets."""
 
     def __init__(
-        self, address: str, gate: ReadGate, broker: pykka.ActorRef, published_copy: PublishedCopy
+        self,
+        address: str,
+        gate: ReadGate,
+        broker: pykka.ActorRef,
+        published_copy: PublishedCopy,
+        limits: ReadLimits | None = None,
     ) -> None:
+        limits = limits or ReadLimits.from_apply_limit()
         self._gate = gate
         self._broker = broker
         self._published_copy = published_copy
@@ -369,7 +400,7 @@
         self._entries = TargetEntries()
         self._initial_list_sent = False
         self._watch = PrefixWatch(
-            StoreClient(address),
+            StoreClient(address, limits.response_margin_s),
             TARGETS_PREFIX,
             gate,
             published_copy,
@@ -377,6 +408,7 @@
             self._apply_changes,
             self._apply_timeouts,
             _CHANGE_BATCH_PAUSE_S,
+            limits,
         )
 
     def start(self) -> None:
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -23,8 +23,6 @@
 The store normally answers within milliseconds, so even a fiftyfold slowdown stays within the limit.
 """
 
-_WATCH_RESPONSE_MARGIN_S = 1.0
-"""Time limit of the response to a watch, beyond the time for which the store waits for changes."""
 
 _HTTP_GONE = 410
 
@@ -147,14 +145,41 @@
 
 
 class StoreClient:
-    """Client for the store at ``address`` (``host:port``); for use by a single thread."""
-
-    def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._http = BoundedConnectionPool(
-            host, int(port), maxsize=1, retries=False, socket_options=_KEEPALIVE_OPTIONS
+    """Client for the store, for use by a single thread.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    response_margin_s : float
+        Time limit in seconds of the response to a watch, beyond the time for which the store waits
+        for changes.
+    """
+
+    def __init__(self, address: str, response_margin_s: float = _READ_TIMEOUT_S) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._response_margin_s = response_margin_s
+        self._http = self._open_pool()
+
+    def _open_pool(self) -> BoundedConnectionPool:
+        return BoundedConnectionPool(
+            self._host,
+            self._port,
+            maxsize=1,
+            retries=False,
+            socket_options=_KEEPALIVE_OPTIONS,
         )
 
+    def reconnect(self) -> None:
+        """Close the connection; the next call opens a new one.
+
+        One that was not used for a while may be dead, which the next call would notice only by its
+        time limit.
+        """
+        self._http.close()
+        self._http = self._open_pool()
+
     def read_all(self, prefix: str) -> Snapshot:
         """Read all items under ``prefix``.
 
@@ -207,7 +232,7 @@
             "after_revision": since.revision,
             "wait_ms": int(wait_s * 1000),
         }
-        page, era = self._get("/api/kv-watch", query, _Events, wait_s + _WATCH_RESPONSE_MARGIN_S)
+        page, era = self._get("/api/kv-watch", query, _Events, wait_s + self._response_margin_s)
         self._check_era(era, since)
         position = StorePosition(era, page.store_revision)
         return Snapshot(_decode_items(page.events, era), position)
--- a/turmerictray/router/gateway_settings.py
+++ b/turmerictray/router/gateway_settings.py
@@ -4,6 +4,7 @@
 
 from turmerictray.core.ids import NodeId, RegionId, ZoneId
 from turmerictray.router.active_config import RetryLimits
+from turmerictray.router.read_limits import ReadLimits
 from turmerictray.routing.cold import ColdLimits
 
 MAX_FRONT_THREADS = 600
@@ -53,6 +54,7 @@
         Maximum number of requests served at once; see :data:`MAX_FRONT_THREADS`.
     cores : float
         Processor capacity in cores.
+    read_limits : ReadLimits
     """
 
     node: NodeId
@@ -71,3 +73,4 @@
     regions: dict[ZoneId, RegionId] = field(default_factory=dict)
     threads: int = MAX_FRONT_THREADS
     cores: float = 1.0
+    read_limits: ReadLimits = field(default_factory=ReadLimits.from_apply_limit)
