A lost answer of the store is no outage in which entries expire

What callers saw: requests to a target for 3.4 to 3.7 s after its entry was removed, where 2 are allowed, if the open connections to the store had stalled; the same would follow a reset. Cause: any failed call counted as an outage of the store, after which the entry of a live target may be missing for two seconds, so that a target whose entry is missing is kept for 2.2 s. That is right only if the store was away for long enough that entries expire: three heartbeats without a renewal.

A gap between two answers now counts as an outage from one and a half heartbeats on (heartbeat_ms of the settings: 1.8 s); store_back tells gap_s and outage. A restore from a backup counts as before.

Open: two outages shorter than that in quick succession.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,7 +3,11 @@
 import pytest
 
 from turmerictray.core.errors import SettingsError
-from turmerictray.platform.settings import build_gateway_settings, load_node_file
+from turmerictray.platform.settings import (
+    build_gateway_settings,
+    load_node_file,
+    min_outage_of,
+)
 from turmerictray.router.read_limits import ReadLimits
 
 GOOD = """
@@ -60,6 +64,14 @@
     assert limits.watch_s + limits.response_margin_s <= 0.8 * limit_s
 
 
+@pytest.mark.parametrize(
+    ("heartbeat_ms", "outage_s"), [("1200", 1.8), ("400", 0.6), ("-1", 0.0), ("inf", 15.0)]
+)
+def test_outage_in_which_entries_expire_depends_on_heartbeats(tmp_path, heartbeat_ms, outage_s):
+    text = GOOD.replace("zone =", f"heartbeat_ms = {heartbeat_ms}\nzone =")
+    assert min_outage_of(load(tmp_path, text)) == pytest.approx(outage_s)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
--- a/tests/platform/test_unfetched_documents.py
+++ b/tests/platform/test_unfetched_documents.py
@@ -80,6 +80,13 @@
     return deployment.routers
 
 
+def reset_store_connections(deployment):
+    """Reset the open connections of all routers to the store; new ones work."""
+    names, _ = page_links(deployment)
+    deployment.network.reset_connections(names, {"store"})
+    return deployment.routers
+
+
 def stall_connections_of_a_reader(deployment):
     """Stall the connections of a reader to the store and to pages; new ones work."""
     chosen = readers(deployment.routers)[0]
@@ -120,6 +127,7 @@
         (silence_store_of_all_but_one, 0.0),
         (silence_store_of_all_but_one, 2.2),
         (stall_store_connections, 0.0),
+        (reset_store_connections, 0.2),
         (stall_connections_of_a_reader, 0.0),
     ],
 )
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -19,6 +19,14 @@
 
 _READY_PATH = "/api/ready"
 
+_DEFAULT_HEARTBEAT_MS = 1200.0
+_MAX_HEARTBEAT_MS = 10_000.0
+
+_MIN_OUTAGE_HEARTBEATS = 1.5
+"""Time without the store after which entries of live targets may have expired. The store drops an
+entry after three intervals without a renewal, of which one may have passed before an outage, and
+targets keep the interval only approximately."""
+
 
 class _Listen(msgspec.Struct, frozen=True):
     front: str
@@ -61,6 +69,8 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
+    # Interval at which targets renew their entries.
+    heartbeat_ms: float = _DEFAULT_HEARTBEAT_MS
     # Region by availability zone.
     zones: dict[str, str] = {}
     bounds: _Bounds = _Bounds()
@@ -90,6 +100,12 @@
         raise SettingsError(source or f"${SETTINGS_ENV_VAR}", str(exc)) from exc
 
 
+def min_outage_of(node_file: NodeFile) -> float:
+    """Return the shortest outage of the store in which entries may expire, in seconds."""
+    heartbeat_ms = min(_MAX_HEARTBEAT_MS, max(0.0, node_file.heartbeat_ms))
+    return _MIN_OUTAGE_HEARTBEATS * heartbeat_ms / 1000
+
+
 def build_gateway_settings(node_file: NodeFile) -> GatewaySettings:
     """Translate a settings file into the settings of the gateway.
 
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -50,6 +50,9 @@
 this pause.
 """
 
+DEFAULT_MIN_OUTAGE_S = 1.8
+"""Seconds without an answer that count as an outage of the store, if the settings name none."""
+
 _GATE_POLL_S = 0.1
 """Interval at which a router that does not read the store checks whether it should."""
 
@@ -108,6 +111,9 @@
     pause_s : float
         Seconds between a change and the next watch, in which further changes accumulate.
     limits : ReadLimits
+    min_outage_s : float
+        Seconds without an answer from which on the store may have been unavailable to others too,
+        for long enough that items have expired.
 
     Attributes
     ----------
@@ -126,8 +132,11 @@
         on_idle: Callable[[], float | None] = lambda: None,
         pause_s: float = 0.0,
         limits: ReadLimits | None = None,
+        min_outage_s: float = DEFAULT_MIN_OUTAGE_S,
     ) -> None:
         self.store_returned_at = 0.0
+        self._min_outage_s = min_outage_s
+        self._answered_at = -math.inf
         self._limits = limits or ReadLimits.from_apply_limit()
         self._is_connected = False
         self._pause_s = pause_s
@@ -254,10 +263,22 @@
         # Must run before the changes are passed on: the first answer after the store's return
         # reports entries that expired during the outage, and their targets are kept only if the
         # return is already recorded.
-        if self._lost:
-            self._lost = False
-            self.store_returned_at = time.monotonic()
-            log_event("store_back", prefix=self._prefix, since=self._since)
+        now = time.monotonic()
+        gap_s, self._answered_at = now - self._answered_at, now
+        if not self._lost:
+            return
+        self._lost = False
+        # A lost answer, or a broken connection, is no outage in which items could expire.
+        is_outage = gap_s >= self._min_outage_s
+        if is_outage:
+            self.store_returned_at = now
+        log_event(
+            "store_back",
+            prefix=self._prefix,
+            since=self._since,
+            gap_s=round(gap_s, 2),
+            outage=is_outage,
+        )
 
     def _record_era(self, position: StorePosition) -> None:
         # The newest entries are missing from the backup, and their targets write them again as they
@@ -391,6 +412,7 @@
         broker: pykka.ActorRef,
         published_copy: PublishedCopy,
         limits: ReadLimits | None = None,
+        min_outage_s: float = DEFAULT_MIN_OUTAGE_S,
     ) -> None:
         limits = limits or ReadLimits.from_apply_limit()
         self._gate = gate
@@ -409,6 +431,7 @@
             self._apply_timeouts,
             _CHANGE_BATCH_PAUSE_S,
             limits,
+            min_outage_s,
         )
 
     def start(self) -> None:
