A router that its peers do not keep current reads the store in time

What callers saw: routes refused, or run by the service of an older version, and requests to a removed target, at a router that doesn't read the store and could have: after 3 s to never, where 2 s are allowed.

Cause, one class: hearing somebody counted as being up to date. - A router that heard a newer version and could not fetch it asked only peers, again and again. It now reads the store when a position heard has not been reached for 0.4 of the time that a change may take. Each position is timed by itself, so that versions that follow each other are no lag. - A router whose readers had lost the store waited until its data was 5 s old, and ended its own reads by them: after one, its data was fresh for another 5 s. Data now has to be confirmed by another router's read (confirmed_by: whose read it was, through all peers) within 0.7 of that time, and a router that reads for lack of it goes on until a router ranked before it is heard to read. Of several, the first goes on. - Messages that had waited counted as new: ages now count from a message's arrival, and a fetch, which may take its time-out, no longer blocks the handling of others (PeerFetcher). - A peer's data confirmed this router's only if both were equal. Nothing newer was in the store when the peer's data was read, so what is newer here is confirmed as well.

test_routers_with_stale_data_begin_to_read_in_turn asked that routers begin one second apart, so that the store is spared. That is the fault: the router that the store serves may be the last. Other tests confirm data by the new call.

--- a/tests/router/test_catch_up.py
+++ b/tests/router/test_catch_up.py
@@ -1,12 +1,15 @@
 """Tests for when a router that missed a routing configuration asks a peer for it."""
 
+import threading
 import time
 
+import pykka
 import pytest
 
 from turmerictray.core.ids import NodeId, TargetName, ZoneId
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.catch_up import CatchUp, LagTracker, MessageArrived
+from turmerictray.router.messages import SilentPeersQuery
 from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PeerDocs,
@@ -260,3 +263,46 @@
     for version in range(10, 30):
         copy.put_config(str(version).encode(), version)
     assert copy.docs_for_peers().texts_bytes() == [b"3", b"29"]
+
+
+def test_message_that_waited_confirms_nothing_later_than_its_arrival():
+    """Guards against old messages, handled late, that make old data look current."""
+    readers = StoreReaderSelection(NodeId("r1"), ZoneId("z"))
+    copy = PublishedCopy()
+    copy.put_config(b"{}", 3)
+    copy.put_targets({}, StorePosition(0, 7))
+    check = StartupCheck(NodeId("r1"), 0.0)
+    catch_up = CatchUp(copy, readers, lambda *_: None, check, lambda state: None, ZoneId("z"))
+    summary = RouterSummary(
+        "r2", 1, 3, [], {}, [], targets_revision=7, store_age_s=0.2, confirmed_by="r3"
+    )
+    message = PeerMessage(MemberEntry("r2", "z", "tcp://r2", 1, 9), summary, [], "r2:80")
+    catch_up.on_receive(MessageArrived(message, time.monotonic() - 10.0))
+    assert readers.age_s() >= 10.2
+    catch_up.on_receive(MessageArrived(message, time.monotonic()))
+    assert readers.age_s() < 5.0
+
+
+def test_messages_are_handled_while_a_peer_does_not_answer_a_fetch(monkeypatch):
+    """Guards against a mailbox that fills, and ages that are wrong, while fetches time out."""
+    released, asked = threading.Event(), []
+
+    def fetch(*args) -> PublishedDocs:
+        asked.append(args)
+        released.wait(5.0)
+        return PublishedDocs()
+
+    monkeypatch.setattr(PeerDocs, "fetch", fetch)
+    readers = StoreReaderSelection(NodeId("r1"), ZoneId("z"))
+    check = StartupCheck(NodeId("r1"), 0.0)
+    catch_up = CatchUp.start(
+        PublishedCopy(), readers, lambda *_: None, check, lambda state: None, ZoneId("z")
+    )
+    try:
+        for _ in range(20):
+            catch_up.tell(message_from_reader(1.0))
+        assert catch_up.ask(SilentPeersQuery(), timeout=2.0) is not None
+        assert len(asked) == 1
+    finally:
+        released.set()
+        pykka.ActorRegistry.stop_all()
--- a/tests/router/test_front_capacity.py
+++ b/tests/router/test_front_capacity.py
@@ -123,7 +123,7 @@
     dialect = SimpleNamespace(read=read, retry_after=lambda wait_s: ("Retry-After", "1"))
     monkeypatch.setattr("turmerictray.router.flow.RequestRun", FakeRun)
     FakeRun.stream_may_end.clear()
-    active_config = SimpleNamespace(current=config, caught_up=True, regions={})
+    active_config = SimpleNamespace(current=config, caught_up=True, newest_heard=0, regions={})
     deps = RequestDependencies(placement_client=None, dialect=dialect, pool=None)
     return RequestFlow(deps, active_config, DisconnectMonitor(), threads=20)
 
--- a/tests/router/test_store_readers.py
+++ b/tests/router/test_store_readers.py
@@ -1,13 +1,13 @@
 """Selection of the routers that read the store, and when the other routers read it themselves."""
 
-from itertools import pairwise
-
 import pytest
 
 from turmerictray.core.ids import NodeId, ZoneId
 from turmerictray.membership.messages import MemberEntry
 from turmerictray.router.published import Position, StorePosition
-from turmerictray.router.store_readers import READERS_PER_ZONE, StoreReaderSelection
+from turmerictray.router.read_limits import DEFAULT_APPLY_LIMIT_S as APPLY_LIMIT_S
+from turmerictray.router.store_readers import READERS_PER_ZONE, ReadReason, StoreReaderSelection
+from turmerictray.routing.rendezvous import rank
 
 HAS_DOCUMENTS = Position(3, StorePosition(0, 7))
 
@@ -37,6 +37,11 @@
     return fleet
 
 
+def confirm(readers: StoreReaderSelection, age_s: float, origin: str = "elsewhere") -> None:
+    """Have another router confirm that the data was current ``age_s`` seconds ago."""
+    readers.record_confirmation(readers._clock() - age_s, origin)
+
+
 def current_readers(fleet) -> list[str]:
     return [node for node, readers in fleet.items() if readers.should_read(HAS_DOCUMENTS)]
 
@@ -44,7 +49,7 @@
 def test_two_routers_per_zone_read(fleet):
     assert len(current_readers(fleet)) <= 79
     for readers in fleet.values():
-        readers.record_peer_age(1.0)
+        confirm(readers, 1.0)
     readers_found = current_readers(fleet)
     assert len(readers_found) == 4 * READERS_PER_ZONE
     assert {fleet[node].zone for node in readers_found} == {"z0", "z1", "z2", "z3"}
@@ -53,7 +58,7 @@
 def test_removed_readers_are_replaced(fleet):
     """Guards against a zone that receives no more changes after its readers were killed."""
     for readers in fleet.values():
-        readers.record_peer_age(1.0)
+        confirm(readers, 1.0)
     removed = current_readers(fleet)
     remaining = [entry for entry in members(79) if entry.node not in removed]
     for entry in remaining:
@@ -62,32 +67,82 @@
     assert len(current_readers(remaining_readers)) == 4 * READERS_PER_ZONE
 
 
-def test_routers_with_stale_data_begin_to_read_in_turn(fleet, clock):
-    """Guards against reads by the whole fleet while the store is unavailable."""
-    # The store refuses the designated readers, or their reports are lost.
+def test_each_router_whose_data_nobody_confirms_reads_in_time(fleet, clock):
+    """Guards against a router that waits for others although it alone reaches the store."""
     others = [readers for readers in fleet.values() if not readers.is_designated()]
     for readers in others:
-        readers.record_peer_age(1.0)
-    counts = [0]
-    for _ in range(16):
-        clock.now += 1.0
-        counts.append(sum(readers.should_read(HAS_DOCUMENTS) for readers in others))
-    assert counts[5] == 0
-    assert 0 < counts[6] <= 4
-    # One more router of each of the four zones begins per second; after ten steps all the others.
-    assert all(later - earlier <= 4 for earlier, later in pairwise(counts[:16]))
-    assert counts[-1] == len(others)
+        confirm(readers, 0.0)
+    confirmed_at = clock.now
+    clock.now = confirmed_at + 0.65 * APPLY_LIMIT_S
+    assert not any(readers.should_read(HAS_DOCUMENTS) for readers in others)
+    clock.now = confirmed_at + 0.75 * APPLY_LIMIT_S
+    assert sum(readers.should_read(HAS_DOCUMENTS) for readers in others) < len(others) / 2
+    clock.now = confirmed_at + 0.85 * APPLY_LIMIT_S
+    assert all(readers.should_read(HAS_DOCUMENTS) for readers in others)
+
+
+def test_router_stops_reading_for_one_ranked_before_it(fleet, clock):
+    """Guards against several routers that stop reading for each other, or for themselves."""
+    other, later = sorted(
+        (r for r in fleet.values() if not r.is_designated()),
+        key=lambda readers: rank("store-reader", readers.node),
+        reverse=True,
+    )[:2]
+    designated = next(r for r in fleet.values() if r.is_designated() and r.zone == other.zone)
+    confirm(other, 1.0, designated.node)
+    clock.now += 15.5
+    assert other.should_read(HAS_DOCUMENTS)
+    for origin in (other.node, later.node, ""):
+        confirm(other, 0.1, origin)
+        assert other.should_read(HAS_DOCUMENTS)
+    confirm(other, 0.5, designated.node)
+    assert not other.should_read(HAS_DOCUMENTS)
 
 
-def test_router_stops_reading_after_fresh_peer_report(fleet, clock):
+def test_router_reads_what_it_could_not_fetch(fleet, clock):
+    """Guards against a router that knows of a newer version, and neither fetches nor reads it."""
     other = next(r for r in fleet.values() if not r.is_designated())
-    other.record_peer_age(1.0)
-    clock.now += 15.5
+    newer = Position(4, HAS_DOCUMENTS.targets)
+    for _ in range(4):
+        confirm(other, 0.1)
+        other.record_heard(newer, HAS_DOCUMENTS, clock.now)
+        assert not other.should_read(HAS_DOCUMENTS)
+        clock.now += 0.25
     assert other.should_read(HAS_DOCUMENTS)
-    other.record_peer_age(0.5)
+    assert other.reason is ReadReason.BEHIND
+    other.record_store_read("op/")
+    confirm(other, 0.1)
+    clock.now += APPLY_LIMIT_S + 0.1
+    confirm(other, 0.1)
     assert not other.should_read(HAS_DOCUMENTS)
 
 
+def test_router_that_fetches_in_time_does_not_read(fleet, clock):
+    """Guards against reads by the whole fleet while versions follow each other."""
+    other = next(r for r in fleet.values() if not r.is_designated())
+    for version in range(5, 80):
+        local, newer = (Position(v, HAS_DOCUMENTS.targets) for v in (version - 3, version))
+        other.record_heard(newer, local, clock.now)
+        confirm(other, 0.1)
+        assert not other.should_read(local)
+        clock.now += 0.1
+
+
+def test_router_that_reads_tells_of_its_own_read(fleet, clock):
+    """Guards against a peer that takes its own read, told back to it, for that of another."""
+    reader = next(r for r in fleet.values() if r.is_designated())
+    reader.should_read(HAS_DOCUMENTS)
+    confirm(reader, 0.0)
+    assert reader.confirmation() == (0.0, "elsewhere")
+    reader.record_store_read("op/")
+    clock.now += 0.5
+    confirm(reader, 0.0)
+    assert reader.confirmation() == (0.5, reader.node)
+    reader.record_store_failure("servers/")
+    assert reader.confirmation() == (0.0, "elsewhere")
+    assert reader.age_s() == 0.0
+
+
 def test_starting_router_waits_for_peers_first(clock):
     entries = members(79)
     non_reader = next(
@@ -112,7 +167,7 @@
     for _ in range(10):
         clock.now += 1.0
         for readers in fleet:
-            readers.record_peer_age(1.0)
+            confirm(readers, 1.0)
         assert sum(readers.should_read(Position()) for readers in fleet) == 5 * READERS_PER_ZONE
 
 
@@ -138,7 +193,7 @@
     starting = StoreReaderSelection(NodeId("r0"), ZoneId("z1"), clock)
     seed = StoreReaderSelection(NodeId("r1"), ZoneId("z1"), clock, is_seed=True)
     for readers in (starting, seed):
-        readers.record_peer_age(0.5)
+        confirm(readers, 0.5)
         readers.update_members(few)
     assert not starting.should_read(HAS_DOCUMENTS)
     assert seed.should_read(HAS_DOCUMENTS)
@@ -207,7 +262,7 @@
     fleet = {e.node: StoreReaderSelection(NodeId(e.node), ZoneId(e.zone), clock) for e in entries}
     for readers in fleet.values():
         readers.update_members(entries)
-        readers.record_peer_age(1.0)
+        confirm(readers, 1.0)
     killed = current_readers(fleet)
     remaining = {node: readers for node, readers in fleet.items() if node not in killed}
     for readers in remaining.values():
--- a/tests/router/test_too_large.py
+++ b/tests/router/test_too_large.py
@@ -38,7 +38,7 @@
     )
     monkeypatch.setattr("turmerictray.router.flow.RequestRun", FakeRun)
     deps = RequestDependencies(placement_client=None, dialect=dialect, pool=None)
-    active_config = SimpleNamespace(current=config, caught_up=True, regions={})
+    active_config = SimpleNamespace(current=config, caught_up=True, newest_heard=0, regions={})
     exchange = FakeExchange("/prompt")
     RequestFlow(deps, active_config, DisconnectMonitor(), threads=20).handle(exchange)
     return exchange.status, waits
--- a/turmerictray/membership/link.py
+++ b/turmerictray/membership/link.py
@@ -237,13 +237,13 @@
             return
         now = time.monotonic()
         metrics.MESSAGE_WAIT.labels("PeerLink").observe(now - msg.at)
-        if self.table.update(message.sender, now, direct=True):
+        if self.table.update(message.sender, msg.at, direct=True):
             sender = message.sender
             log_event("peer_heard", peer=sender.node, zone=sender.zone, life=sender.incarnation)
         for entry in message.members:
-            self.table.update(entry, now, direct=False)
+            self.table.update(entry, msg.at, direct=False)
         for pulse in message.pulses:
-            self.table.update_heartbeat(pulse, now)
+            self.table.update_heartbeat(pulse, msg.at)
         if message.sender.node != self.entry.node:
             self.table.note_member_count(message.sender.node, message.member_count, now)
             self._on_peer(message, msg.at)
--- a/turmerictray/membership/messages.py
+++ b/turmerictray/membership/messages.py
@@ -101,6 +101,8 @@
         Seconds for which the router has known all targets; 0 if it does not.
     gone_versions : list of GoneVersion
         Those of them whose targets may have begun streams that are still awaited.
+    confirmed_by : str
+        The router whose read of the store ``store_age_s`` counts from; empty if not known.
     """
 
     node: str
@@ -120,6 +122,7 @@
     leaving: list[str] = []
     targets_known_s: int = 0
     gone_versions: list[GoneVersion] = []
+    confirmed_by: str = ""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 
 import msgspec
+import pykka
 
 from turmerictray.core import metrics
 from turmerictray.core.actor import VitalActor
@@ -16,6 +17,7 @@
 from turmerictray.membership.messages import PeerMessage, RouterSummary
 from turmerictray.membership.reachability import HeardPeers, Reachability
 from turmerictray.router.messages import PeersProbed, SilentPeers, SilentPeersQuery
+from turmerictray.router.peer_fetcher import Fetch, PeerFetcher
 from turmerictray.router.peer_texts import PeerTexts
 from turmerictray.router.published import (
     PeerDocs,
@@ -103,6 +105,13 @@
     at: float
 
 
+@dataclass(frozen=True)
+class FetchEnded:
+    """A fetch from a peer has succeeded or failed."""
+
+    fetch: Fetch
+
+
 @dataclass(frozen=True)
 class CheckStartup:
     """Triggers a check whether the router has caught up after its start."""
@@ -133,7 +142,7 @@
         Decides when to ask for an older configuration; None never does.
     """
 
-    uncounted_messages = (MessageArrived, RoutersAlive, CheckStartup, PeersProbed)
+    uncounted_messages = (MessageArrived, FetchEnded, RoutersAlive, CheckStartup, PeersProbed)
 
     def __init__(
         self,
@@ -161,6 +170,13 @@
         self._peer_docs = PeerDocs()
         self._lag = LagTracker()
         self._next_confirmation_at = -math.inf
+        self._fetcher: pykka.ActorRef | None = None
+        self._is_fetching = False
+
+    def open(self) -> None:
+        self._fetcher = PeerFetcher.start(
+            self._fetch, lambda fetch: self.actor_ref.tell(FetchEnded(fetch))
+        )
 
     @singledispatchmethod
     def handle(self, message: object) -> SilentPeers | None:
@@ -171,9 +187,22 @@
     def _(self, arrived: MessageArrived) -> None:
         message, now = arrived.message, time.monotonic()
         metrics.MESSAGE_WAIT.labels("CatchUp").observe(now - arrived.at)
-        peer, local = position_of_summary(message.summary), self._position()
+        peer = position_of_summary(message.summary)
         if self._peer_texts is not None:
             self._peer_texts.record(message.sender.node, peer.text_version)
+        self._readers.record_heard(peer, self._position(), arrived.at)
+        if not self._is_fetching:
+            self._fetch_if_due(message, arrived.at, now)
+        self._record_confirmation(message, arrived.at)
+        if self._startup_check is not None:
+            self._startup_check.record_peer(
+                message.sender.node, peer, message.summary.caught_up, now
+            )
+            self._seeds.record(message.sender.address, arrived.at)
+            self._check_startup()
+
+    def _fetch_if_due(self, message: PeerMessage, arrived_at: float, now: float) -> None:
+        peer, local = position_of_summary(message.summary), self._position()
         # A router that may not serve yet fetches at once instead of waiting for its own read. So
         # does a reader that the store does not answer: at its return, targets that its peers know
         # to be gone would seem to be missing because of the outage, and be kept.
@@ -182,20 +211,28 @@
         is_cut_off = self._readers.is_designated() and not self._readers.reads_store()
         is_remote = is_started and not is_cut_off and message.sender.zone != self._zone
         if self._lag.should_ask(peer, local, waits_for_read, now, is_remote):
-            self._fetch(message)
-            local = self._position()
+            self._start_fetch(message, arrived_at)
         elif self._should_confirm_missing(message.summary.uninterrupted_s, now):
-            self._fetch(message, all_targets=True)
+            self._start_fetch(message, arrived_at, all_targets=True)
         elif self._lacks_text(message.sender.node, local, now):
-            self._fetch(message, in_force=True)
-        if not local.is_behind(peer) and not peer.is_behind(local):
-            self._readers.record_peer_age(message.summary.store_age_s, message.sender.node)
-        if self._startup_check is not None:
-            self._startup_check.record_peer(
-                message.sender.node, peer, message.summary.caught_up, now
-            )
-            self._seeds.record(message.sender.address, now)
-            self._check_startup()
+            self._start_fetch(message, arrived_at, in_force=True)
+
+    def _record_confirmation(self, message: PeerMessage, arrived_at: float) -> None:
+        """Record since when this router's data is known to be current, if the peer tells so.
+
+        What this router knows is at least what the peer does, and nothing newer was in the store
+        when the peer's data was read.
+        """
+        summary = message.summary
+        if not self._position().is_behind(position_of_summary(summary)):
+            confirmed_at = arrived_at - summary.store_age_s
+            self._readers.record_confirmation(confirmed_at, summary.confirmed_by)
+
+    @handle.register
+    def _(self, ended: FetchEnded) -> None:
+        self._is_fetching = False
+        self._record_confirmation(ended.fetch.message, ended.fetch.arrived_at)
+        self._check_startup()
 
     def _lacks_text(self, peer: str, local: Position, now: float) -> bool:
         """Decide whether to ask for the configuration that a peer has in force."""
@@ -268,20 +305,33 @@
             targets_revision=local.targets.revision,
         )
 
-    def _fetch(
-        self, message: PeerMessage, all_targets: bool = False, in_force: bool = False
+    def _start_fetch(
+        self,
+        message: PeerMessage,
+        arrived_at: float,
+        all_targets: bool = False,
+        in_force: bool = False,
     ) -> None:
-        peer = message.sender.node
         local = self._position()
-        needs_text = in_force or local.text_version < message.summary.text_version
+        with_text = in_force or local.text_version < message.summary.text_version
         since = None if all_targets or not local.targets.revision else local.targets
+        fetch = Fetch(message, arrived_at, with_text, since, in_force)
+        self._is_fetching = True
+        if self._fetcher is not None:
+            self._fetcher.tell(fetch)
+            return
+        self._fetch(fetch)
+        self.handle(FetchEnded(fetch))
+
+    def _fetch(self, fetch: Fetch) -> None:
+        peer = fetch.message.sender.node
         try:
-            docs = self._peer_docs.fetch(message.admin, needs_text, since)
+            docs = self._peer_docs.fetch(fetch.message.admin, fetch.with_text, fetch.since)
         except PeerError as exc:
             log_event("catch_up_failed", level="WARNING", peer=peer, reason=str(exc)[:200])
             return
         metrics.PEER_FETCHED_AT.set_to_current_time()
-        if not in_force and not self._has_text():
+        if not fetch.in_force and not self._has_text():
             # Other peers may serve by a newer one, and this router by none.
             docs = msgspec.structs.replace(docs, text_in_force=None)
         self._apply_docs(docs, peer)
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -194,7 +194,9 @@
         )
         self._timer.subscribe(self._broker, "expire", _EXPIRY_INTERVAL_S)
         choice = SchedulerChoice(s.node, s.zone)
-        self._readers = StoreReaderSelection(s.node, s.zone, is_seed=s.peer in s.seeds)
+        self._readers = StoreReaderSelection(
+            s.node, s.zone, is_seed=s.peer in s.seeds, limits=s.read_limits
+        )
         self._sources = self._make_sources(self._readers, self._broker, self._copy)
         self._catch_up = CatchUp.start(
             self._copy,
@@ -295,14 +297,15 @@
         summary = ask_with_timeout(self._broker, SummaryQuery(), _BROKER_TIMEOUT_S)
         if summary is None:
             return None
-        position = self._copy.position()
+        position, confirmation = self._copy.position(), self._readers.confirmation()
         return msgspec.structs.replace(
             summary,
             targets_revision=position.targets.revision,
             targets_era=position.targets.era,
             zones_revision=position.zones.revision,
             zones_era=position.zones.era,
-            store_age_s=round(self._readers.age_s(), 2),
+            store_age_s=round(confirmation.age_s, 2),
+            confirmed_by=confirmation.origin,
             uninterrupted_s=round(self._readers.continuity().uninterrupted_s, 2),
         )
 
@@ -450,7 +453,7 @@
             "newest_text_version": self._active_config.newest_heard,
             "reads_store": self._readers.reason.value,
             "store_age_s": _round_age(self._readers.age_s()),
-            "confirmed_by": self._readers.confirmed_by,
+            "confirmed_by": self._readers.confirmation().origin or None,
             "in_progress": len(self._watch),
             "draining": self._is_draining,
             "quarantined": self._quarantine.quarantined_count(),
