The soak disturbs connections between routers, and checks that configurations are in force in time

Its relays didn't reach the connections between routers, and no check told a configuration that comes late. A probe of one route at each router, which some configurations lack, tells by which one it serves; 2 s are allowed.

--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -10,6 +10,7 @@
     draw_floods_and_joins,
     draw_internal_faults,
     draw_notice_faults,
+    draw_peer_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -40,6 +41,7 @@
     assert draw_prompt_faults(5, 30) == draw_prompt_faults(5, 30)
     assert draw_internal_faults(5, 30) == draw_internal_faults(5, 30)
     assert draw_notice_faults(5, 30) == draw_notice_faults(5, 30)
+    assert draw_peer_faults(5, 30) == draw_peer_faults(5, 30)
     drawn = {
         fault.kind
         for seed in range(20)
@@ -51,6 +53,7 @@
             draw_prompt_faults,
             draw_internal_faults,
             draw_notice_faults,
+            draw_peer_faults,
         )
         for fault in draw(seed, 30)
     }
@@ -120,3 +123,21 @@
     assert not report.violations, format_soak(report)
     assert report.fault_counts["internal_fault"] > 5
     assert any(" event=actor_failed " in log.read_text() for log in tmp_path.glob("r*.log"))
+
+
+def test_changes_reach_all_routers_beside_faults_between_them(tmp_path):
+    """Guards against routers that serve by old documents while what they hear seems current."""
+    options = SoakOptions(
+        seconds=16.0,
+        base_faults=False,
+        floods_and_joins=False,
+        crashes_and_restores=False,
+        zone_faults=False,
+        prompt_faults=False,
+        internal_faults=False,
+        peer_faults=True,
+    )
+    report = run_soak(SEED, options, tmp_path)
+    assert not report.violations, format_soak(report)
+    assert report.fault_counts["publish"] > 2
+    assert {"pages_cut", "store_stalled"} <= set(report.fault_counts)
--- a/turmerictray/cli/soak.py
+++ b/turmerictray/cli/soak.py
@@ -12,6 +12,7 @@
     callers: int = 12,
     internal_faults: bool = True,
     notice_faults: bool = False,
+    peer_faults: bool = False,
     workdir: Path | None = None,
 ) -> int:
     """Inject seeded faults into local router processes under load and check all invariants.
@@ -36,6 +37,8 @@
         Whether to raise exceptions in actors and threads of routers, too.
     notice_faults
         Whether workers also tell in answers that they leave or are full, or fall silent.
+    peer_faults
+        Whether connections between routers, and of some routers to the store, fail as well.
     workdir
         Parent of the folders for settings and logs, one per seed; temporary folders by default.
     """
@@ -53,6 +56,7 @@
         callers=callers,
         internal_faults=internal_faults,
         notice_faults=notice_faults,
+        peer_faults=peer_faults,
     )
     broken = 0
     for number in range(seed, seed + seeds):
--- a/turmerictray/platform/soak/checks.py
+++ b/turmerictray/platform/soak/checks.py
@@ -84,6 +84,7 @@
     flood_outcomes = {
         key: outcome for flood in record.floods for key, outcome in flood.outcome_by_id.items()
     }
+    probe_ids = {probe.request_id for probe in record.probes}
     runs_by_id: dict[str, list[ReceivedRequest]] = defaultdict(list)
     for worker in workers:
         for received in worker.runs():
@@ -93,6 +94,8 @@
         if request_id in flood_outcomes:
             yield from _check_flood_runs(request_id, flood_outcomes[request_id], runs)
             continue
+        if request_id in probe_ids:
+            continue
         if request is None:
             yield Violation(request_id, "unasked", f"{runs[0].method} {runs[0].target}")
             continue
--- a/turmerictray/platform/soak/fault_injector.py
+++ b/turmerictray/platform/soak/fault_injector.py
@@ -13,6 +13,7 @@
 from turmerictray.loadtool.event_schedule import EventSchedule
 from turmerictray.loadtool.relay import Direction
 from turmerictray.platform.soak.callers import SHARED_PARTS
+from turmerictray.platform.soak.config_probe import PROBED_ROUTE, store_link_of
 from turmerictray.platform.soak.crashing_requests import (
     CRASHING_PARTS,
     CrashingPartSender,
@@ -26,6 +27,7 @@
     EvacuationRecord,
     FloodRecord,
     InternalFault,
+    Publication,
     RetiredWorker,
     RouterExit,
     SoakRecord,
@@ -33,11 +35,19 @@
 from turmerictray.platform.soak.schedule import FaultKind, ScheduledFault
 from turmerictray.platform.standins.failing_router import arm
 from turmerictray.platform.standins.flood import Flood
-from turmerictray.platform.standins.local import LocalDeployment, LocalRouter, default_config
+from turmerictray.platform.standins.local import (
+    LocalDeployment,
+    LocalRouter,
+    PeerPort,
+    default_config,
+)
 from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import Worker, WorkerFault
 
 _LINK_DELAY_S = 0.15
+_SLOW_PAGE_S = 1.5
+"""Delay of documents between routers, above the time that these wait for them."""
+
 _RESTART_DELAY_S = 0.3
 _LEAVING_S = 2.5
 """Time that a leaving worker continues to serve, slightly longer than routers may take to stop
@@ -290,9 +300,7 @@
         self._record_disturbance("store", fault)
 
     def _disturb_store_link(self, fault: ScheduledFault) -> None:
-        routers = self.deployment.routers
-        name = routers[fault.random_number % len(routers)].name
-        network = self.deployment.network
+        name, network = self._choose_name(fault), self.deployment.network
         if fault.kind is FaultKind.STORE_CUT:
             network.partition({name}, {"store"})
         else:
@@ -300,6 +308,43 @@
         self._record_disturbance("store", fault)
         self._timer.run_after(fault.duration_s, lambda: network.restore_links({name}, {"store"}))
 
+    def _disturb_pages(self, fault: ScheduledFault) -> None:
+        names = self._router_names()
+        ends = (names, {PeerPort.PAGES.of(name) for name in names})
+        network = self.deployment.network
+        if fault.kind is FaultKind.PAGES_CUT:
+            network.partition(*ends)
+        else:
+            network.delay(*ends, _SLOW_PAGE_S)
+        self._timer.run_after(fault.duration_s, lambda: network.restore_links(*ends))
+
+    def _disturb_peers(self, fault: ScheduledFault) -> None:
+        names, network = self._router_names(), self.deployment.network
+        ports = {port.of(name) for name in names for port in PeerPort}
+        if fault.kind is FaultKind.PEERS_RESET:
+            network.reset_connections(names, ports)
+            return
+        ends = ({self._choose_name(fault)}, ports)
+        network.partition(*ends)
+        self._timer.run_after(fault.duration_s, lambda: network.restore_links(*ends))
+
+    def _silence_store_links(self, fault: ScheduledFault) -> None:
+        names, network = self._router_names() - {self._choose_name(fault)}, self.deployment.network
+        network.partition(names, {"store"})
+        for name in names:
+            self._record_disturbance(store_link_of(name), fault)
+        self._timer.run_after(fault.duration_s, lambda: network.restore_links(names, {"store"}))
+
+    def _stall_store_connections(self, fault: ScheduledFault) -> None:
+        self.deployment.network.stall_connections(self._router_names(), {"store"})
+
+    def _router_names(self) -> set[str]:
+        return {router.name for router in self.deployment.routers}
+
+    def _choose_name(self, fault: ScheduledFault) -> str:
+        routers = self.deployment.routers
+        return routers[fault.random_number % len(routers)].name
+
     def _restore_store(self, fault: ScheduledFault) -> None:
         store = self.deployment.store.store
         store.trouble = StoreTrouble.RESET
@@ -332,6 +377,10 @@
             config["routes"] = [route for route in config["routes"] if route["name"] != "open"]
         self._config = config
         self.deployment.store.store.put("op/config", config)
+        has_route = any(route["name"] == PROBED_ROUTE for route in config["routes"])
+        self.record.publications.append(
+            Publication(self._config_version, time.monotonic(), has_route)
+        )
 
     def _publish_invalid(self, fault: ScheduledFault) -> None:
         self.deployment.store.store.put_bytes("op/config", b'{"version": "none", "routes": 7}')
@@ -528,8 +577,7 @@
             self.deployment.publish(worker)
 
     def _disturb_callers(self, fault: ScheduledFault) -> None:
-        routers = self.deployment.routers
-        name = routers[fault.random_number % len(routers)].name
+        name = self._choose_name(fault)
         network, ends = self.deployment.network, ({"callers"}, {name})
         self._record_disturbance(name, fault)
         if fault.kind is FaultKind.CALLERS_RESET:
@@ -575,4 +623,10 @@
     FaultKind.TELLS_LEAVING: FaultInjector._announce_leaving,
     FaultKind.FULL: FaultInjector._refuse_as_full,
     FaultKind.SILENT: FaultInjector._silence_worker,
+    FaultKind.PAGES_CUT: FaultInjector._disturb_pages,
+    FaultKind.PAGES_SLOW: FaultInjector._disturb_pages,
+    FaultKind.PEERS_CUT: FaultInjector._disturb_peers,
+    FaultKind.PEERS_RESET: FaultInjector._disturb_peers,
+    FaultKind.STORE_LINKS_SILENT: FaultInjector._silence_store_links,
+    FaultKind.STORE_STALLED: FaultInjector._stall_store_connections,
 }
--- a/turmerictray/platform/soak/record.py
+++ b/turmerictray/platform/soak/record.py
@@ -29,7 +29,7 @@
     Attributes
     ----------
     component : str
-        Name of a router, ``store`` or ``worker``.
+        Name of a router, ``store`` or ``worker``; with ``/store``, a router's way to the store.
     started_at, ended_at : float
         Monotonic seconds.
     """
@@ -171,6 +171,34 @@
     outcome_by_id: dict[str, str]
 
 
+@dataclass(frozen=True)
+class Publication:
+    """A configuration that the store has acknowledged.
+
+    Attributes
+    ----------
+    version : int
+    at : float
+        Monotonic seconds.
+    has_probed_route : bool
+    """
+
+    version: int
+    at: float
+    has_probed_route: bool
+
+
+@dataclass(frozen=True)
+class Probe:
+    """A request for the probed route; a status of 0 stands for no answer."""
+
+    request_id: str
+    router: str
+    started_at: float
+    ended_at: float
+    status: int
+
+
 @dataclass
 class SoakRecord:
     """All records of a run.
@@ -195,6 +223,9 @@
         Bodies of the requests that crash workers.
     crashing_parts : set of str
         Ids of the prompt parts that crash workers, in lower-case hexadecimal.
+    publications : list of Publication
+        In order of time; the first one has been in force since before the run.
+    probes : list of Probe
     """
 
     requests: list[SoakRequest] = field(default_factory=list)
@@ -209,6 +240,10 @@
     floods: list[FloodRecord] = field(default_factory=list)
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashing_parts: set[str] = field(default_factory=set)
+    publications: list[Publication] = field(
+        default_factory=lambda: [Publication(1, -math.inf, has_probed_route=True)]
+    )
+    probes: list[Probe] = field(default_factory=list)
 
     def was_disturbed(self, since: float, until: float, *components: str) -> bool:
         """Return whether a component was disturbed from ``since`` to ``until``.
--- a/turmerictray/platform/soak/run.py
+++ b/turmerictray/platform/soak/run.py
@@ -13,6 +13,7 @@
 from turmerictray.loadtool.relay import Network
 from turmerictray.platform.soak import checks
 from turmerictray.platform.soak.callers import SoakCaller
+from turmerictray.platform.soak.config_probe import ConfigProbe, check_configs_in_time
 from turmerictray.platform.soak.crashing_requests import CRASHING_PARTS
 from turmerictray.platform.soak.fault_injector import FaultInjector
 from turmerictray.platform.soak.notice_checks import check_leaving_notices, check_rests
@@ -22,6 +23,7 @@
     draw_floods_and_joins,
     draw_internal_faults,
     draw_notice_faults,
+    draw_peer_faults,
     draw_prompt_faults,
     draw_schedule,
     draw_zone_faults,
@@ -61,6 +63,9 @@
         Whether to add exceptions in actors and threads of routers.
     notice_faults : bool
         Whether to add workers that tell in answers that they leave or are full, or fall silent.
+    peer_faults : bool
+        Whether to add faults of the connections between routers and of some to the store, and
+        changes beside them.
     """
 
     seconds: float = 20.0
@@ -75,6 +80,7 @@
     prompt_faults: bool = True
     internal_faults: bool = True
     notice_faults: bool = False
+    peer_faults: bool = False
 
 
 @dataclass
@@ -125,6 +131,7 @@
         options.engines,
         network=Network(),
         fails=options.internal_faults,
+        relays_peers=options.peer_faults,
     )
     for number, worker in enumerate(deployment.workers):
         worker.zone = ZONES[number % len(ZONES)]
@@ -176,16 +183,19 @@
         schedule += draw_internal_faults(seed, options.seconds)
     if options.notice_faults:
         schedule += draw_notice_faults(seed, options.seconds)
+    if options.peer_faults:
+        schedule += draw_peer_faults(seed, options.seconds)
     injector = FaultInjector(deployment, schedule, record)
     callers = [
         SoakCaller(deployment, record, seed * 1000 + number) for number in range(options.callers)
     ]
-    for runner in (injector, *callers):
+    runners = [*callers, ConfigProbe(deployment, record)]
+    for runner in (injector, *runners):
         runner.start()
     injector.finish()
     time.sleep(_RECOVERY_S)
-    for caller in callers:
-        caller.finish()
+    for runner in runners:
+        runner.finish()
     return injector
 
 
@@ -242,6 +252,7 @@
             record, workers, [router.name for router in deployment.routers]
         ),
         *checks.check_sound_requests(record, workers),
+        *check_configs_in_time(record),
         *check_config_logs(logs),
     ]
 
--- a/turmerictray/platform/soak/schedule.py
+++ b/turmerictray/platform/soak/schedule.py
@@ -24,7 +24,10 @@
     one part that crashes each worker that begins to answer. ``INTERNAL_FAULT`` raises an exception
     in an actor or a thread of a router. With ``TELLS_LEAVING`` a worker leaves that says so only in
     its answers, with ``FULL`` a worker refuses requests and asks for rest, and with ``SILENT`` a
-    worker sends nothing for a moment.
+    worker sends nothing for a moment. With ``PAGES_CUT`` and ``PAGES_SLOW`` routers hear each other
+    and can't fetch documents, with ``PEERS_CUT`` one router reaches no other while they reach it.
+    ``STORE_LINKS_SILENT`` silences the store for all routers but one, and ``STORE_STALLED`` stalls
+    the connections to it that are open.
     """
 
     KILL = "kill"
@@ -62,6 +65,12 @@
     TELLS_LEAVING = "tells_leaving"
     FULL = "full"
     SILENT = "silent"
+    PAGES_CUT = "pages_cut"
+    PAGES_SLOW = "pages_slow"
+    PEERS_CUT = "peers_cut"
+    PEERS_RESET = "peers_reset"
+    STORE_LINKS_SILENT = "store_links_silent"
+    STORE_STALLED = "store_stalled"
 
 
 _FLOODS_AND_JOINS = (FaultKind.FLOOD, FaultKind.WORKERS_JOIN)
@@ -83,6 +92,17 @@
 _NOTICE_FAULTS = (FaultKind.TELLS_LEAVING, FaultKind.FULL, FaultKind.SILENT)
 """What workers tell routers in their answers, with a seventh schedule for the same reason."""
 
+_PEER_FAULTS = (
+    FaultKind.PAGES_CUT,
+    FaultKind.PAGES_SLOW,
+    FaultKind.PEERS_CUT,
+    FaultKind.PEERS_RESET,
+    FaultKind.STORE_LINKS_SILENT,
+    FaultKind.STORE_STALLED,
+)
+"""Faults of connections between routers, and of some routers' to the store, with an eighth schedule
+for the same reason."""
+
 _OVERLAID_KINDS = frozenset(
     _FLOODS_AND_JOINS
     + _CRASHES_AND_RESTORES
@@ -90,6 +110,7 @@
     + _PROMPT_FAULTS
     + _INTERNAL_FAULTS
     + _NOTICE_FAULTS
+    + _PEER_FAULTS
 )
 _BASE_KINDS = tuple(kind for kind in FaultKind if kind not in _OVERLAID_KINDS)
 _FLOODS_AND_JOINS_GAP_S = (2.0, 6.0)
@@ -98,6 +119,9 @@
 _PROMPT_FAULTS_GAP_S = (1.0, 4.0)
 _INTERNAL_FAULTS_GAP_S = (0.2, 1.5)
 _NOTICE_FAULTS_GAP_S = (0.3, 2.0)
+_PEER_FAULTS_GAP_S = (0.3, 2.0)
+_CHANGES = (FaultKind.PUBLISH, FaultKind.WORKER_LEAVES)
+"""Changes that are published beside the faults of peers."""
 
 
 @dataclass(frozen=True)
@@ -167,6 +191,14 @@
     return _draw(rng, seconds, first_at_s, _NOTICE_FAULTS, _NOTICE_FAULTS_GAP_S)
 
 
+def draw_peer_faults(seed: int, seconds: float) -> list[ScheduledFault]:
+    """Draw faults between routers, and beside them changes that have to reach all, in order."""
+    rng = random.Random(f"peers {seed}")
+    faults = _draw(rng, seconds, _INITIAL_QUIET_S, _PEER_FAULTS, _PEER_FAULTS_GAP_S)
+    changes = _draw(rng, seconds, _INITIAL_QUIET_S, _CHANGES, _PEER_FAULTS_GAP_S)
+    return sorted(faults + changes, key=lambda fault: fault.start_s)
+
+
 def _draw(
     rng: random.Random,
     seconds: float,
