The store is not away while it answers others

Cause: a router that had tried to read in the outage, and left reading to others after it, took its own next read, seconds later, for the end of the outage, as it counted only its own answers.

The end of an outage is now told by the data: a time of 1.5 heartbeats in which the store answered neither this router nor any that confirmed its data, ended by whoever hears it first. An answer after such a time of its own asks for it. So a router that was cut off while its peers read drops what is missing at once, and one that hears of the return before it reads keeps what may have lapsed.

Why it works: a peer whose entries lapsed is ahead, and confirms nothing until its documents, with the times for which it keeps these targets, are here. Ages below zero, which an odd peer may tell, confirm nothing.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,11 +3,7 @@
 import pytest
 
 from turmerictray.core.errors import SettingsError
-from turmerictray.platform.settings import (
-    build_gateway_settings,
-    load_node_file,
-    min_outage_of,
-)
+from turmerictray.platform.settings import build_gateway_settings, load_node_file
 from turmerictray.router.read_limits import ReadLimits
 
 GOOD = """
@@ -69,7 +65,8 @@
 )
 def test_outage_in_which_entries_expire_depends_on_heartbeats(tmp_path, heartbeat_ms, outage_s):
     text = GOOD.replace("zone =", f"heartbeat_ms = {heartbeat_ms}\nzone =")
-    assert min_outage_of(load(tmp_path, text)) == pytest.approx(outage_s)
+    limits = build_gateway_settings(load(tmp_path, text)).read_limits
+    assert limits.min_outage_s == pytest.approx(outage_s)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -45,6 +45,9 @@
     def record_store_failure(self, prefix: str) -> None:
         """Ignore the failure."""
 
+    def outage_ended_at(self) -> float:
+        return time.monotonic()
+
 
 def test_answer_after_broker_has_stopped_ends_watch():
     """Guards against a logged traceback if the targets change while the router stops."""
--- a/tests/platform/test_unfetched_documents.py
+++ b/tests/platform/test_unfetched_documents.py
@@ -11,11 +11,14 @@
 from tests.platform.test_restart import status
 from turmerictray.loadtool.relay import Network
 from turmerictray.platform.standins.local import PeerPort, default_config
+from turmerictray.platform.standins.store import StoreTrouble
 from turmerictray.platform.standins.worker import Worker
 
 OBSERVATION_S = 6.0
 """How long a change is waited for, to tell late routers from those that never have it."""
 
+OUTAGE_S = 4.0
+
 SLOW_PAGE_S = 1.5
 """Delay of each piece of an answer, above the time that a router waits for it."""
 
@@ -46,6 +49,16 @@
     return deployment.routers
 
 
+def cut_pages_after_an_outage(deployment):
+    """Cut these connections some time after an outage of the store, which ended for all."""
+    store = deployment.store.store
+    store.trouble = StoreTrouble.BUSY
+    time.sleep(OUTAGE_S)
+    store.trouble = StoreTrouble.NONE
+    time.sleep(SETTLED_S)
+    return cut_pages(deployment)
+
+
 def delay_pages(deployment):
     """Delay what routers fetch from each other for longer than they wait for it."""
     deployment.network.delay(*page_links(deployment), SLOW_PAGE_S)
@@ -130,6 +143,7 @@
     [
         (cut_pages, 0.0),
         (cut_pages, 2.2),
+        (cut_pages_after_an_outage, 0.0),
         (delay_pages, 0.0),
         (refuse_pages, 1.0),
         (silence_store_of_readers, 0.0),
--- a/tests/router/test_catch_up.py
+++ b/tests/router/test_catch_up.py
@@ -6,6 +6,7 @@
 import pykka
 import pytest
 
+from tests.platform.conftest import wait_for
 from turmerictray.core.ids import NodeId, TargetName, ZoneId
 from turmerictray.membership.messages import MemberEntry, PeerMessage, RouterSummary
 from turmerictray.router.catch_up import CatchUp, LagTracker, MessageArrived
@@ -302,6 +303,7 @@
         for _ in range(20):
             catch_up.tell(message_from_reader(1.0))
         assert catch_up.ask(SilentPeersQuery(), timeout=2.0) is not None
+        assert wait_for(lambda: asked)
         assert len(asked) == 1
     finally:
         released.set()
--- a/tests/router/test_store_readers.py
+++ b/tests/router/test_store_readers.py
@@ -268,3 +268,33 @@
     for readers in remaining.values():
         readers.update_members(entries, killed)
     assert len(current_readers(remaining)) == READERS_PER_ZONE
+
+
+def test_store_that_answers_others_is_not_away(clock):
+    """Guards against a removed target that is kept, as if its entry had lapsed in an outage."""
+    readers = StoreReaderSelection(NodeId("r1"), ZoneId("z"), clock)
+    readers.record_store_read("servers/")
+    started_at = clock.now
+    assert readers.outage_ended_at() == started_at
+    for _ in range(5):
+        clock.now += 1.0
+        confirm(readers, 0.2)
+        assert readers.outage_ended_at() == started_at
+    clock.now += 4.0
+    assert readers.outage_ended_at() == clock.now
+    readers.record_store_read("servers/")
+    assert readers.outage_ended_at() == clock.now
+    clock.now += 1.0
+    assert readers.outage_ended_at() == clock.now - 1.0
+
+
+def test_return_that_a_peer_tells_ends_an_outage(clock):
+    """Guards against live targets that are removed, as their entries are not written again yet."""
+    readers = StoreReaderSelection(NodeId("r1"), ZoneId("z"), clock)
+    confirm(readers, 0.0)
+    clock.now += 4.0
+    confirm(readers, 0.1)
+    assert readers.outage_ended_at() == clock.now
+    clock.now += 0.5
+    confirm(readers, 0.1)
+    assert readers.outage_ended_at() == clock.now - 0.5
--- a/turmerictray/platform/main.py
+++ b/turmerictray/platform/main.py
@@ -9,12 +9,7 @@
 from turmerictray.platform.engines import list_cached_parts
 from turmerictray.platform.headers import PlatformDialect
 from turmerictray.platform.identity import IdentityCheck
-from turmerictray.platform.settings import (
-    NodeFile,
-    build_gateway_settings,
-    load_node_file,
-    min_outage_of,
-)
+from turmerictray.platform.settings import NodeFile, build_gateway_settings, load_node_file
 from turmerictray.platform.sources import OperatorSource, TargetSource
 from turmerictray.router.gateway import Gateway
 
@@ -27,10 +22,9 @@
     settings = build_gateway_settings(node_file)
 
     def make_sources(gate, broker, published_copy):
-        limits, min_outage_s = settings.read_limits, min_outage_of(node_file)
         return [
-            OperatorSource(address, gate, broker, published_copy, limits),
-            TargetSource(address, gate, broker, published_copy, limits, min_outage_s),
+            source(address, gate, broker, published_copy, settings.read_limits)
+            for source in (OperatorSource, TargetSource)
         ]
 
     return Gateway(
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -100,7 +100,7 @@
         raise SettingsError(source or f"${SETTINGS_ENV_VAR}", str(exc)) from exc
 
 
-def min_outage_of(node_file: NodeFile) -> float:
+def _min_outage_s(node_file: NodeFile) -> float:
     """Return the shortest outage of the store in which entries may expire, in seconds."""
     heartbeat_ms = min(_MAX_HEARTBEAT_MS, max(0.0, node_file.heartbeat_ms))
     return _MIN_OUTAGE_HEARTBEATS * heartbeat_ms / 1000
@@ -137,7 +137,7 @@
         cold_limits=ColdLimits(bounds.cold_over, bounds.cold_slack),
         cores=node_file.limits.cpu_share * node_file.limits.cores,
         read_limits=ReadLimits.from_apply_limit(
-            min(bounds.config_apply_ms, bounds.drain_ms) / 1000
+            min(bounds.config_apply_ms, bounds.drain_ms) / 1000, _min_outage_s(node_file)
         ),
     )
 
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -50,9 +50,6 @@
 this pause.
 """
 
-DEFAULT_MIN_OUTAGE_S = 1.8
-"""Seconds without an answer that count as an outage of the store, if the settings name none."""
-
 _GATE_POLL_S = 0.1
 """Interval at which a router that does not read the store checks whether it should."""
 
@@ -85,6 +82,12 @@
     def record_store_failure(self, prefix: str) -> None:
         """Record that the store has not answered a read of ``prefix``."""
 
+    def outage_ended_at(self) -> float:
+        """Return when the last outage of the store ended, now if this answer ends one.
+
+        In monotonic seconds; the store was away for long enough that items may have expired.
+        """
+
     def covers_gap(self, uninterrupted_s: float) -> bool:
         """Return whether a peer has read the store since before this router's last gap."""
 
@@ -111,9 +114,6 @@
     pause_s : float
         Seconds between a change and the next watch, in which further changes accumulate.
     limits : ReadLimits
-    min_outage_s : float
-        Seconds without an answer from which on the store may have been unavailable to others too,
-        for long enough that items have expired.
 
     Attributes
     ----------
@@ -132,10 +132,8 @@
         on_idle: Callable[[], float | None] = lambda: None,
         pause_s: float = 0.0,
         limits: ReadLimits | None = None,
-        min_outage_s: float = DEFAULT_MIN_OUTAGE_S,
     ) -> None:
         self.store_returned_at = 0.0
-        self._min_outage_s = min_outage_s
         self._answered_at = -math.inf
         self._limits = limits or ReadLimits.from_apply_limit()
         self._is_connected = False
@@ -269,15 +267,15 @@
             return
         self._lost = False
         # A lost answer, or a broken connection, is no outage in which items could expire.
-        is_outage = gap_s >= self._min_outage_s
-        if is_outage:
-            self.store_returned_at = now
+        is_long = gap_s >= self._limits.min_outage_s
+        if is_long:
+            self.store_returned_at = max(self.store_returned_at, self._gate.outage_ended_at())
         log_event(
             "store_back",
             prefix=self._prefix,
             since=self._since,
             gap_s=round(gap_s, 2),
-            outage=is_outage,
+            outage_ended_s=round(now - self.store_returned_at, 2),
         )
 
     def _record_era(self, position: StorePosition) -> None:
@@ -412,7 +410,6 @@
         broker: pykka.ActorRef,
         published_copy: PublishedCopy,
         limits: ReadLimits | None = None,
-        min_outage_s: float = DEFAULT_MIN_OUTAGE_S,
     ) -> None:
         limits = limits or ReadLimits.from_apply_limit()
         self._gate = gate
@@ -431,7 +428,6 @@
             self._apply_timeouts,
             _CHANGE_BATCH_PAUSE_S,
             limits,
-            min_outage_s,
         )
 
     def start(self) -> None:
--- a/turmerictray/router/catch_up.py
+++ b/turmerictray/router/catch_up.py
@@ -224,7 +224,9 @@
         when the peer's data was read.
         """
         summary = message.summary
-        if not self._position().is_behind(position_of_summary(summary)):
+        if summary.store_age_s >= 0 and not self._position().is_behind(
+            position_of_summary(summary)
+        ):
             confirmed_at = arrived_at - summary.store_age_s
             self._readers.record_confirmation(confirmed_at, summary.confirmed_by)
 
--- a/turmerictray/router/read_limits.py
+++ b/turmerictray/router/read_limits.py
@@ -5,6 +5,10 @@
 DEFAULT_APPLY_LIMIT_S = 2.0
 """Time in which a published change has to be in force, if the settings name none."""
 
+DEFAULT_MIN_OUTAGE_S = 1.8
+"""Shortest outage of the store in which entries of live targets may expire, if the settings name
+none."""
+
 _MIN_APPLY_LIMIT_S = 1.0
 _MAX_APPLY_LIMIT_S = 5.0
 """Bounds of that time: with less, the fleet would read the store all the time."""
@@ -41,6 +45,9 @@
         Seconds for which a router that could not fetch a version goes on reading.
     retry_pause_s : float
         Longest pause between attempts of a router that reads the store for itself alone.
+    min_outage_s : float
+        Seconds without an answer to any router from which on the store may have been unavailable to
+        others too, for long enough that entries have expired.
     """
 
     watch_s: float
@@ -50,9 +57,12 @@
     behind_s: float
     hold_s: float
     retry_pause_s: float
+    min_outage_s: float
 
     @classmethod
-    def from_apply_limit(cls, limit_s: float = DEFAULT_APPLY_LIMIT_S) -> "ReadLimits":
+    def from_apply_limit(
+        cls, limit_s: float = DEFAULT_APPLY_LIMIT_S, min_outage_s: float = DEFAULT_MIN_OUTAGE_S
+    ) -> "ReadLimits":
         """Derive the limits from the seconds in which a change has to be in force."""
         limit_s = min(_MAX_APPLY_LIMIT_S, max(_MIN_APPLY_LIMIT_S, limit_s))
         return cls(
@@ -63,4 +73,5 @@
             behind_s=_BEHIND_FRACTION * limit_s,
             hold_s=limit_s,
             retry_pause_s=limit_s,
+            min_outage_s=min_outage_s,
         )
--- a/turmerictray/router/store_readers.py
+++ b/turmerictray/router/store_readers.py
@@ -155,6 +155,8 @@
         self._confirmed_at = -math.inf
         self._confirmed_by = ""
         self._outranked_at = -math.inf
+        self._current_at = -math.inf
+        self._outage_ended_at = -math.inf
         self._missing: deque[_Heard] = deque()
         self._held_until = -math.inf
         self.reason = ReadReason.NONE
@@ -261,6 +263,7 @@
             self._reading_since.setdefault(prefix, now)
             self._read_at[prefix] = now
             self._failed_prefixes.discard(prefix)
+            self._note_current(self._local_read_at(), now)
 
     def record_store_failure(self, prefix: str) -> None:
         """Record that the store has not answered a read or a watch of ``prefix``."""
@@ -315,6 +318,7 @@
         with self._lock:
             if confirmed_at > self._confirmed_at:
                 self._confirmed_at, self._confirmed_by = confirmed_at, origin
+                self._note_current(confirmed_at, self._clock())
             if origin and rank(_KEY, origin) > self._rank:
                 self._outranked_at = max(self._outranked_at, confirmed_at)
 
@@ -356,6 +360,23 @@
         with self._lock:
             return self._clock() - max(self._local_read_at(), self._confirmed_at)
 
+    def outage_ended_at(self) -> float:
+        """Return when the last outage of the store ended, in monotonic seconds; now if one lasts.
+
+        An outage is a time, of ``ReadLimits.min_outage_s`` at least, in which the store answered
+        neither this router nor any that confirmed its data.
+        """
+        with self._lock:
+            now = self._clock()
+            is_away = now - self._current_at >= self._limits.min_outage_s
+            return now if is_away else self._outage_ended_at
+
+    def _note_current(self, current_at: float, now: float) -> None:
+        """Record that the data was current at a time, which may end an outage of the store."""
+        if current_at - self._current_at >= self._limits.min_outage_s:
+            self._outage_ended_at = now
+        self._current_at = max(self._current_at, current_at)
+
     def _local_read_at(self) -> float:
         if self._failed_prefixes - self._read_at.keys():
             return -math.inf
