A summary tells as current only what its positions hold

A router's summary took its positions before it took when its data was last confirmed: a change that was read in between was missing in the positions, and yet the store's answer with it counted for them. Peers would have taken the old documents for current as of that answer. The confirmation now comes first, and the age counts to the end; the broker, asked after it, has handled every text that was read before.

--- a/tests/router/test_store_readers.py
+++ b/tests/router/test_store_readers.py
@@ -133,13 +133,13 @@
     reader = next(r for r in fleet.values() if r.is_designated())
     reader.should_read(HAS_DOCUMENTS)
     confirm(reader, 0.0)
-    assert reader.confirmation() == (0.0, "elsewhere")
+    assert reader.confirmation() == (clock.now, "elsewhere")
     reader.record_store_read("op/")
     clock.now += 0.5
     confirm(reader, 0.0)
-    assert reader.confirmation() == (0.5, reader.node)
+    assert reader.confirmation() == (clock.now - 0.5, reader.node)
     reader.record_store_failure("servers/")
-    assert reader.confirmation() == (0.0, "elsewhere")
+    assert reader.confirmation() == (clock.now, "elsewhere")
     assert reader.age_s() == 0.0
 
 
--- a/turmerictray/router/gateway.py
+++ b/turmerictray/router/gateway.py
@@ -294,18 +294,20 @@
             self._scheduler.handle_message(message)
 
     def _build_summary(self) -> RouterSummary | None:
+        # Before the positions: what is read meanwhile must not be told as old and yet current.
+        confirmed_at, origin = self._readers.confirmation()
         summary = ask_with_timeout(self._broker, SummaryQuery(), _BROKER_TIMEOUT_S)
         if summary is None:
             return None
-        position, confirmation = self._copy.position(), self._readers.confirmation()
+        position = self._copy.position()
         return msgspec.structs.replace(
             summary,
             targets_revision=position.targets.revision,
             targets_era=position.targets.era,
             zones_revision=position.zones.revision,
             zones_era=position.zones.era,
-            store_age_s=round(confirmation.age_s, 2),
-            confirmed_by=confirmation.origin,
+            store_age_s=round(time.monotonic() - confirmed_at, 2),
+            confirmed_by=origin,
             uninterrupted_s=round(self._readers.continuity().uninterrupted_s, 2),
         )
 
--- a/turmerictray/router/store_readers.py
+++ b/turmerictray/router/store_readers.py
@@ -88,13 +88,13 @@
 
     Attributes
     ----------
-    age_s : float
-        Seconds since the data was known to be current; infinite if it never was.
+    at : float
+        When the data was last known to be current, in monotonic seconds; minus infinity for never.
     origin : str
         The router whose read of the store tells so; empty if not known.
     """
 
-    age_s: float
+    at: float
     origin: str
 
 
@@ -342,7 +342,7 @@
             self._missing.append(_Heard(newest.merge(peer), heard_at))
 
     def confirmation(self) -> Confirmation:
-        """Return how old this router's data is, and by whose read of the store.
+        """Return when this router's data was last known to be current, and by whose read.
 
         A router that reads the store tells of its own read, by which others judge whether it goes
         on.
@@ -351,9 +351,9 @@
             now, read_at = self._clock(), self._local_read_at()
             is_reading = self.reason is not ReadReason.NONE and not self._failed_prefixes
             is_read_lately = is_reading and now - read_at <= self._limits.unconfirmed_s
-            if is_read_lately or read_at >= self._confirmed_at:
-                return Confirmation(now - read_at, self.node if read_at > -math.inf else "")
-            return Confirmation(now - self._confirmed_at, self._confirmed_by)
+            if is_read_lately or read_at > self._confirmed_at:
+                return Confirmation(read_at, self.node)
+            return Confirmation(self._confirmed_at, self._confirmed_by)
 
     def age_s(self) -> float:
         """Return the age in seconds of the store's last known state; infinite if there is none."""
