A router that reads for itself alone asks a store that refuses it less often

Cause: while the store refuses all, or zones and single routers are cut off, each of 71 routers tries both documents after 0.1, 0.2, 0.4 s and so on. It now tries once more after 0.1 s, for an answer that was lost, and then once in the time that a change may take: after the store's return a router has more than that until it counts as in touch, and the designated readers, which try each 0.8 s, tell it of the return.

--- a/tests/platform/test_sources.py
+++ b/tests/platform/test_sources.py
@@ -89,7 +89,7 @@
     watch.stop()
     for routers, reads_per_s in STORE_READS_PER_S.items():
         assert 2 * routers * calls[0] <= reads_per_s / 4
-    assert calls[2] - calls[0] <= 2
+    assert calls[2] - calls[0] <= 1
 
 
 class RecordingStore(SingleAnswerStore):
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -181,7 +181,7 @@
             except StoreUnavailable as exc:
                 self._record_failure(exc)
                 self._stop.wait(pause)
-                pause = min(self._max_retry_pause_s(), 2 * pause)
+                pause = self._next_retry_pause_s(pause)
             except Exception as exc:  # noqa: BLE001 - what could not be applied is read again
                 # It does not count towards unfit: all routers read the same documents.
                 report_item_failure(f"watch-{self._prefix}", exc)
@@ -189,8 +189,11 @@
                 self._stop.wait(pause)
                 pause = min(_MAX_RETRY_PAUSE_S, 2 * pause)
 
-    def _max_retry_pause_s(self) -> float:
-        return _MAX_RETRY_PAUSE_S if self._gate.is_designated() else self._limits.retry_pause_s
+    def _next_retry_pause_s(self, pause_s: float) -> float:
+        if self._gate.is_designated():
+            return min(_MAX_RETRY_PAUSE_S, 2 * pause_s)
+        # There may be hundreds of these; designated ones notice the store's return for them.
+        return self._limits.retry_pause_s
 
     def _wait_without_reading(self) -> None:
         if self._is_connected:
--- a/turmerictray/router/read_limits.py
+++ b/turmerictray/router/read_limits.py
@@ -44,7 +44,7 @@
     hold_s : float
         Seconds for which a router that could not fetch a version goes on reading.
     retry_pause_s : float
-        Longest pause between attempts of a router that reads the store for itself alone.
+        Pause after the second failed attempt, and later ones, of a router that is not designated.
     min_outage_s : float
         Seconds without an answer to any router from which on the store may have been unavailable to
         others too, for long enough that entries have expired.
