--- a/tests/router/test_outdated_routing.py
+++ b/tests/router/test_outdated_routing.py
@@ -28,6 +28,8 @@
 class CatchingUp:
     """Active configuration that is replaced while a request checks whether it may be served."""
 
+    newest_heard = 0
+
     def __init__(self, old, new) -> None:
         self.current = old
         self._new = new
