--- a/turmerictray/platform/soak/config_probe.py
+++ b/turmerictray/platform/soak/config_probe.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from turmerictray.loadtool.history import Violation
+from turmerictray.platform.soak.checks import STOPPING_S
 from turmerictray.platform.soak.record import Probe, Publication, SoakRecord
 from turmerictray.platform.standins.caller import RawCaller
 from turmerictray.platform.standins.local import LocalDeployment, LocalRouter
@@ -21,7 +22,6 @@
 _SETTLE_S = 3.0
 """Time after a disturbance of a router, or of its way to the store, in which it is excused."""
 
-_STOPPING_S = 9.0
 _SERVED = 200
 _NO_ROUTE = 404
 
@@ -98,7 +98,7 @@
     since, until = probe.started_at - _SETTLE_S, probe.ended_at
     components = (probe.router, store_link_of(probe.router), "store")
     return record.was_disturbed(since, until, *components) or any(
-        name == probe.router and since - _STOPPING_S <= at <= until
+        name == probe.router and since - STOPPING_S <= at <= until
         for name, at in record.planned_stops
     )
 
