A plain target is compared with what is usual in its pool, not with 50 ms

What callers saw: under light load a plain service's requests went to one or two of its targets while others were idle.

Cause: a plain request is expected to take 50 ms. A target's lateness against that is only learned while two or more requests run there. Where answers take 10 ms, the first target that is measured gets a slowness of 0.7; all others keep 1.0, "not measured", and so cost more even idle. They are given no request that could show otherwise.

Ruled out: the rest and its trial (the target was among the candidates in each placement), the failure rate (0), avoidance (none).

Change: the lateness of a plain target is taken relative to a moving average over its pool's answers, so a target without answers counts as usual. Engines are as before: what is expected of them is learned by the model.

--- a/turmerictray/routing/load.py
+++ b/turmerictray/routing/load.py
@@ -45,6 +45,9 @@
 """Weight of one answer in the moving average of the logarithmic slowness. Requests that peers sent
 meanwhile delay single answers of a healthy target, but not ten in a row."""
 
+_USUAL_SMOOTHING = 0.2
+"""Weight of one answer in the moving average of a whole pool."""
+
 _PRESUMED_LOST_AFTER_S = 2.0
 """How long a first event may be overdue before it is presumed lost. Otherwise an engine whose
 newest answer was lost would count as busy and unresponsive until the caller of that request times
@@ -202,6 +205,30 @@
     overdue_s: float
 
 
+@dataclass
+class UsualRatio:
+    """Ratio of measured to expected answer times that is usual in a pool.
+
+    A target that has given few answers is compared with those that others give at the time.
+    Compared with the expectation alone, it would count as slow wherever answers come sooner than
+    expected, and would then be given no request that could show otherwise.
+
+    Attributes
+    ----------
+    log : float or None
+        Moving average of the ratio's logarithm; None before the first answer.
+    """
+
+    log: float | None = None
+
+    def update(self, log_ratio: float) -> float:
+        """Include an answer; return by how much the logarithm of its ratio is above the average."""
+        if self.log is None:
+            self.log = log_ratio
+        self.log += _USUAL_SMOOTHING * (log_ratio - self.log)
+        return log_ratio - self.log
+
+
 @dataclass
 class TargetLoad:
     """Estimated load and health of one target.
@@ -220,8 +247,8 @@
     slowness : float
         Ratio of the target's answer times to those usual in its pool.
     log_lateness : float
-        Moving average of the logarithm of the ratio of measured time to the time predicted by the
-        pool's model.
+        Moving average of the logarithm of the ratio of measured to expected time, relative to what
+        was usual in the pool; 0 before the first answer.
     failure_rate : float
         Moving average of the fraction of failed answers, 0 to 1.
     last_first_event_at : float
@@ -276,8 +303,16 @@
         self.reads[call_id] = read
         self.note_changed()
 
-    def record_first_event(self, call_id: int, took_s: float) -> PendingPrefill | None:
-        """Record the first event of an answer; return the entry made when it was sent."""
+    def record_first_event(
+        self, call_id: int, took_s: float, usual: UsualRatio | None = None
+    ) -> PendingPrefill | None:
+        """Record the first event of an answer; return the entry made when it was sent.
+
+        Parameters
+        ----------
+        usual : UsualRatio or None
+            Of the target's pool; None if the expectation follows what is usual.
+        """
         read = self.reads.pop(call_id, None)
         self.note_changed()
         if read is not None:
@@ -286,8 +321,9 @@
         if read is None or read.expected_s < _MIN_SIGNIFICANT_S:
             return read
         low, high = _ANSWER_RATIO_RANGE
-        ratio = min(high, max(low, took_s * read.slowness / read.expected_s))
-        self.log_lateness += _SLOWNESS_SMOOTHING * (math.log(ratio) - self.log_lateness)
+        log_ratio = math.log(min(high, max(low, took_s * read.slowness / read.expected_s)))
+        deviation = log_ratio if usual is None else usual.update(log_ratio)
+        self.log_lateness += _SLOWNESS_SMOOTHING * (deviation - self.log_lateness)
         return read
 
     def mark_earlier_as_read(self, answered: PendingPrefill) -> None:
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -7,7 +7,14 @@
 
 from turmerictray.config.routes import ServiceSpec
 from turmerictray.core.ids import NodeId, SoftwareVersion, TargetId, ZoneId
-from turmerictray.routing.load import PeerLoad, PendingPrefill, TargetInfo, TargetLoad, TargetPhase
+from turmerictray.routing.load import (
+    PeerLoad,
+    PendingPrefill,
+    TargetInfo,
+    TargetLoad,
+    TargetPhase,
+    UsualRatio,
+)
 from turmerictray.routing.model import PoolModel
 from turmerictray.routing.prefix_cache import PrefixCacheModel
 from turmerictray.routing.prompt import UNSHARED_PART, PartId, Prompt, PromptPart
@@ -58,6 +65,7 @@
         self._reported_cold_s: dict[TargetId, float] = {}
         self._versions = RecentVersions()
         self._zone_reachability = ZoneReachability()
+        self._usual_ratio = UsualRatio()
         self._unreported_reads: deque[tuple[TargetId, tuple[PromptPart, ...]]] = deque(
             maxlen=_MAX_REPORTED_READS
         )
@@ -239,7 +247,9 @@
             return
         self.record_reached(target)
         self._estimates_changed = True
-        read = load.record_first_event(call_id, took_s)
+        # What is expected of an engine is learned by the model, and so already what is usual.
+        usual = self._usual_ratio if self.spec.engine is None else None
+        read = load.record_first_event(call_id, took_s, usual)
         if read is not None and self.spec.engine is not None:
             if now is not None:
                 self.model.learn_turnaround(now - read.sent_at - took_s)
