Test: a leaving target's answers to requests in flight count as heard

The product did right; the test took the time a request was received for the time of its answer.

Replaced by an equally strict check: the stand-in marks the requests whose answers say it, and each router's requests are counted from the first of these, which is earlier than before or the same; nothing may reach the target a second later, as before; and some answer has to have said it.

--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -204,17 +204,19 @@
         told_at = time.monotonic()
         time.sleep(TOLD_WITHIN_S)
         assert not sent_since(worker, told_at + 1.0)
-    heard_at = first_answer_by_router(worker, told_at)
-    assert heard_at
+    assert worker.said_leaving
+    heard_at = first_answer_by_router(worker)
     for router, at in heard_at.items():
         assert not sent_since(worker, at + IN_FLIGHT_S, router)
     assert load.statuses() == {200}
 
 
-def first_answer_by_router(worker: Worker, told_at: float) -> dict[str, float]:
+def first_answer_by_router(worker: Worker) -> dict[str, float]:
+    """Return when the request came in whose answer first told a router that the target leaves."""
     heard_at: dict[str, float] = {}
-    for request in sent_since(worker, told_at):
-        heard_at.setdefault(router_of(request), request.received_at)
+    for request in list(worker.received_requests):
+        if request.said_leaving:
+            heard_at.setdefault(router_of(request), request.received_at)
     return heard_at
 
 
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -89,6 +89,8 @@
         Monotonic time.
     rest_asked : str or None
         The ``Retry-After`` with which the worker refused it because it was full.
+    said_leaving : bool
+        Whether the answer says that the worker leaves.
     """
 
     method: str
@@ -99,6 +101,7 @@
     client_disconnected: bool = False
     received_at: float = field(default_factory=time.monotonic)
     rest_asked: str | None = None
+    said_leaving: bool = False
 
 
 @dataclass
@@ -190,6 +193,8 @@
         Monotonic time of the crash, if it has crashed.
     before_exit : callable
         Called when the worker crashes, before its connections break.
+    said_leaving : bool
+        Whether an answer of any kind has said that the worker leaves.
     crashed_cold : bool
         Whether the worker crashed under too many requests while it was cold.
     """
@@ -209,6 +214,7 @@
         self.crashed = threading.Event()
         self.crashed_at: float | None = None
         self.before_exit: Callable[[], None] = lambda: None
+        self.said_leaving = False
         self.crashed_cold = False
         self._cold_until = self._fragile_from = -math.inf
         self._cold_arrivals: deque[float] = deque()
@@ -286,6 +292,12 @@
             self.crashed_cold = True
             self.crash()
 
+    def note_said_leaving(self, request: ReceivedRequest | None) -> None:
+        """Record an answer that says that the worker leaves; None for one about its state."""
+        self.said_leaving = True
+        if request is not None:
+            request.said_leaving = True
+
     def runs(self) -> list[ReceivedRequest]:
         """Return the requests that ran."""
         return [request for request in self.received_requests if request.ran]
@@ -321,6 +333,7 @@
 class _Handler(QuietHandler):
     disable_nagle_algorithm = True
     _chunked = True
+    _request: ReceivedRequest | None = None
 
     @property
     def worker(self) -> Worker:
@@ -338,13 +351,14 @@
     def _handle(self) -> None:
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         headers = {name.title(): val for name, val in self.headers.items()}
+        self._request = None
         if self.path == "/api/kv-list":
             self._send_answer(200, self.worker.encode_listing(), signed=False)
             return
         if self.path == "/api/report":
             self._send_report(headers)
             return
-        request = ReceivedRequest(self.command, self.path, headers, body)
+        request = self._request = ReceivedRequest(self.command, self.path, headers, body)
         self.worker.received_requests.append(request)
         if self._is_misdirected(headers):
             return
@@ -529,6 +543,7 @@
             self.send_header("X-Server-Seal", f"seal.{self.worker.id}")
         if self.worker.behaviour.leaving_header:
             self.send_header(self.worker.behaviour.leaving_header, "1")
+            self.worker.note_said_leaving(self._request)
         if self.worker.behaviour.keep_alive_s is not None:
             self.send_header("Keep-Alive", f"timeout={self.worker.behaviour.keep_alive_s}")
         for name, value in headers:
