A time limit of request heads of 0 counts as none set

What callers saw: with limits.header_timeout_ms 0 in op/config, a request that arrived in two pieces got 500; one that arrived whole was served.

Cause: the limit becomes the timeout of the caller's socket, and 0 makes reads not wait at all. The reader took the value over as it stands.

Change: 0 is read as the default (3 s). Refusing the text was ruled out: the store has accepted it, so a router that kept the version before would serve what its operator has replaced. Negative values are refused as before.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 from turmerictray.config.routes import RouteKind
 from turmerictray.core.errors import ConfigError
 from turmerictray.platform.documents import decode_routing_config, decode_target
+from turmerictray.platform.standins.caller import make_request
 from turmerictray.platform.standins.local import default_config
 from turmerictray.transport.server import _IDLE_TIMEOUT_FACTOR
 
@@ -127,6 +129,23 @@
         sock.settimeout(found.idle_timeout_s * _IDLE_TIMEOUT_FACTOR)
 
 
+@pytest.mark.process
+def test_request_that_arrives_in_pieces_is_served_without_a_time_limit_of_its_head(
+    start_deployment, caller_to
+):
+    """Guards against a limit of 0 with which sockets don't wait for the rest of a request."""
+    deployment = start_deployment(routers=1)
+    config = default_config(2, limits={"header_timeout_ms": 0})
+    deployment.store.store.put("op/config", config)
+    time.sleep(1.0)
+    caller = caller_to(deployment.routers[0])
+    request = make_request("GET", "/ping/1")
+    caller.send(request[:20])
+    time.sleep(0.2)
+    caller.send(request[20:])
+    assert caller.read().status == 200
+
+
 def test_route_without_service_is_refused():
     config = default_config(1)
     del config["routes"][0]["service"]
--- a/turmerictray/platform/documents.py
+++ b/turmerictray/platform/documents.py
@@ -55,6 +55,8 @@
 _MAX_SOCKET_TIMEOUT_MS = 10**9
 """Upper limit on the time limits of connections; some systems hold 31 bits of milliseconds."""
 
+_DEFAULT_HEADER_TIMEOUT_MS = 3000.0
+
 _Number = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 _NonNegative = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 _Integer = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
@@ -103,7 +105,7 @@
 class _Limits(msgspec.Struct, frozen=True):
     max_header_bytes: _Size = 16384
     max_body_bytes: _Size = 4 << 20
-    header_timeout_ms: _SocketTimeout = 3000.0
+    header_timeout_ms: _SocketTimeout = _DEFAULT_HEADER_TIMEOUT_MS
     idle_timeout_ms: _SocketTimeout = 75_000.0
     tokens_per_s: _Number = 0.0
 
@@ -187,7 +189,8 @@
         limits=FrontLimits(
             cfg.limits.max_header_bytes,
             cfg.limits.max_body_bytes,
-            cfg.limits.header_timeout_ms / _MS_PER_S,
+            # No head arrives in no time at all, so 0 can only mean that none is set.
+            (cfg.limits.header_timeout_ms or _DEFAULT_HEADER_TIMEOUT_MS) / _MS_PER_S,
             cfg.limits.idle_timeout_ms / _MS_PER_S,
         ),
         tokens_per_s=cfg.limits.tokens_per_s,
