Test: that a target has said that it leaves is shown by an answer to a request

Routers take the notice from answers to requests alone (platform.headers, router.run), not from reports or listings, so the check asks for one again, with those to requests in flight counted. The stand-in's second flag goes.

--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -204,8 +204,8 @@
         told_at = time.monotonic()
         time.sleep(TOLD_WITHIN_S)
         assert not sent_since(worker, told_at + 1.0)
-    assert worker.said_leaving
     heard_at = first_answer_by_router(worker)
+    assert heard_at
     for router, at in heard_at.items():
         assert not sent_since(worker, at + IN_FLIGHT_S, router)
     assert load.statuses() == {200}
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -193,8 +193,6 @@
         Monotonic time of the crash, if it has crashed.
     before_exit : callable
         Called when the worker crashes, before its connections break.
-    said_leaving : bool
-        Whether an answer of any kind has said that the worker leaves.
     crashed_cold : bool
         Whether the worker crashed under too many requests while it was cold.
     """
@@ -214,7 +212,6 @@
         self.crashed = threading.Event()
         self.crashed_at: float | None = None
         self.before_exit: Callable[[], None] = lambda: None
-        self.said_leaving = False
         self.crashed_cold = False
         self._cold_until = self._fragile_from = -math.inf
         self._cold_arrivals: deque[float] = deque()
@@ -292,12 +289,6 @@
             self.crashed_cold = True
             self.crash()
 
-    def note_said_leaving(self, request: ReceivedRequest | None) -> None:
-        """Record an answer that says that the worker leaves; None for one about its state."""
-        self.said_leaving = True
-        if request is not None:
-            request.said_leaving = True
-
     def runs(self) -> list[ReceivedRequest]:
         """Return the requests that ran."""
         return [request for request in self.received_requests if request.ran]
@@ -543,7 +534,8 @@
             self.send_header("X-Server-Seal", f"seal.{self.worker.id}")
         if self.worker.behaviour.leaving_header:
             self.send_header(self.worker.behaviour.leaving_header, "1")
-            self.worker.note_said_leaving(self._request)
+            if self._request is not None:
+                self._request.said_leaving = True
         if self.worker.behaviour.keep_alive_s is not None:
             self.send_header("Keep-Alive", f"timeout={self.worker.behaviour.keep_alive_s}")
         for name, value in headers:
