Tests: a stand-in target reads requests by their ends, not by pieces

Cause: a fault of the stand-in. The client sends head and body in two pieces. The stand-in answered a piece that begins with POST, so it answered before the body had come; the body and the next request could then arrive in one piece, which begins with the body and was not answered.

Evidence: with 50 ms of sleep after each answer the test failed, 1 of 1, with the same error; with the change and the same sleep the eight tests that use this target pass.

Change: it counts and answers a request once its end has come. What the tests assert is unchanged; a request is now counted only when it has come whole.

--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -153,6 +153,10 @@
     assert _read(target, False) == (False, BODY)
 
 
+_REQUEST_END = b"\r\n\r\n{}"
+"""End of a head, and the body of all requests."""
+
+
 class _KeepingTarget(SocketTarget):
     """Sends the same bytes for each request, and keeps the connection."""
 
@@ -164,9 +168,13 @@
     def serve(self, conn) -> None:
         number = len(self.requests)
         self.requests.append(0)
+        received = b""
         with conn, suppress(OSError):
             while data := conn.recv(65536):
-                if data.startswith(b"POST"):
+                # A body may come alone, or with the head of the next request.
+                received += data
+                while _REQUEST_END in received:
+                    received = received.partition(_REQUEST_END)[2]
                     self.requests[number] += 1
                     conn.sendall(self._answer)
 
