The relay drops held bytes whose sender's reset it notices as a cut ends

Cause of what is mended: asyncio tells a reader of a reset one pass of the loop after the transport has noticed it, and the transport's read takes the error off the socket. If a link is restored in between, the relay saw neither and sent on what the sender's kernel would have dropped.

Evidence: the new test resets a connection 0, 1 and 2 passes of the loop after the restoration was asked for, before the link is open.

Why it works: the transport is closing from the moment it has noticed the reset; then one pass is waited for, in which the reader is told.

Ruled out: a fixed extra pass for each piece (trial).

--- a/tests/loadtool/test_relay.py
+++ b/tests/loadtool/test_relay.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+import threading
 import time
 
 import pytest
@@ -101,6 +102,34 @@
     assert echo.received == [b"a"]
 
 
+@pytest.mark.parametrize("passes", range(3))
+def test_reset_in_the_moment_of_the_restoration_drops_held_bytes(network, connect, echo, passes):
+    """Guards against bytes that are sent on before the relay has noticed the reset."""
+    sock = connect()
+    assert exchange(sock, b"a") == b"a"
+    network.partition(*ENDPOINTS)
+    sock.sendall(b"b")
+    set_reset_on_close(sock, True)
+    loop = network.links[0].server.get_loop()
+    restoring = threading.Thread(target=network.restore_all)
+
+    def restore_and_reset() -> None:
+        restoring.start()
+        time.sleep(0.1)
+        call_after(passes, sock.close)
+
+    def call_after(count: int, function) -> None:
+        if count:
+            loop.call_soon(call_after, count - 1, function)
+        else:
+            function()
+
+    loop.call_soon_threadsafe(restore_and_reset)
+    time.sleep(0.3)
+    restoring.join()
+    assert echo.received == [b"a"]
+
+
 def test_one_way_partition_passes_the_opposite_direction(network, connect, echo):
     sock = connect()
     network.partition(*ENDPOINTS, (Direction.BACKWARD,))
--- a/turmerictray/loadtool/relay.py
+++ b/turmerictray/loadtool/relay.py
@@ -226,6 +226,9 @@
                 await asyncio.sleep(link.delay_s)
                 await conn.forwarding.wait()
                 await link.gates[direction].wait()
+                if sender.is_closing():
+                    # The reader is told of a reset one pass of the loop after it was noticed.
+                    await asyncio.sleep(0)
                 if _is_reset(reader, sender):
                     raise ConnectionResetError
                 writer.write(data)
