--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,8 @@
-"""A tenant's burst of chunked uploads takes a router over its memory limit.
+"""After all routers were killed, no stream is taken up again for half a minute.
 
-A tenant sends bodies in chunks, each within ``max_body_bytes``. Usually a few are on their way at
-once. While the tenant sends several times its usual, the router keeps all of them in memory without
-counting them against its limit for bodies, which only concerns bodies that have been read to their
-end. The platform kills the process, and orders of another tenant that run at a worker get no
-answer.
+All router processes are killed at the same moment and started again. The workers, all of one
+software version, go on. Clients take their streams up at routers that have been back for
+``contact_ms``. New streams begin there; those that are taken up are all refused with 503.
 """
 
 import itertools
@@ -14,187 +12,178 @@
 import threading
 import time
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 
 from deployment import (
+    CONTACT_S,
     EXIT_BROKEN,
     EXIT_HELD,
     EXIT_NOT_RUN,
     KEYS,
-    MEMORY_MB,
     TROUBLE,
-    Client,
     Deployment,
     Record,
-    Router,
     configuration,
     route,
 )
+from streams import StreamAttempt
 
 from turmerictray.platform.standins.worker import Worker
 
-UPLOADER, OTHER = "wafo112", "hule930"
-USUAL_UPLOADS, HOT_FACTOR, HOT_FROM_S, HOT_FOR_S, END_S = 12, 7.5, 8.0, 6.5, 25.0
-CHUNK, CHUNKS, UPLOAD_S = b"u" * 65536, 54, 3.0
-ORDERS, ORDER_WORK_S = 8, 0.8
-POLL_S, RESTART_S = 0.05, 0.5
-MAX_LOST = 3
+PATH, KEY = "/lohu930/2f", KEYS["hule930"]
+ENGINES, STREAMS, NEW_CLIENTS = 3, 30, 4
+EVENTS, GAP_S, DEADLINE_S = 45, 0.25, 15.0
+KILL_AT_S, DOWN_S, END_S = 8.0, 0.5, 26.0
+STREAMS_FROM_S = 2.0
+MIN_TAKEN_UP = 12
 
 
-class Platform(threading.Thread):
-    """Kills a router's process that exceeds its memory limit, and starts it again."""
+@dataclass
+class Ending:
+    """What became of one attempt."""
 
-    def __init__(self, router: Router, record: Record) -> None:
-        super().__init__(daemon=True)
-        self.kills = 0
-        self.peak_mb = 0.0
-        self.stopping = threading.Event()
-        self._router = router
-        self._record = record
-
-    def run(self) -> None:
-        """Look at the process until stopped."""
-        while not self.stopping.wait(POLL_S):
-            memory_mb = self._router.memory_mb()
-            self.peak_mb = max(self.peak_mb, memory_mb)
-            if memory_mb <= MEMORY_MB:
-                continue
-            self.kills += 1
-            self._record.write(f"{self._router.name} has {memory_mb:.0f} MB: killed")
-            self._router.signal(signal.SIGKILL)
-            self._router.process.wait()
-            self.stopping.wait(RESTART_S)
-            self._router.start()
+    at: float
+    status: int
+    taken_up: bool
+    went_on: bool
 
 
 class Traffic:
-    """Uploads of one tenant and orders of another, all at one router."""
-
-    def __init__(self, router: Router, record: Record) -> None:
-        self.uploads: Counter[str] = Counter()
-        self.lost_ids: list[str] = []
-        self.orders: Counter[str] = Counter()
-        self.stopping = threading.Event()
-        self._router = router
+    """Clients with streams."""
+
+    def __init__(self, deployment: Deployment, record: Record) -> None:
+        self.endings: list[Ending] = []
+        self.open: set[StreamAttempt] = set()
+        self._deployment = deployment
         self._record = record
         self._ids = itertools.count(1)
+        self._stop = threading.Event()
         self._threads: list[threading.Thread] = []
 
-    def start_uploads(self, count: int, until: float) -> None:
-        """Start uploaders that begin one upload after the other until a time."""
-        for _ in range(count):
-            self._start(self._upload_until, until)
-
-    def start_orders(self) -> None:
-        """Start the clients with orders."""
-        for _ in range(ORDERS):
-            self._start(self._order)
+    def start(self, target, count: int) -> None:
+        """Start clients."""
+        for number in range(count):
+            thread = threading.Thread(target=target, args=(number,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
 
     def stop(self) -> None:
         """Wait for the clients."""
-        self.stopping.set()
+        self._stop.set()
         for thread in self._threads:
-            thread.join(10)
-
-    def _start(self, target, *args: float) -> None:
-        thread = threading.Thread(target=target, args=args, daemon=True)
-        self._threads.append(thread)
-        thread.start()
-
-    def _upload_until(self, until: float) -> None:
-        while time.monotonic() < until:
-            request_id = f"a{next(self._ids):015x}"
-            status = self._upload(request_id)
-            self.uploads[status] += 1
-            self._record.write(f"{UPLOADER} {request_id} POST /lohu930/: {status}")
-            if status != "200":
-                time.sleep(0.5)
-
-    def _upload(self, request_id: str) -> str:
+            thread.join(DEADLINE_S + 1)
+
+    def follow_one(self, number: int) -> None:
+        """Follow one stream to its end, over as many attempts as its deadline allows."""
+        began_at = time.monotonic()
+        first_id, after = "", 0
+        while (left_s := began_at + DEADLINE_S - time.monotonic()) > 0.5:
+            attempt, request_id = self._attempt(number, left_s, first_id, after)
+            if attempt is not None and attempt.is_complete and attempt.status == 200:
+                return
+            if attempt is not None and attempt.last_event > after:
+                first_id, after = first_id or request_id, attempt.last_event
+            # A client waits as told, up to a third of the time that it has left.
+            told_s = 0.0 if attempt is None else attempt.retry_after_s
+            time.sleep(min(max(told_s, 1.0), left_s / 3))
+
+    def begin_short_ones(self, number: int) -> None:
+        """Begin one new stream after the other, of which only the beginning matters."""
+        while not self._stop.wait(0.5):
+            self._attempt(number, 3.0, "", 0, events=3)
+
+    def drop_all(self) -> None:
+        """Drop the clients' connections."""
+        for attempt in list(self.open):
+            attempt.drop()
+
+    def _attempt(
+        self, number: int, left_s: float, first_id: str, after: int, events: int = EVENTS
+    ) -> tuple[StreamAttempt | None, str]:
+        request_id = f"{next(self._ids):016x}"
+        routers = self._deployment.routers
+        front = routers[number % len(routers)].front
+        at, attempt = time.monotonic(), None
+        prompt = f"5c1e07a2:800,{number + 1:x}f:410,{request_id}:{250 if events == EVENTS else 10}"
         try:
-            client = Client(self._router.front, KEYS[UPLOADER])
-            chunked = "Transfer-Encoding: chunked\r\n"
-            client.send(client.head("POST", "/lohu930/2f", request_id, 8000, chunked))
-            for _ in range(CHUNKS):
-                client.send(b"%x\r\n%b\r\n" % (len(CHUNK), CHUNK))
-                time.sleep(UPLOAD_S / CHUNKS)
-            client.send(b"0\r\n\r\n")
-            reply = client.read(8.0)
-            client.close()
-        except OSError as exc:
-            return type(exc).__name__
-        return "closed" if reply is None else str(reply.status)
-
-    def _order(self) -> None:
-        client, answered = None, 0
-        while not self.stopping.is_set():
-            request_id = f"b{next(self._ids):015x}"
-            try:
-                if client is None:
-                    client, answered = Client(self._router.front, KEYS[OTHER]), 0
-                reply = client.ask("POST", "/puxa403/2f", request_id, 3000, b"order")
-            except OSError as exc:
-                self.orders["not sent"] += 1
-                self._record.write(f"{OTHER} {request_id} POST /puxa403/: {exc!r}")
-                client = None
-                time.sleep(0.2)
-                continue
-            ending = "closed" if reply is None else str(reply.status)
-            self.orders[ending] += 1
-            self._record.write(f"{OTHER} {request_id} POST /puxa403/: {ending}")
-            if reply is None and answered:
-                self.lost_ids.append(request_id)
-            if reply is None or reply.headers.get("Connection") == "close":
-                client.close()
-                client = None
-            else:
-                answered += 1
+            attempt = StreamAttempt(
+                front, PATH, request_id, KEY, int(left_s * 1000), prompt, first_id, after
+            )
+            self.open.add(attempt)
+            if events != EVENTS:
+                threading.Timer(events * GAP_S + 0.1, attempt.drop).start()
+            attempt.read(left_s)
+        except OSError:
+            pass
+        finally:
+            self.open.discard(attempt)
+        status = 0 if attempt is None else attempt.status
+        went_on = attempt is not None and attempt.first_event == after + 1
+        last = 0 if attempt is None else attempt.last_event
+        kind = f"takes {first_id} up after event {after}" if first_id else "new stream"
+        self._record.write(f"{request_id} at {front[0]}, {kind}: {status}, last event {last}")
+        self.endings.append(Ending(at, status, bool(first_id), went_on))
+        return attempt, request_id
 
 
 def play(folder: Path, record: Record) -> int:
     """Play the case and return the exit code."""
-    routes = [
-        route("recon", "/lohu930/", "idempotent", "app", timeout_ms=8000, target_latency_ms=6000),
-        route("order", "/puxa403/", "non_idempotent", "app", max_attempts=1, timeout_ms=3000),
-    ]
-    config = configuration(1, routes, [{"name": "app", "health_path": "/health"}])
-    deployment = Deployment(folder, config)
-    router = deployment.routers[0]
-    platform, traffic = Platform(router, record), Traffic(router, record)
+    options = {"sticky": True, "resumable": True, "timeout_ms": 15000, "max_attempts": 2}
+    routes = [route("plan", "/lohu930/", "streaming", "llm", **options)]
+    engine = {"slots": 64, "kv_tokens": 646266, "kv_bytes": 163840, "link_mbps": 1100000.0}
+    services = [{"name": "llm", "health_path": "/health", "engine": engine}]
+    deployment = Deployment(folder, configuration(1, routes, services))
     try:
-        for number in range(3):
-            worker = Worker(f"i-{number}", "app")
-            worker.behaviour.slots = 16
-            worker.behaviour.service_time_s = ORDER_WORK_S
+        for number in range(ENGINES):
+            worker = Worker(f"i-{number}", "llm")
+            worker.behaviour.slots, worker.behaviour.event_count = 64, EVENTS
+            worker.behaviour.event_interval_s = GAP_S
             deployment.add_worker(worker)
         deployment.start()
-        platform.start()
+        traffic = Traffic(deployment, record)
         began_at = time.monotonic()
-        traffic.start_orders()
-        traffic.start_uploads(USUAL_UPLOADS, began_at + END_S - 6)
-        time.sleep(HOT_FROM_S)
-        record.write(f"peak memory with the usual uploads: {platform.peak_mb:.0f} MB")
+        traffic.start(traffic.begin_short_ones, NEW_CLIENTS)
+        time.sleep(STREAMS_FROM_S)
+        traffic.start(traffic.follow_one, STREAMS)
+        time.sleep(KILL_AT_S - (time.monotonic() - began_at))
+        back_at = time.monotonic()
         if TROUBLE:
-            more = int(USUAL_UPLOADS * (HOT_FACTOR - 1))
-            record.write(f"{more} more uploads at once for {HOT_FOR_S} s")
-            traffic.start_uploads(more, time.monotonic() + HOT_FOR_S)
+            record.write("all routers are killed")
+            for router in deployment.routers:
+                router.signal(signal.SIGKILL)
+            time.sleep(DOWN_S)
+            for router in deployment.routers:
+                router.process.wait()
+                router.start()
+            back_at = time.monotonic()
+            record.write("all routers are started")
+        else:
+            record.write("the clients' connections are dropped")
+            traffic.drop_all()
         time.sleep(END_S - (time.monotonic() - began_at))
         traffic.stop()
     finally:
-        platform.stopping.set()
         deployment.stop()
-    ran = {r.headers["X-Request-Id"] for worker in deployment.workers for r in worker.runs()}
-    lost = [request_id for request_id in traffic.lost_ids if request_id in ran]
-    record.write(f"ran at a worker and got no answer: {' '.join(lost) or '-'}")
+    for worker in deployment.workers:
+        ids = [request.headers["X-Request-Id"] for request in worker.runs()]
+        record.write(f"{worker.id} ({worker.version}) ran {' '.join(ids)}")
+    # In touch: since ``contact_ms`` after the start of the processes.
+    judged = [e for e in traffic.endings if e.at >= back_at + (CONTACT_S if TROUBLE else 0)]
+    taken_up = [e for e in judged if e.taken_up]
+    new = [e for e in judged if not e.taken_up]
+    share_on = sum(e.went_on for e in taken_up) / max(1, len(taken_up))
+    share_new = sum(e.went_on for e in new) / max(1, len(new))
     summary = (
-        f"peak {platform.peak_mb:.0f} MB, killed {platform.kills} times, uploads "
-        f"{dict(traffic.uploads)}, orders {dict(traffic.orders)}, lost {len(lost)}"
+        f"taken up at machines in touch: {len(taken_up)}, of which {share_on:.2f} went on, by "
+        f"status {dict(Counter(e.status for e in taken_up))}; new: {len(new)}, of which "
+        f"{share_new:.2f} began"
     )
     record.write(summary)
     print(summary)
-    if not traffic.orders["200"]:
+    if not new or len(taken_up) < MIN_TAKEN_UP or share_new < 0.5:
         return EXIT_NOT_RUN
-    return EXIT_BROKEN if len(lost) > MAX_LOST else EXIT_HELD
+    return EXIT_BROKEN if share_on < share_new / 2 else EXIT_HELD
 
 
 def main() -> int:
