--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,6 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 export PYTHONPATH="$root/target/deps:$root:$root/review/common2"
+# A failed import would end with 1 as well.
+python3 -c "import deployment, streams" || exit 2
 exec python3 "$here/case.py"
