Check a silent target again before its whole answer is cut

Cause: an answer with neither a length nor chunks ends with a close, and the router asks the target for its report to see that it still runs. It asked once, for a second; a sound target that is silent for longer counted like one that nobody answers for. Evidence: the lines of the cut requests say closed_by=target target_check=unknown, 1.0 s after the last event.

Now a target that nothing is known of is checked again until it is known to run or to have exited, the request's deadline has come or its caller has left; where another attempt may follow, for as long as a target may be silent in the middle of an answer. A check, and the wait for one that is in progress, end at the deadline. An answer still doesn't count as complete while its target isn't known to run. The same on the product's own path.

--- a/tests/crashes/test_exit_detection.py
+++ b/tests/crashes/test_exit_detection.py
@@ -49,7 +49,7 @@
     """Guards against requests that wait one after the other for a target that doesn't answer."""
     checked = []
 
-    def check(target: TargetInfo) -> Liveness:
+    def check(target: TargetInfo, _timeout_s: float) -> Liveness:
         checked.append(target)
         time.sleep(0.1)
         return Liveness.UNKNOWN
@@ -76,7 +76,7 @@
 def test_exited_target_is_checked_once_for_many_requests():
     checked = []
 
-    def check(target: TargetInfo) -> Liveness:
+    def check(target: TargetInfo, _timeout_s: float) -> Liveness:
         checked.append(target)
         return Liveness.EXITED
 
@@ -89,7 +89,7 @@
     """Guards against a crash that is missed as the target was found running just before it."""
     answers = [Liveness.RUNNING, Liveness.EXITED]
     monkeypatch.setattr("time.monotonic", lambda: 10.0)
-    detector = TargetExitDetector(lambda _target: answers.pop(0))
+    detector = TargetExitDetector(lambda _target, _timeout_s: answers.pop(0))
     assert not detector.has_exited(TARGET, 9.9)
     assert not detector.has_exited(TARGET, 10.0)
     assert detector.has_exited(TARGET, 10.01)
@@ -98,7 +98,7 @@
 def test_exited_target_is_checked_again_later():
     """Guards against one mistaken check after which all answers of a target count as cut."""
     answers = [Liveness.EXITED, Liveness.RUNNING]
-    detector = TargetExitDetector(lambda _target: answers.pop(0))
+    detector = TargetExitDetector(lambda _target, _timeout_s: answers.pop(0))
     now = time.monotonic()
     assert detector.has_exited(TARGET, now)
     assert detector.has_exited(TARGET, now + 0.5)
@@ -109,7 +109,7 @@
     """Guards against a new connection for each of many answers that end at the same time."""
     checked = []
 
-    def check(target: TargetInfo) -> Liveness:
+    def check(target: TargetInfo, _timeout_s: float) -> Liveness:
         checked.append(target)
         time.sleep(0.1)
         return Liveness.RUNNING
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -9,6 +9,7 @@
 from tests.platform.test_target_notices import Load, ask_rest
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawAnswer, make_request
 from turmerictray.platform.standins.local import LocalDeployment, default_config
+from turmerictray.platform.standins.worker import WorkerFault
 
 pytestmark = pytest.mark.process
 
@@ -81,3 +82,23 @@
     assert answer.complete
     assert answer.event_ids() == [1, 2, 3, 4, 5]
     assert len(deployment.of_service("llm")[0].runs()) == 1
+
+
+@pytest.mark.parametrize("silence_s", [1.3, 2.2])
+@pytest.mark.parametrize(("path", "is_stream"), [("/plan/1", True), ("/order/1", False)])
+def test_answer_ended_by_a_close_is_whole_though_its_target_is_silent_then(
+    start_deployment, caller_to, path, is_stream, silence_s
+):
+    """Guards against a whole answer that is cut because its target gives no report in time."""
+    deployment = start_deployment(routers=1, engines=1, apps=1)
+    _publish_deadline(deployment, 6.0)
+    worker = deployment.of_service("llm" if is_stream else "app")[0]
+    fault = WorkerFault.UNFRAMED_STREAM if is_stream else WorkerFault.NO_LENGTH
+    worker.behaviour.faults.append(fault)
+    worker.behaviour.silence_after_close_s = silence_s
+    caller, answer = caller_to(deployment.routers[0]), RawAnswer()
+    headers = PROMPT_HEADERS if is_stream else {}
+    caller.send(make_request("POST", path, b"body", **headers))
+    caller.read(answer)
+    assert answer.status == 200 and answer.complete
+    assert len(worker.runs()) == 1
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -1,5 +1,6 @@
 """Evidence from broken connections on requests that crash their targets."""
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -68,6 +69,8 @@
         target: TargetInfo,
         closed_at: float,
         on_found: Callable[[Liveness], None] = lambda found: None,
+        deadline: float = -math.inf,
+        is_given_up: Callable[[], bool] = lambda: False,
     ) -> None:
         """Check that an answer that only the close of its connection ended was not broken off.
 
@@ -81,6 +84,10 @@
             When the connection was closed, in monotonic seconds.
         on_found : callable
             Called with what the check found out about the target.
+        deadline : float
+            Monotonic time until which a target that does not respond is checked again.
+        is_given_up : callable
+            Returns whether nobody waits for the answer any more.
 
         Raises
         ------
@@ -89,7 +96,7 @@
         OutcomeUnknown
             Whether it runs can't be found out.
         """
-        found = self.ended_targets.find(target, closed_at)
+        found = self.ended_targets.find_until(target, closed_at, deadline, is_given_up)
         on_found(found)
         if found is Liveness.EXITED:
             raise ConnectionBroken(f"{target.address} exited at the end of the answer")
--- a/turmerictray/crashes/exit_detection.py
+++ b/turmerictray/crashes/exit_detection.py
@@ -28,6 +28,13 @@
 """How long an exited target counts as exited without another check. An answer that was taken for an
 exit by mistake must not condemn all later answers of the target."""
 
+CHECK_TIMEOUT_S = 1.0
+"""Time limit of one check. A target that stands still for longer is asked again."""
+
+_FIRST_PAUSE_S = 0.02
+_MAX_PAUSE_S = 0.25
+"""Pause between two checks of a target that nothing is known of, in seconds; doubled each time."""
+
 _MAX_TARGETS = 1024
 
 
@@ -39,21 +46,22 @@
     UNKNOWN = "unknown"
 
 
-TargetCheck = Callable[[TargetInfo], Liveness]
-"""Checks whether a target's process runs."""
+TargetCheck = Callable[[TargetInfo, float], Liveness]
+"""Checks whether a target's process runs, within a number of seconds."""
 
 
-def check_listening(target: TargetInfo) -> Liveness:
+def check_listening(target: TargetInfo, timeout_s: float = CHECK_TIMEOUT_S) -> Liveness:
     """Return whether something listens at a target's address.
 
     A target that accepts a connection and closes it at once may be exiting, or be at its limit of
     connections. Only the former refuses another one soon.
     """
     host, _, port = target.address.rpartition(":")
+    connect_s = min(CONNECT_TIMEOUT_S, timeout_s)
     for _ in range(_MAX_CONNECTIONS):
         try:
             address = host.strip("[]"), int(port)
-            with socket.create_connection(address, CONNECT_TIMEOUT_S) as sock:
+            with socket.create_connection(address, connect_s) as sock:
                 return _check_open(sock)
         except ConnectionRefusedError:
             return Liveness.EXITED
@@ -84,10 +92,10 @@
     found: Liveness = Liveness.RUNNING
     valid_until: float = -math.inf
 
-    def make(self, check: "TargetCheck", target: TargetInfo) -> None:
+    def make(self, check: "TargetCheck", target: TargetInfo, deadline: float) -> None:
         """Check the target, and note for which breaks the result holds."""
         began_at = time.monotonic()
-        self.found = check(target)
+        self.found = check(target, max(0.0, min(CHECK_TIMEOUT_S, deadline - began_at)))
         if self.found is Liveness.EXITED:
             self.valid_until = began_at + _EXIT_VALIDITY_S
         elif self.found is Liveness.UNKNOWN:
@@ -120,20 +128,59 @@
         """Return whether a target is known to have exited; see :meth:`find`."""
         return self.find(target, broken_at) is Liveness.EXITED
 
-    def find(self, target: TargetInfo, broken_at: float) -> Liveness:
-        """Return what is known of a target's process.
+    def find(self, target: TargetInfo, broken_at: float, deadline: float = math.inf) -> Liveness:
+        """Return what one check finds out about a target's process.
 
         Parameters
         ----------
         target : TargetInfo
         broken_at : float
             Monotonic time at which a connection to it broke, or ended an answer.
+        deadline : float
+            Monotonic time until which the result is waited for.
         """
         check = self._check_of(target.id)
-        with check.lock:
+        wait_s = -1 if math.isinf(deadline) else max(0.0, deadline - time.monotonic())
+        if not check.lock.acquire(timeout=wait_s):
+            return Liveness.UNKNOWN
+        try:
             if broken_at > check.valid_until:
-                check.make(self._check, target)
+                check.make(self._check, target, deadline)
             return check.found
+        finally:
+            check.lock.release()
+
+    def find_until(
+        self,
+        target: TargetInfo,
+        broken_at: float,
+        deadline: float,
+        is_given_up: Callable[[], bool] = lambda: False,
+    ) -> Liveness:
+        """Check a target until it is known whether its process runs.
+
+        No response is no sign of an exit: the process may stand still for a moment.
+
+        Parameters
+        ----------
+        target : TargetInfo
+        broken_at : float
+            Monotonic time at which a connection to it ended an answer.
+        deadline : float
+            Monotonic time of the last check.
+        is_given_up : callable
+            Returns whether the result is of no more use.
+        """
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            found = self.find(target, broken_at, deadline)
+            is_last = time.monotonic() + pause_s >= deadline or is_given_up()
+            if found is not Liveness.UNKNOWN or is_last:
+                return found
+            time.sleep(pause_s)
+            pause_s = min(2 * pause_s, _MAX_PAUSE_S)
+            # A check that found nothing out would otherwise count as the next one, too.
+            broken_at = time.monotonic()
 
     def _check_of(self, target: TargetId) -> _Check:
         with self._lock:
--- a/turmerictray/platform/identity.py
+++ b/turmerictray/platform/identity.py
@@ -10,7 +10,11 @@
 
 from turmerictray.core.decoding import DecodingError, decode_json
 from turmerictray.core.errors import ConnectionBroken, NotSent, OutcomeUnknown
-from turmerictray.crashes.exit_detection import CONNECT_TIMEOUT_S, Liveness
+from turmerictray.crashes.exit_detection import (
+    CHECK_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    Liveness,
+)
 from turmerictray.platform.documents import target_id
 from turmerictray.platform.headers import expectation_header, is_other_instance, says_not_run
 from turmerictray.routing.load import TargetInfo
@@ -20,10 +24,6 @@
 _REPORT_PATH = "/api/report"
 _HTTP_OK = 200
 
-_CHECK_TIMEOUT_S = 1.0
-"""Time for a check. A report takes no slot and is given within a round trip, but a target may stand
-still for a moment; without a report, its whole answer would be dropped."""
-
 _FIRST_PAUSE_S = 0.01
 """Pause after a connection that was closed without an answer; doubled each time. A target that is
 exiting soon refuses connections, one at its connection limit may accept one."""
@@ -47,9 +47,9 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
 
-    def __call__(self, target: TargetInfo) -> Liveness:
-        """Return whether the target's process runs; UNKNOWN if nobody answers for it."""
-        deadline, pause_s = time.monotonic() + _CHECK_TIMEOUT_S, _FIRST_PAUSE_S
+    def __call__(self, target: TargetInfo, timeout_s: float = CHECK_TIMEOUT_S) -> Liveness:
+        """Return whether the target's process runs; UNKNOWN if nobody answers for it in time."""
+        deadline, pause_s = time.monotonic() + timeout_s, _FIRST_PAUSE_S
         while time.monotonic() + pause_s < deadline:
             try:
                 return self._ask(target, deadline)
@@ -64,7 +64,9 @@
 
     def _ask(self, target: TargetInfo, deadline: float) -> Liveness:
         try:
-            conn = self._pool.acquire(target.id, target.address, CONNECT_TIMEOUT_S)
+            left_s = max(0.0, deadline - time.monotonic())
+            connect_s = min(CONNECT_TIMEOUT_S, left_s)
+            conn = self._pool.acquire(target.id, target.address, connect_s)
         except NotSent as exc:
             raise exc.__cause__ from None
         head = None
--- a/turmerictray/platform/standins/worker.py
+++ b/turmerictray/platform/standins/worker.py
@@ -144,6 +144,8 @@
         ``Retry-After`` of such a refusal.
     silent_until : float
         The worker sends nothing until this monotonic time.
+    silence_after_close_s : float
+        How long the worker sends nothing after an answer that the close of its connection ends.
     """
 
     service_time_s: float = 0.0
@@ -163,6 +165,7 @@
     is_full_for: Callable[[ReceivedRequest], bool] | None = None
     rest_asked: str | None = None
     silent_until: float = 0.0
+    silence_after_close_s: float = 0.0
 
 
 class Worker:
@@ -289,6 +292,12 @@
             self.crashed_cold = True
             self.crash()
 
+    def fall_silent_after_close(self) -> None:
+        """Send nothing for a while, as an answer that a close ends is complete."""
+        if self.behaviour.silence_after_close_s:
+            silent_until = time.monotonic() + self.behaviour.silence_after_close_s
+            self.behaviour.silent_until = silent_until
+
     def runs(self) -> list[ReceivedRequest]:
         """Return the requests that ran."""
         return [request for request in self.received_requests if request.ran]
@@ -469,6 +478,8 @@
                 self.worker.crash()
                 return
         self._send_chunk(b"")
+        if not self._chunked:
+            self.worker.fall_silent_after_close()
 
     def _break_stream(self, request: ReceivedRequest, fault: WorkerFault, event: bytes) -> None:
         if fault is WorkerFault.CRASH_WITHIN_ANSWER:
@@ -517,6 +528,7 @@
         self._send_head(200, [("Connection", "close")])
         self.wfile.write(body)
         self.close_connection = True
+        self.worker.fall_silent_after_close()
 
     def _send_answer(
         self, status: int, body: bytes, extra=(), signed=True, request_id=None
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -35,7 +35,7 @@
 from turmerictray.router.progress import Progress
 from turmerictray.router.relay import AnswerRelay
 from turmerictray.router.routed_request import RoutedRequest, call_id_source
-from turmerictray.router.silence import min_next_try_s, patience_s
+from turmerictray.router.silence import event_patience_s, min_next_try_s, patience_s
 from turmerictray.router.take_up import TakeUp, return_grant
 from turmerictray.router.trace import RequestTrace
 from turmerictray.routing.target_notices import LOCAL_ROUTER, TargetNotices, TargetReport
@@ -521,6 +521,19 @@
             return left_s
         return patience_s(left_s, granted.expected_s)
 
+    def _report_deadline(self, granted: Granted, now: float) -> float:
+        """Return until when a target that has ended an answer may fail to respond."""
+        routed = self._routed
+        left_s = routed.bounds.answer_deadline - now
+        if not self._progress.may_abandon_attempt():
+            return now + left_s
+        if not self._progress.answer_started:
+            return now + patience_s(left_s, granted.expected_s)
+        route = routed.route
+        return now + event_patience_s(
+            left_s, granted.expected_s, route.gap_s, route.caller_patience_s
+        )
+
     def _relay(self, granted: Granted) -> AnswerRelay:
         sent_at = time.monotonic()
         routed = self._routed
@@ -541,8 +554,13 @@
             )
 
         def check_closed() -> None:
+            now = time.monotonic()
             self._deps.crashes.check_closed_answer(
-                granted.target, time.monotonic(), self._progress.record_liveness
+                granted.target,
+                now,
+                self._progress.record_liveness,
+                self._report_deadline(granted, now),
+                lambda: self._call.caller_gone,
             )
 
         return AnswerRelay(
--- a/turmerictray/router/upstream.py
+++ b/turmerictray/router/upstream.py
@@ -28,6 +28,9 @@
 from turmerictray.transport.retry_after import parse_retry_after_s
 
 _STREAM_CHUNK_BYTES = 4096
+_MAX_SILENCE_S = 2.5
+"""How long a target that has ended an answer by a close may fail to respond. Pauses of sound
+targets are rarely longer."""
 _DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
@@ -164,7 +167,8 @@
             resp.release_conn()
         if body_end_of(resp) is BodyEnd.CONNECTION_CLOSE:
             target = _target_at(urllib3.util.parse_url(url))
-            found = self._exits.find(target, time.monotonic())
+            now = time.monotonic()
+            found = self._exits.find_until(target, now, now + _MAX_SILENCE_S)
             if found is not Liveness.RUNNING:
                 raise OutcomeUnknown(f"stream broke: {target.address} is {found.value} at its end")
 
