Take up streams after all routers started together, by the store's history

Cause: a stream without a record goes on only if no other version can have begun it. A router that starts asks its peers what targets there were before; if all start together nobody knows, and 30 s of waiting stood for that knowledge. Evidence: the lines stream_taken_up say versions=v1 confirmed=True known_s=3.1, where 30 were asked.

Routers that read the store for others now read its history once after their start. What the store has discarded is at least as old as its history is long (history_s), or everything is there; versions in it count as gone just now, and a removal whose entry isn't there any more leaves the past unknown. How long a stream may be awaited follows from the longest timeout of the service's resumable routes and 5 s, 30 s at most. Among two versions nothing changes: without a record, refused.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -290,6 +290,23 @@
     _in_parallel(lambda stream: _take_up(deployment.routers[1], stream), ctx["streams"])
 
 
+def test_streams_go_on_after_all_routers_were_killed_while_one_version_serves(start_deployment):
+    """Guards against streams that are refused for long as no router remembers what there was."""
+    deployment = start_deployment(routers=3, engines=3)
+    for worker in deployment.of_service("llm"):
+        worker.behaviour.event_count = _EVENTS
+        worker.behaviour.event_interval_s = _EVENT_INTERVAL_S
+        worker.behaviour.slots = 64
+        deployment.publish(worker)
+    time.sleep(_GOSSIP_S)
+    streams = _begin_streams(deployment.routers[0], 24)
+    _restart_all(deployment)
+    time.sleep(_UNTIL_IN_TOUCH_S)
+    _in_parallel(lambda stream: _take_up(deployment.routers[1], stream), streams)
+    went_on = [stream for stream in streams if stream.event_ids() == list(range(1, _EVENTS + 1))]
+    assert len(went_on) >= 12, [stream.answers[-1] for stream in streams[:2]]
+
+
 def _restart_all(deployment) -> None:
     for router in deployment.routers:
         router.stop()
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -1,5 +1,6 @@
 """Which software version a broker requires for a request that takes up a stream."""
 
+import math
 import time
 from concurrent.futures import Future
 
@@ -8,7 +9,14 @@
 
 from tests.scheduling.test_stream_reports import Records
 from turmerictray.admission.pool_types import Outcome
-from turmerictray.config.routes import EngineSpec, ServiceSpec
+from turmerictray.config.routes import (
+    Backend,
+    EngineSpec,
+    Route,
+    RouteKind,
+    RoutingConfig,
+    ServiceSpec,
+)
 from turmerictray.core.errors import CannotResume, NoTarget
 from turmerictray.core.ids import (
     NodeId,
@@ -40,6 +48,7 @@
     SummaryQuery,
     TargetsChanged,
     TargetsListed,
+    TargetsSeenBefore,
 )
 from turmerictray.scheduling.messages import StreamsBegun
 
@@ -144,6 +153,13 @@
         summary = replace(summary, targets_known_s=known_s, gone_versions=gone)
         self.broker.handle(PeerHeard(summary))
 
+    def set_stream_timeout(self, timeout_s: float) -> None:
+        """Put a configuration in force whose streams last no longer than this."""
+        backends = (Backend(LLM),)
+        route = Route("r", "h", "/", RouteKind.STREAMING, backends, timeout_s, 1.0, resumable=True)
+        config = RoutingConfig(1, (route,), {LLM: ServiceSpec(LLM, engine=EngineSpec(64, 600_000))})
+        self.broker.active_config.current = config
+
     def begin(self, version: SoftwareVersion) -> None:
         self.broker.handle(FirstEvent(0, LLM, TargetId("e"), 0.1, STREAM, version))
 
@@ -212,6 +228,34 @@
     assert watching(V1, V1).take_up() == V1
 
 
+@pytest.mark.parametrize(
+    ("known_s", "timeout_s", "versions", "goes_on"),
+    [
+        (math.inf, None, {V1}, True),
+        (math.inf, None, {V1, V2}, False),
+        (20.0, None, {V1}, False),
+        (20.0, 10.0, {V1}, True),
+        (20.0, 10.0, {V1, V2}, False),
+        (20.0, 25.0, {V1}, False),
+        (0.0, 10.0, set(), False),
+    ],
+)
+def test_a_router_whose_peers_started_too_goes_by_what_was_published(
+    start, known_s, timeout_s, versions, goes_on
+):
+    """Guards against streams refused for long, or joined, after all routers were killed."""
+    fixture = start(V1, V1)
+    if timeout_s is not None:
+        fixture.set_stream_timeout(timeout_s)
+    past = frozenset((LLM, version) for version in versions)
+    fixture.broker.handle(TargetsSeenBefore(known_s, past))
+    if goes_on:
+        assert fixture.take_up() == V1
+    else:
+        with pytest.raises(CannotResume):
+            fixture.take_up()
+
+
 def test_an_unknown_stream_is_refused_on_the_own_path(watching):
     # The scheduler had refused it, as it knew of a second version before this router did.
     with pytest.raises(CannotResume):
--- a/turmerictray/config/routes.py
+++ b/turmerictray/config/routes.py
@@ -191,6 +191,12 @@
         object.__setattr__(self, "_team_by_key", keys)
         homes = {team.name: team.home_regions for team in self.teams if team.home_regions}
         object.__setattr__(self, "_homes_by_team", homes)
+        stream_timeouts: dict[ServiceName, float] = {}
+        for route in self.routes:
+            for backend in route.backends if route.resumable else ():
+                longest_s = max(route.timeout_s, stream_timeouts.get(backend.service, 0.0))
+                stream_timeouts[backend.service] = longest_s
+        object.__setattr__(self, "_stream_timeouts", stream_timeouts)
 
     def match(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix of ``path``, or None."""
@@ -199,6 +205,13 @@
                 return route
         return None
 
+    def stream_timeout_s(self, service: ServiceName) -> float | None:
+        """Return the longest timeout of a service's streams that may be taken up, in seconds.
+
+        None if there are none.
+        """
+        return self._stream_timeouts.get(service)
+
     def team_of(self, key: str) -> TeamId | None:
         """Find the team that the API key belongs to, or None."""
         return self._team_by_key.get(key)
--- a/turmerictray/platform/main.py
+++ b/turmerictray/platform/main.py
@@ -22,10 +22,8 @@
     settings = build_gateway_settings(node_file)
 
     def make_sources(gate, broker, published_copy):
-        return [
-            source(address, gate, broker, published_copy, settings.read_limits)
-            for source in (OperatorSource, TargetSource)
-        ]
+        common = address, gate, broker, published_copy, settings.read_limits
+        return [OperatorSource(*common), TargetSource(*common, node_file.platform.history_s)]
 
     return Gateway(
         settings,
--- a/turmerictray/platform/settings.py
+++ b/turmerictray/platform/settings.py
@@ -57,6 +57,8 @@
 
 class _Store(msgspec.Struct, frozen=True):
     address: str
+    # Time for which the store keeps changes.
+    history_s: float = 0.0
 
 
 class NodeFile(msgspec.Struct, frozen=True):
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -21,6 +21,7 @@
     TargetEntries,
     missing_entry_deadline,
 )
+from turmerictray.platform.history import HistoryReader, PastTargets
 from turmerictray.platform.store import Snapshot, StoreClient
 from turmerictray.router.evacuations import Evacuations, ZoneChange
 from turmerictray.router.published import Position, PublishedCopy, PublishedDocs, StorePosition
@@ -28,6 +29,7 @@
 from turmerictray.scheduling.broker_messages import (
     TargetsChanged,
     TargetsListed,
+    TargetsSeenBefore,
     TextArrived,
     ZonesEvacuated,
 )
@@ -413,8 +415,11 @@
         broker: pykka.ActorRef,
         published_copy: PublishedCopy,
         limits: ReadLimits | None = None,
+        history_s: float = 0.0,
     ) -> None:
         limits = limits or ReadLimits.from_apply_limit()
+        client = StoreClient(address, limits.response_margin_s)
+        self._history = HistoryReader(client, history_s, self._send_past_targets)
         self._gate = gate
         self._broker = broker
         self._published_copy = published_copy
@@ -422,13 +427,13 @@
         self._entries = TargetEntries()
         self._initial_list_sent = False
         self._watch = PrefixWatch(
-            StoreClient(address, limits.response_margin_s),
+            client,
             TARGETS_PREFIX,
             gate,
             published_copy,
             self._apply_snapshot,
             self._apply_changes,
-            self._apply_timeouts,
+            self._run_idle,
             _CHANGE_BATCH_PAUSE_S,
             limits,
         )
@@ -469,6 +474,9 @@
             )
             self._send_changes(self._apply(work))
 
+        if self._gate.is_designated():
+            self._history.note_list(snapshot.position)
+
     def _apply_changes(self, snapshot: Snapshot) -> None:
         with self._lock:
             now, keep_until = time.monotonic(), self._missing_entry_deadline()
@@ -478,6 +486,14 @@
     def _missing_entry_deadline(self) -> float:
         return missing_entry_deadline(self._watch.store_returned_at)
 
+    def _run_idle(self) -> float | None:
+        """Do what is due between two reads; return the seconds until more is due, or None."""
+        waits = self._apply_timeouts(), self._history.run_if_due(time.monotonic())
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def _send_past_targets(self, found: PastTargets) -> None:
+        self._broker.tell(TargetsSeenBefore(found.known_s, found.versions))
+
     def _apply_timeouts(self) -> float | None:
         """Apply due timeouts; return the seconds until the next one, or None if none is pending."""
         with self._lock:
--- a/turmerictray/platform/store.py
+++ b/turmerictray/platform/store.py
@@ -53,11 +53,15 @@
 
 @dataclass(frozen=True)
 class Item:
-    """An item of the store, or its removal if ``value`` is None."""
+    """An item of the store, or its removal if ``value`` is None.
+
+    ``is_first`` tells whether the item was created by this write.
+    """
 
     key: str
     value: bytes | None
     position: StorePosition
+    is_first: bool = False
 
 
 @dataclass(frozen=True)
@@ -75,12 +79,14 @@
 class _Item(msgspec.Struct, frozen=True):
     key: str
     revision: Counter = 0
+    created_rev: Counter | msgspec.UnsetType = msgspec.UNSET
     value: msgspec.Raw = msgspec.Raw(b'""')
     tombstone: bool = False
 
     def decode(self, era: int) -> Item:
         value = None if self.tombstone else _decode_value(self.value)
-        return Item(self.key, value, StorePosition(era, self.revision))
+        is_first = not self.tombstone and self.created_rev == self.revision
+        return Item(self.key, value, StorePosition(era, self.revision), is_first)
 
 
 class _Range(msgspec.Struct, frozen=True):
--- a/turmerictray/routing/streams.py
+++ b/turmerictray/routing/streams.py
@@ -27,6 +27,9 @@
 """How long a version counts after its last target is gone; a stream that it began may be taken up
 until then."""
 
+LEAVING_SERVES_S = 5.0
+"""How long a target whose entry is gone may begin streams, at routers that don't know it yet."""
+
 _REPORT_TOLERANCE_S = 5.0
 """Difference up to which two reports of when a version has gone mean the same event."""
 
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -49,6 +49,7 @@
 from turmerictray.routing.load import PeerLoad, TargetGone, TargetInfo, TargetPhase
 from turmerictray.routing.prompt import PartId, PromptPart
 from turmerictray.routing.rendezvous import rank
+from turmerictray.routing.streams import LEAVING_SERVES_S, VERSION_RETENTION_S
 from turmerictray.routing.target_notices import TargetNotices
 from turmerictray.scheduling.broker_answers import (
     draining,
@@ -80,6 +81,7 @@
     TargetResting,
     TargetsChanged,
     TargetsListed,
+    TargetsSeenBefore,
     TextArrived,
     Withdraw,
     ZonesEvacuated,
@@ -135,6 +137,7 @@
         TextArrived,
         TargetsListed,
         TargetsChanged,
+        TargetsSeenBefore,
         TargetLeaving,
         TargetResting,
         ZonesEvacuated,
@@ -318,7 +321,17 @@
 
     def _targets_view(self, service: ServiceName, now: float) -> TargetsView:
         versions = self.pools.unsharded(service).targets.recent_versions(now)
-        return TargetsView(versions, self._targets_known_s(now), self._is_list_confirmed(now))
+        known_s = self._targets_known_s(now)
+        is_confirmed = self._is_list_confirmed(now)
+        return TargetsView(versions, known_s, is_confirmed, self._streams_last_s(service))
+
+    def _streams_last_s(self, service: ServiceName) -> float:
+        """Return for how long a stream may be awaited whose target has left."""
+        config = self.active_config.current
+        timeout_s = None if config is None else config.stream_timeout_s(service)
+        if timeout_s is None:
+            return VERSION_RETENTION_S
+        return min(VERSION_RETENTION_S, timeout_s + LEAVING_SERVES_S)
 
     def _targets_known_s(self, now: float) -> float:
         age_s = self.targets_age_s() if self.active_config.targets_listed else math.inf
@@ -755,6 +768,14 @@
         if peer >= self.targets_position():
             self._observation.extend(summary.targets_known_s, now)
 
+    @handle.register
+    def _(self, msg: TargetsSeenBefore) -> None:
+        now = time.monotonic()
+        for service, version in msg.versions:
+            self.pools.unsharded(service).targets.note_gone_version(version, now)
+        self._targets_known_s(now)
+        self._observation.extend_by_history(min(msg.known_s, 2 * VERSION_RETENTION_S), now)
+
     @handle.register
     def _(self, msg: ServiceHeard) -> None:
         report = msg.report
--- a/turmerictray/scheduling/broker_messages.py
+++ b/turmerictray/scheduling/broker_messages.py
@@ -236,6 +236,17 @@
     changes: list[TargetInfo | TargetGone]
 
 
+@dataclass(frozen=True)
+class TargetsSeenBefore:
+    """What was published about targets before this router listed them.
+
+    ``versions`` are those of the targets that there were in the last ``known_s`` seconds.
+    """
+
+    known_s: float
+    versions: frozenset[tuple[ServiceName, SoftwareVersion]]
+
+
 @dataclass(frozen=True)
 class ZonesEvacuated:
     """The availability zones that are evacuated from now on: all others have been taken back.
--- a/turmerictray/scheduling/observation.py
+++ b/turmerictray/scheduling/observation.py
@@ -79,6 +79,11 @@
         if self._observed_since is not None and now - self._observed_since >= _MIN_OVERLAP_S:
             self._known_since = min(self._known_since, now - known_s)
 
+    def extend_by_history(self, known_s: float, now: float) -> None:
+        """Record that the store has shown all targets that there were in the last ``known_s``."""
+        if self._known_since is not None:
+            self._known_since = min(self._known_since, now - known_s)
+
     def known_s(self, now: float) -> float:
         """Return the seconds for which all targets were known; 0 if they are not.
 
--- a/turmerictray/scheduling/resumptions.py
+++ b/turmerictray/scheduling/resumptions.py
@@ -29,15 +29,18 @@
         :class:`turmerictray.scheduling.observation.TargetObservation`.
     is_confirmed : bool
         Whether no others can have joined since.
+    streams_last_s : float
+        Seconds for which a stream may be awaited whose target has left.
     """
 
     versions: set[SoftwareVersion]
     known_s: float
     is_confirmed: bool
+    streams_last_s: float = VERSION_RETENTION_S
 
     def only_version(self) -> SoftwareVersion | None:
         """Return the software version of all recent targets; None if not certain."""
-        is_certain = len(self.versions) == 1 and self.known_s >= VERSION_RETENTION_S
+        is_certain = len(self.versions) == 1 and self.known_s >= self.streams_last_s
         return next(iter(self.versions)) if is_certain else None
 
 
