Refuse answers whose status is above 599

A target in trouble that answers with status 600 or 999 had it passed on to its caller, as an answer. Other odd statuses (000, 0, 099, 20, words) were refused before.

Cause: http.client accepts each status from 100 to 999. RFC 9110 knows 100 to 599 and has all others treated as a server's error, so such a head is no answer now: the request is sent again where it may be, else 502. The same for answers of peers and the store, which are read by the same class.

Before: test_no_answer_with_an_invalid_status_is_passed_on failed for 600 and 999, 10 of 60 cases on both paths.

--- a/tests/router/cutting_target.py
+++ b/tests/router/cutting_target.py
@@ -64,6 +64,9 @@
     return head.encode(), wire
 
 
+INVALID_STATUSES = ["000", "0", "099", "600", "999", "1000", "20", "2_0", "+20", "-01", "abc", ""]
+"""Statuses that no answer may have."""
+
 AMBIGUOUS_LENGTHS = [
     "Content-Length: 21\r\nContent-Length: 5\r\n",
     "Content-Length: 21x\r\n",
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -12,6 +12,7 @@
     BODY,
     INTERIM_ANSWERS,
     INVALID_CHUNKS,
+    INVALID_STATUSES,
     LINES_WITHOUT_FIELD,
     STREAM,
     STREAM_BOUNDARIES,
@@ -62,6 +63,7 @@
     started: bool = False,
     raises: bool = False,
     abort_after_s: float | None = None,
+    body: bytes = b"",
 ) -> tuple[bool, _Caller, TargetConnection]:
     """Relay one answer, or the rest of a stream that ``started``; return whether it is complete."""
     deadline = time.monotonic() + timeout_s
@@ -76,7 +78,7 @@
     if abort_after_s is not None:
         threading.Timer(abort_after_s, conn.abort).start()
     try:
-        conn.send(TargetRequest("POST", "/", [("Host", "h")], b""), 1.0)
+        conn.send(TargetRequest("POST", "/", [("Host", "h")], body), 1.0)
         relay.relay_answer(conn, conn.read_head("POST", timeout_s), is_last_attempt=True)
     except OutcomeUnknown:
         if raises:
@@ -262,3 +264,14 @@
     pool = ConnectionPool()
     pool.release("t", conn, SimpleNamespace(get=lambda _name: None))
     assert pool.idle_count() == 0
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_no_answer_with_an_invalid_status_is_passed_on(target, framing, status):
+    """Guards against bytes of a target in trouble that a caller gets as an answer."""
+    head, wire = make_answer(framing, False, status)
+    target.data = head + wire
+    complete, caller, conn = relay(target)
+    conn.close()
+    assert not complete and not caller.body
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -12,6 +12,7 @@
     BODY,
     INTERIM_ANSWERS,
     INVALID_CHUNKS,
+    INVALID_STATUSES,
     LINES_WITHOUT_FIELD,
     STREAM,
     STREAM_BOUNDARIES,
@@ -273,3 +274,12 @@
         assert upstream.read(upstream.open(url, b"{}", {}, 1.0, 2.0), url) == BODY
     target.close()
     assert target.requests == [3]
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+def test_no_answer_with_an_invalid_status_is_passed_on(target, is_stream, status):
+    """Guards against bytes of a target in trouble that a caller gets as an answer."""
+    head, wire = make_answer("length", is_stream, status)
+    target.data = head + wire
+    assert _read(target, is_stream) == (False, b"")
--- a/turmerictray/transport/answer_response.py
+++ b/turmerictray/transport/answer_response.py
@@ -4,6 +4,8 @@
 from email import errors
 from http import HTTPStatus
 
+_MAX_STATUS = 599
+
 _LOST_FIELDS = (
     errors.FirstHeaderLineIsContinuationDefect,
     errors.InvalidHeaderDefect,
@@ -43,5 +45,7 @@
 
     def _read_head(self) -> None:
         super().begin()
+        if self.status > _MAX_STATUS:
+            raise http.client.BadStatusLine(f"status {self.status}")
         if any(isinstance(defect, _LOST_FIELDS) for defect in self.headers.defects):
             raise http.client.HTTPException("a line of the head is no header field")
