Don't take a close for the end of an answer whose request hasn't arrived

A target that answered a long upload at once, with neither a length nor chunks, sent a part and closed its sending side had that part passed on to the caller as a whole answer, on both paths. On the product's own path the same happened with a reset, or with a close over unread bytes, now and then.

Cause: the close ended the answer, and nothing looked at the request. On the own path urllib3 drops ECONNRESET and EPIPE while it sends, so that the reader of the same socket sees what lies in its buffer and a clean end: an error of a socket is told once.

At a close by the peer the input of a connection now fails if bytes that were sent are not acknowledged, or an error of the socket is pending; the kernel keeps that count after a reset. It is asked again after the check of the target, as a reset may have followed. Answers that a length or a last chunk ends are complete before the close, and passed on as before.

--- a/turmerictray/router/relay.py
+++ b/turmerictray/router/relay.py
@@ -102,8 +102,7 @@
             self._relay_events(conn, head)
             return
         body = conn.read_body(self._routed.bounds.answer_deadline)
-        if conn.body_end is BodyEnd.CONNECTION_CLOSE:
-            self._check_closed_answer()
+        self._check_close(conn)
         if _is_event_stream(head):
             splitter = EventSplitter()
             splitter.feed(body)
@@ -148,13 +147,19 @@
             self._exchange.send(b"".join(event.data for event in events))
             self._progress.record_events(events)
         splitter.check_complete(conn.body_end)
-        if conn.body_end is BodyEnd.CONNECTION_CLOSE:
-            self._check_closed_answer()
+        self._check_close(conn)
         self._start_stream(head)
         if splitter.rest:
             self._exchange.send(splitter.rest)
         self._exchange.end_stream()
 
+    def _check_close(self, conn: TargetConnection) -> None:
+        """Check that an answer is complete if only the close of its connection has ended it."""
+        if conn.body_end is BodyEnd.CONNECTION_CLOSE:
+            self._check_closed_answer()
+            # A reset may have followed the close by now.
+            conn.check_close()
+
     def _read_events(self, conn: TargetConnection) -> bytes:
         """Wait for the next part of a stream, for as long as no other target may take it up."""
         if not self._may_move() or conn.wait_for_data(self._next_event_deadline()):
--- a/turmerictray/transport/bounded_input.py
+++ b/turmerictray/transport/bounded_input.py
@@ -7,12 +7,14 @@
 import http.client
 import io
 import math
+import os
 import socket
 import time
 from contextlib import suppress
 
 import urllib3
 
+from turmerictray.transport.acknowledgement import unacknowledged_bytes
 from turmerictray.transport.answer_reader import AnswerReader, InputTooLarge
 from turmerictray.transport.answer_response import AnswerResponse
 from turmerictray.transport.body import CHUNK_HEADER, STATUSES_WITHOUT_BODY, BodyEnd, body_of
@@ -33,6 +35,24 @@
     """This process has shut the connection down itself."""
 
 
+def check_request_arrived(sock: socket.socket) -> None:
+    """Check that a peer that has closed a connection had received all that was sent on it.
+
+    An error of a socket is told once. If a write got it, a read finds nothing but a clean end.
+
+    Raises
+    ------
+    ConnectionError
+        The peer has not acknowledged all, or has reset the connection.
+    """
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise ConnectionResetError(error, os.strerror(error))
+    unsent = unacknowledged_bytes(sock)
+    if unsent:
+        raise ConnectionResetError(f"closed by the peer before {unsent} bytes had arrived")
+
+
 class BoundedInput(io.RawIOBase):
     """Raw input of a socket that ends at a deadline, and after a number of bytes.
 
@@ -112,6 +132,8 @@
             More has arrived than may.
         ConnectionGivenUp
             The connection was given up.
+        ConnectionError
+            The connection broke, or the peer closed it before it had all that was sent.
         """
         if self._deadline is not None:
             left_s = min(self._deadline - time.monotonic(), self._read_timeout_s)
@@ -126,6 +148,8 @@
         if self._is_given_up:
             raise ConnectionGivenUp("given up by this process")
         self.is_closed_by_peer = count == 0
+        if self.is_closed_by_peer:
+            check_request_arrived(self._sock)
         self._left -= count or 0
         if self._left < 0:
             raise InputTooLarge("more bytes than an answer may have")
--- a/turmerictray/transport/target_conn.py
+++ b/turmerictray/transport/target_conn.py
@@ -15,7 +15,11 @@
 from turmerictray.transport.answer_reader import AnswerReader
 from turmerictray.transport.answer_response import AnswerResponse
 from turmerictray.transport.body import Body, BodyEnd, body_of
-from turmerictray.transport.bounded_input import MAX_HEAD_BYTES, BoundedInput
+from turmerictray.transport.bounded_input import (
+    MAX_HEAD_BYTES,
+    BoundedInput,
+    check_request_arrived,
+)
 from turmerictray.transport.exchange import Header
 from turmerictray.transport.held_bytes import HELD_ANSWERS
 from turmerictray.transport.reset import RESET_ON_CLOSE, set_reset_on_close
@@ -242,6 +246,19 @@
         left_s = max(0.0, deadline - time.monotonic())
         return bool(poller.poll(math.ceil(left_s * _MS_PER_S)))
 
+    def check_close(self) -> None:
+        """Check that the target has not reset the connection since it closed it.
+
+        Raises
+        ------
+        OutcomeUnknown
+            It has, so that the answer that the close ended may be incomplete.
+        """
+        try:
+            check_request_arrived(self._sock)
+        except OSError as exc:
+            raise _call_error(exc, f"{self.address}: close: {exc!r}") from exc
+
     @property
     def body_end(self) -> BodyEnd:
         """What delimits the body of the current answer."""
