Answer the requests that a stop ends before their answers have begun

Cause: a stop ends what is in progress like a disconnect of the caller, and nothing is sent to a caller that has left. Here it waits for its answer.

Now such a request gets a complete error if the head of its answer has not been sent: 503 if no target may have run it, else 502. It is sent when the drain ends, within the time that was kept for the end of the process.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.platform.conftest import wait_for
 from turmerictray.platform.standins.caller import PROMPT_HEADERS, RawCaller, make_request
 from turmerictray.platform.standins.local import default_config
 
@@ -86,6 +87,43 @@
     assert set(statuses) == {200, 503}
 
 
+@pytest.mark.process
+@pytest.mark.parametrize("path", ["/order/1", "/ping/1", "/plan/1"])
+def test_request_that_a_stop_ends_before_its_answer_is_told_so(start_deployment, path):
+    """Guards against requests that may not be repeated and end with their process, untold."""
+    deployment = start_deployment(routers=1, engines=1, apps=1)
+    config = default_config(2)
+    for route in config["routes"]:
+        route["timeout_ms"] = 20_000
+    deployment.store.store.put("op/config", config)
+    app, llm = deployment.of_service("app")[0], deployment.of_service("llm")[0]
+    app.behaviour.service_time_s = llm.behaviour.event_interval_s = 2 * GRACE_S
+    app.behaviour.slots = llm.behaviour.slots = CALLERS
+    for worker in (app, llm):
+        deployment.publish(worker)
+    time.sleep(1.0)
+    router = deployment.routers[0]
+    callers = [RawCaller(router.front) for _ in range(CALLERS)]
+    headers = {"X_Deadline_Ms": "15000"} | (PROMPT_HEADERS if path == "/plan/1" else {})
+    for number, caller in enumerate(callers):
+        headers["X_Request_Id"] = f"{number:016x}"
+        caller.send(make_request("POST", path, b"x", **headers))
+    assert wait_for(lambda: len(app.runs() + llm.runs()) == CALLERS)
+    signalled_at = time.monotonic()
+    router.signal(signal.SIGTERM)
+    answers = [caller.read() for caller in callers]
+    assert router.wait() == 0
+    assert time.monotonic() - signalled_at < GRACE_S
+    for caller in callers:
+        caller.close()
+    if path == "/plan/1":
+        # The head of a stream goes out with its first event; until then it can be refused.
+        assert {answer.status for answer in answers} <= {502, 503}
+    else:
+        assert [answer.status for answer in answers] == [502] * CALLERS
+    assert all(answer.complete for answer in answers)
+
+
 def _ask_until_refused(front: tuple[str, int]) -> list[int]:
     """Return the statuses of requests, each on a connection of its own; 0 for no answer."""
     statuses = []
--- a/turmerictray/router/flow.py
+++ b/turmerictray/router/flow.py
@@ -115,8 +115,7 @@
             finally:
                 self._watch.remove(call)
         except CallerGone as exc:
-            exchange.abort()
-            trace.end(_given_up_outcome(call), 0, str(exc))
+            self._give_up(exchange, exc, trace, call)
         except TurmerictrayError as exc:
             self._fail(exchange, exc, trace, call)
         except Exception as exc:  # noqa: BLE001 - the caller has to get a truthful answer
@@ -178,6 +177,42 @@
             home_zones=config.home_zones(route, team, self._active_config.regions),
         )
 
+    def _give_up(
+        self,
+        exchange: ClientExchange,
+        exc: TurmerictrayError,
+        trace: RequestTrace,
+        call: CancellableCall,
+    ) -> None:
+        """End a request whose caller has left, or that this router gives up as it stops.
+
+        In the latter case the caller still waits. Without an answer it could not tell whether the
+        request may have run.
+        """
+        status, outcome = 0, "caller_gone"
+        if call.closer is Closer.ROUTER_STOP:
+            outcome = "cut"
+            if not exchange.answer_started:
+                status = self._answer_stopped(exchange, trace)
+        if not status:
+            exchange.abort()
+        trace.end(outcome, status, str(exc))
+
+    def _answer_stopped(self, exchange: ClientExchange, trace: RequestTrace) -> int:
+        """Answer a request that a stop ends; return the status, 0 if the caller has left."""
+        error: TurmerictrayError = Draining("draining", _DRAINING_RETRY_S)
+        if trace.progress is not None:
+            error = trace.progress.final_error(error, timed_out=False)
+        answer = error_answer(error)
+        headers = [("Content-Type", "application/json")]
+        if isinstance(error, AdmissionError):
+            headers.append(self._deps.dialect.retry_after(error.retry_after))
+        try:
+            exchange.answer(answer.status, headers, answer.body)
+        except CallerGone:
+            return 0
+        return answer.status
+
     def _fail(
         self,
         exchange: ClientExchange,
@@ -186,8 +221,7 @@
         call: CancellableCall,
     ) -> None:
         if call.caller_gone:
-            exchange.abort()
-            trace.end(_given_up_outcome(call), 0, str(exc))
+            self._give_up(exchange, exc, trace, call)
             return
         if exchange.answer_started:
             exchange.abort()
@@ -207,11 +241,6 @@
         trace.end("refused", answer.status, f"{type(exc).__name__}: {exc}")
 
 
-def _given_up_outcome(call: CancellableCall) -> str:
-    """Return the outcome of a request that ended without an answer, or within one."""
-    return "cut" if call.closer is Closer.ROUTER_STOP else "caller_gone"
-
-
 def _check_size(routed: RoutedRequest, config: RoutingConfig) -> None:
     """Refuse a prompt that each engine would turn away as if it were full."""
     spec = config.services.get(routed.service)
