Count chunked request bodies while they are read

Cause: the memory of bodies is bounded, but a chunked one was counted only once it had been read whole, while up to 600 threads read.

Chunked bodies are read in pieces now, and each piece is counted as it arrives; a body for which there is no room is read and dropped, and refused with 503. A chunk larger than the limit is refused with 413 by its size line; before, it was read whole, and its caller got 500.

--- a/turmerictray/transport/exchange.py
+++ b/turmerictray/transport/exchange.py
@@ -10,6 +10,7 @@
 from cheroot.server import HTTPRequest
 
 from turmerictray.core.errors import CallerError, CallerGone, RouterFull
+from turmerictray.transport.framing import StrictChunkReader
 from turmerictray.transport.held_bytes import HELD_REQUESTS
 
 HOP_BY_HOP = frozenset(
@@ -144,21 +145,28 @@
             raise CallerGone(f"body not read: {exc}") from exc
 
     def _read_body(self) -> bytes:
-        rfile = self._req.rfile
         if not self._req.chunked_read:
             length = int(self._req.inheaders.get(b"Content-Length", 0))
             if not self._hold(length):
                 self._discard(length)
                 raise RouterFull("bodies_full", _BODIES_FULL_RETRY_S)
             return self._read_exactly(length)
-        data = rfile.read()
-        # The trailer section belongs to the body. Left unread, it would be parsed as the next
-        # request on this connection.
-        for _ in rfile.read_trailer_lines():
-            pass
-        if not self._hold(len(data)):
+        return self._read_chunks(self._req.conn.rfile)
+
+    def _read_chunks(self, rfile: StrictChunkReader) -> bytes:
+        """Read a chunked body, counting its memory as it arrives."""
+        pieces: list[bytes] = []
+        size, is_held = 0, True
+        for piece in rfile.pieces(self._req.server.max_request_body_size):
+            size += len(piece)
+            is_held = is_held and self._hold(size)
+            if is_held:
+                pieces.append(piece)
+            else:
+                pieces.clear()
+        if not is_held:
             raise RouterFull("bodies_full", _BODIES_FULL_RETRY_S)
-        return data
+        return b"".join(pieces)
 
     def _hold(self, size: int) -> bool:
         is_held = HELD_REQUESTS.resize(self._held_bytes, size)
--- a/turmerictray/transport/framing.py
+++ b/turmerictray/transport/framing.py
@@ -6,7 +6,9 @@
 """
 
 import re
+from collections.abc import Iterator
 
+from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HeaderReader, HTTPRequest
 
 _HEADER_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -17,6 +19,8 @@
 _MAX_CHUNK_HEADER_BYTES = 256
 """A longer line is refused before it is read in full; extensions are rare and short."""
 
+_PIECE_BYTES = 65536
+_CRLF = b"\r\n"
 _MISSING = b""
 _CONTINUE = b"100-continue"
 _SINGLE_VALUE_HEADERS = (b"Content-Length", b"Transfer-Encoding", b"Host")
@@ -73,7 +77,7 @@
         raise FramingError("Transfer-Encoding is not chunked")
 
 
-class _StrictChunkReader:
+class StrictChunkReader:
     """File wrapper that validates the header line of each chunk of a chunked body.
 
     cheroot parses a chunk's size with :func:`int`, which accepts signs, ``0x``, underscores
@@ -103,6 +107,45 @@
             raise FramingError("a chunk ended early")
         return data
 
+    def pieces(self, max_bytes: int) -> Iterator[bytes]:
+        """Yield the body in pieces as they arrive, and read its trailer section.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Limit of the body, and of its trailer section.
+
+        Raises
+        ------
+        FramingError
+            The body is malformed, or ended early.
+        MaxSizeExceeded
+            The body is too large.
+        """
+        total = 0
+        while size := self._read_size():
+            total += size
+            if total > max_bytes:
+                raise MaxSizeExceeded(f"over {max_bytes} bytes")
+            while size:
+                piece = self.read(min(size, _PIECE_BYTES))
+                size -= len(piece)
+                yield piece
+            if self.read(len(_CRLF)) != _CRLF:
+                raise FramingError("a chunk is longer than its size")
+        self._read_trailer(max_bytes)
+
+    def _read_size(self) -> int:
+        return int(_CHUNK_HEADER.fullmatch(self.readline())[1], 16)
+
+    def _read_trailer(self, max_bytes: int) -> None:
+        # The trailer section belongs to the body. Left unread, it would be parsed as the next
+        # request on this connection.
+        while (line := self.readline()) != _CRLF:
+            max_bytes -= len(line)
+            if not line.endswith(_CRLF) or max_bytes < 0:
+                raise FramingError("the trailer section is malformed or too large")
+
     def close(self) -> None:
         """Close the wrapped file."""
         self._rfile.close()
@@ -119,7 +162,7 @@
             super().respond()
             return
         rfile = self.conn.rfile
-        self.conn.rfile = _StrictChunkReader(rfile)
+        self.conn.rfile = StrictChunkReader(rfile)
         try:
             super().respond()
         finally:
