Let an answer excuse the crashes of the moment after it

Cause: an answer clears a request of the crashes before it, but counts for nothing a moment later; and a request that is held is never sent, so that no answer clears it.

A request that crashes each engine that runs it is never answered. An answer within 60 s now excuses the crashes of one moment (2 s) after it: they are not counted, not told to the scheduler, and cleared when other routers report them. Crashes after that count, so that a request which becomes harmful is held as before, three crashes later.

--- a/turmerictray/crashes/quarantine.py
+++ b/turmerictray/crashes/quarantine.py
@@ -9,6 +9,7 @@
 
 import threading
 from collections.abc import Iterable
+from dataclasses import replace
 
 from turmerictray.core.errors import Quarantined
 from turmerictray.core.ids import RequestDigest, TargetId
@@ -21,6 +22,7 @@
 )
 from turmerictray.crashes.fingerprint import Fingerprint, ServicePart
 from turmerictray.crashes.parts import HOLD_S, PartSuspects, Suspicion
+from turmerictray.crashes.sound_requests import SoundRequests
 from turmerictray.crashes.suspects import Findings, Suspect, SuspectTable
 from turmerictray.membership.messages import CrashReport, PartCrashReport
 
@@ -48,6 +50,7 @@
         self._requests: SuspectTable[RequestDigest] = SuspectTable(
             QUARANTINE_S, ISOLATION_THRESHOLD, _log_forgotten
         )
+        self._sound = SoundRequests()
         self._parts = PartSuspects()
         self._attribution = Attribution()
         self.revision = 0
@@ -146,7 +149,7 @@
         """
         with self._lock:
             try:
-                if fingerprint.digest:
+                if fingerprint.digest and not self._sound.excuse(fingerprint.digest, now):
                     suspect = self._requests.find_or_add(fingerprint.digest, now, now)
                     found = Findings(frozenset({target}))
                     self._add_findings(fingerprint.digest, suspect, found, "own")
@@ -164,6 +167,13 @@
             isolated=isolated,
         )
 
+    def accused(self, fingerprint: Fingerprint, now: float) -> Fingerprint:
+        """Return what a crash counts against; without the digest of a request proved sound."""
+        with self._lock:
+            if self._sound.excuse(fingerprint.digest, now):
+                return replace(fingerprint, digest=RequestDigest(""))
+            return fingerprint
+
     def record_answer(self, fingerprint: Fingerprint, now: float) -> tuple[ServicePart, ...]:
         """Record an answer, which clears a request and its prompt's parts of the crashes so far.
 
@@ -173,6 +183,8 @@
             Parts of whose soundness the scheduler has not been told recently.
         """
         with self._lock:
+            if fingerprint.digest:
+                self._sound.add(fingerprint.digest, now)
             suspect = self._requests.find(fingerprint.digest, now)
             if suspect is not None and suspect.crashes:
                 found = Findings(cleared=frozenset(suspect.crashed))
@@ -199,10 +211,11 @@
                     continue
                 digest = RequestDigest(report.digest)
                 suspect = self._requests.find_or_add(digest, now, now - report.age_s)
-                found = Findings(
-                    frozenset(map(TargetId, report.ended)),
-                    frozenset(map(TargetId, report.cleared)),
-                )
+                ended = frozenset(map(TargetId, report.ended))
+                cleared = frozenset(map(TargetId, report.cleared))
+                if self._sound.excuse(digest, now):
+                    cleared |= ended
+                found = Findings(ended, cleared)
                 changed |= self._add_findings(digest, suspect, found, "peer")
             if changed:
                 self._update_attribution()
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -480,7 +480,9 @@
             self._progress.record_possible_run(granted.target.id)
         outcome, verdict = self._broken_attempt_outcome(exc, gone, granted), None
         if outcome is Outcome.TARGET_ENDED:
-            verdict = CrashVerdict(True, self._routed.fingerprint, granted.isolated)
+            quarantine = self._deps.crashes.quarantine
+            fingerprint = quarantine.accused(self._routed.fingerprint, time.monotonic())
+            verdict = CrashVerdict(True, fingerprint, granted.isolated)
         slot.settle(outcome, self._routed.cost, verdict)
 
     def _broken_attempt_outcome(
