Read the store's history once lapsed entries may be back

A store that has just returned, or was restored from a copy, lacks targets that serve for about two seconds, and its history doesn't tell of them.

Before: test_targets_whose_entries_may_come_back_are_waited_for failed, as the history was read at once.

--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -8,11 +8,15 @@
 
 from turmerictray.core.errors import HistoryGone, StoreUnavailable
 from turmerictray.core.ids import ServiceName, SoftwareVersion
+from turmerictray.platform.entries import missing_entry_deadline
 from turmerictray.platform.history import HistoryReader, PastTargets, read_past_targets
 from turmerictray.platform.store import Item, Snapshot
 from turmerictray.router.published import StorePosition
 
 HISTORY_S = 20.0
+BACK_S = missing_entry_deadline(0.0)
+"""Time until which entries that lapsed come back after the store's return, in seconds."""
+
 LLM, APP = ServiceName("llm"), ServiceName("app")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 
@@ -110,11 +114,22 @@
     history = History([write(2, "i-1")], 0, 5)
     reader = HistoryReader(history, HISTORY_S, found.append)
     assert reader.run_if_due(0.0) is None and not history.calls
-    reader.note_list(history.position)
+    reader.note_list(history.position, 0.0)
     history.is_away = True
-    assert reader.run_if_due(0.0) > 0
+    assert reader.run_if_due(BACK_S) > 0
     history.is_away = False
-    assert reader.run_if_due(0.1) > 0 and not found
-    assert reader.run_if_due(1.0) is None and len(found) == 1
+    assert reader.run_if_due(BACK_S + 0.1) > 0 and not found
+    assert reader.run_if_due(BACK_S + 1.0) is None and len(found) == 1
     calls = history.calls
-    assert reader.run_if_due(2.0) is None and history.calls == calls
+    assert reader.run_if_due(BACK_S + 2.0) is None and history.calls == calls
+
+
+def test_targets_whose_entries_may_come_back_are_waited_for():
+    """Guards against joined streams as a restored store doesn't list all targets yet."""
+    found: list[PastTargets] = []
+    history = History([write(2, "i-1")], 0, 5)
+    reader = HistoryReader(history, HISTORY_S, found.append)
+    reader.note_list(history.position, 0.0)
+    assert reader.run_if_due(1.0) == pytest.approx(BACK_S - 1.0) and not history.calls
+    reader.note_list(history.position, 1.5)
+    assert reader.run_if_due(BACK_S) is None and len(found) == 1
--- a/turmerictray/platform/history.py
+++ b/turmerictray/platform/history.py
@@ -17,7 +17,11 @@
 from turmerictray.core.ids import ServiceName, SoftwareVersion, TargetName
 from turmerictray.core.logs import log_event
 from turmerictray.platform.documents import decode_target
-from turmerictray.platform.entries import TARGETS_PREFIX, name_of_target
+from turmerictray.platform.entries import (
+    TARGETS_PREFIX,
+    missing_entry_deadline,
+    name_of_target,
+)
 from turmerictray.platform.store import Item, Snapshot, StoreClient
 from turmerictray.router.published import StorePosition
 
@@ -165,8 +169,13 @@
         self._due_at = -math.inf
         self._attempts_left = _MAX_ATTEMPTS
 
-    def note_list(self, position: StorePosition) -> None:
-        """Record the position of a list of all entries."""
+    def note_list(self, position: StorePosition, now: float) -> None:
+        """Record the position of a list of all entries.
+
+        The store may have been away until just now, and then the list lacks targets that are there.
+        """
+        if self._position is None:
+            self._due_at = missing_entry_deadline(now)
         self._position = position
 
     def run_if_due(self, now: float) -> float | None:
--- a/turmerictray/platform/sources.py
+++ b/turmerictray/platform/sources.py
@@ -475,7 +475,7 @@
             self._send_changes(self._apply(work))
 
         if self._gate.is_designated():
-            self._history.note_list(snapshot.position)
+            self._history.note_list(snapshot.position, time.monotonic())
 
     def _apply_changes(self, snapshot: Snapshot) -> None:
         with self._lock:
