Conclude nothing from a history that was discarded early

The position of the first list is kept now; if its changes are gone a few seconds later, the history is not used at all.

Before: test_history_that_was_discarded_early_tells_nothing failed, as the position of the next list was read from instead.

check_closed_answer takes its deadline from each caller: its default let a check end before it began.

--- a/tests/crashes/test_closed_answers.py
+++ b/tests/crashes/test_closed_answers.py
@@ -27,14 +27,14 @@
     """Check an answer that ran for ``ran_s``; return what is then held against its request."""
     now = time.monotonic()
     with pytest.raises(ConnectionBroken) as caught:
-        evidence.check_closed_answer(TARGET, now)
+        evidence.check_closed_answer(TARGET, now, now)
     evidence.record_if_crash(REQUEST, TARGET, caught.value, ran_s, now)
     return evidence.quarantine.suspicion(REQUEST, now)
 
 
 def test_answer_of_a_running_target_is_complete():
     evidence = make_evidence(exited=False)
-    evidence.check_closed_answer(TARGET, time.monotonic())
+    evidence.check_closed_answer(TARGET, time.monotonic(), time.monotonic())
     assert evidence.quarantine.suspicion(REQUEST, time.monotonic()) is Suspicion.NONE
 
 
@@ -43,7 +43,7 @@
     detector = TargetExitDetector(lambda _target, _timeout_s: Liveness.UNKNOWN)
     evidence = CrashEvidence(ended_targets=detector)
     with pytest.raises(OutcomeUnknown) as caught:
-        evidence.check_closed_answer(TARGET, time.monotonic())
+        evidence.check_closed_answer(TARGET, time.monotonic(), time.monotonic())
     assert not isinstance(caught.value, ConnectionBroken)
 
 
--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -133,3 +133,16 @@
     assert reader.run_if_due(1.0) == pytest.approx(BACK_S - 1.0) and not history.calls
     reader.note_list(history.position, 1.5)
     assert reader.run_if_due(BACK_S) is None and len(found) == 1
+
+
+def test_history_that_was_discarded_early_tells_nothing():
+    """Guards against joined streams as the store has forgotten a target of another version."""
+    found: list[PastTargets] = []
+    history = History([write(2, "i-1")], 0, 5)
+    reader = HistoryReader(history, HISTORY_S, found.append)
+    reader.note_list(history.position, 0.0)
+    history.discarded, history.position = 7, StorePosition(1, 7)
+    reader.note_list(history.position, 1.0)
+    for now in (BACK_S, BACK_S + 1.0):
+        assert reader.run_if_due(now) is None
+    assert not found
--- a/turmerictray/crashes/evidence.py
+++ b/turmerictray/crashes/evidence.py
@@ -1,6 +1,5 @@
 """Evidence from broken connections on requests that crash their targets."""
 
-import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -68,8 +67,8 @@
         self,
         target: TargetInfo,
         closed_at: float,
+        deadline: float,
         on_found: Callable[[Liveness], None] = lambda found: None,
-        deadline: float = -math.inf,
         is_given_up: Callable[[], bool] = lambda: False,
     ) -> None:
         """Check that an answer that only the close of its connection ended was not broken off.
@@ -82,10 +81,10 @@
         target : TargetInfo
         closed_at : float
             When the connection was closed, in monotonic seconds.
-        on_found : callable
-            Called with what the check found out about the target.
         deadline : float
             Monotonic time until which a target that does not respond is checked again.
+        on_found : callable
+            Called with what the check found out about the target.
         is_given_up : callable
             Returns whether nobody waits for the answer any more.
 
--- a/turmerictray/platform/history.py
+++ b/turmerictray/platform/history.py
@@ -77,7 +77,7 @@
     Raises
     ------
     HistoryGone
-        The store has lost its changes since ``position``.
+        The store has lost its changes since ``position``, which is recent.
     StoreUnavailable
         The store can't be reached.
     """
@@ -170,13 +170,13 @@
         self._attempts_left = _MAX_ATTEMPTS
 
     def note_list(self, position: StorePosition, now: float) -> None:
-        """Record the position of a list of all entries.
+        """Record the position of the first list of all entries.
 
         The store may have been away until just now, and then the list lacks targets that are there.
         """
         if self._position is None:
             self._due_at = missing_entry_deadline(now)
-        self._position = position
+            self._position = position
 
     def run_if_due(self, now: float) -> float | None:
         """Read the history if it is due; return the seconds until the next attempt, or None."""
@@ -187,10 +187,15 @@
         self._attempts_left -= 1
         try:
             found = read_past_targets(self._client, self._position, self._history_s)
-        except (HistoryGone, StoreUnavailable) as exc:
+        except StoreUnavailable as exc:
             log_event("history_unread", level="WARNING", reason=str(exc)[:200])
             self._due_at = now + _RETRY_PAUSE_S
             return _RETRY_PAUSE_S
+        except HistoryGone as exc:
+            # The store has discarded changes early, and perhaps others before.
+            log_event("history_gone", level="WARNING", reason=str(exc)[:200])
+            self._attempts_left = 0
+            return None
         self._attempts_left = 0
         log_event(
             "history_read",
--- a/turmerictray/router/run.py
+++ b/turmerictray/router/run.py
@@ -560,8 +560,8 @@
             self._deps.crashes.check_closed_answer(
                 granted.target,
                 now,
-                self._progress.record_liveness,
                 self._report_deadline(granted, now),
+                self._progress.record_liveness,
                 lambda: self._call.caller_gone,
             )
 
