Begin no streams at a software version that has just joined others

Cause: a router without a record takes the one version that it knows for the only one while its list counts as confirmed, for about a second after the last word of the store or the others; a target of another version may have joined since.

A version whose first target joins targets of others now begins no streams until each router has learned of it or takes its list for old: the time after which routers count as silent, and a second in which entries are told on. Versions of the first list and a version that is alone begin at once; a stream with a record goes on at its version all the while.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -21,6 +21,9 @@
 _GOSSIP_S = 0.6
 """Time in which routers learn of changed entries from their peers."""
 
+_UNTIL_VERSION_SERVES_S = 2.5
+"""Time after which a version that joins another begins streams."""
+
 _JOIN_S = 1.0
 """Time in which a router that has started gets the records of its peers."""
 
@@ -133,7 +136,7 @@
         worker.behaviour.event_interval_s = _EVENT_INTERVAL_S
         worker.behaviour.slots = 64
         deployment.publish(worker)
-    time.sleep(_GOSSIP_S)
+    time.sleep(_UNTIL_VERSION_SERVES_S)
     return deployment
 
 
--- a/tests/scheduling/test_resumption.py
+++ b/tests/scheduling/test_resumption.py
@@ -110,6 +110,7 @@
         self.age_s = 0.0
         self.position = StorePosition()
         self.broker = Broker(NodeId("n"), ZoneId("z"), 1, ActiveConfig(), RetryLimits(0.2, 50, 10))
+        self.broker._grants._clock = lambda: clock.now
         self.broker.pools.unsharded(LLM).targets.set_spec(
             ServiceSpec(LLM, engine=EngineSpec(64, 600_000))
         )
@@ -256,6 +257,37 @@
             fixture.take_up()
 
 
+def _new_stream_versions(fixture: _Fixture) -> set[SoftwareVersion]:
+    """Return the versions at which new streams begin now."""
+    replies = [fixture.ask(_prompt(f"{fixture}{n}", 100)) for n in range(8)]
+    return {_result(reply).target.version for reply in replies if reply.done()}
+
+
+def test_a_version_that_joins_begins_no_streams_before_all_routers_can_know_of_it(watching):
+    """Guards against streams that a router which was just cut off joins to the version before."""
+    fixture = watching(V1, V1)
+    fixture.run_beside("a", "b", for_s=1.0)
+    fixture.broker.handle(TargetsChanged([_engine("new", V2)]))
+    fixture.run_beside("a", "b", for_s=1.5)
+    assert _new_stream_versions(fixture) == {V1}
+    assert fixture.take_up(version=V2) == V2
+    fixture.run_beside("a", "b", for_s=1.5)
+    assert _new_stream_versions(fixture) == {V1, V2}
+    # Another target of the version needs no time.
+    fixture.broker.handle(TargetsChanged([_engine("next", V2)]))
+    assert V2 in _new_stream_versions(fixture)
+
+
+def test_versions_of_the_first_list_and_the_only_one_begin_streams_at_once(start):
+    """Guards against a service that stands still because its targets are new."""
+    fixture = start(V1, V2)
+    assert _new_stream_versions(fixture) == {V1, V2}
+    fixture.tick(60.0)
+    fixture.broker.handle(TargetsChanged([TargetGone(TargetId("e0")), TargetGone(TargetId("e1"))]))
+    fixture.broker.handle(TargetsChanged([_engine("new", SoftwareVersion("v3"))]))
+    assert _new_stream_versions(fixture) == {SoftwareVersion("v3")}
+
+
 def test_an_unknown_stream_is_refused_on_the_own_path(watching):
     # The scheduler had refused it, as it knew of a second version before this router did.
     with pytest.raises(CannotResume):
--- a/turmerictray/admission/pool.py
+++ b/turmerictray/admission/pool.py
@@ -435,6 +435,8 @@
     def _place(self, context: PlacementContext, fraction: float, now: float) -> Placement | None:
         context.last_attempt_at = now
         loads = self._candidates(context, now)
+        if context.prompt is not None and context.version is None:
+            loads = self.targets.exclude_joining(loads, now)
         loads = self.cold_targets.exclude_resting(loads, self.targets.spec, context.own_path, now)
         if context.avoids_trials and now < context.urgent_from:
             loads = self._exclude_trials(loads, context, now)
--- a/turmerictray/routing/pool_targets.py
+++ b/turmerictray/routing/pool_targets.py
@@ -44,6 +44,10 @@
 """Phases between which a target changes with the evacuation of its zone."""
 
 
+_FIRST_LIST_S = 0.5
+"""Time in which the first list of targets is added, in seconds."""
+
+
 class PoolTargets:
     """Targets by id, with the model of their answer times.
 
@@ -53,6 +57,10 @@
     model : PoolModel
     revision : int
         Increases when a target is added or removed.
+    version_hold_s : float
+        Seconds after its first target has joined others for which a software version begins no
+        streams: the time in which a router either learns of it, or notices that its list of
+        targets may be old.
     """
 
     def __init__(self, spec: ServiceSpec) -> None:
@@ -60,10 +68,13 @@
         self.model = PoolModel()
         self.loads: dict[TargetId, TargetLoad] = {}
         self.revision = 0
+        self.version_hold_s = 0.0
         self._estimates_changed = False
         self._evacuated_zones: frozenset[ZoneId] = frozenset()
         self._reported_cold_s: dict[TargetId, float] = {}
         self._versions = RecentVersions()
+        self._first_added_at: float | None = None
+        self._joined_at: dict[SoftwareVersion, float] = {}
         self._zone_reachability = ZoneReachability()
         self._usual_ratio = UsualRatio()
         self._unreported_reads: deque[tuple[TargetId, tuple[PromptPart, ...]]] = deque(
@@ -82,13 +93,34 @@
         self._update_entry(info)
         load = self.loads[info.id]
         if old_version != load.info.version:
-            self._versions.add(load.info.version)
+            if self._versions.add(load.info.version):
+                self._note_joined(load.info.version, now)
             if old_version is not None:
                 self._versions.remove(old_version, now)
         if info.cold_s != self._reported_cold_s.get(info.id, 0.0):
             self._reported_cold_s[info.id] = info.cold_s
             load.note_cold(info.cold_s, now)
 
+    def _note_joined(self, version: SoftwareVersion, now: float) -> None:
+        """Record when the first target of a version came, unless it is from the first list."""
+        if self._first_added_at is None:
+            self._first_added_at = now
+        if now - self._first_added_at > _FIRST_LIST_S:
+            self._joined_at[version] = now
+
+    def exclude_joining(self, loads: list[TargetLoad], now: float) -> list[TargetLoad]:
+        """Return the targets that may begin streams.
+
+        A version that has just joined others begins none until all routers can know of it. One that
+        doesn't would let such a stream go on at the version that it takes for the only one.
+        """
+        if not self._joined_at or len(self._versions.serving()) == 1:
+            return loads
+        self._joined_at = {
+            v: at for v, at in self._joined_at.items() if now - at < self.version_hold_s
+        }
+        return [load for load in loads if load.info.version not in self._joined_at]
+
     def _update_entry(self, info: TargetInfo) -> None:
         info = self._with_evacuation(info)
         load = self.loads.get(info.id)
@@ -357,6 +389,10 @@
         """Load entries of all targets of the service, by id."""
         return self._whole.loads
 
+    def exclude_joining(self, loads: list[TargetLoad], now: float) -> list[TargetLoad]:
+        """Return the targets that may begin streams."""
+        return self._whole.exclude_joining(loads, now)
+
     def record_unreachable(self, target: TargetId, now: float) -> None:
         """Record that no connection to a target could be opened."""
         self._whole.record_unreachable(target, now)
--- a/turmerictray/routing/streams.py
+++ b/turmerictray/routing/streams.py
@@ -71,9 +71,10 @@
         self._target_counts: Counter[SoftwareVersion] = Counter()
         self._gone_at: dict[SoftwareVersion, float] = {}
 
-    def add(self, version: SoftwareVersion) -> None:
-        """Record a target of a version."""
+    def add(self, version: SoftwareVersion) -> bool:
+        """Record a target of a version; return whether it is the only one of this version."""
         self._target_counts[version] += 1
+        return self._target_counts[version] == 1
 
     def remove(self, version: SoftwareVersion, now: float) -> None:
         """Record that a target of a version is gone."""
@@ -82,6 +83,10 @@
             del self._target_counts[version]
             self._gone_at[version] = now
 
+    def serving(self) -> set[SoftwareVersion]:
+        """Return the versions of the targets that are there now."""
+        return set(self._target_counts)
+
     def current(self, now: float) -> set[SoftwareVersion]:
         """Return the versions that may have begun a stream that is still awaited."""
         return set(self._target_counts) | set(self.gone(now))
--- a/turmerictray/scheduling/broker.py
+++ b/turmerictray/scheduling/broker.py
@@ -105,6 +105,9 @@
 _EXPIRY = "Broker:expiry"
 """Kind of work under which failures to end the wait of overdue requests are counted."""
 
+_VERSION_HOLD_MARGIN_S = 1.0
+"""Time in which routers that have a new entry tell the others, in seconds."""
+
 _MAX_REPORTED_LEAVING = 64
 """Maximum number of leaving targets in a message to peers, which bounds its size."""
 
@@ -839,6 +842,7 @@
 
     def _set_fleet_size(self, pool: ServicePool) -> None:
         pool.router_count = self.fleet_size
+        pool.targets.version_hold_s = silent_timeout_s(self.fleet_size) + _VERSION_HOLD_MARGIN_S
         # This router's fraction of the shared floor only shrinks: routers that look gone may be
         # partitioned from here and still spend their fractions.
         pool.budget.router_count = max(pool.budget.router_count, self.fleet_size)
